--- /dev/null
+++ b/packages/bourse/src/hoistsaddle/bourse/service.py
@@ -0,0 +1,247 @@
+"""The registry: takes the outside calls for both core programs, hears vitals, and is a root of the relay tree."""
+import asyncio
+import secrets
+from datetime import timedelta
+
+import msgspec
+from aiomisc import Service
+from returns.result import Failure, Result, Success
+
+from hoistsaddle.bourse.duties import Warden
+from hoistsaddle.bourse.operators import OperatorDoor
+from hoistsaddle.bourse.writer import NO_LEADER, Writer
+from hoistsaddle.crier.holding import hold_poll
+from hoistsaddle.crier.member import Member
+from hoistsaddle.crier.membership import ALIVE
+from hoistsaddle.crier.relay import Relay
+from hoistsaddle.haggle.line import Lines, LineServer
+from hoistsaddle.haggle.parcels import (
+    PollAnswer,
+    PollCall,
+    ProbeCall,
+    ProbeForCall,
+    ReadAnswer,
+    Rumour,
+    Uptake,
+    UptakeAnswer,
+    UptakeCall,
+    VitalsAnswer,
+    VitalsCall,
+    WriteAnswer,
+    WriteCall,
+)
+from hoistsaddle.shelf.commands import ClaimHold, NoteNode, NoteServer, ReleaseHold, SettleHold, pack_outcome, unpack_command
+from hoistsaddle.shelf.state import WARDEN
+from hoistsaddle.shelf.view import View, read_view
+from hoistsaddle.tally.counters import Counters
+from hoistsaddle.tally.mishaps import MishapKind
+from hoistsaddle.tally.moments import milliseconds, monotonic_now
+from hoistsaddle.tally.params import BourseParams
+
+READ_EVERY = milliseconds(100)
+WRITE_SPAN = timedelta(seconds=3)
+DUTY_EVERY = milliseconds(200)
+
+
+class BourseService(Service):
+    def __init__(self, *, params: BourseParams) -> None:
+        super().__init__()
+        self.params = params
+        self.node = f"bourse-{params.replica}"
+        self.incarnation = secrets.token_hex(6)
+        self.counters = Counters(owner=self.node)
+
+    async def start(self) -> None:
+        params = self.params
+        self.lines = Lines()
+        self.peers = {machine.replica: machine.bourse for machine in params.core}
+        self.warehouses = {machine.replica: machine.warehouse for machine in params.core}
+        self.writer = Writer(name=self.node, warehouses=self.warehouses, home=params.replica, lines=self.lines, counters=self.counters)
+        self.relay = Relay(node=self.node, incarnation=self.incarnation, lease_span=timedelta(seconds=params.lease_seconds))
+        self.view = View()
+        self.news = asyncio.Condition()
+        self.warden = Warden(node=self.node, vitals_span=timedelta(seconds=params.vitals_seconds))
+        me = Rumour(self.node, "bourse", params.listen, params.zone, self.incarnation, 0, ALIVE)
+        self.member = Member(me=me, seeds=[address for address in self.peers.values() if address != params.listen], lines=self.lines, counters=self.counters, changed=lambda rumour: None)
+        self.server = LineServer(address=params.listen, handler=self.answer)
+        await self.server.start()
+        self.door = OperatorDoor(bourse=self)
+        await self.door.start()
+        self.tasks = [asyncio.ensure_future(work) for work in (self.member.run(), self._read_news(), self._do_duties(), self._register())]
+        self.counters.happen("bourse up", incarnation=self.incarnation)
+        self.start_event.set()
+        await asyncio.gather(*self.tasks)
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await self.door.stop()
+        self.writer.stop()
+        self.member.stop()
+        await self.server.stop()
+        self.lines.close()
+
+    # -- roots -------------------------------------------------------------------------------------------------------
+
+    async def _read_news(self) -> None:
+        while True:
+            await self.refresh(within=milliseconds(900))
+            await asyncio.sleep(READ_EVERY.total_seconds())
+
+    async def refresh(self, *, within: timedelta) -> bool:
+        """One read the leader confirms; the lease counts from just before it was asked."""
+        deadline = monotonic_now() + within
+        while monotonic_now() < deadline:
+            asked = monotonic_now()
+            match await self.writer.read(part="news", known_revision=self.relay.copy.revision, within=milliseconds(350)):
+                case Success(ReadAnswer() as answer):
+                    await self._take(answer, asked)
+                    return True
+            self.counters.add("news.reads_missed")
+        return False
+
+    async def _take(self, answer: ReadAnswer, asked: timedelta) -> None:
+        mesh, items = "", None
+        if answer.content:
+            mesh, plain = msgspec.msgpack.decode(answer.content)
+            items = {key: (revision, value) for key, (revision, value) in plain.items()}
+        was_fresh = self.relay.fresh(now=monotonic_now())
+        if self.relay.confirmed(asked=asked, mesh=mesh, revision=answer.revision, items=items):
+            self.view = read_view(revision=self.relay.copy.revision, items=self.relay.copy.items, node=self.node, zone=self.params.zone, before=self.view)
+            self.counters.happen("news", revision=self.view.revision, in_force=self.view.bundle_number, rolling=self.view.rolling)
+        if self.relay.fresh(now=monotonic_now()) and not was_fresh:
+            self.counters.happen("lease fresh", revision=self.relay.copy.revision)
+        async with self.news:
+            self.news.notify_all()
+
+    # -- calls from the mesh -----------------------------------------------------------------------------------------
+
+    async def answer(self, message: tuple) -> tuple | None:
+        self.counters.add(f"calls.{type(message).__name__}")
+        match message:
+            case PollCall():
+                return await self._poll(message)
+            case VitalsCall():
+                return await self._vitals(message)
+            case WriteCall(payloads=payloads):
+                return await self._write_for_stall(payloads)
+            case UptakeCall():
+                return UptakeAnswer(self.relay.known_uptakes(now=monotonic_now()))
+            case ProbeCall() | ProbeForCall():
+                return await self.member.answer(message)
+        return None
+
+    async def _poll(self, call: PollCall) -> PollAnswer:
+        self.relay.heard(call.uptakes, now=monotonic_now())
+        return await hold_poll(relay=self.relay, news=self.news, call=call)
+
+    async def _write_for_stall(self, payloads: tuple[bytes, ...]) -> WriteAnswer:
+        for payload in payloads:
+            # Stalls may hold keys and nothing else; all other writes have callers of their own here.
+            if not isinstance(unpack_command(payload), ClaimHold | SettleHold | ReleaseHold):
+                return WriteAnswer(str(MishapKind.NOT_ALLOWED), -1)
+        outcomes = []
+        for result in await self.writer.write_payloads(payloads, within=WRITE_SPAN):
+            match result:
+                case Success(outcome):
+                    outcomes.append(pack_outcome(outcome))
+                case Failure(mishap):
+                    return WriteAnswer(str(mishap.kind), -1)
+        return WriteAnswer("", -1, tuple(outcomes))
+
+    async def _vitals(self, call: VitalsCall) -> VitalsAnswer:
+        duty = self.view.duties.get(WARDEN)
+        if duty is not None and duty.node != self.node:
+            # The warden must hear every heartbeat; one step of forwarding helps a stall that doesn't know it yet.
+            address = self.peers.get(int(duty.node.rpartition("-")[2]), "")
+            match await self.lines.call(address, call, within=milliseconds(600)):
+                case Success(VitalsAnswer() as answer):
+                    return answer
+        return await self.take_vitals(call)
+
+    async def take_vitals(self, call: VitalsCall) -> VitalsAnswer:
+        now = monotonic_now()
+        self.warden.hear(call.node, incarnation=call.incarnation, now=now)
+        # Only changes are logged; a heartbeat that says what the log says already ends here.
+        node = self.view.nodes.get(call.node)
+        if node is None or (node.address, node.zone, node.incarnation, node.state) != (call.address, call.zone, call.incarnation, "alive"):
+            if isinstance(await self.writer.write(NoteNode(call.node, "stall", call.address, call.zone, call.incarnation, "alive"), within=WRITE_SPAN), Failure):
+                return VitalsAnswer(str(MishapKind.NO_LEADER), "", 0)
+            self.counters.happen("stall noted", stall=call.node)
+        if not call.service_name:
+            return VitalsAnswer("", "", call.serial)
+        server = self.view.servers.get(call.node)
+        told = (call.service_name, call.instance, call.server, call.zone, call.state, call.incarnation)
+        if server is None or (server.service, server.instance, server.address, server.zone, server.state, server.incarnation) != told:
+            command = NoteServer(call.node, call.service_name, call.instance, call.server, call.zone, call.state, call.serial, call.incarnation)
+            match await self.writer.write(command, within=WRITE_SPAN):
+                case Success(outcome) if not outcome.mishap:
+                    if not outcome.detail.get("old") and (server is None or server.state != call.state or server.instance != call.instance):
+                        self.counters.happen("server noted", stall=call.node, service=call.service_name, instance=call.instance, state=call.state)
+                case _:
+                    return VitalsAnswer(str(MishapKind.NO_LEADER), "", 0)
+        return VitalsAnswer("", call.state, call.serial)
+
+    # -- duties ------------------------------------------------------------------------------------------------------
+
+    async def _register(self) -> None:
+        """Notes this bourse among the mesh's nodes, once there is a mesh."""
+        while True:
+            known = self.view.nodes.get(self.node)
+            if self.relay.fresh(now=monotonic_now()) and (known is None or known.incarnation != self.incarnation):
+                await self.writer.write(NoteNode(self.node, "bourse", self.params.listen, self.params.zone, self.incarnation, "alive"), within=WRITE_SPAN)
+            await asyncio.sleep(DUTY_EVERY.total_seconds())
+
+    async def _do_duties(self) -> None:
+        while True:
+            await asyncio.sleep(DUTY_EVERY.total_seconds())
+            now = monotonic_now()
+            live = [member.node for member in self.member.core.alive(kind="bourse")]
+            commands = self.warden.handle(view=self.view, live_bourses=live, fresh=self.relay.fresh(now=now), now=now)
+            for command in commands:
+                match await self.writer.write(command, within=WRITE_SPAN):
+                    case Success(outcome) if not outcome.mishap:
+                        self.counters.happen("duty done", what=type(command).__name__, about=getattr(command, "stall", "") or command.node)
+                    case Success(outcome):
+                        self.counters.happen("duty refused", what=type(command).__name__, mishap=outcome.mishap)
+            if commands:
+                await self.refresh(within=milliseconds(500))
+
+    # -- acceptance --------------------------------------------------------------------------------------------------
+
+    async def await_uptake(self, *, revision: int, stalls: list[str], committed: timedelta) -> dict[str, str]:
+        """Waits until every stall has taken the revision up or its lease must have lapsed; tells which of the two.
+
+        A lease that knew an older setup began before the commit, so one lease span after it no such lease is left.
+        """
+        # A twentieth on top: two machines' monotonic clocks may run apart a little.
+        end = committed + timedelta(seconds=self.params.lease_seconds) * 1.05
+        while True:
+            uptakes = await self.gather_uptakes()
+            standing: dict[str, str] = {}
+            for stall in stalls:
+                uptake = uptakes.get(stall)
+                if uptake is not None and uptake.revision >= revision:
+                    standing[stall] = f"refused: {uptake.refusal}" if uptake.refusal else "taken up"
+            # A copy older than the commit may not know every stall concerned: then only the lapse counts.
+            complete = self.relay.copy.revision >= revision and len(standing) == len(stalls)
+            if complete or monotonic_now() >= end:
+                return {stall: standing.get(stall, "lapsed") for stall in stalls}
+            await asyncio.sleep(milliseconds(25).total_seconds())
+
+    async def gather_uptakes(self) -> dict[str, Uptake]:
+        others = [address for address in self.peers.values() if address != self.params.listen]
+        answers = await asyncio.gather(*(self.lines.call(address, UptakeCall(self.node), within=milliseconds(150)) for address in others))
+        found: dict[str, Uptake] = {}
+        gathered = [self.relay.known_uptakes(now=monotonic_now())]
+        gathered += [answer.unwrap().uptakes for answer in answers if isinstance(answer, Success) and isinstance(answer.unwrap(), UptakeAnswer)]
+        for uptakes in gathered:
+            for uptake in uptakes:
+                known = found.get(uptake.node)
+                if known is None or uptake.revision > known.revision:
+                    found[uptake.node] = uptake
+        return found
+
+    async def read_setup(self, *, part: str = "setup") -> Result[ReadAnswer, object]:
+        result = await self.writer.read(part=part, known_revision=-1, within=timedelta(seconds=2))
+        return result if isinstance(result, Success) else Failure(NO_LEADER)
--- /dev/null
+++ b/packages/bourse/src/hoistsaddle/bourse/writer.py
@@ -0,0 +1,109 @@
+"""Writes and confirmed reads at whichever warehouse leads, found by asking and by following hints."""
+import asyncio
+from collections.abc import Iterable
+from datetime import timedelta
+
+from returns.result import Failure, Result, Success
+
+from hoistsaddle.haggle.line import Lines
+from hoistsaddle.haggle.parcels import ReadAnswer, ReadCall, WriteAnswer, WriteCall
+from hoistsaddle.shelf.commands import Command, Outcome, pack_command, unpack_outcome
+from hoistsaddle.tally.counters import Counters
+from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.tally.moments import milliseconds, monotonic_now
+
+CALL_SPAN = timedelta(milliseconds=700)
+MOST_IN_BATCH = 128
+MOST_IN_FLIGHT = 6
+
+NO_LEADER = Mishap(MishapKind.NO_LEADER, "No warehouse leads with a majority at the moment.", "Ask again shortly; if it lasts, docs/operators/replacing-core-machines.md names the ways out.")
+
+
+class Writer:
+    def __init__(self, *, name: str, warehouses: dict[int, str], home: int, lines: Lines, counters: Counters) -> None:
+        self.name = name
+        self.warehouses = warehouses
+        self.leader = home
+        self.lines = lines
+        self.counters = counters
+        self.backlog: list[tuple[bytes, timedelta, asyncio.Future]] = []
+        self.in_flight = 0
+        self.tasks: set[asyncio.Task] = set()
+
+    def _follow_hint(self, hint: int, tried: int) -> None:
+        if hint in self.warehouses and hint != tried:
+            self.leader = hint
+        elif self.leader == tried:
+            # Nobody knows: go round.
+            order = sorted(self.warehouses)
+            self.leader = order[(order.index(tried) + 1) % len(order)]
+
+    async def read(self, *, part: str, known_revision: int, within: timedelta) -> Result[ReadAnswer, Mishap]:
+        deadline = monotonic_now() + within
+        while (left := deadline - monotonic_now()) > timedelta():
+            tried = self.leader
+            match await self.lines.call(self.warehouses[tried], ReadCall(self.name, part, known_revision), within=min(left, CALL_SPAN)):
+                case Success(ReadAnswer(mishap="") as answer):
+                    return Success(answer)
+                case Success(ReadAnswer(leader=leader)):
+                    self._follow_hint(leader, tried)
+                case _:
+                    self._follow_hint(-1, tried)
+            await asyncio.sleep(milliseconds(15).total_seconds())
+        return Failure(NO_LEADER)
+
+    async def write(self, command: Command, *, within: timedelta) -> Result[Outcome, Mishap]:
+        """Every command may be forwarded again: each carries what makes its repetition recognisable in the log."""
+        future = asyncio.get_running_loop().create_future()
+        self.backlog.append((pack_command(command), monotonic_now() + within, future))
+        self._flush()
+        return await future
+
+    async def write_payloads(self, payloads: Iterable[bytes], *, within: timedelta) -> list[Result[Outcome, Mishap]]:
+        futures = []
+        for payload in payloads:
+            future = asyncio.get_running_loop().create_future()
+            self.backlog.append((payload, monotonic_now() + within, future))
+            futures.append(future)
+        self._flush()
+        return list(await asyncio.gather(*futures))
+
+    def _flush(self) -> None:
+        # A few batches in flight at most: what arrives meanwhile goes together into the next.
+        while self.backlog and self.in_flight < MOST_IN_FLIGHT:
+            batch, self.backlog = self.backlog[:MOST_IN_BATCH], self.backlog[MOST_IN_BATCH:]
+            self.in_flight += 1
+            task = asyncio.ensure_future(self._carry(batch))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _carry(self, batch: list[tuple[bytes, timedelta, asyncio.Future]]) -> None:
+        try:
+            while batch:
+                tried = self.leader
+                answer = await self.lines.call(self.warehouses[tried], WriteCall(self.name, tuple(payload for payload, _, _ in batch)), within=CALL_SPAN)
+                match answer:
+                    case Success(WriteAnswer(mishap="", outcomes=outcomes)):
+                        self.counters.add("writes.carried", len(batch))
+                        for (_, _, future), outcome in zip(batch, outcomes, strict=True):
+                            if not future.done():
+                                future.set_result(Success(unpack_outcome(outcome)))
+                        return
+                    case Success(WriteAnswer(leader=leader)):
+                        self._follow_hint(leader, tried)
+                    case _:
+                        self._follow_hint(-1, tried)
+                self.counters.add("writes.again")
+                now = monotonic_now()
+                for _, deadline, future in batch:
+                    if now >= deadline and not future.done():
+                        future.set_result(Failure(NO_LEADER))
+                batch = [entry for entry in batch if not entry[2].done()]
+                await asyncio.sleep(milliseconds(20).total_seconds())
+        finally:
+            self.in_flight -= 1
+            self._flush()
+
+    def stop(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
--- /dev/null
+++ b/packages/crier/src/hoistsaddle/crier/holding.py
@@ -0,0 +1,19 @@
+"""Holding a child's poll, the same at a root and at a relay."""
+import asyncio
+
+from hoistsaddle.crier.relay import Relay
+from hoistsaddle.haggle.parcels import PollAnswer, PollCall
+from hoistsaddle.tally.moments import milliseconds, monotonic_now
+
+POLL_HOLD = milliseconds(150)
+
+
+async def hold_poll(*, relay: Relay, news: asyncio.Condition, call: PollCall) -> PollAnswer:
+    """A child that knows everything is held until there is news, or for a short while."""
+    if relay.must_wait(call):
+        try:
+            async with asyncio.timeout(POLL_HOLD.total_seconds()), news:
+                await news.wait_for(lambda: not relay.must_wait(call))
+        except TimeoutError:
+            pass
+    return relay.answer(call, now=monotonic_now())
--- /dev/null
+++ b/packages/crier/src/hoistsaddle/crier/membership.py
@@ -0,0 +1,147 @@
+"""Who is alive: probes to a few others in turn, second opinions through third parties, suspicion before removal."""
+import random
+from datetime import timedelta
+from typing import NamedTuple
+
+from hoistsaddle.haggle.parcels import Rumour
+from hoistsaddle.tally.moments import ZERO
+
+ALIVE = "alive"
+SUSPECT = "suspect"
+DEAD = "dead"
+_weight = {ALIVE: 0, SUSPECT: 1, DEAD: 2}
+
+
+class ProbeAnswered(NamedTuple):
+    node: str
+    rumours: tuple[Rumour, ...]
+
+
+class ProbeMissed(NamedTuple):
+    """No answer to a direct probe."""
+
+    node: str
+
+
+class OpinionsIn(NamedTuple):
+    """The third parties' word, after a direct probe was missed."""
+
+    node: str
+    alive: bool
+
+
+class RumoursArrived(NamedTuple):
+    rumours: tuple[Rumour, ...]
+
+
+class Ticked(NamedTuple):
+    pass
+
+
+class Probe(NamedTuple):
+    node: str
+    address: str
+    rumours: tuple[Rumour, ...]
+
+
+class AskOpinions(NamedTuple):
+    node: str
+    address: str
+    helpers: tuple[str, ...]
+
+
+class Changed(NamedTuple):
+    rumour: Rumour
+
+
+class Membership:
+    def __init__(self, *, me: Rumour, seed: random.Random, period: timedelta, suspicion: timedelta, helpers: int = 2, most_rumours: int = 24) -> None:
+        self.me = me
+        self.random = seed
+        self.period = period
+        self.suspicion = suspicion
+        self.helpers = helpers
+        self.most_rumours = most_rumours
+        self.members: dict[str, Rumour] = {me.node: me}
+        self.suspected: dict[str, timedelta] = {}
+        self.told: dict[str, int] = {me.node: 0}
+        self.turn: list[str] = []
+        self.probed_at = ZERO
+
+    def alive(self, *, kind: str) -> list[Rumour]:
+        """Everyone not removed: a suspect still counts until its suspicion runs out."""
+        return [member for member in self.members.values() if member.kind == kind and member.state != DEAD]
+
+    def rumours(self) -> tuple[Rumour, ...]:
+        # What was told least goes first; oneself always goes along.
+        order = sorted((node for node in self.members if node != self.me.node), key=lambda node: self.told.get(node, 0))
+        picked = [self.me.node, *order[: self.most_rumours - 1]]
+        for node in picked:
+            self.told[node] = self.told.get(node, 0) + 1
+        return tuple(self.members[node] for node in picked)
+
+    def handle(self, event: tuple, *, now: timedelta) -> list[tuple]:
+        match event:
+            case RumoursArrived(rumours=rumours):
+                return self._hear(rumours, now)
+            case ProbeAnswered(rumours=rumours):
+                return self._hear(rumours, now)
+            case ProbeMissed(node=node):
+                member = self.members.get(node)
+                if member is None:
+                    return []
+                others = [each for each in self.members.values() if each.state == ALIVE and each.node not in (node, self.me.node)]
+                helpers = tuple(each.address for each in self.random.sample(others, min(self.helpers, len(others))))
+                return [AskOpinions(node, member.address, helpers)]
+            case OpinionsIn(node=node, alive=alive):
+                member = self.members.get(node)
+                if alive or member is None or member.state != ALIVE:
+                    return []
+                return self._hear((member._replace(state=SUSPECT),), now)
+            case Ticked():
+                return self._tick(now)
+        return []
+
+    def _hear(self, rumours: tuple[Rumour, ...], now: timedelta) -> list[tuple]:
+        changes: list[tuple] = []
+        for rumour in rumours:
+            if rumour.node == self.me.node:
+                # Said to be suspect or dead, or known from an earlier life: outbid it with a higher count.
+                if rumour.count >= self.me.count and (rumour.state != ALIVE or rumour.incarnation != self.me.incarnation):
+                    self.me = self.me._replace(count=rumour.count + 1)
+                    self.members[self.me.node] = self.me
+                    self.told[self.me.node] = 0
+                continue
+            known = self.members.get(rumour.node)
+            if known is not None and (rumour.count, _weight[rumour.state]) <= (known.count, _weight[known.state]):
+                continue
+            self.members[rumour.node] = rumour
+            self.told[rumour.node] = 0
+            if rumour.state == SUSPECT:
+                self.suspected.setdefault(rumour.node, now)
+            else:
+                self.suspected.pop(rumour.node, None)
+            if known is None or known.state != rumour.state or known.incarnation != rumour.incarnation:
+                changes.append(Changed(rumour))
+        return changes
+
+    def _tick(self, now: timedelta) -> list[tuple]:
+        commands: list[tuple] = []
+        for node, since in list(self.suspected.items()):
+            # A suspect that did not answer back in its span is removed.
+            if now - since >= self.suspicion:
+                commands += self._hear((self.members[node]._replace(state=DEAD),), now)
+        if now - self.probed_at < self.period:
+            return commands
+        self.probed_at = now
+        while self.turn and self.turn[-1] not in self.members:
+            self.turn.pop()
+        if not self.turn:
+            # A fresh shuffle each turn: everyone is probed once a turn, in no order an observer could rely on.
+            self.turn = sorted(node for node in self.members if node != self.me.node)
+            self.random.shuffle(self.turn)
+        if self.turn:
+            member = self.members[self.turn.pop()]
+            # The dead are probed too: a cut that heals brings them back.
+            commands.append(Probe(member.node, member.address, self.rumours()))
+        return commands
--- /dev/null
+++ b/packages/crier/src/hoistsaddle/crier/relay.py
@@ -0,0 +1,147 @@
+"""News down the relay tree: a copy of the setup, range digests to mend it, and a lease that says how fresh it is."""
+import hashlib
+import zlib
+from datetime import timedelta
+
+from hoistsaddle.haggle.parcels import NewsItem, PollAnswer, PollCall, Uptake
+from hoistsaddle.tally.mishaps import MishapKind
+
+RANGES = 16
+# Each parent feeds this many children; the core machines are the roots.
+FAN_OUT = 2
+
+
+def range_of(key: str) -> int:
+    return zlib.crc32(key.encode()) % RANGES
+
+
+class SetupCopy:
+    """Key to (revision, value), with a digest for each range of keys."""
+
+    def __init__(self) -> None:
+        self.mesh = ""
+        self.revision = -1
+        self.items: dict[str, tuple[int, bytes]] = {}
+        self._digests: tuple[int, ...] | None = None
+
+    def digests(self) -> tuple[int, ...]:
+        if self._digests is None:
+            hashes = [hashlib.blake2b(digest_size=8) for _ in range(RANGES)]
+            for key in sorted(self.items):
+                revision, value = self.items[key]
+                hashes[range_of(key)].update(f"{key}\0{revision}\0{len(value)}\0".encode() + value)
+            # Thrift's i64 is signed: keep 63 bits.
+            self._digests = tuple(int.from_bytes(each.digest()) >> 1 for each in hashes)
+        return self._digests
+
+    def replace(self, *, mesh: str, revision: int, items: dict[str, tuple[int, bytes]]) -> None:
+        self.mesh, self.revision, self.items, self._digests = mesh, revision, items, None
+
+    def differing(self, digests: tuple[int, ...]) -> tuple[int, ...]:
+        mine = self.digests()
+        if len(digests) != RANGES:
+            return tuple(range(RANGES))
+        return tuple(place for place in range(RANGES) if mine[place] != digests[place])
+
+    def items_in(self, ranges: tuple[int, ...]) -> tuple[NewsItem, ...]:
+        return tuple(NewsItem(key, revision, value) for key, (revision, value) in self.items.items() if range_of(key) in ranges)
+
+
+class Relay:
+    """One node's place in the tree. It answers its children from what it holds and how fresh that is."""
+
+    def __init__(self, *, node: str, incarnation: str, lease_span: timedelta) -> None:
+        self.node = node
+        self.incarnation = incarnation
+        self.lease_span = lease_span
+        self.copy = SetupCopy()
+        self.lease_start: timedelta | None = None
+        self.uptakes: dict[str, tuple[Uptake, timedelta]] = {}
+
+    def lease_age(self, *, now: timedelta) -> timedelta | None:
+        return None if self.lease_start is None else now - self.lease_start
+
+    def fresh(self, *, now: timedelta) -> bool:
+        age = self.lease_age(now=now)
+        return age is not None and age < self.lease_span
+
+    def confirmed(self, *, asked: timedelta, mesh: str, revision: int, items: dict[str, tuple[int, bytes]] | None) -> bool:
+        """A root's news: a read its leader confirmed, dated from when it was asked. True if the copy changed."""
+        if revision < self.copy.revision or (self.copy.mesh and mesh and mesh != self.copy.mesh):
+            return False
+        changed = False
+        if items is not None and revision > self.copy.revision:
+            self.copy.replace(mesh=mesh, revision=revision, items=items)
+            changed = True
+        self._renew(asked)
+        return changed
+
+    def _renew(self, start: timedelta) -> None:
+        # Answers may come out of order: a lease only ever moves forward.
+        if self.lease_start is None or start > self.lease_start:
+            self.lease_start = start
+
+    def poll(self, *, own: Uptake, now: timedelta) -> PollCall:
+        return PollCall(self.node, self.incarnation, self.copy.mesh, self.copy.revision, self.copy.digests(), (own, *self.known_uptakes(now=now)))
+
+    def polled(self, answer: PollAnswer, *, sent: timedelta) -> bool:
+        """Takes a parent's answer to the poll sent at that moment. True if the copy changed."""
+        if answer.mishap or (self.copy.mesh and answer.mesh != self.copy.mesh):
+            return False
+        # A parent behind this copy has nothing to teach, and its lease speaks of an older setup.
+        if answer.revision < self.copy.revision:
+            return False
+        changed = bool(answer.ranges)
+        if changed or answer.revision > self.copy.revision:
+            items = {key: item for key, item in self.copy.items.items() if range_of(key) not in answer.ranges}
+            items.update({item.key: (item.revision, item.value) for item in answer.items})
+            self.copy.replace(mesh=answer.mesh, revision=answer.revision, items=items)
+        # No clocks are compared: the age was taken when the answer was made, so it counts from this poll's sending.
+        self._renew(sent - answer.lease_age)
+        return changed
+
+    def must_wait(self, call: PollCall) -> bool:
+        """Whether a child knows all there is, so that its poll is held a while."""
+        return call.revision >= self.copy.revision and not self.copy.differing(call.digests)
+
+    def answer(self, call: PollCall, *, now: timedelta) -> PollAnswer:
+        if call.mesh and self.copy.mesh and call.mesh != self.copy.mesh:
+            return PollAnswer(str(MishapKind.WRONG_MESH), self.copy.mesh, self.copy.revision, timedelta())
+        age = self.lease_age(now=now)
+        if age is None or age >= self.lease_span:
+            return PollAnswer(str(MishapKind.LEASE_LAPSED), self.copy.mesh, self.copy.revision, timedelta())
+        ranges = self.copy.differing(call.digests)
+        return PollAnswer("", self.copy.mesh, self.copy.revision, age, ranges, self.copy.items_in(ranges))
+
+    def heard(self, uptakes: tuple[Uptake, ...], *, now: timedelta) -> None:
+        for uptake in uptakes:
+            known = self.uptakes.get(uptake.node)
+            if known is None or known[0].incarnation != uptake.incarnation or uptake.revision >= known[0].revision:
+                self.uptakes[uptake.node] = (uptake, now)
+
+    def known_uptakes(self, *, now: timedelta) -> tuple[Uptake, ...]:
+        return tuple(uptake for uptake, moment in self.uptakes.values() if now - moment < self.lease_span)
+
+
+def select_parents(*, node: str, stalls: list[tuple[str, str]], roots: list[tuple[str, str]]) -> list[str]:
+    """Addresses to poll, best first: the place in the tree, then the roots as the way out when it fails.
+
+    Every node computes the tree from the members it knows, so nobody hands out places. Nodes with different views may
+    form a ring for a moment; its leases only grow older, so it starves and its nodes turn to the roots.
+    """
+    roots = sorted(roots)
+    order = sorted(stalls)
+    names = [name for name, _ in order]
+    parents: list[str] = []
+    if node in names and roots:
+        place = names.index(node)
+        direct = len(roots) * FAN_OUT
+        if place < direct:
+            parents.append(roots[place % len(roots)][1])
+        else:
+            parents.append(order[(place - direct) // FAN_OUT][1])
+        turn = place % len(roots)
+        parents += [address for _, address in roots[turn:] + roots[:turn]]
+    else:
+        parents += [address for _, address in roots]
+    return list(dict.fromkeys(parents))
--- /dev/null
+++ b/packages/fairground/src/hoistsaddle/fairground/deployments.py
@@ -0,0 +1,56 @@
+"""The two deployments: how many machines, which services, and what their callers ask for."""
+from importlib import resources
+from typing import NamedTuple
+
+
+class Inner(NamedTuple):
+    """A call a server makes of another service while it answers."""
+
+    method: str
+    path: str
+
+
+class Ask(NamedTuple):
+    method: str
+    path: str
+    once: bool
+    weight: int
+
+
+class Deployment(NamedTuple):
+    name: str
+    core: int
+    zones: tuple[str, ...]
+    # One server beside each stall, in this order.
+    services: tuple[str, ...]
+    asks: tuple[Ask, ...]
+    # Service and path to the inner calls it makes.
+    inner: dict[tuple[str, str], tuple[Inner, ...]]
+    requests_per_second: int
+
+    def first_bundle(self) -> str:
+        return resources.files("hoistsaddle.fairground").joinpath("bundles", f"{self.name}-1.toml").read_text()
+
+
+DEPLOYMENTS = {
+    "brindlefield": Deployment(
+        name="brindlefield", core=3, zones=("a", "b", "c"),
+        services=("portal", "ledger", "meter", "portal", "ledger", "meter", "portal", "ledger", "meter", "portal", "ledger"),
+        asks=(Ask("GET", "/statements", False, 5), Ask("POST", "/payments", True, 2), Ask("POST", "/credits", True, 1), Ask("GET", "/readings", False, 1), Ask("POST", "/uploads", True, 1)),
+        inner={("portal", "/statements"): (Inner("GET", "/balance"), Inner("GET", "/readings"))},
+        requests_per_second=200,
+    ),
+    "kadiri": Deployment(
+        name="kadiri", core=5, zones=("a", "b", "c"),
+        services=("cards", "billing", "decks", "progress", "cards", "billing", "decks", "progress", "cards", "billing", "decks", "progress", "cards"),
+        asks=(Ask("GET", "/drills", False, 5), Ask("POST", "/saves", True, 3), Ask("POST", "/charges", True, 1), Ask("POST", "/uploads", True, 1), Ask("GET", "/progress", False, 1)),
+        inner={("cards", "/drills"): (Inner("GET", "/decks"), Inner("GET", "/progress"))},
+        requests_per_second=220,
+    ),
+    "thimble": Deployment(
+        name="thimble", core=3, zones=("a", "b", "c"), services=("portal", "ledger", "meter"),
+        asks=(Ask("GET", "/statements", False, 3), Ask("POST", "/payments", True, 2), Ask("POST", "/uploads", True, 1)),
+        inner={("portal", "/statements"): (Inner("GET", "/balance"), Inner("GET", "/readings"))},
+        requests_per_second=30,
+    ),
+}
--- /dev/null
+++ b/packages/fairground/src/hoistsaddle/fairground/fleet.py
@@ -0,0 +1,251 @@
+"""Whole deployments on one machine: settings written, processes started, and everything ended again."""
+import asyncio
+import hashlib
+import os
+import random
+import secrets
+import shutil
+import signal
+import socket
+import sys
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from hoistsaddle.fairground.deployments import Deployment
+from hoistsaddle.fairground.history import History
+from hoistsaddle.fairground.standins import StandIn
+from hoistsaddle.kiosk.caller import call_doors
+
+HOST = "127.0.0.1"
+AUTHOR = ("ada", "token-of-ada")
+SIGNER = ("ben", "token-of-ben")
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports the machine has free now, held open together so that none comes twice."""
+    holders = []
+    try:
+        for _ in range(count):
+            holder = socket.socket()
+            holder.bind((HOST, 0))
+            holders.append(holder)
+        return [holder.getsockname()[1] for holder in holders]
+    finally:
+        for holder in holders:
+            holder.close()
+
+
+def _toml(values: dict) -> str:
+    def plain(value) -> str:
+        if isinstance(value, bool):
+            return "true" if value else "false"
+        if isinstance(value, list):
+            return "[" + ", ".join(plain(each) for each in value) + "]"
+        return str(value) if isinstance(value, int | float) else '"' + str(value) + '"'
+
+    lines = [f"{name} = {plain(value)}" for name, value in values.items() if not (isinstance(value, list) and value and isinstance(value[0], dict))]
+    for name, value in values.items():
+        if isinstance(value, list) and value and isinstance(value[0], dict):
+            for table in value:
+                lines += ["", f"[[{name}]]", *(f"{field} = {plain(each)}" for field, each in table.items())]
+    return "\n".join(lines) + "\n"
+
+
+class Fleet:
+    def __init__(self, *, deployment: Deployment, folder: Path, seed: int = 1, warehouse_params: dict | None = None) -> None:
+        self.deployment = deployment
+        self.folder = folder
+        self.random = random.Random(seed)
+        self.history = History()
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.standins: dict[str, StandIn] = {}
+        self.warehouse_params = warehouse_params or {}
+        self._lay_out()
+
+    def _lay_out(self) -> None:
+        deployment = self.deployment
+        count = deployment.core * 3 + len(deployment.services) * 4
+        ports = iter(f"{HOST}:{port}" for port in free_ports(count))
+        self.folder.mkdir(parents=True, exist_ok=True)
+        core = [{"replica": place + 1, "warehouse": next(ports), "bourse": next(ports)} for place in range(deployment.core)]
+        self.doors = tuple(next(ports) for _ in core)
+        self.core = {machine["replica"]: machine for machine in core}
+        self.kinds: dict[str, str] = {}
+        for place, machine in enumerate(core):
+            replica = machine["replica"]
+            zone = deployment.zones[place % len(deployment.zones)]
+            self._settings("warehouse", f"warehouse-{replica}", {
+                "replica": replica, "zone": zone, "listen": machine["warehouse"], "data_folder": str(self.folder / f"data-{replica}"), **self.warehouse_params, "core": core,
+            })
+            self._settings("bourse", f"bourse-{replica}", {"replica": replica, "zone": zone, "listen": machine["bourse"], "operators": self.doors[place], "core": core})
+        seeds = [machine["bourse"] for machine in core[:3]]
+        self.stalls: dict[str, dict] = {}
+        for place, service in enumerate(deployment.services):
+            name = f"stall-{place + 1:02d}"
+            stall = {"name": name, "zone": deployment.zones[place % len(deployment.zones)], "listen": next(ports), "visitors": next(ports), "inner": next(ports), "seeds": seeds}
+            self.stalls[name] = {**stall, "service": service, "server": next(ports)}
+            self._settings("stall", name, stall)
+
+    def _settings(self, kind: str, name: str, values: dict) -> None:
+        self.kinds[name] = kind
+        (self.folder / f"{name}.toml").write_text(_toml(values))
+
+    def visitor_doors(self) -> list[str]:
+        return [stall["visitors"] for stall in self.stalls.values()]
+
+    # -- processes ---------------------------------------------------------------------------------------------------
+
+    async def launch(self, name: str) -> None:
+        log = (self.folder / f"{name}.log").open("ab")
+        # A session of its own: an interrupt at the terminal reaches the runner first, which ends its own in order.
+        self.processes[name] = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "hoistsaddle.kiosk", self.kinds[name], "--settings", str(self.folder / f"{name}.toml"),
+            stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL, start_new_session=True, env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        log.close()
+
+    async def kill(self, *names: str) -> None:
+        """Kill -9, all in one go."""
+        for name in names:
+            if self.processes[name].returncode is None:
+                self.processes[name].send_signal(signal.SIGKILL)
+        for name in names:
+            await self.processes[name].wait()
+
+    def freeze(self, *names: str) -> None:
+        for name in names:
+            self.processes[name].send_signal(signal.SIGSTOP)
+
+    def wake(self, *names: str) -> None:
+        for name in names:
+            self.processes[name].send_signal(signal.SIGCONT)
+
+    async def stop_process(self, name: str) -> int:
+        """A planned stop: asks, and waits until it is gone."""
+        process = self.processes[name]
+        if process.returncode is None:
+            process.send_signal(signal.SIGTERM)
+        try:
+            return await asyncio.wait_for(process.wait(), 30)
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+            return -9
+
+    def wipe(self, replica: int) -> None:
+        shutil.rmtree(self.folder / f"data-{replica}", ignore_errors=True)
+
+    # -- the whole ---------------------------------------------------------------------------------------------------
+
+    async def start(self, *, bundle: bool = True) -> None:
+        await asyncio.gather(*(self.launch(name) for name in self.kinds))
+        await self.found()
+        for name, stall in self.stalls.items():
+            await self.start_server(name, stall["service"])
+        if bundle:
+            await self.roll_out(self.deployment.first_bundle())
+            await self.until(self.all_ready, seconds=20, what="every stall is ready")
+
+    async def start_server(self, name: str, service: str) -> StandIn:
+        stall = self.stalls[name]
+        server = StandIn(service=service, address=stall["server"], inner_door=stall["inner"], deployment=self.deployment, history=self.history)
+        await server.start()
+        self.standins[name] = server
+        return server
+
+    async def found(self) -> None:
+        async def founded() -> bool:
+            digests = {name: token_digest(token) for name, token in (AUTHOR, SIGNER)}
+            status, answer = await self.operate("POST", "/found", {"operators": digests})
+            return status == 200 or (isinstance(answer, dict) and answer.get("refused", {}).get("kind") == "already-founded")
+
+        await self.until(founded, seconds=30, what="founding")
+
+        async def led() -> bool:
+            status, _ = await self.operate("GET", "/setup")
+            return status == 200
+
+        await self.until(led, seconds=20, what="a leader")
+
+    async def operate(self, method: str, path: str, body: dict | str | None = None, *, token: str = "", seconds: float = 10, doors: tuple[str, ...] | None = None) -> tuple[int, dict | list]:
+        data = body.encode() if isinstance(body, str) else msgspec.json.encode(body) if body is not None else b""
+        return await call_doors(doors=doors or self.doors, method=method, path=path, token=token, body=data, seconds=seconds)
+
+    async def roll_out(self, text: str) -> list[dict]:
+        """Submits, signs and advances a bundle through every stage; gives each stage's answer."""
+        status, answer = await self.operate("POST", "/bundles", text, token=AUTHOR[1])
+        if status != 200:
+            raise AssertionError(f"submit: {answer}")
+        number, digest = answer["submitted"]["number"], answer["submitted"]["digest"]
+        status, answer = await self.operate("POST", f"/bundles/{number}/sign", {"digest": digest}, token=SIGNER[1])
+        answers = [answer]
+        while status == 200 and answer["stage"] < answer["stages"]:
+            status, answer = await self.operate("POST", f"/bundles/{number}/advance", {"from_stage": answer["stage"]}, token=SIGNER[1])
+            answers.append(answer)
+        if status != 200:
+            raise AssertionError(f"roll-out: {answer}")
+        return answers
+
+    async def ready_states(self) -> dict[str, dict | None]:
+        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2)) as session:
+            async def one(address: str) -> dict | None:
+                try:
+                    async with session.get(f"http://{address}/hoistsaddle/ready") as response:
+                        return await response.json()
+                except (aiohttp.ClientError, TimeoutError, OSError):
+                    return None
+
+            found = await asyncio.gather(*(one(stall["visitors"]) for stall in self.stalls.values()))
+        return dict(zip(self.stalls, found, strict=True))
+
+    async def all_ready(self) -> bool:
+        states = await self.ready_states()
+        return all(state is not None and state["ready"] and state["server"] == "ready" for state in states.values()) and await self._servers_noted()
+
+    async def _servers_noted(self) -> bool:
+        status, setup = await self.operate("GET", "/setup")
+        if status != 200:
+            return False
+        noted = {server["stall"]: server for server in setup["servers"]}
+        return all(name in noted and noted[name]["instance"] == server.instance and noted[name]["state"] == server.state for name, server in self.standins.items())
+
+    async def until(self, ready, *, seconds: float, what: str) -> float:
+        """Asks again and again until it holds; gives how long that took."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while not await ready():
+            if loop.time() - began > seconds:
+                raise AssertionError(f"{what}: not within {seconds} s")
+            await asyncio.sleep(0.05)
+        return loop.time() - began
+
+    async def stop(self) -> None:
+        for server in self.standins.values():
+            await server.stop()
+        for name, process in self.processes.items():
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.send_signal(signal.SIGTERM)
+        # Stalls first finish what is mid-answer; whoever hangs is killed, so that nothing is left behind.
+        waits = [asyncio.wait_for(process.wait(), 8) for process in self.processes.values()]
+        await asyncio.gather(*waits, return_exceptions=True)
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    async def __aenter__(self) -> "Fleet":
+        return self
+
+    async def __aexit__(self, *problem) -> None:
+        await self.stop()
+
+
+def token_digest(token: str) -> str:
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def fresh_folder(parent: Path) -> Path:
+    return parent / f"fleet-{secrets.token_hex(4)}"
--- /dev/null
+++ b/packages/fairground/src/hoistsaddle/fairground/standins.py
@@ -0,0 +1,119 @@
+"""Stand-in servers: they answer JSON, call each other through their stalls, report vitals, and record what they ran."""
+import asyncio
+import itertools
+import secrets
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from hoistsaddle.fairground.deployments import Deployment
+from hoistsaddle.fairground.history import History, Ran, ServerChanged
+
+VITALS_SECONDS = 0.8
+_runs = itertools.count(1)
+
+
+class StandIn:
+    """One server beside one stall. Its manners can be spoilt by the tests."""
+
+    def __init__(self, *, service: str, address: str, inner_door: str, deployment: Deployment, history: History) -> None:
+        self.service = service
+        self.address = address
+        self.inner_door = inner_door
+        self.deployment = deployment
+        self.history = history
+        self.instance = f"{service}-{secrets.token_hex(3)}"
+        self.state = "ready"
+        # "", "lose answer", "garbage", "truncate" or "refuse": what the server does instead of answering well.
+        self.manner = ""
+        self.slow_seconds = 0.0
+        self.hold: asyncio.Event | None = None
+        self.runner: web.AppRunner | None = None
+        self.session: aiohttp.ClientSession | None = None
+        self.task: asyncio.Task | None = None
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def start(self) -> None:
+        application = web.Application(client_max_size=16 * 1024 * 1024)
+        application.router.add_route("*", "/{tail:.*}", self._serve)
+        self.runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
+        await self.runner.setup()
+        host, _, port = self.address.rpartition(":")
+        await web.TCPSite(self.runner, host, int(port), reuse_address=True).start()
+        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=10))
+        self.task = asyncio.ensure_future(self._report())
+
+    async def tell(self, state: str | None = None) -> bool:
+        """One report of vitals, now."""
+        if state is not None:
+            self.state = state
+            self.history.add(ServerChanged(self._now(), self.service, self.instance, state))
+        vitals = {"service": self.service, "instance": self.instance, "address": self.address, "state": self.state}
+        try:
+            async with self.session.post(f"http://{self.inner_door}/hoistsaddle/vitals", json=vitals, timeout=aiohttp.ClientTimeout(total=1)) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
+    async def _report(self) -> None:
+        while True:
+            await self.tell()
+            await asyncio.sleep(VITALS_SECONDS)
+
+    async def vanish(self) -> None:
+        """Gone without a word."""
+        self.history.add(ServerChanged(self._now(), self.service, self.instance, "vanished"))
+        await self.stop()
+
+    async def stop(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+        if self.runner is not None:
+            await self.runner.cleanup()
+            self.runner = None
+        if self.session is not None:
+            await self.session.close()
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        told = msgspec.json.decode(body) if body else {}
+        nonce = request.query.get("nonce") or told.get("nonce", "")
+        run = f"run-{next(_runs)}"
+        headers = request.headers
+        self.history.add(Ran(
+            self._now(), nonce, self.service, self.instance, request.method, request.path, headers.get("Idempotency-Key", ""),
+            headers.get("X-Hoistsaddle-Visitor", ""), headers.get("X-Hoistsaddle-Caller", ""), headers.get("X-Hoistsaddle-Send", ""), run,
+        ))
+        if self.slow_seconds:
+            await asyncio.sleep(self.slow_seconds)
+        if self.hold is not None:
+            await self.hold.wait()
+        inner = []
+        for call in self.deployment.inner.get((self.service, request.path), ()):
+            inner.append(await self._call_inner(call.method, call.path, nonce))
+        answer = {"nonce": nonce, "service": self.service, "instance": self.instance, "run": run, "inner": inner, "padding": "x" * int(told.get("padding", 0))}
+        data = msgspec.json.encode(answer)
+        match self.manner:
+            case "lose answer":
+                request.transport.abort()
+                return web.Response()
+            case "garbage":
+                return web.Response(body=b"\x00\xff<not json", content_type="application/json")
+            case "truncate":
+                response = web.StreamResponse(headers={"Content-Length": str(len(data)), "Content-Type": "application/json"})
+                await response.prepare(request)
+                await response.write(data[: len(data) // 2])
+                request.transport.close()
+                return response
+        return web.Response(body=data, content_type="application/json")
+
+    async def _call_inner(self, method: str, path: str, nonce: str) -> dict:
+        try:
+            async with self.session.request(method, f"http://{self.inner_door}{path}?nonce={nonce}") as response:
+                return {"path": path, "status": response.status, "outcome": response.headers.get("X-Hoistsaddle-Outcome", "")}
+        except (aiohttp.ClientError, TimeoutError, OSError) as problem:
+            return {"path": path, "status": 0, "outcome": type(problem).__name__}
--- /dev/null
+++ b/packages/haggle/src/hoistsaddle/haggle/line.py
@@ -0,0 +1,155 @@
+"""Lines between processes: thrift's framed binary form over TCP, many calls in flight on one connection."""
+import asyncio
+import itertools
+import struct
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from loguru import logger
+from returns.result import Failure, Result, Success
+
+from hoistsaddle.haggle.parcels import pack, unpack
+from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.tally.params import split_address
+
+Handler = Callable[[tuple], Awaitable[tuple]]
+LARGEST_FRAME = 64 * 1024 * 1024
+_length = struct.Struct("!I")
+
+
+async def _read_frame(reader: asyncio.StreamReader) -> tuple[int, bool, tuple]:
+    (length,) = _length.unpack(await reader.readexactly(4))
+    # A frame over the limit is garbage from something that isn't a hoistsaddle process.
+    if length > LARGEST_FRAME:
+        raise ValueError(f"frame of {length} bytes")
+    return unpack(await reader.readexactly(length))
+
+
+def _write_frame(writer: asyncio.StreamWriter, *, number: int, answer: bool, message: tuple) -> None:
+    data = pack(number=number, answer=answer, message=message)
+    writer.write(_length.pack(len(data)) + data)
+
+
+class _Connection:
+    def __init__(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writer = writer
+        self.pending: dict[int, asyncio.Future] = {}
+        self.closed = False
+        self._task = asyncio.ensure_future(self._listen(reader))
+
+    async def _listen(self, reader: asyncio.StreamReader) -> None:
+        try:
+            while True:
+                number, _, message = await _read_frame(reader)
+                future = self.pending.pop(number, None)
+                if future is not None and not future.done():
+                    future.set_result(message)
+        except (OSError, asyncio.IncompleteReadError, ValueError, EOFError):
+            pass
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        self.closed = True
+        self.writer.close()
+        for future in self.pending.values():
+            if not future.done():
+                future.set_result(None)
+        self.pending.clear()
+        self._task.cancel()
+
+
+class Lines:
+    """Calls other processes. A mishap says whether the call can have reached the other side."""
+
+    def __init__(self) -> None:
+        self._connections: dict[str, _Connection] = {}
+        self._opening: dict[str, asyncio.Lock] = {}
+        self._numbers = itertools.count(1)
+        # The fleet's tests cut lines by address; daemons never set it.
+        self.cut: Callable[[str], bool] = lambda address: False
+
+    async def _connect(self, address: str) -> _Connection:
+        lock = self._opening.setdefault(address, asyncio.Lock())
+        async with lock:
+            connection = self._connections.get(address)
+            if connection is None or connection.closed:
+                host, port = split_address(address)
+                reader, writer = await asyncio.open_connection(host, port)
+                connection = self._connections[address] = _Connection(reader=reader, writer=writer)
+        return connection
+
+    async def call(self, address: str, message: tuple, *, within: timedelta) -> Result[tuple, Mishap]:
+        unreachable = Failure(Mishap(MishapKind.UNREACHABLE, f"{address} takes no connection.", "Check that the process runs and the address is right."))
+        if self.cut(address):
+            return unreachable
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + within.total_seconds()
+        try:
+            async with asyncio.timeout_at(deadline):
+                connection = await self._connect(address)
+        except (OSError, TimeoutError):
+            # Nothing was written, so the other side can't have heard of this call.
+            return unreachable
+        number = next(self._numbers)
+        future = connection.pending[number] = loop.create_future()
+        silent = Failure(Mishap(MishapKind.SILENT, f"{address} gave no answer in time.", "The call may have been carried out: ask before repeating it."))
+        try:
+            _write_frame(connection.writer, number=number, answer=False, message=message)
+            async with asyncio.timeout_at(deadline):
+                answer = await future
+        except TimeoutError:
+            return silent
+        except OSError:
+            connection.close()
+            return silent
+        finally:
+            connection.pending.pop(number, None)
+        return silent if answer is None else Success(answer)
+
+    def close(self) -> None:
+        for connection in self._connections.values():
+            connection.close()
+
+
+class LineServer:
+    def __init__(self, *, address: str, handler: Handler) -> None:
+        self.address = address
+        self.handler = handler
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        host, port = split_address(self.address)
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                number, _, message = await _read_frame(reader)
+                task = asyncio.ensure_future(self._answer(writer, number, message))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+        except (OSError, asyncio.IncompleteReadError, EOFError, asyncio.CancelledError):
+            pass
+        except ValueError as problem:
+            logger.warning("{} closes a line that sent what can't be read: {}", self.address, problem)
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, writer: asyncio.StreamWriter, number: int, message: tuple) -> None:
+        answer = await self.handler(message)
+        # None stands for "no answer": the caller's own deadline speaks for us.
+        if answer is not None and not writer.is_closing():
+            _write_frame(writer, number=number, answer=True, message=answer)
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+        for task in list(self._tasks):
+            task.cancel()
--- /dev/null
+++ b/packages/haggle/src/hoistsaddle/haggle/parcels.py
@@ -0,0 +1,343 @@
+"""The messages as tuples, and their passage to and from thrift. Field names and order are mesh.thrift's."""
+import re
+from datetime import timedelta
+from functools import cache
+from pathlib import Path
+from typing import NamedTuple, get_args, get_origin, get_type_hints
+
+import thriftpy2
+from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.utils import deserialize, serialize
+
+from hoistsaddle.tally.moments import from_microseconds, to_microseconds
+
+mesh_thrift = thriftpy2.load(str(Path(__file__).with_name("mesh.thrift")), module_name="hoistsaddle_mesh_thrift")
+_protocol = TCyBinaryProtocolFactory()
+
+UNSET = -1
+
+
+class Record(NamedTuple):
+    offset: int
+    epoch: int
+    stamp: timedelta
+    payload: bytes
+
+
+class FetchCall(NamedTuple):
+    mesh: str
+    replica: int
+    incarnation: str
+    epoch: int
+    fetch_offset: int
+    fetch_epoch: int
+    round: int
+    whole: bool
+
+
+class FetchAnswer(NamedTuple):
+    mishap: str
+    epoch: int
+    leader: int
+    high_watermark: int = UNSET
+    begin_offset: int = UNSET
+    records: tuple[Record, ...] = ()
+    diverging_offset: int = UNSET
+    diverging_epoch: int = UNSET
+    checkpoint_offset: int = UNSET
+    checkpoint_epoch: int = UNSET
+    next_offset: int = UNSET
+    round: int = 0
+
+
+class PullCall(NamedTuple):
+    replica: int
+    epoch: int
+    checkpoint_offset: int
+    checkpoint_epoch: int
+    position: int
+    max_bytes: int
+
+
+class PullAnswer(NamedTuple):
+    mishap: str
+    epoch: int
+    checkpoint_offset: int
+    checkpoint_epoch: int
+    position: int = 0
+    data: bytes = b""
+    continues: bool = False
+
+
+class BallotCall(NamedTuple):
+    mesh: str
+    epoch: int
+    replica: int
+    incarnation: str
+    last_offset: int
+    last_epoch: int
+    trial: bool
+
+
+class BallotAnswer(NamedTuple):
+    epoch: int
+    replica: int
+    incarnation: str
+    granted: bool
+    trial: bool
+    ballot_epoch: int
+
+
+class LeadCall(NamedTuple):
+    mesh: str
+    epoch: int
+    leader: int
+
+
+class ResignCall(NamedTuple):
+    epoch: int
+    leader: int
+
+
+class Heard(NamedTuple):
+    epoch: int
+
+
+class FoundCall(NamedTuple):
+    mesh: str
+    voters: dict[int, str]
+    operators: dict[str, str]
+
+
+class FoundAnswer(NamedTuple):
+    mishap: str
+    mesh: str
+    incarnation: str
+
+
+class LookCall(NamedTuple):
+    asker: str
+
+
+class LookAnswer(NamedTuple):
+    mesh: str
+    replica: int
+    incarnation: str
+    epoch: int
+    leader: int
+    standing: str
+    last_offset: int
+    high_watermark: int
+    begin_offset: int
+    counters: bytes
+    happenings: bytes
+
+
+class WriteCall(NamedTuple):
+    asker: str
+    payloads: tuple[bytes, ...]
+
+
+class WriteAnswer(NamedTuple):
+    mishap: str
+    leader: int
+    outcomes: tuple[bytes, ...] = ()
+    offset: int = UNSET
+
+
+class ReadCall(NamedTuple):
+    asker: str
+    part: str
+    known_revision: int
+
+
+class ReadAnswer(NamedTuple):
+    mishap: str
+    leader: int
+    revision: int = UNSET
+    offset: int = UNSET
+    content: bytes = b""
+
+
+class Uptake(NamedTuple):
+    node: str
+    revision: int
+    bundle: int
+    refusal: str
+    incarnation: str
+    refused_bundle: int
+
+
+class NewsItem(NamedTuple):
+    key: str
+    revision: int
+    value: bytes
+
+
+class PollCall(NamedTuple):
+    node: str
+    incarnation: str
+    mesh: str
+    revision: int
+    digests: tuple[int, ...]
+    uptakes: tuple[Uptake, ...]
+
+
+class PollAnswer(NamedTuple):
+    mishap: str
+    mesh: str
+    revision: int
+    lease_age: timedelta
+    ranges: tuple[int, ...] = ()
+    items: tuple[NewsItem, ...] = ()
+
+
+class UptakeCall(NamedTuple):
+    asker: str
+
+
+class UptakeAnswer(NamedTuple):
+    uptakes: tuple[Uptake, ...]
+
+
+class VitalsCall(NamedTuple):
+    node: str
+    incarnation: str
+    address: str
+    zone: str
+    service_name: str
+    instance: str
+    server: str
+    state: str
+    serial: int
+
+
+class VitalsAnswer(NamedTuple):
+    mishap: str
+    state: str
+    serial: int
+
+
+class Rumour(NamedTuple):
+    node: str
+    kind: str
+    address: str
+    zone: str
+    incarnation: str
+    count: int
+    state: str
+
+
+class ProbeCall(NamedTuple):
+    asker: str
+    rumours: tuple[Rumour, ...]
+
+
+class ProbeAnswer(NamedTuple):
+    node: str
+    rumours: tuple[Rumour, ...]
+
+
+class ProbeForCall(NamedTuple):
+    asker: str
+    address: str
+
+
+class ProbeForAnswer(NamedTuple):
+    alive: bool
+    rumours: tuple[Rumour, ...]
+
+
+class PassCall(NamedTuple):
+    send: str
+    caller: str
+    visitor: str
+    service_name: str
+    target: str
+    instance: str
+    bundle: int
+    entry: str
+    budget: timedelta
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    hold: str
+    answer_bytes: int
+
+
+class PassAnswer(NamedTuple):
+    send: str
+    outcome: str
+    mishap: str = ""
+    detail: str = ""
+    status: int = 0
+    headers: dict[str, str] = {}
+    body: bytes = b""
+    digest: str = ""
+
+
+MESSAGES: dict[str, type] = {
+    name: value for name, value in list(globals().items()) if isinstance(value, type) and issubclass(value, tuple) and hasattr(value, "_fields")
+}
+
+
+def tag_of(kind: type) -> str:
+    return re.sub(r"(?<!^)(?=[A-Z])", "_", kind.__name__).lower()
+
+
+def _convert_out(hint: object, value: object) -> object:
+    if hint is timedelta:
+        return to_microseconds(value)
+    if get_origin(hint) is tuple:
+        inner = get_args(hint)[0]
+        return [_convert_out(inner, each) for each in value]
+    if isinstance(hint, type) and hasattr(hint, "_fields"):
+        return to_thrift(value)
+    return value
+
+
+def _convert_in(hint: object, value: object) -> object:
+    if hint is timedelta:
+        return from_microseconds(value)
+    if get_origin(hint) is tuple:
+        inner = get_args(hint)[0]
+        return tuple(_convert_in(inner, each) for each in value or ())
+    if get_origin(hint) is dict:
+        return dict(value or {})
+    if isinstance(hint, type) and hasattr(hint, "_fields"):
+        return from_thrift(value)
+    if hint is bytes:
+        return value if isinstance(value, bytes) else (value or "").encode()
+    return value
+
+
+@cache
+def _hints(kind: type) -> tuple[tuple[str, object], ...]:
+    return tuple((name, hint) for name, hint in get_type_hints(kind).items() if name in kind._fields)
+
+
+def to_thrift(message: tuple) -> object:
+    kind = type(message)
+    return getattr(mesh_thrift, kind.__name__)(**{name: _convert_out(hint, getattr(message, name)) for name, hint in _hints(kind)})
+
+
+def from_thrift(struct: object) -> tuple:
+    kind = MESSAGES[type(struct).__name__]
+    # A field an older sender doesn't know arrives unset and falls back to the tuple's default.
+    values = {name: _convert_in(hint, getattr(struct, name)) for name, hint in _hints(kind) if getattr(struct, name) is not None or name not in kind._field_defaults}
+    return kind(**values)
+
+
+def pack(*, number: int, answer: bool, message: tuple) -> bytes:
+    parcel = mesh_thrift.Parcel(**{tag_of(type(message)): to_thrift(message)})
+    return serialize(mesh_thrift.Frame(number=number, answer=answer, parcel=parcel), _protocol)
+
+
+def unpack(data: bytes) -> tuple[int, bool, tuple]:
+    frame = deserialize(mesh_thrift.Frame(), data, _protocol)
+    for value in vars(frame.parcel).values():
+        if value is not None:
+            return frame.number, bool(frame.answer), from_thrift(value)
+    # A newer sender's message that this revision has no name for.
+    raise ValueError("the parcel holds no message known here")
--- /dev/null
+++ b/packages/kiosk/src/hoistsaddle/kiosk/__main__.py
@@ -0,0 +1,3 @@
+from hoistsaddle.kiosk.commands import main
+
+main(prog_name="hoistsaddle")
--- /dev/null
+++ b/packages/kiosk/src/hoistsaddle/kiosk/caller.py
@@ -0,0 +1,47 @@
+"""Calls the operators' door of any bourse that answers."""
+import asyncio
+import secrets
+import sys
+
+import aiohttp
+import click
+import msgspec
+
+
+async def call_doors(*, doors: tuple[str, ...], method: str, path: str, token: str = "", body: bytes = b"", seconds: float = 15) -> tuple[int, dict | list]:
+    """The same request id goes to each door in turn, so a call repeated elsewhere is still one call."""
+    headers = {"X-Request-Id": secrets.token_hex(12)}
+    if token:
+        headers["Authorization"] = f"Bearer {token}"
+    refused = {"kind": "unreachable", "message": f"No bourse answers at {', '.join(doors)}.", "remedy": "Check the addresses given with --door or HOISTSADDLE_DOORS.", "field": "door"}
+    answer: tuple[int, dict | list] = (0, {"refused": refused})
+    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=seconds)) as session:
+        for door in doors:
+            try:
+                async with session.request(method, f"http://{door}{path}", headers=headers, data=body or None) as response:
+                    answer = response.status, msgspec.json.decode(await response.read())
+            except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError):
+                continue
+            # A bourse cut off from the leader says 503; another one may reach it.
+            if answer[0] != 503:
+                return answer
+    return answer
+
+
+def say(*, doors: tuple[str, ...], method: str, path: str, token: str = "", body: bytes = b"") -> dict | list:
+    if not doors:
+        click.echo("refused: no door given. Remedy: give --door IP:PORT or set HOISTSADDLE_DOORS.", err=True)
+        sys.exit(2)
+    status, answer = asyncio.run(call_doors(doors=doors, method=method, path=path, token=token, body=body))
+    refused = answer.get("refused") if isinstance(answer, dict) else None
+    if status != 200 and refused:
+        place = f" (field {refused['field']})" if refused.get("field") else ""
+        click.echo(f"refused: {refused['kind']}{place}: {refused['message']} Remedy: {refused['remedy']}", err=True)
+        if "machines" in answer:
+            click.echo(msgspec.json.format(msgspec.json.encode(answer["machines"])).decode(), err=True)
+        sys.exit(1)
+    return answer
+
+
+def show(answer: dict | list) -> None:
+    click.echo(msgspec.json.format(msgspec.json.encode(answer)).decode())
--- /dev/null
+++ b/packages/kiosk/src/hoistsaddle/kiosk/commands.py
@@ -0,0 +1,90 @@
+"""The command line: daemons, operators' calls, the fleet and the watch."""
+import sys
+
+import click
+from aiomisc import entrypoint
+from loguru import logger
+from returns.result import Failure, Success
+
+from hoistsaddle.kiosk.fleet_commands import fleet
+from hoistsaddle.kiosk.operator_commands import OPERATOR_COMMANDS
+from hoistsaddle.tally.params import BourseParams, StallParams, WarehouseParams, read_params
+
+
+def _run(*, kind: type, service, settings: str | None, flags: dict) -> None:
+    match read_params(kind=kind, path=settings, flags=flags):
+        case Failure(mishap):
+            click.echo(f"refused: {mishap}", err=True)
+            sys.exit(2)
+        case Success(params):
+            pass
+    logger.remove()
+    logger.add(sys.stderr, format="{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {message}", level="INFO")
+    with entrypoint(service(params=params), log_config=False) as loop:
+        loop.run_forever()
+
+
+def _core_machines(values: tuple[str, ...]) -> list[dict] | None:
+    machines = []
+    for value in values:
+        replica, _, rest = value.partition("=")
+        warehouse, _, bourse = rest.partition(",")
+        machines.append({"replica": int(replica) if replica.isdigit() else replica, "warehouse": warehouse, "bourse": bourse})
+    return machines or None
+
+
+@click.group()
+def main() -> None:
+    """hoistsaddle: a service mesh you can watch at work."""
+
+
+_settings = click.option("--settings", type=str, help="TOML file with the fields below; flags win over it.")
+_core = click.option("--core", multiple=True, help="A core machine: REPLICA=WAREHOUSE_ADDRESS,BOURSE_ADDRESS. Repeat for each.")
+
+
+@main.command()
+@_settings
+@click.option("--replica", type=int)
+@click.option("--zone")
+@click.option("--listen", help="Mesh address, IP:PORT.")
+@click.option("--data-folder")
+@_core
+def warehouse(settings, core, **flags) -> None:
+    """Runs the store on a core machine."""
+    from hoistsaddle.warehouse.service import WarehouseService
+
+    _run(kind=WarehouseParams, service=WarehouseService, settings=settings, flags={**flags, "core": _core_machines(core)})
+
+
+@main.command()
+@_settings
+@click.option("--replica", type=int)
+@click.option("--zone")
+@click.option("--listen", help="Mesh address, IP:PORT.")
+@click.option("--operators", help="Operators' HTTP address, IP:PORT.")
+@_core
+def bourse(settings, core, **flags) -> None:
+    """Runs the registry on a core machine."""
+    from hoistsaddle.bourse.service import BourseService
+
+    _run(kind=BourseParams, service=BourseService, settings=settings, flags={**flags, "core": _core_machines(core)})
+
+
+@main.command()
+@_settings
+@click.option("--name")
+@click.option("--zone")
+@click.option("--listen", help="Mesh address, IP:PORT.")
+@click.option("--visitors", help="Visitors' HTTP address, IP:PORT.")
+@click.option("--inner", help="HTTP address for this machine's own server, IP:PORT.")
+@click.option("--seed", "seeds", multiple=True, help="A bourse's mesh address; give three.")
+def stall(settings, seeds, **flags) -> None:
+    """Runs the proxy beside a server."""
+    from hoistsaddle.stall.service import StallService
+
+    _run(kind=StallParams, service=StallService, settings=settings, flags={**flags, "seeds": list(seeds)})
+
+
+main.add_command(fleet)
+for command in OPERATOR_COMMANDS:
+    main.add_command(command)
--- /dev/null
+++ b/packages/kiosk/src/hoistsaddle/kiosk/operator_commands.py
@@ -0,0 +1,129 @@
+"""Operators' commands: each is one call at the operators' door."""
+import hashlib
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+from returns.result import Failure, Success
+
+from hoistsaddle.kiosk.caller import say, show
+from hoistsaddle.kiosk.watch import watch
+from hoistsaddle.tariff.bundle import digest_of, read_bundle
+
+_door = click.option("--door", "doors", multiple=True, envvar="HOISTSADDLE_DOORS", help="A bourse's operators' address; repeat, or set HOISTSADDLE_DOORS (spaces between).")
+_token = click.option("--token", envvar="HOISTSADDLE_TOKEN", required=True, help="Your token, or set HOISTSADDLE_TOKEN.")
+
+
+def _encode(**fields) -> bytes:
+    return msgspec.json.encode(fields)
+
+
+@click.command()
+@_door
+@click.option("--operator", "operators", multiple=True, required=True, help="NAME=TOKEN; give at least two. Only the token's digest is kept.")
+def found(doors, operators) -> None:
+    """Founds a mesh on blank core machines. Done once, ever."""
+    digests = {}
+    for operator in operators:
+        name, _, token = operator.partition("=")
+        digests[name] = hashlib.sha256(token.encode()).hexdigest()
+    show(say(doors=doors, method="POST", path="/found", body=_encode(operators=digests)))
+
+
+@click.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+def check(file) -> None:
+    """Checks a bundle file without sending it."""
+    try:
+        text = Path(file).read_text(encoding="utf-8")
+    except UnicodeDecodeError:
+        click.echo("refused: bundle-broken: the file is not UTF-8 text. Remedy: save it as UTF-8.", err=True)
+        sys.exit(1)
+    match read_bundle(text):
+        case Failure(mishap):
+            click.echo(f"refused: {mishap}", err=True)
+            sys.exit(1)
+        case Success(bundle):
+            show({"number": bundle.number, "based_on": bundle.based_on, "digest": digest_of(text), "stages": [stage.name for stage in bundle.rollout()]})
+
+
+@click.command()
+@_door
+@_token
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+def submit(doors, token, file) -> None:
+    """Submits a bundle; a second person signs it."""
+    show(say(doors=doors, method="POST", path="/bundles", token=token, body=Path(file).read_bytes()))
+
+
+@click.command()
+@_door
+@_token
+@click.argument("number", type=int)
+@click.option("--digest", help="The digest you read; without it the digest the mesh shows is signed.")
+def sign(doors, token, number, digest) -> None:
+    """Signs a bundle off and puts its first stage in force."""
+    digest = digest or say(doors=doors, method="GET", path=f"/bundles/{number}")["digest"]
+    show(say(doors=doors, method="POST", path=f"/bundles/{number}/sign", token=token, body=_encode(digest=digest)))
+
+
+@click.command()
+@_door
+@_token
+@click.argument("number", type=int)
+@click.option("--from-stage", type=int, required=True, help="The stage it is in now.")
+def advance(doors, token, number, from_stage) -> None:
+    """Moves a rolling bundle one stage on."""
+    show(say(doors=doors, method="POST", path=f"/bundles/{number}/advance", token=token, body=_encode(from_stage=from_stage)))
+
+
+@click.command()
+@_door
+@_token
+@click.argument("number", type=int)
+def abort(doors, token, number) -> None:
+    """Takes a draft or rolling bundle back."""
+    show(say(doors=doors, method="POST", path=f"/bundles/{number}/abort", token=token))
+
+
+@click.command()
+@_door
+@click.argument("number", type=int)
+def status(doors, number) -> None:
+    """Shows a bundle and what each machine makes of it."""
+    show(say(doors=doors, method="GET", path=f"/bundles/{number}"))
+
+
+@click.command()
+@_door
+@_token
+@click.argument("stall")
+@click.option("--undo", is_flag=True, help="Take the mark away again.")
+def drain(doors, token, stall, undo) -> None:
+    """Marks the server beside a stall as leaving; it gets no new work."""
+    show(say(doors=doors, method="POST", path=f"/servers/{stall}/drain", token=token, body=_encode(drain=not undo)))
+
+
+@click.command()
+@_door
+def setup(doors) -> None:
+    """Reads the whole setup back, confirmed by the leader."""
+    show(say(doors=doors, method="GET", path="/setup"))
+
+
+@click.command()
+@_door
+def core(doors) -> None:
+    """Shows the core machines and who leads."""
+    show(say(doors=doors, method="GET", path="/core"))
+
+
+@click.command()
+@_door
+def counters(doors) -> None:
+    """Shows a bourse's counters and those of the warehouses."""
+    show(say(doors=doors, method="GET", path="/counters"))
+
+
+OPERATOR_COMMANDS = (found, check, submit, sign, advance, abort, status, drain, setup, core, counters, watch)
--- /dev/null
+++ b/packages/kiosk/src/hoistsaddle/kiosk/watch.py
@@ -0,0 +1,92 @@
+"""`hoistsaddle watch`: what the mesh does, as it happens."""
+import asyncio
+
+import aiohttp
+import click
+import msgspec
+
+_words = {
+    "bundle submitted": "bundle {number} arrives from {author}",
+    "bundle refused": "a bundle is refused",
+    "bundle signed": "bundle {number} is signed by {operator}: stage {stage} of {stages} ({name})",
+    "bundle advanced": "bundle {number} goes on to stage {stage} of {stages} ({name})",
+    "bundle aborted": "bundle {number} is taken back",
+    "in force": "in force everywhere it concerns after {seconds} s",
+    "bundle taken up": "takes up bundle {bundle} (had {before})",
+    "server told": "its server says: {service} {instance} is {state}",
+    "server silent": "its server {service} {instance} fell silent",
+    "server noted": "server beside {stall}: {service} {instance} is {state}",
+    "server drained": "server beside {stall} is marked by {operator}",
+    "key held": "holds a key {scope} for {entry}",
+    "key settled": "settles a key {scope} for {entry}",
+    "leading": "replica {replica} leads from offset {offset}, epoch {epoch}",
+    "catching up": "replica {replica} pulls checkpoint {checkpoint}",
+    "caught up": "replica {replica} has caught up: checkpoint {checkpoint}, log to {log_end}",
+    "voter swapped": "replica {voter} votes again with its new disk",
+    "duty done": "does a duty: {what} {about}",
+    "member changed": "sees {node} as {state}",
+    "stood still": "stood still for {seconds} s",
+}
+
+
+def line_of(happening: dict) -> str:
+    kind = happening["kind"]
+    shape = _words.get(kind)
+    rest = {name: value for name, value in happening.items() if name not in ("number", "moment", "owner", "kind")}
+    try:
+        text = shape.format(**rest) if shape else None
+    except KeyError:
+        text = None
+    if text is None:
+        text = kind + "".join(f" {name}={value}" for name, value in rest.items())
+    return f"{happening['moment'][11:23]}  {happening['owner']:<14} {text}"
+
+
+async def happenings_of(*, session: aiohttp.ClientSession, address: str) -> list[dict]:
+    try:
+        async with session.get(f"http://{address}") as response:
+            return msgspec.json.decode(await response.read()) if response.status == 200 else []
+    except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError):
+        return []
+
+
+async def follow(*, sources: list[str], seconds: float | None, past: bool, echo) -> None:
+    loop = asyncio.get_running_loop()
+    end = None if seconds is None else loop.time() + seconds
+    seen: dict[str, tuple[str, int]] = {}
+    first = not past
+    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.5)) as session:
+        while end is None or loop.time() < end:
+            gathered = await asyncio.gather(*(happenings_of(session=session, address=source) for source in sources))
+            fresh: list[dict] = []
+            for source, happenings in zip(sources, gathered, strict=True):
+                if not happenings:
+                    continue
+                # A process that started anew counts from one again; its first happening tells the lives apart.
+                life, newest = happenings[0]["moment"], happenings[-1]["number"]
+                known_life, known = seen.get(source, ("", 0))
+                restarted = newest < known
+                if not first or known_life:
+                    fresh += [each for each in happenings if restarted or each["number"] > known]
+                seen[source] = (life, newest)
+            for happening in sorted(fresh, key=lambda each: each["moment"]):
+                echo(line_of(happening))
+            first = False
+            await asyncio.sleep(0.2)
+
+
+@click.command()
+@click.option("--door", "doors", multiple=True, envvar="HOISTSADDLE_DOORS", help="A bourse's operators' address; repeat for each.")
+@click.option("--stall", "stalls", multiple=True, envvar="HOISTSADDLE_STALLS", help="A stall's visitors' address; repeat for each.")
+@click.option("--seconds", type=float, help="Stop after this long; without it, watch until interrupted.")
+@click.option("--past", is_flag=True, help="Begin with what the processes still remember.")
+def watch(doors, stalls, seconds, past) -> None:
+    """Shows changes arriving, servers leaving, keys held, core machines catching up, as they happen."""
+    sources = [f"{door}/happenings" for door in doors]
+    # Each core machine's bourse also speaks for the warehouses; the first door that answers is enough for them.
+    sources += [f"{doors[place % len(doors)]}/happenings?warehouse={place + 1}" for place in range(len(doors))]
+    sources += [f"{stall}/hoistsaddle/happenings" for stall in stalls]
+    try:
+        asyncio.run(follow(sources=sources, seconds=seconds, past=past, echo=click.echo))
+    except KeyboardInterrupt:
+        pass
--- /dev/null
+++ b/packages/ledger/src/hoistsaddle/ledger/disk.py
@@ -0,0 +1,223 @@
+"""A replica's data folder: the log, epoch and vote in sqlite3, checkpoints as files. Used from the disk thread only.
+
+Something lasts once it is synced: sqlite3 runs with full synchronisation, and a checkpoint is synced under a temporary
+name, renamed, and then its folder is synced.
+"""
+import os
+import secrets
+import sqlite3
+from pathlib import Path
+
+import msgspec
+from returns.result import Failure, Success
+
+from hoistsaddle.haggle.parcels import Record
+from hoistsaddle.ledger.checkpoint import mark_of, name_of, pack_checkpoint, unpack_checkpoint
+from hoistsaddle.ledger.core import OFFSET_OUT_OF_RANGE, SNAPSHOT_NOT_FOUND
+from hoistsaddle.ledger.events import Boot, Mark, Write
+from hoistsaddle.shelf.state import State, found_state
+from hoistsaddle.tally.moments import from_microseconds, to_microseconds
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _set_aside(path: Path) -> None:
+    place = 1
+    while (aside := path.with_name(f"{path.name}.aside-{place}")).exists():
+        place += 1
+    path.rename(aside)
+
+
+class Disk:
+    def __init__(self, *, folder: Path, replica: int) -> None:
+        self.folder = folder
+        self.replica = replica
+        self.checkpoints = folder / "checkpoints"
+        self.connection: sqlite3.Connection | None = None
+        self.remarks: list[str] = []
+
+    # -- opening -----------------------------------------------------------------------------------------------------
+
+    def _open(self) -> None:
+        self.checkpoints.mkdir(parents=True, exist_ok=True)
+        path = self.folder / "ledger.sqlite3"
+        try:
+            self._connect(path)
+        except sqlite3.DatabaseError:
+            # A database that can't be read has lost its votes: lay the folder anew, under a new incarnation.
+            self.remarks.append("the ledger could not be read and was set aside")
+            for suffix in ("", "-wal", "-shm"):
+                if (part := path.with_name(path.name + suffix)).exists():
+                    _set_aside(part)
+            self._connect(path)
+        _sync_folder(self.folder)
+
+    def _connect(self, path: Path) -> None:
+        self.connection = sqlite3.connect(path, check_same_thread=False, isolation_level=None)
+        self.connection.execute("PRAGMA journal_mode=WAL")
+        self.connection.execute("PRAGMA synchronous=FULL")
+        # Bounds the write-ahead file, so that the folder of a small disk doesn't grow.
+        self.connection.execute("PRAGMA journal_size_limit=4194304")
+        self.connection.execute("CREATE TABLE IF NOT EXISTS log (place INTEGER PRIMARY KEY, epoch INTEGER, stamp INTEGER, payload BLOB)")
+        self.connection.execute("CREATE TABLE IF NOT EXISTS facts (name TEXT PRIMARY KEY, value BLOB)")
+        if self._fact("incarnation") is None:
+            self._lay()
+
+    def _lay(self) -> None:
+        self.connection.execute("BEGIN")
+        self.connection.execute("DELETE FROM log")
+        self.connection.execute("DELETE FROM facts")
+        self._set_fact("incarnation", secrets.token_hex(8))
+        self.connection.execute("COMMIT")
+
+    def _fact(self, name: str) -> object:
+        row = self.connection.execute("SELECT value FROM facts WHERE name = ?", (name,)).fetchone()
+        return None if row is None else msgspec.msgpack.decode(row[0])
+
+    def _set_fact(self, name: str, value: object) -> None:
+        self.connection.execute("INSERT OR REPLACE INTO facts VALUES (?, ?)", (name, msgspec.msgpack.encode(value)))
+
+    def boot(self) -> Boot:
+        """Reads everything back; what can't be trusted makes this a blank disk with a new incarnation."""
+        if self.connection is None:
+            self._open()
+        mesh = self._fact("mesh") or ""
+        vote = self._fact("vote")
+        known = Boot(
+            replica=self.replica,
+            incarnation=self._fact("incarnation"),
+            epoch=self._fact("epoch") or 0,
+            vote=tuple(vote) if vote else None,
+            voters=tuple((replica, incarnation) for replica, incarnation in self._fact("voters") or ()),
+            mesh=mesh,
+            begin=Mark(*(self._fact("begin") or (0, 0))),
+            catching=bool(self._fact("catching")),
+        )
+        # A catch-up that was under way starts over; the votes are still on this disk, so it stays who it is.
+        if not mesh or known.catching:
+            return known
+        records = tuple(Record(offset, epoch, from_microseconds(stamp), payload) for offset, epoch, stamp, payload in self.connection.execute("SELECT * FROM log ORDER BY place"))
+        records = tuple(record for record in records if record.offset > known.begin.offset)
+        found = self._newest_checkpoint(least=known.begin.offset)
+        if found is None:
+            # No checkpoint in range: the log counts as empty, and votes kept beside such damage can't be trusted.
+            self.remarks.append("no checkpoint in range: the folder was laid anew and this replica rejoins as a blank disk")
+            self._lay()
+            return Boot(replica=self.replica, incarnation=self._fact("incarnation"))
+        mark, state = found
+        last = records[-1].offset if records else known.begin.offset
+        begin = known.begin
+        if mark.offset > last:
+            # The checkpoint was synced, the log's tail was not: the committed state in the checkpoint stands.
+            records, begin = (), mark
+        return known._replace(begin=begin, records=records, checkpoint=mark, state=state)
+
+    def _newest_checkpoint(self, *, least: int) -> tuple[Mark, State] | None:
+        marks = sorted((mark for path in self.checkpoints.iterdir() if (mark := mark_of(path.name))), reverse=True)
+        for mark in marks:
+            if mark.offset < least:
+                break
+            path = self.checkpoints / name_of(mark)
+            match unpack_checkpoint(mark=mark, data=path.read_bytes()):
+                case Success(state):
+                    return mark, state
+                case Failure(mishap):
+                    self.remarks.append(str(mishap))
+                    _set_aside(path)
+        return None
+
+    def found(self, *, mesh: str, voters: dict[int, str], operators: dict[str, str]) -> None:
+        """Founding: the first checkpoint, at offset and epoch zero, then the facts that make it count."""
+        self.store_checkpoint(mark=Mark(0, 0), state=found_state(mesh=mesh, voters=voters, operators=operators))
+        self.connection.execute("BEGIN")
+        self._set_fact("mesh", mesh)
+        self._set_fact("voters", sorted(voters.items()))
+        self.connection.execute("COMMIT")
+
+    # -- writing -----------------------------------------------------------------------------------------------------
+
+    def write(self, writes: list[Write]) -> None:
+        """One transaction, so one sync, for everything that was queued."""
+        try:
+            self.connection.execute("BEGIN")
+            for write in writes:
+                if write.clear:
+                    self.connection.execute("DELETE FROM log")
+                if write.truncate_from >= 0:
+                    self.connection.execute("DELETE FROM log WHERE place >= ?", (write.truncate_from,))
+                if write.records:
+                    rows = [(record.offset, record.epoch, to_microseconds(record.stamp), record.payload) for record in write.records]
+                    self.connection.executemany("INSERT OR REPLACE INTO log VALUES (?, ?, ?, ?)", rows)
+            newest = writes[-1]
+            self.connection.execute("DELETE FROM log WHERE place <= ?", (newest.begin.offset,))
+            facts = {"epoch": newest.epoch, "vote": newest.vote, "voters": newest.voters, "mesh": newest.mesh, "begin": newest.begin, "catching": newest.catching}
+            for name, value in facts.items():
+                self._set_fact(name, value)
+            self.connection.execute("COMMIT")
+        except sqlite3.Error:
+            if self.connection.in_transaction:
+                self.connection.execute("ROLLBACK")
+            raise
+
+    def _store(self, mark: Mark, data: bytes) -> None:
+        temporary = self.checkpoints / (name_of(mark) + ".part")
+        with temporary.open("wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        temporary.rename(self.checkpoints / name_of(mark))
+        _sync_folder(self.checkpoints)
+
+    def store_checkpoint(self, *, mark: Mark, state: State) -> int:
+        data = pack_checkpoint(mark=mark, state=state)
+        self._store(mark, data)
+        return len(data)
+
+    def store_chunk(self, *, mark: Mark, position: int, data: bytes, last: bool) -> State | None:
+        """Puts a pulled piece in its place; after the last one the whole file is checked, synced and named."""
+        partial = self.checkpoints / (name_of(mark) + ".pulled")
+        with partial.open("r+b" if position else "wb") as file:
+            file.seek(position)
+            file.write(data)
+            file.truncate()
+        if not last:
+            return None
+        whole = partial.read_bytes()
+        partial.unlink()
+        match unpack_checkpoint(mark=mark, data=whole):
+            case Success(state):
+                self._store(mark, whole)
+                return state
+            case _:
+                return None
+
+    def read_chunk(self, *, mark: Mark, position: int, max_bytes: int) -> tuple[str, bytes, bool]:
+        path = self.checkpoints / name_of(mark)
+        try:
+            size = path.stat().st_size
+            if not 0 <= position <= size:
+                return OFFSET_OUT_OF_RANGE, b"", False
+            with path.open("rb") as file:
+                file.seek(position)
+                data = file.read(max_bytes)
+        except FileNotFoundError:
+            return SNAPSHOT_NOT_FOUND, b"", False
+        return "", data, position + len(data) < size
+
+    def drop_checkpoints(self, *, below: int) -> None:
+        for path in self.checkpoints.iterdir():
+            mark = mark_of(path.name.removesuffix(".part").removesuffix(".pulled"))
+            if mark is not None and mark.offset < below:
+                path.unlink()
+        _sync_folder(self.checkpoints)
+
+    def close(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
--- /dev/null
+++ b/packages/ledger/src/hoistsaddle/ledger/events.py
@@ -0,0 +1,166 @@
+"""Events that reach the ledger's core and commands it gives back. The core does no input or output itself."""
+from datetime import timedelta
+from typing import NamedTuple
+
+from hoistsaddle.haggle.parcels import PullCall, Record
+from hoistsaddle.shelf.commands import Outcome
+from hoistsaddle.shelf.state import State
+
+
+class Mark(NamedTuple):
+    """Names a checkpoint: the largest offset it includes and that record's epoch."""
+
+    offset: int
+    epoch: int
+
+
+class Boot(NamedTuple):
+    """What a replica's disk held when its process started."""
+
+    replica: int
+    incarnation: str
+    epoch: int = 0
+    vote: tuple[int, str] | None = None
+    voters: tuple[tuple[int, str], ...] = ()
+    mesh: str = ""
+    begin: Mark = Mark(0, 0)
+    catching: bool = False
+    records: tuple[Record, ...] = ()
+    checkpoint: Mark | None = None
+    state: State | None = None
+
+
+class CallArrived(NamedTuple):
+    ticket: int
+    message: tuple
+
+
+class AnswerArrived(NamedTuple):
+    number: int
+    replica: int
+    message: tuple
+
+
+class Ticked(NamedTuple):
+    pass
+
+
+class Synced(NamedTuple):
+    sequence: int
+
+
+class CheckpointStored(NamedTuple):
+    mark: Mark
+    size: int
+
+
+class CheckpointMishap(NamedTuple):
+    mark: Mark
+
+
+class CheckpointLoaded(NamedTuple):
+    """A pulled checkpoint, whole and checked; state is None when the check failed."""
+
+    mark: Mark
+    state: State | None
+
+
+class ProposalArrived(NamedTuple):
+    ticket: int
+    payloads: tuple[bytes, ...]
+
+
+class ReadArrived(NamedTuple):
+    ticket: int
+
+
+class StopAsked(NamedTuple):
+    pass
+
+
+class Send(NamedTuple):
+    number: int
+    replica: int
+    message: tuple
+    after: int
+
+
+class Answer(NamedTuple):
+    ticket: int
+    message: tuple
+    after: int
+
+
+class Write(NamedTuple):
+    sequence: int
+    epoch: int
+    vote: tuple[int, str] | None
+    voters: tuple[tuple[int, str], ...]
+    mesh: str
+    begin: Mark
+    catching: bool
+    clear: bool
+    truncate_from: int
+    records: tuple[Record, ...]
+
+
+class Capture(NamedTuple):
+    mark: Mark
+    state: State
+
+
+class DropCheckpoints(NamedTuple):
+    below: int
+
+
+class StoreChunk(NamedTuple):
+    mark: Mark
+    position: int
+    data: bytes
+    last: bool
+
+
+class ReadChunk(NamedTuple):
+    ticket: int
+    epoch: int
+    call: PullCall
+
+
+class Concluded(NamedTuple):
+    ticket: int
+    mishap: str
+    leader: int
+    offset: int
+    outcomes: tuple[Outcome, ...]
+
+
+class ReadReady(NamedTuple):
+    ticket: int
+    mishap: str
+    leader: int
+    state: State | None
+
+
+class Announce(NamedTuple):
+    kind: str
+    detail: dict
+
+
+class Pace(NamedTuple):
+    """Spans and sizes of the ledger; the defaults are ours and measured in docs/measurements.md."""
+
+    fetch_wait: timedelta = timedelta(milliseconds=100)
+    fetch_retry: timedelta = timedelta(milliseconds=350)
+    election_least: timedelta = timedelta(milliseconds=500)
+    election_most: timedelta = timedelta(milliseconds=850)
+    ballot_retry: timedelta = timedelta(milliseconds=250)
+    quorum_silence: timedelta = timedelta(milliseconds=1000)
+    lead_every: timedelta = timedelta(milliseconds=150)
+    alive_span: timedelta = timedelta(seconds=3)
+    lag_wait: timedelta = timedelta(seconds=10)
+    disk_stall: timedelta = timedelta(seconds=1)
+    tick_record: timedelta = timedelta(seconds=1)
+    checkpoint_records: int = 2000
+    chunk_bytes: int = 65536
+    fetch_records: int = 500
+    fetch_bytes: int = 1024 * 1024
--- /dev/null
+++ b/packages/ledger/src/hoistsaddle/ledger/shell.py
@@ -0,0 +1,283 @@
+"""Sockets, schedule and disk thread round one ledger core."""
+import asyncio
+import queue
+import random
+import sqlite3
+import threading
+import time
+from collections.abc import Callable
+from datetime import timedelta
+from typing import NamedTuple
+
+from returns.result import Success
+
+from hoistsaddle.haggle.line import Lines
+from hoistsaddle.haggle.parcels import PullAnswer
+from hoistsaddle.ledger.core import LedgerCore
+from hoistsaddle.ledger.disk import Disk
+from hoistsaddle.ledger.events import (
+    Announce,
+    Answer,
+    AnswerArrived,
+    Boot,
+    CallArrived,
+    Capture,
+    CheckpointLoaded,
+    CheckpointMishap,
+    CheckpointStored,
+    Concluded,
+    DropCheckpoints,
+    Mark,
+    Pace,
+    ProposalArrived,
+    ReadArrived,
+    ReadChunk,
+    ReadReady,
+    Send,
+    StopAsked,
+    StoreChunk,
+    Synced,
+    Ticked,
+    Write,
+)
+from hoistsaddle.tally.counters import Counters
+from hoistsaddle.tally.moments import milliseconds, monotonic_now
+
+TICK = timedelta(milliseconds=15)
+CALL_SPAN = timedelta(milliseconds=900)
+DISK_RETRY = timedelta(milliseconds=200)
+
+
+class _Founding(NamedTuple):
+    mesh: str
+    voters: dict[int, str]
+    operators: dict[str, str]
+
+
+class _Founded(NamedTuple):
+    boot: Boot | None
+
+
+class _DiskThread:
+    """The one thread beside the loop: disks stall, and the loop must not."""
+
+    def __init__(self, *, disk: Disk, report: Callable[[tuple], None], counters: Counters) -> None:
+        self.disk = disk
+        self.report = report
+        self.counters = counters
+        self.jobs: queue.SimpleQueue = queue.SimpleQueue()
+        self.thread = threading.Thread(target=self._run, name="disk", daemon=True)
+        self.thread.start()
+
+    def _run(self) -> None:
+        job = None
+        while True:
+            job = job or self.jobs.get()
+            if job is None:
+                return
+            following = None
+            match job:
+                case Write():
+                    # Everything queued while the last sync ran goes into this one.
+                    writes = [job]
+                    while not self.jobs.empty():
+                        following = self.jobs.get()
+                        if not isinstance(following, Write):
+                            break
+                        writes.append(following)
+                        following = None
+                    self._write(writes)
+                    if following is None and not self.jobs.empty():
+                        following = self.jobs.get()
+                case Capture(mark=mark, state=state):
+                    began = time.monotonic()
+                    try:
+                        size = self.disk.store_checkpoint(mark=mark, state=state)
+                    except OSError:
+                        self.counters.add("checkpoint.mishaps")
+                        self.report(CheckpointMishap(mark))
+                    else:
+                        self.counters.add("checkpoint.generated")
+                        self.counters.gauge("checkpoint.generate_milliseconds", (time.monotonic() - began) * 1000)
+                        self.counters.gauge("checkpoint.size_bytes", size)
+                        self.report(CheckpointStored(mark, size))
+                case StoreChunk(mark=mark, position=position, data=data, last=last):
+                    began = time.monotonic()
+                    try:
+                        state = self.disk.store_chunk(mark=mark, position=position, data=data, last=last)
+                    except OSError:
+                        self.counters.add("checkpoint.mishaps")
+                        state, last = None, True
+                    if last:
+                        self.counters.gauge("checkpoint.load_milliseconds", (time.monotonic() - began) * 1000)
+                        self.report(CheckpointLoaded(mark, state))
+                case _Founding(mesh=mesh, voters=voters, operators=operators):
+                    try:
+                        self.disk.found(mesh=mesh, voters=voters, operators=operators)
+                        self.report(_Founded(self.disk.boot()))
+                    except (sqlite3.Error, OSError):
+                        self.counters.add("disk.mishaps")
+                        self.report(_Founded(None))
+                case DropCheckpoints(below=below):
+                    try:
+                        self.disk.drop_checkpoints(below=below)
+                    except OSError:
+                        self.counters.add("checkpoint.mishaps")
+            job = following
+
+    def _write(self, writes: list[Write]) -> None:
+        # A write is tried until it lasts: the core sees the wait and steps down if it must.
+        while True:
+            began = time.monotonic()
+            try:
+                self.disk.write(writes)
+            except (sqlite3.Error, OSError):
+                self.counters.add("disk.mishaps")
+                time.sleep(DISK_RETRY.total_seconds())
+                continue
+            self.counters.add("disk.syncs")
+            self.counters.add("disk.records", sum(len(write.records) for write in writes))
+            self.counters.gauge("disk.sync_milliseconds", (time.monotonic() - began) * 1000)
+            self.report(Synced(writes[-1].sequence))
+            return
+
+
+class LedgerShell:
+    def __init__(self, *, disk: Disk, addresses: dict[int, str], pace: Pace, counters: Counters, lines: Lines) -> None:
+        self.disk = disk
+        self.addresses = addresses
+        self.pace = pace
+        self.counters = counters
+        self.lines = lines
+        self.synced = 0
+        self.waiting: list[tuple[int, tuple]] = []
+        self.answers: dict[int, asyncio.Future] = {}
+        self.tickets = 0
+        self.tasks: set[asyncio.Task] = set()
+        self.core: LedgerCore | None = None
+        self.founding: asyncio.Future | None = None
+        self.thread: _DiskThread | None = None
+        self.loop: asyncio.AbstractEventLoop | None = None
+
+    def start(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        began = time.monotonic()
+        boot = self.disk.boot()
+        self.counters.gauge("checkpoint.load_milliseconds", (time.monotonic() - began) * 1000)
+        for remark in self.disk.remarks:
+            self.counters.happen("disk remark", remark=remark)
+        self.disk.remarks.clear()
+        self.synced = 0
+        self.core = LedgerCore(boot=boot, replicas=tuple(self.addresses), pace=self.pace, seed=random.Random(), now=monotonic_now())
+        self.thread = _DiskThread(disk=self.disk, report=self._report, counters=self.counters)
+        self._spawn(self._ticks())
+
+    async def found(self, *, mesh: str, voters: dict[int, str], operators: dict[str, str]) -> bool:
+        """Called while nothing is founded: the core starts over from what founding wrote."""
+        # Until the disk thread is done, nothing the unfounded core does may be written over the founding.
+        self.founding = self.loop.create_future()
+        self.thread.jobs.put(_Founding(mesh, voters, operators))
+        boot = await self.founding
+        self.founding = None
+        if boot is None:
+            return False
+        self.core = LedgerCore(boot=boot, replicas=tuple(self.addresses), pace=self.pace, seed=random.Random(), now=monotonic_now())
+        self.synced = 0
+        self.waiting = []
+        return True
+
+    def _spawn(self, work) -> None:
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _report(self, event: tuple) -> None:
+        self.loop.call_soon_threadsafe(self.feed, event)
+
+    async def _ticks(self) -> None:
+        while True:
+            await asyncio.sleep(TICK.total_seconds())
+            self.feed(Ticked())
+
+    def feed(self, event: tuple) -> None:
+        if self.founding is not None:
+            if isinstance(event, _Founded):
+                self.founding.set_result(event.boot)
+            return
+        if isinstance(event, Synced):
+            self.synced = max(self.synced, event.sequence)
+        for command in self.core.handle(event, now=monotonic_now()):
+            self._carry_out(command)
+        if isinstance(event, Synced):
+            ready = [command for after, command in self.waiting if after <= self.synced]
+            self.waiting = [(after, command) for after, command in self.waiting if after > self.synced]
+            for command in ready:
+                self._carry_out(command)
+
+    def _carry_out(self, command: tuple) -> None:
+        match command:
+            case Send(after=after) | Answer(after=after) if after > self.synced:
+                self.waiting.append((after, command))
+            case Send():
+                self._spawn(self._call(command))
+            case Answer(ticket=ticket, message=message):
+                self._settle(ticket, message)
+            case Write() | Capture() | StoreChunk() | DropCheckpoints():
+                self.thread.jobs.put(command)
+            case ReadChunk():
+                self._spawn(self._read_chunk(command))
+            case Concluded(ticket=ticket) | ReadReady(ticket=ticket):
+                self._settle(ticket, command)
+            case Announce(kind=kind, detail=detail):
+                self.counters.happen(kind, **detail)
+
+    def _settle(self, ticket: int, message: tuple) -> None:
+        future = self.answers.pop(ticket, None)
+        if future is not None and not future.done():
+            future.set_result(message)
+
+    async def _call(self, send: Send) -> None:
+        self.counters.add(f"sends.{type(send.message).__name__}")
+        match await self.lines.call(self.addresses[send.replica], send.message, within=CALL_SPAN):
+            case Success(message):
+                self.feed(AnswerArrived(send.number, send.replica, message))
+            case _:
+                self.counters.add("sends.mishaps")
+
+    async def _read_chunk(self, command: ReadChunk) -> None:
+        call = command.call
+        mark = Mark(call.checkpoint_offset, call.checkpoint_epoch)
+        # A checkpoint never changes under its name, so this read needs no turn behind the disk thread.
+        mishap, data, continues = self.disk.read_chunk(mark=mark, position=call.position, max_bytes=min(call.max_bytes, self.pace.chunk_bytes))
+        self.counters.add("checkpoint.chunks_served")
+        self._settle(command.ticket, PullAnswer(mishap, command.epoch, *mark, call.position, data, continues))
+
+    async def ask(self, make: Callable[[int], tuple]) -> tuple:
+        """Feeds the event made for a fresh ticket and waits for what the core has to say to it."""
+        self.tickets += 1
+        future = self.answers[self.tickets] = self.loop.create_future()
+        ticket = self.tickets
+        self.feed(make(ticket))
+        try:
+            return await future
+        finally:
+            self.answers.pop(ticket, None)
+
+    async def call(self, message: tuple) -> tuple:
+        return await self.ask(lambda ticket: CallArrived(ticket, message))
+
+    async def propose(self, payloads: tuple[bytes, ...]) -> Concluded:
+        return await self.ask(lambda ticket: ProposalArrived(ticket, payloads))
+
+    async def read(self) -> ReadReady:
+        return await self.ask(lambda ticket: ReadArrived(ticket))
+
+    async def stop(self) -> None:
+        self.feed(StopAsked())
+        # The resignation is on its way; it gets a moment to leave, no more.
+        await asyncio.sleep(milliseconds(100).total_seconds())
+        for task in list(self.tasks):
+            task.cancel()
+        self.thread.jobs.put(None)
+        await self.loop.run_in_executor(None, self.thread.thread.join, 2.0)
+        self.disk.close()
--- /dev/null
+++ b/packages/tally/src/hoistsaddle/tally/counters.py
@@ -0,0 +1,53 @@
+"""Counters come first: what happened is counted, and only changes of state become log lines."""
+import threading
+from collections import Counter, deque
+from datetime import datetime, timezone
+from typing import NamedTuple
+
+from loguru import logger
+
+
+class Happening(NamedTuple):
+    number: int
+    moment: datetime
+    kind: str
+    detail: dict
+
+
+class Counters:
+    def __init__(self, *, owner: str, keep: int = 2000) -> None:
+        self.owner = owner
+        self._counts: Counter[str] = Counter()
+        self._gauges: dict[str, float] = {}
+        self._lock = threading.Lock()
+        self._happenings: deque[Happening] = deque(maxlen=keep)
+        self._number = 0
+
+    def add(self, name: str, amount: float = 1) -> None:
+        # The warehouse's disk thread counts too, hence the short lock.
+        with self._lock:
+            self._counts[name] += amount
+
+    def gauge(self, name: str, value: float) -> None:
+        with self._lock:
+            self._gauges[name] = value
+
+    def happen(self, kind: str, **detail) -> None:
+        """A change of state: counted, kept for `hoistsaddle watch`, and one log line."""
+        with self._lock:
+            self._number += 1
+            self._counts[f"happening.{kind}"] += 1
+            self._happenings.append(Happening(self._number, datetime.now(timezone.utc), kind, detail))
+        logger.info("{} {} {}", self.owner, kind, detail)
+
+    def happenings(self, *, after: int) -> list[dict]:
+        with self._lock:
+            return [
+                {"number": each.number, "moment": each.moment.isoformat(), "owner": self.owner, "kind": each.kind, **each.detail}
+                for each in self._happenings
+                if each.number > after
+            ]
+
+    def read(self) -> dict:
+        with self._lock:
+            return {"owner": self.owner, "counts": dict(sorted(self._counts.items())), "gauges": dict(sorted(self._gauges.items()))}
--- /dev/null
+++ b/packages/tally/src/hoistsaddle/tally/mishaps.py
@@ -0,0 +1,68 @@
+"""Typed mishaps. Every kind is told together with what to do about it."""
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class MishapKind(StrEnum):
+    PARAMS = "params"
+    BUNDLE_BROKEN = "bundle-broken"
+    BUNDLE_STALE = "bundle-stale"
+    BUNDLE_DUPLICATE = "bundle-duplicate"
+    BUNDLE_CONFLICT = "bundle-conflict"
+    BUNDLE_WRONG_BASE = "bundle-wrong-base"
+    BUNDLE_SELF_SIGNED = "bundle-self-signed"
+    BUNDLE_UNKNOWN = "bundle-unknown"
+    BUNDLE_WRONG_PHASE = "bundle-wrong-phase"
+    BUNDLE_REFUSED = "bundle-refused"
+    OPERATOR_UNKNOWN = "operator-unknown"
+    DUTY_EPOCH_OLD = "duty-epoch-old"
+    NOT_LEADER = "not-leader"
+    NO_LEADER = "no-leader"
+    NOT_FOUNDED = "not-founded"
+    ALREADY_FOUNDED = "already-founded"
+    WRONG_MESH = "wrong-mesh"
+    UNSURE = "unsure"
+    UNREACHABLE = "unreachable"
+    SILENT = "silent"
+    CHECKPOINT_TORN = "checkpoint-torn"
+    DISK = "disk"
+    LEASE_LAPSED = "lease-lapsed"
+    NOT_ALLOWED = "not-allowed"
+    NO_ENTRY = "no-entry"
+    NO_SERVER = "no-server"
+    WRONG_INSTANCE = "wrong-instance"
+    WINDING_DOWN = "winding-down"
+    BACKLOG_FULL = "backlog-full"
+    BUDGET_SPENT = "budget-spent"
+    FURTHER_SENDS_SPENT = "further-sends-spent"
+    KEY_MISSING = "key-missing"
+    KEY_OTHER_BODY = "key-other-body"
+    KEY_HELD = "key-held"
+    BODY_TOO_LARGE = "body-too-large"
+    REQUEST_BROKEN = "request-broken"
+    ANSWER_BROKEN = "answer-broken"
+    ANSWER_TOO_LARGE = "answer-too-large"
+    ALREADY_SEEN = "already-seen"
+    FROZEN = "frozen"
+
+
+class Mishap(NamedTuple):
+    kind: str
+    message: str
+    remedy: str
+    field: str = ""
+
+    def describe(self) -> dict:
+        return {"kind": str(self.kind), "message": self.message, "remedy": self.remedy, "field": self.field}
+
+    def __str__(self) -> str:
+        place = f" (field {self.field})" if self.field else ""
+        return f"{self.kind}{place}: {self.message} Remedy: {self.remedy}"
+
+
+def field_in(problem: Exception) -> str:
+    """The field that msgspec's message is about."""
+    message = str(problem)
+    if "`$." in message:
+        return message.rpartition("`$.")[2].rstrip("`")
+    return message.partition("`")[2].partition("`")[0]
--- /dev/null
+++ b/packages/tariff/src/hoistsaddle/tariff/bundle.py
@@ -0,0 +1,163 @@
+"""Rule bundles: TOML declarations, checked whole. A bundle is either right in every part or has no part at all."""
+import hashlib
+import re
+import tomllib
+from datetime import timedelta
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from hoistsaddle.tally.mishaps import Mishap, MishapKind, field_in
+
+VISITORS = "visitors"
+LARGEST_BODY = 8 * 1024 * 1024
+LARGEST_ONCE_ANSWER = 256 * 1024
+LONGEST_BUDGET = 60.0
+SAFE_METHODS = frozenset({"GET", "HEAD"})
+METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"})
+_name = re.compile(r"^[a-z][a-z0-9-]{0,62}$")
+_path = re.compile(r"^(/[A-Za-z0-9._~-]+)+$")
+
+
+class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    # Further sends: this share of the service's traffic in any 10 s, plus the margin, over the whole fleet.
+    further_percent: int = 20
+    further_margin: int = 10
+
+
+class Entry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    service: str
+    path: str
+    methods: list[str]
+    callers: list[str]
+    once: bool = False
+    budget_seconds: float = 5.0
+    body_bytes: int = 65536
+    answer_bytes: int = 1048576
+
+
+class Stage(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    stalls: list[str] = []
+    zones: list[str] = []
+    everyone: bool = False
+
+    def holds(self, *, stall: str, zone: str) -> bool:
+        return self.everyone or stall in self.stalls or zone in self.zones
+
+
+class Bundle(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    number: int
+    based_on: int
+    services: list[Service]
+    entries: list[Entry]
+    stages: list[Stage] = []
+    note: str = ""
+
+    def rollout(self) -> list[Stage]:
+        # Without stages the whole fleet is the one stage.
+        return self.stages or [Stage(name="everyone", everyone=True)]
+
+    def service(self, name: str) -> Service | None:
+        return next((service for service in self.services if service.name == name), None)
+
+    def in_stage(self, *, stage: int, stall: str, zone: str) -> bool:
+        return any(each.holds(stall=stall, zone=zone) for each in self.rollout()[:stage])
+
+    def select_entry(self, *, method: str, path: str) -> Entry | None:
+        """The longest declared path that the request's path equals or continues."""
+        found = None
+        for entry in self.entries:
+            if method in entry.methods and (path == entry.path or path.startswith(entry.path + "/")):
+                if found is None or len(entry.path) > len(found.path):
+                    found = entry
+        return found
+
+    def entry(self, name: str) -> Entry | None:
+        return next((entry for entry in self.entries if entry.name == name), None)
+
+
+def budget_of(entry: Entry) -> timedelta:
+    return timedelta(seconds=entry.budget_seconds)
+
+
+def digest_of(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def _broken(field: str, message: str, remedy: str) -> Mishap:
+    return Mishap(MishapKind.BUNDLE_BROKEN, message, remedy, field)
+
+
+def _check_entry(*, place: int, entry: Entry, services: set[str]) -> Mishap | None:
+    where = f"entries[{place}]"
+    callers = services | {VISITORS}
+    checks = (
+        (not _name.match(entry.name), "name", f"{entry.name!r} is no name.", "Use lower-case letters, digits and dashes."),
+        (entry.service not in services, "service", f"Service {entry.service!r} is not declared.", "Declare it under [[services]]."),
+        (not _path.match(entry.path), "path", f"{entry.path!r} is no plain path.", "Begin with / and use letters, digits, . _ ~ -; no trailing /."),
+        ("/../" in entry.path + "/" or "/./" in entry.path + "/", "path", "Dot segments are not allowed.", "Write the path out."),
+        (entry.path.startswith("/hoistsaddle"), "path", "/hoistsaddle is the mesh's own.", "Pick another path."),
+        (not entry.methods, "methods", "No method is given.", "Name at least one."),
+        (bool(set(entry.methods) - METHODS), "methods", "A method is unknown.", f"Use {', '.join(sorted(METHODS))}."),
+        (bool(set(entry.callers) - callers), "callers", f"Unknown callers {sorted(set(entry.callers) - callers)}.", f"Use declared services or {VISITORS!r}."),
+        (entry.once and bool(set(entry.methods) & SAFE_METHODS), "once", "A once entry can't have a safe method.", "Split the entry in two."),
+        (not 0 < entry.budget_seconds <= LONGEST_BUDGET, "budget_seconds", "The budget is out of range.", f"Give above 0 and up to {LONGEST_BUDGET:g} seconds."),
+        (not 0 < entry.body_bytes <= LARGEST_BODY, "body_bytes", "The limit is out of range.", f"Give 1 to {LARGEST_BODY}."),
+        (not 0 < entry.answer_bytes <= LARGEST_BODY, "answer_bytes", "The limit is out of range.", f"Give 1 to {LARGEST_BODY}."),
+        (entry.once and entry.answer_bytes > LARGEST_ONCE_ANSWER, "answer_bytes", "A once entry's answer is kept with its key and must stay small.", f"Give at most {LARGEST_ONCE_ANSWER}."),
+    )
+    for wrong, field, message, remedy in checks:
+        if wrong:
+            return _broken(f"{where}.{field}", message, remedy)
+    return None
+
+
+def _check(bundle: Bundle) -> Mishap | None:
+    if bundle.number < 1:
+        return _broken("number", "Bundles are numbered from 1.", "Take the number after the newest one.")
+    if not 0 <= bundle.based_on < bundle.number:
+        return _broken("based_on", "A bundle replaces an older one.", "Give the number in force, or 0 for the first bundle.")
+    if not bundle.services:
+        return _broken("services", "No service is declared.", "Declare at least one.")
+    names = [service.name for service in bundle.services]
+    for place, service in enumerate(bundle.services):
+        if not _name.match(service.name) or service.name == VISITORS:
+            return _broken(f"services[{place}].name", f"{service.name!r} is no service name.", "Use lower-case letters, digits and dashes.")
+        if names.count(service.name) > 1:
+            return _broken(f"services[{place}].name", f"{service.name!r} is declared twice.", "Remove one.")
+        if not 0 <= service.further_percent <= 20:
+            return _broken(f"services[{place}].further_percent", "The share is out of range.", "Give 0 to 20.")
+        if not 0 <= service.further_margin <= 100:
+            return _broken(f"services[{place}].further_margin", "The margin is out of range.", "Give 0 to 100.")
+    seen_names: set[str] = set()
+    seen_paths: set[tuple[str, str]] = set()
+    for place, entry in enumerate(bundle.entries):
+        if found := _check_entry(place=place, entry=entry, services=set(names)):
+            return found
+        if entry.name in seen_names:
+            return _broken(f"entries[{place}].name", f"{entry.name!r} is declared twice.", "Rename one.")
+        seen_names.add(entry.name)
+        for method in entry.methods:
+            if (method, entry.path) in seen_paths:
+                return _broken(f"entries[{place}].path", f"{method} {entry.path} is declared twice.", "Remove one.")
+            seen_paths.add((method, entry.path))
+    if bundle.stages and not bundle.stages[-1].everyone:
+        return _broken(f"stages[{len(bundle.stages) - 1}].everyone", "The last stage must reach everyone.", "Add a stage with everyone = true.")
+    for place, stage in enumerate(bundle.stages):
+        if not (stage.everyone or stage.stalls or stage.zones):
+            return _broken(f"stages[{place}]", "The stage names nobody.", "Give stalls, zones or everyone = true.")
+    return None
+
+
+def read_bundle(text: str) -> Result[Bundle, Mishap]:
+    try:
+        bundle = msgspec.convert(tomllib.loads(text), Bundle)
+    except tomllib.TOMLDecodeError as problem:
+        return Failure(_broken("", f"Not TOML: {problem}.", "Mend the line it names."))
+    except msgspec.ValidationError as problem:
+        return Failure(_broken(field_in(problem), f"{problem}.", "Mend the field; docs/operators/bundles.md lists them all."))
+    found = _check(bundle)
+    return Failure(found) if found else Success(bundle)
--- /dev/null
+++ b/packages/warehouse/src/hoistsaddle/warehouse/service.py
@@ -0,0 +1,127 @@
+"""The store: one ledger replica behind its mesh address."""
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+from aiomisc import Service
+
+from hoistsaddle.haggle.line import Lines, LineServer
+from hoistsaddle.haggle.parcels import (
+    UNSET,
+    BallotCall,
+    FetchCall,
+    FoundAnswer,
+    FoundCall,
+    LeadCall,
+    LookAnswer,
+    LookCall,
+    PullCall,
+    ReadAnswer,
+    ReadCall,
+    ResignCall,
+    WriteAnswer,
+    WriteCall,
+)
+from hoistsaddle.ledger.disk import Disk
+from hoistsaddle.ledger.events import Pace
+from hoistsaddle.ledger.shell import LedgerShell
+from hoistsaddle.shelf.commands import pack_outcome
+from hoistsaddle.shelf.readback import read_back
+from hoistsaddle.shelf.state import State, news_of
+from hoistsaddle.tally.counters import Counters
+from hoistsaddle.tally.mishaps import MishapKind
+from hoistsaddle.tally.params import WarehouseParams
+
+
+def pace_of(params: WarehouseParams) -> Pace:
+    return Pace(
+        checkpoint_records=params.checkpoint_records,
+        chunk_bytes=params.chunk_bytes,
+        lag_wait=timedelta(seconds=params.lag_wait_seconds),
+        disk_stall=timedelta(seconds=params.disk_stall_seconds),
+    )
+
+
+class WarehouseService(Service):
+    def __init__(self, *, params: WarehouseParams) -> None:
+        super().__init__()
+        self.params = params
+        self.counters = Counters(owner=f"warehouse-{params.replica}")
+
+    async def start(self) -> None:
+        self.lines = Lines()
+        self.shell = LedgerShell(
+            disk=Disk(folder=Path(self.params.data_folder), replica=self.params.replica),
+            addresses={machine.replica: machine.warehouse for machine in self.params.core},
+            pace=pace_of(self.params),
+            counters=self.counters,
+            lines=self.lines,
+        )
+        self.shell.start()
+        self.server = LineServer(address=self.params.listen, handler=self.answer)
+        await self.server.start()
+        self.counters.happen("warehouse up", replica=self.params.replica, incarnation=self.shell.core.incarnation, mesh=self.shell.core.mesh)
+        self.start_event.set()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        await self.shell.stop()
+        await self.server.stop()
+        self.lines.close()
+
+    async def answer(self, message: tuple) -> tuple | None:
+        self.counters.add(f"calls.{type(message).__name__}")
+        match message:
+            case FetchCall() | PullCall() | BallotCall() | LeadCall() | ResignCall():
+                return await self.shell.call(message)
+            case WriteCall(payloads=payloads):
+                concluded = await self.shell.propose(payloads)
+                return WriteAnswer(concluded.mishap, concluded.leader, tuple(pack_outcome(outcome) for outcome in concluded.outcomes), concluded.offset)
+            case ReadCall(part=part, known_revision=known):
+                ready = await self.shell.read()
+                if ready.mishap:
+                    return ReadAnswer(ready.mishap, ready.leader)
+                return self._read(part, known, ready.leader, ready.state)
+            case LookCall():
+                return self._look()
+            case FoundCall():
+                return await self._found(message)
+        return None
+
+    def _read(self, part: str, known: int, leader: int, state: State) -> ReadAnswer:
+        content = b""
+        if part == "news" and state.news > known:
+            content = msgspec.msgpack.encode([state.mesh, news_of(state)])
+        elif part == "setup":
+            content = msgspec.json.encode(read_back(state))
+        elif part == "operators":
+            content = msgspec.json.encode(dict(state.operators))
+        return ReadAnswer("", leader, state.news, state.offset, content)
+
+    def _look(self) -> LookAnswer:
+        core = self.shell.core
+        self.counters.gauge("ledger.epoch", core.epoch)
+        self.counters.gauge("ledger.last_offset", core.last.offset)
+        self.counters.gauge("ledger.high_watermark", core.high_watermark)
+        self.counters.gauge("ledger.begin_offset", core.begin_offset)
+        self.counters.gauge("ledger.holds", len(core.state.holds))
+        standing = core.standing if core.is_voter() else "observer"
+        if not core.whole:
+            standing = "catching up" if core.mesh or core.pulling else "blank"
+        return LookAnswer(
+            core.mesh, core.replica, core.incarnation, core.epoch, core.leader if core.leader is not None else UNSET, standing,
+            core.last.offset, core.high_watermark, core.begin_offset,
+            msgspec.json.encode(self.counters.read()), msgspec.json.encode(self.counters.happenings(after=0)),
+        )
+
+    async def _found(self, call: FoundCall) -> FoundAnswer:
+        core = self.shell.core
+        if core.mesh:
+            # The same founding repeated is no mishap; another one is.
+            mishap = "" if core.mesh == call.mesh else str(MishapKind.ALREADY_FOUNDED)
+            return FoundAnswer(mishap, core.mesh, core.incarnation)
+        if call.voters.get(core.replica) != core.incarnation:
+            return FoundAnswer(str(MishapKind.WRONG_MESH), core.mesh, core.incarnation)
+        if not await self.shell.found(mesh=call.mesh, voters=call.voters, operators=call.operators):
+            return FoundAnswer(str(MishapKind.DISK), "", core.incarnation)
+        self.counters.happen("founded", mesh=call.mesh)
+        return FoundAnswer("", call.mesh, core.incarnation)
--- /dev/null
+++ b/tests/test_bundles.py
@@ -0,0 +1,51 @@
+"""Bundles are checked whole: each broken one is refused with the field it breaks."""
+from returns.result import Failure, Success
+from testtools import TestCase
+from testtools.matchers import Equals, IsInstance
+
+from hoistsaddle.fairground.deployments import DEPLOYMENTS
+from hoistsaddle.tally.mishaps import MishapKind
+from hoistsaddle.tariff.bundle import read_bundle
+
+GOOD = DEPLOYMENTS["brindlefield"].first_bundle()
+# What is changed in a good bundle, and the field the refusal must name.
+BREAKS = (
+    ("number = 1", "number = 0", "number"),
+    ("number = 1", 'number = "one"', "number"),
+    ("based_on = 0", "based_on = 1", "based_on"),
+    ('name = "meter"', 'name = "ledger"', "services[1].name"),
+    ("further_percent = 20", "further_percent = 90", "services[0].further_percent"),
+    ('service = "portal"', 'service = "portals"', "entries[0].service"),
+    ('path = "/payments"', 'path = "/payments/"', "entries[1].path"),
+    ('path = "/payments"', 'path = "/a/../b"', "entries[1].path"),
+    ('path = "/payments"', 'path = "/credits"', "entries[2].path"),
+    ('path = "/statements"', 'path = "/hoistsaddle/ready"', "entries[0].path"),
+    ('callers = ["visitors"]\nbudget_seconds = 5', 'callers = ["everyone"]\nbudget_seconds = 5', "entries[0].callers"),
+    ("budget_seconds = 5", "budget_seconds = 0", "entries[0].budget_seconds"),
+    ('methods = ["GET"]\ncallers = ["visitors"]', 'methods = ["FETCH"]\ncallers = ["visitors"]', "entries[0].methods"),
+    ('methods = ["POST"]\ncallers = ["visitors"]\nonce = true', 'methods = ["GET"]\ncallers = ["visitors"]\nonce = true', "entries[1].once"),
+    ("answer_bytes = 16384", "answer_bytes = 999999", "entries[1].answer_bytes"),
+    ("everyone = true", "everyone = false", "stages[1].everyone"),
+    ('note = "Opening day"', 'notes = "Opening day"', "notes"),
+    ("[[services]]", "[[services", ""),
+)
+
+
+class Bundles(TestCase):
+    def test_the_example_bundles_are_whole(self) -> None:
+        for deployment in DEPLOYMENTS.values():
+            self.assertThat(read_bundle(deployment.first_bundle()), IsInstance(Success))
+
+    def test_each_break_is_refused_with_its_field(self) -> None:
+        for old, new, field in BREAKS:
+            self.assertThat(GOOD.count(old) > 0, Equals(True), old)
+            result = read_bundle(GOOD.replace(old, new, 1))
+            self.assertThat(result, IsInstance(Failure), new)
+            mishap = result.failure()
+            self.assertThat((mishap.kind, mishap.field, bool(mishap.remedy)), Equals((MishapKind.BUNDLE_BROKEN, field, True)), new)
+
+    def test_the_longest_path_wins_and_only_whole_segments_count(self) -> None:
+        text = GOOD + '\n[[entries]]\nname = "old"\nservice = "meter"\npath = "/statements/old"\nmethods = ["GET"]\ncallers = ["visitors"]\n'
+        bundle = read_bundle(text).unwrap()
+        names = [getattr(bundle.select_entry(method="GET", path=path), "name", None) for path in ("/statements", "/statements/old/1", "/statements/older", "/statementsold")]
+        self.assertThat(names, Equals(["statements", "old", "statements", None]))
--- /dev/null
+++ b/tests/test_parcels.py
@@ -0,0 +1,23 @@
+"""The tuples and mesh.thrift say the same, and every message survives the way through thrift."""
+from datetime import timedelta
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from hoistsaddle.haggle.parcels import MESSAGES, FetchAnswer, PassCall, Record, mesh_thrift, pack, tag_of, unpack
+
+
+class Parcels(TestCase):
+    def test_tuples_match_the_thrift_file(self) -> None:
+        for name, kind in MESSAGES.items():
+            fields = [entry[1] for _, entry in sorted(getattr(mesh_thrift, name).thrift_spec.items())]
+            self.assertThat(fields, Equals(list(kind._fields)), name)
+        tags = {entry[1] for entry in mesh_thrift.Parcel.thrift_spec.values()}
+        self.assertThat(tags <= {tag_of(kind) for kind in MESSAGES.values()}, Equals(True))
+
+    def test_messages_come_through_unchanged(self) -> None:
+        for message in (
+            FetchAnswer("", 3, 1, 7, 2, (Record(8, 3, timedelta(seconds=1.5), b"\x00\xff"),), round=4),
+            PassCall("s", "visitors", "v", "ledger", "stall-01", "i", 1, "pay", timedelta(milliseconds=250), "POST", "/pay", {"A": "b"}, b"\xff", "h c", 10),
+        ):
+            self.assertThat(unpack(pack(number=9, answer=True, message=message)), Equals((9, True, message)))
