--- a/packages/bourse/src/hoistsaddle/bourse/operators.py
+++ b/packages/bourse/src/hoistsaddle/bourse/operators.py
@@ -1,25 +1,22 @@
 """The operators' door: HTTP/1.1 with JSON. Every refusal has a kind, the field and the remedy."""
 import asyncio
-import hashlib
 import secrets
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 import msgspec
 from aiohttp import web
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
+from hoistsaddle.bourse.desk import Desk
 from hoistsaddle.haggle.parcels import FoundAnswer, FoundCall, LookAnswer, LookCall
-from hoistsaddle.shelf.commands import AbortBundle, AdvanceBundle, Command, DrainServer, Outcome, SignBundle, SubmitBundle
 from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.moments import milliseconds, monotonic_now
+from hoistsaddle.tally.moments import milliseconds
 from hoistsaddle.tally.params import split_address
-from hoistsaddle.tariff.bundle import Stage, read_bundle
 
 if TYPE_CHECKING:
-    from hoistsaddle.bourse.service import BourseService
+    from hoistsaddle.bourse.service import Bourse
 
-WRITE_SPAN = timedelta(seconds=8)
 _statuses = {
     MishapKind.OPERATOR_UNKNOWN: 401,
     MishapKind.REQUEST_BROKEN: 400,
@@ -39,13 +36,10 @@
     return web.json_response({"refused": mishap.describe()}, status=status, headers=headers)
 
 
-def _refuse_outcome(outcome: Outcome) -> web.Response:
-    return _refuse(Mishap(outcome.mishap, outcome.message, outcome.remedy, outcome.field))
-
-
 class OperatorDoor:
-    def __init__(self, *, bourse: "BourseService") -> None:
+    def __init__(self, *, bourse: "Bourse") -> None:
         self.bourse = bourse
+        self.desk = Desk(bourse=bourse)
         self.runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -85,54 +79,26 @@
             mishap = Mishap(MishapKind.REQUEST_BROKEN, f"{request.method} {request.path}: {problem.reason}.", "docs/operators/api.md lists the calls.", "path")
             return web.json_response({"refused": mishap.describe()}, status=problem.status)
 
-    # -- who calls ---------------------------------------------------------------------------------------------------
-
-    async def _operator(self, request: web.Request) -> Result[str, Mishap]:
+    async def _as_operator(self, request: web.Request, work) -> web.Response:
+        """Does an operator's work once it is known who asks."""
         scheme, _, token = request.headers.get("Authorization", "").partition(" ")
-        unknown = Failure(Mishap(MishapKind.OPERATOR_UNKNOWN, "No operator has this token.", "Send Authorization: Bearer with the token given at founding.", "Authorization"))
-        if scheme != "Bearer" or not token:
-            return unknown
-        digest = hashlib.sha256(token.encode()).hexdigest()
-        match await self.bourse.read_setup(part="operators"):
-            case Success(answer):
-                for name, known in msgspec.json.decode(answer.content).items():
-                    if secrets.compare_digest(known, digest):
-                        return Success(name)
-                return unknown
+        match await self.desk.operator_of(token if scheme == "Bearer" else ""):
             case Failure(mishap):
-                return Failure(mishap)
-
-    async def _write(self, command: Command) -> Result[Outcome, Mishap]:
-        match await self.bourse.writer.write(command, within=WRITE_SPAN):
-            case Success(outcome) if outcome.mishap:
-                return Failure(Mishap(outcome.mishap, outcome.message, outcome.remedy, outcome.field))
-            case result:
-                return result
-
-    @staticmethod
-    def _request_id(request: web.Request) -> str:
+                return _refuse(mishap)
+            case Success(operator):
+                pass
         # The caller's own id makes its repetition of a call recognisable; without one each call stands alone.
-        return request.headers.get("X-Request-Id") or secrets.token_hex(12)
+        match await work(operator, request.headers.get("X-Request-Id") or secrets.token_hex(12)):
+            case Failure(mishap):
+                return _refuse(mishap)
+            case Success(answer):
+                return web.json_response(answer, status=409 if "refused" in answer else 200)
 
     # -- bundles -----------------------------------------------------------------------------------------------------
 
     async def submit(self, request: web.Request) -> web.Response:
-        match await self._operator(request):
-            case Failure(mishap):
-                return _refuse(mishap)
-            case Success(author):
-                pass
         text = (await request.read()).decode()
-        # Checked here before the log is troubled; the log checks again, for what is in force may have moved.
-        if isinstance(checked := read_bundle(text), Failure):
-            return _refuse(checked.failure())
-        match await self._write(SubmitBundle(self._request_id(request), author, text)):
-            case Success(outcome):
-                self.bourse.counters.happen("bundle submitted", number=outcome.detail["number"], author=author)
-                return web.json_response({"submitted": outcome.detail})
-            case Failure(mishap):
-                self.bourse.counters.happen("bundle refused", mishap=str(mishap.kind), author=author)
-                return _refuse(mishap)
+        return await self._as_operator(request, lambda operator, call: self.desk.submit(author=operator, text=text, request=call))
 
     async def show(self, request: web.Request) -> web.Response:
         number = int(request.match_info["number"])
@@ -161,66 +127,27 @@
     async def sign(self, request: web.Request) -> web.Response:
         body = await self._body(request)
         number = int(request.match_info["number"])
-        return await self._roll(request, lambda operator: SignBundle(self._request_id(request), operator, number, str(body.get("digest", ""))), "bundle signed")
+        return await self._as_operator(request, lambda operator, call: self.desk.sign(operator=operator, number=number, digest=str(body.get("digest", "")), request=call))
 
     async def advance(self, request: web.Request) -> web.Response:
         body = await self._body(request)
-        number = int(request.match_info["number"])
-        from_stage = int(body.get("from_stage", 0))
-        return await self._roll(request, lambda operator: AdvanceBundle(self._request_id(request), operator, number, from_stage), "bundle advanced")
+        number, from_stage = int(request.match_info["number"]), int(body.get("from_stage", 0))
+        return await self._as_operator(request, lambda operator, call: self.desk.advance(operator=operator, number=number, from_stage=from_stage, request=call))
 
     async def abort(self, request: web.Request) -> web.Response:
         number = int(request.match_info["number"])
-        return await self._roll(request, lambda operator: AbortBundle(self._request_id(request), operator, number), "bundle aborted")
+        return await self._as_operator(request, lambda operator, call: self.desk.abort(operator=operator, number=number, request=call))
 
     async def drain(self, request: web.Request) -> web.Response:
         body = await self._body(request)
-        stall = request.match_info["stall"]
-        return await self._roll(request, lambda operator: DrainServer(self._request_id(request), operator, stall, bool(body.get("drain", True))), "server drained")
+        stall, drain = request.match_info["stall"], bool(body.get("drain", True))
+        return await self._as_operator(request, lambda operator, call: self.desk.drain(operator=operator, stall=stall, drain=drain, request=call))
 
     @staticmethod
     async def _body(request: web.Request) -> dict:
         data = await request.read()
         return msgspec.json.decode(data, type=dict) if data else {}
 
-    async def _roll(self, request: web.Request, make, kind: str) -> web.Response:
-        """Writes a change and answers "accepted" only once no stall concerned can act on the setup before it."""
-        match await self._operator(request):
-            case Failure(mishap):
-                return _refuse(mishap)
-            case Success(operator):
-                pass
-        match await self._write(make(operator)):
-            case Failure(mishap):
-                self.bourse.counters.happen("operator refused", wanted=kind, mishap=str(mishap.kind), operator=operator)
-                return _refuse(mishap)
-            case Success(outcome):
-                committed = monotonic_now()
-        self.bourse.counters.happen(kind, operator=operator, **outcome.detail)
-        await self.bourse.refresh(within=milliseconds(1200))
-        revision = outcome.detail["offset"]
-        stalls = self._concerned(outcome.detail)
-        standing = await self.bourse.await_uptake(revision=revision, stalls=stalls, committed=committed)
-        spent = (monotonic_now() - committed).total_seconds()
-        self.bourse.counters.gauge("acceptance.seconds", spent)
-        refused = sorted(stall for stall, state in standing.items() if state.startswith("refused"))
-        answer = {"accepted": not refused, "operator": operator, **outcome.detail, "revision": revision, "machines": standing, "seconds": round(spent, 3)}
-        if refused:
-            answer["refused"] = Mishap(
-                MishapKind.BUNDLE_REFUSED, f"{', '.join(refused)} refused it.", "Abort the roll-out, or replace those machines' release, then advance.", "number"
-            ).describe()
-        self.bourse.counters.happen("in force" if not refused else "stage refused", revision=revision, seconds=round(spent, 3), what=kind)
-        return web.json_response(answer, status=409 if refused else 200)
-
-    def _concerned(self, detail: dict) -> list[str]:
-        view = self.bourse.view
-        stalls = view.live_stalls()
-        stages: list[Stage] | None = None
-        if "stage" in detail and (item := self.bourse.relay.copy.items.get(f"bundle:{detail['number']}")):
-            _, _, text = msgspec.msgpack.decode(item[1])
-            stages = read_bundle(text).unwrap().rollout()[: detail["stage"]]
-        return sorted(stall.node for stall in stalls if stages is None or any(stage.holds(stall=stall.node, zone=stall.zone) for stage in stages))
-
     # -- reading -----------------------------------------------------------------------------------------------------
 
     async def setup(self, request: web.Request) -> web.Response:
@@ -252,7 +179,7 @@
 
     async def _look_all(self) -> dict[int, LookAnswer | None]:
         warehouses = self.bourse.warehouses
-        answers = await asyncio.gather(*(self.bourse.lines.call(address, LookCall(self.bourse.node), within=milliseconds(600)) for address in warehouses.values()))
+        answers = await asyncio.gather(*(self.bourse.runtime.lines.call(address, LookCall(self.bourse.node), within=milliseconds(600)) for address in warehouses.values()))
         return {replica: answer.unwrap() if isinstance(answer, Success) else None for replica, answer in zip(warehouses, answers, strict=True)}
 
     async def core(self, request: web.Request) -> web.Response:
@@ -289,7 +216,7 @@
             return _refuse(Mishap(MishapKind.ALREADY_FOUNDED, f"Mesh {sorted(meshes)} is founded on these machines.", "Nothing to do; a blank machine among them rejoins by itself.", "mesh"))
         mesh = secrets.token_hex(6)
         voters = {replica: look.incarnation for replica, look in looks.items()}
-        answers = await asyncio.gather(*(self.bourse.lines.call(address, FoundCall(mesh, voters, operators), within=timedelta(seconds=5)) for address in self.bourse.warehouses.values()))
+        answers = await asyncio.gather(*(self.bourse.runtime.lines.call(address, FoundCall(mesh, voters, operators), within=timedelta(seconds=5)) for address in self.bourse.warehouses.values()))
         done = [answer for answer in answers if isinstance(answer, Success) and isinstance(answer.unwrap(), FoundAnswer) and not answer.unwrap().mishap]
         if len(done) * 2 <= len(voters):
             return _refuse(Mishap(MishapKind.NOT_FOUNDED, f"Only {len(done)} of {len(voters)} warehouses took the founding.", "Wipe the data folders of those that did and found again.", "core"))
--- a/packages/bourse/src/hoistsaddle/bourse/service.py
+++ b/packages/bourse/src/hoistsaddle/bourse/service.py
@@ -1,6 +1,6 @@
 """The registry: takes the outside calls for both core programs, hears vitals, and is a root of the relay tree."""
 import asyncio
-import secrets
+from collections.abc import Callable
 from datetime import timedelta
 
 import msgspec
@@ -14,7 +14,6 @@
 from hoistsaddle.crier.member import Member
 from hoistsaddle.crier.membership import ALIVE
 from hoistsaddle.crier.relay import Relay
-from hoistsaddle.haggle.line import Lines, LineServer
 from hoistsaddle.haggle.parcels import (
     PollAnswer,
     PollCall,
@@ -30,12 +29,13 @@
     WriteAnswer,
     WriteCall,
 )
+from hoistsaddle.haggle.runtime import RealRuntime, Runtime
 from hoistsaddle.shelf.commands import ClaimHold, NoteNode, NoteServer, ReleaseHold, SettleHold, pack_outcome, unpack_command
 from hoistsaddle.shelf.state import WARDEN
 from hoistsaddle.shelf.view import View, read_view
 from hoistsaddle.tally.counters import Counters
 from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tally.moments import milliseconds, monotonic_now
+from hoistsaddle.tally.moments import milliseconds
 from hoistsaddle.tally.params import BourseParams
 
 READ_EVERY = milliseconds(100)
@@ -43,43 +43,35 @@
 DUTY_EVERY = milliseconds(200)
 
 
-class BourseService(Service):
-    def __init__(self, *, params: BourseParams) -> None:
-        super().__init__()
+class Bourse:
+    def __init__(self, *, params: BourseParams, runtime: Runtime) -> None:
         self.params = params
+        self.runtime = runtime
         self.node = f"bourse-{params.replica}"
-        self.incarnation = secrets.token_hex(6)
+        self.incarnation = runtime.token(6)
         self.counters = Counters(owner=self.node)
-
-    async def start(self) -> None:
-        params = self.params
-        self.lines = Lines()
         self.peers = {machine.replica: machine.bourse for machine in params.core}
         self.warehouses = {machine.replica: machine.warehouse for machine in params.core}
-        self.writer = Writer(name=self.node, warehouses=self.warehouses, home=params.replica, lines=self.lines, counters=self.counters)
+        self.writer = Writer(name=self.node, warehouses=self.warehouses, home=params.replica, runtime=runtime, counters=self.counters)
         self.relay = Relay(node=self.node, incarnation=self.incarnation, lease_span=timedelta(seconds=params.lease_seconds))
         self.view = View()
         self.news = asyncio.Condition()
         self.warden = Warden(node=self.node, vitals_span=timedelta(seconds=params.vitals_seconds))
         me = Rumour(self.node, "bourse", params.listen, params.zone, self.incarnation, 0, ALIVE)
-        self.member = Member(me=me, seeds=[address for address in self.peers.values() if address != params.listen], lines=self.lines, counters=self.counters, changed=lambda rumour: None)
-        self.server = LineServer(address=params.listen, handler=self.answer)
-        await self.server.start()
-        self.door = OperatorDoor(bourse=self)
-        await self.door.start()
+        self.member = Member(me=me, seeds=[address for address in self.peers.values() if address != params.listen], runtime=runtime, counters=self.counters)
+
+    async def start(self) -> None:
+        self.server = await self.runtime.serve(self.params.listen, self.answer)
         self.tasks = [asyncio.ensure_future(work) for work in (self.member.run(), self._read_news(), self._do_duties(), self._register())]
         self.counters.happen("bourse up", incarnation=self.incarnation)
-        self.start_event.set()
-        await asyncio.gather(*self.tasks)
 
-    async def stop(self, exception: Exception | None = None) -> None:
+    async def stop(self) -> None:
         for task in self.tasks:
             task.cancel()
-        await self.door.stop()
         self.writer.stop()
         self.member.stop()
         await self.server.stop()
-        self.lines.close()
+        self.runtime.lines.close()
 
     # -- roots -------------------------------------------------------------------------------------------------------
 
@@ -90,9 +82,9 @@
 
     async def refresh(self, *, within: timedelta) -> bool:
         """One read the leader confirms; the lease counts from just before it was asked."""
-        deadline = monotonic_now() + within
-        while monotonic_now() < deadline:
-            asked = monotonic_now()
+        deadline = self.runtime.now() + within
+        while self.runtime.now() < deadline:
+            asked = self.runtime.now()
             match await self.writer.read(part="news", known_revision=self.relay.copy.revision, within=milliseconds(350)):
                 case Success(ReadAnswer() as answer):
                     await self._take(answer, asked)
@@ -105,11 +97,11 @@
         if answer.content:
             mesh, plain = msgspec.msgpack.decode(answer.content)
             items = {key: (revision, value) for key, (revision, value) in plain.items()}
-        was_fresh = self.relay.fresh(now=monotonic_now())
+        was_fresh = self.relay.fresh(now=self.runtime.now())
         if self.relay.confirmed(asked=asked, mesh=mesh, revision=answer.revision, items=items):
             self.view = read_view(revision=self.relay.copy.revision, items=self.relay.copy.items, node=self.node, zone=self.params.zone, before=self.view)
             self.counters.happen("news", revision=self.view.revision, in_force=self.view.bundle_number, rolling=self.view.rolling)
-        if self.relay.fresh(now=monotonic_now()) and not was_fresh:
+        if self.relay.fresh(now=self.runtime.now()) and not was_fresh:
             self.counters.happen("lease fresh", revision=self.relay.copy.revision)
         async with self.news:
             self.news.notify_all()
@@ -126,14 +118,14 @@
             case WriteCall(payloads=payloads):
                 return await self._write_for_stall(payloads)
             case UptakeCall():
-                return UptakeAnswer(self.relay.known_uptakes(now=monotonic_now()))
+                return UptakeAnswer(self.relay.known_uptakes(now=self.runtime.now()))
             case ProbeCall() | ProbeForCall():
                 return await self.member.answer(message)
         return None
 
     async def _poll(self, call: PollCall) -> PollAnswer:
-        self.relay.heard(call.uptakes, now=monotonic_now())
-        return await hold_poll(relay=self.relay, news=self.news, call=call)
+        self.relay.heard(call.uptakes, now=self.runtime.now())
+        return await hold_poll(runtime=self.runtime, relay=self.relay, news=self.news, call=call)
 
     async def _write_for_stall(self, payloads: tuple[bytes, ...]) -> WriteAnswer:
         for payload in payloads:
@@ -154,13 +146,13 @@
         if duty is not None and duty.node != self.node:
             # The warden must hear every heartbeat; one step of forwarding helps a stall that doesn't know it yet.
             address = self.peers.get(int(duty.node.rpartition("-")[2]), "")
-            match await self.lines.call(address, call, within=milliseconds(600)):
+            match await self.runtime.lines.call(address, call, within=milliseconds(600)):
                 case Success(VitalsAnswer() as answer):
                     return answer
         return await self.take_vitals(call)
 
     async def take_vitals(self, call: VitalsCall) -> VitalsAnswer:
-        now = monotonic_now()
+        now = self.runtime.now()
         self.warden.hear(call.node, incarnation=call.incarnation, now=now)
         # Only changes are logged; a heartbeat that says what the log says already ends here.
         node = self.view.nodes.get(call.node)
@@ -188,14 +180,14 @@
         """Notes this bourse among the mesh's nodes, once there is a mesh."""
         while True:
             known = self.view.nodes.get(self.node)
-            if self.relay.fresh(now=monotonic_now()) and (known is None or known.incarnation != self.incarnation):
+            if self.relay.fresh(now=self.runtime.now()) and (known is None or known.incarnation != self.incarnation):
                 await self.writer.write(NoteNode(self.node, "bourse", self.params.listen, self.params.zone, self.incarnation, "alive"), within=WRITE_SPAN)
             await asyncio.sleep(DUTY_EVERY.total_seconds())
 
     async def _do_duties(self) -> None:
         while True:
             await asyncio.sleep(DUTY_EVERY.total_seconds())
-            now = monotonic_now()
+            now = self.runtime.now()
             live = [member.node for member in self.member.core.alive(kind="bourse")]
             commands = self.warden.handle(view=self.view, live_bourses=live, fresh=self.relay.fresh(now=now), now=now)
             for command in commands:
@@ -209,7 +201,7 @@
 
     # -- acceptance --------------------------------------------------------------------------------------------------
 
-    async def await_uptake(self, *, revision: int, stalls: list[str], committed: timedelta) -> dict[str, str]:
+    async def await_uptake(self, *, revision: int, stalls: Callable[[], list[str]], committed: timedelta) -> dict[str, str]:
         """Waits until every stall has taken the revision up or its lease must have lapsed; tells which of the two.
 
         A lease that knew an older setup began before the commit, so one lease span after it no such lease is left.
@@ -219,21 +211,22 @@
         while True:
             uptakes = await self.gather_uptakes()
             standing: dict[str, str] = {}
-            for stall in stalls:
+            concerned = stalls()
+            for stall in concerned:
                 uptake = uptakes.get(stall)
                 if uptake is not None and uptake.revision >= revision:
                     standing[stall] = f"refused: {uptake.refusal}" if uptake.refusal else "taken up"
             # A copy older than the commit may not know every stall concerned: then only the lapse counts.
-            complete = self.relay.copy.revision >= revision and len(standing) == len(stalls)
-            if complete or monotonic_now() >= end:
-                return {stall: standing.get(stall, "lapsed") for stall in stalls}
+            complete = self.relay.copy.revision >= revision and len(standing) == len(concerned)
+            if complete or self.runtime.now() >= end:
+                return {stall: standing.get(stall, "lapsed") for stall in concerned}
             await asyncio.sleep(milliseconds(25).total_seconds())
 
     async def gather_uptakes(self) -> dict[str, Uptake]:
         others = [address for address in self.peers.values() if address != self.params.listen]
-        answers = await asyncio.gather(*(self.lines.call(address, UptakeCall(self.node), within=milliseconds(150)) for address in others))
+        answers = await asyncio.gather(*(self.runtime.lines.call(address, UptakeCall(self.node), within=milliseconds(150)) for address in others))
         found: dict[str, Uptake] = {}
-        gathered = [self.relay.known_uptakes(now=monotonic_now())]
+        gathered = [self.relay.known_uptakes(now=self.runtime.now())]
         gathered += [answer.unwrap().uptakes for answer in answers if isinstance(answer, Success) and isinstance(answer.unwrap(), UptakeAnswer)]
         for uptakes in gathered:
             for uptake in uptakes:
@@ -245,3 +238,20 @@
     async def read_setup(self, *, part: str = "setup") -> Result[ReadAnswer, object]:
         result = await self.writer.read(part=part, known_revision=-1, within=timedelta(seconds=2))
         return result if isinstance(result, Success) else Failure(NO_LEADER)
+
+
+class BourseService(Service):
+    def __init__(self, *, params: BourseParams) -> None:
+        super().__init__()
+        self.bourse_params = params
+
+    async def start(self) -> None:
+        self.node = Bourse(params=self.bourse_params, runtime=RealRuntime())
+        await self.node.start()
+        self.door = OperatorDoor(bourse=self.node)
+        await self.door.start()
+        self.start_event.set()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        await self.door.stop()
+        await self.node.stop()
--- a/packages/bourse/src/hoistsaddle/bourse/writer.py
+++ b/packages/bourse/src/hoistsaddle/bourse/writer.py
@@ -5,12 +5,12 @@
 
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.haggle.line import Lines
 from hoistsaddle.haggle.parcels import ReadAnswer, ReadCall, WriteAnswer, WriteCall
+from hoistsaddle.haggle.runtime import Runtime
 from hoistsaddle.shelf.commands import Command, Outcome, pack_command, unpack_outcome
 from hoistsaddle.tally.counters import Counters
 from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.moments import milliseconds, monotonic_now
+from hoistsaddle.tally.moments import milliseconds
 
 CALL_SPAN = timedelta(milliseconds=700)
 MOST_IN_BATCH = 128
@@ -20,11 +20,11 @@
 
 
 class Writer:
-    def __init__(self, *, name: str, warehouses: dict[int, str], home: int, lines: Lines, counters: Counters) -> None:
+    def __init__(self, *, name: str, warehouses: dict[int, str], home: int, runtime: Runtime, counters: Counters) -> None:
         self.name = name
         self.warehouses = warehouses
         self.leader = home
-        self.lines = lines
+        self.runtime = runtime
         self.counters = counters
         self.backlog: list[tuple[bytes, timedelta, asyncio.Future]] = []
         self.in_flight = 0
@@ -39,10 +39,10 @@
             self.leader = order[(order.index(tried) + 1) % len(order)]
 
     async def read(self, *, part: str, known_revision: int, within: timedelta) -> Result[ReadAnswer, Mishap]:
-        deadline = monotonic_now() + within
-        while (left := deadline - monotonic_now()) > timedelta():
+        deadline = self.runtime.now() + within
+        while (left := deadline - self.runtime.now()) > timedelta():
             tried = self.leader
-            match await self.lines.call(self.warehouses[tried], ReadCall(self.name, part, known_revision), within=min(left, CALL_SPAN)):
+            match await self.runtime.lines.call(self.warehouses[tried], ReadCall(self.name, part, known_revision), within=min(left, CALL_SPAN)):
                 case Success(ReadAnswer(mishap="") as answer):
                     return Success(answer)
                 case Success(ReadAnswer(leader=leader)):
@@ -55,7 +55,7 @@
     async def write(self, command: Command, *, within: timedelta) -> Result[Outcome, Mishap]:
         """Every command may be forwarded again: each carries what makes its repetition recognisable in the log."""
         future = asyncio.get_running_loop().create_future()
-        self.backlog.append((pack_command(command), monotonic_now() + within, future))
+        self.backlog.append((pack_command(command), self.runtime.now() + within, future))
         self._flush()
         return await future
 
@@ -63,7 +63,7 @@
         futures = []
         for payload in payloads:
             future = asyncio.get_running_loop().create_future()
-            self.backlog.append((payload, monotonic_now() + within, future))
+            self.backlog.append((payload, self.runtime.now() + within, future))
             futures.append(future)
         self._flush()
         return list(await asyncio.gather(*futures))
@@ -81,7 +81,7 @@
         try:
             while batch:
                 tried = self.leader
-                answer = await self.lines.call(self.warehouses[tried], WriteCall(self.name, tuple(payload for payload, _, _ in batch)), within=CALL_SPAN)
+                answer = await self.runtime.lines.call(self.warehouses[tried], WriteCall(self.name, tuple(payload for payload, _, _ in batch)), within=CALL_SPAN)
                 match answer:
                     case Success(WriteAnswer(mishap="", outcomes=outcomes)):
                         self.counters.add("writes.carried", len(batch))
@@ -94,7 +94,7 @@
                     case _:
                         self._follow_hint(-1, tried)
                 self.counters.add("writes.again")
-                now = monotonic_now()
+                now = self.runtime.now()
                 for _, deadline, future in batch:
                     if now >= deadline and not future.done():
                         future.set_result(Failure(NO_LEADER))
--- a/packages/crier/src/hoistsaddle/crier/holding.py
+++ b/packages/crier/src/hoistsaddle/crier/holding.py
@@ -3,12 +3,13 @@
 
 from hoistsaddle.crier.relay import Relay
 from hoistsaddle.haggle.parcels import PollAnswer, PollCall
-from hoistsaddle.tally.moments import milliseconds, monotonic_now
+from hoistsaddle.haggle.runtime import Runtime
+from hoistsaddle.tally.moments import milliseconds
 
 POLL_HOLD = milliseconds(150)
 
 
-async def hold_poll(*, relay: Relay, news: asyncio.Condition, call: PollCall) -> PollAnswer:
+async def hold_poll(*, runtime: Runtime, relay: Relay, news: asyncio.Condition, call: PollCall) -> PollAnswer:
     """A child that knows everything is held until there is news, or for a short while."""
     if relay.must_wait(call):
         try:
@@ -16,4 +17,4 @@
                 await news.wait_for(lambda: not relay.must_wait(call))
         except TimeoutError:
             pass
-    return relay.answer(call, now=monotonic_now())
+    return relay.answer(call, now=runtime.now())
--- a/packages/crier/src/hoistsaddle/crier/member.py
+++ b/packages/crier/src/hoistsaddle/crier/member.py
@@ -1,16 +1,13 @@
 """Sockets and schedule round the membership core, shared by bourses and stalls."""
 import asyncio
-import random
-from collections.abc import Callable
 from datetime import timedelta
 
 from returns.result import Success
 
 from hoistsaddle.crier.membership import AskOpinions, Changed, Membership, OpinionsIn, Probe, ProbeAnswered, ProbeMissed, RumoursArrived, Ticked
-from hoistsaddle.haggle.line import Lines
 from hoistsaddle.haggle.parcels import ProbeAnswer, ProbeCall, ProbeForAnswer, ProbeForCall, Rumour
+from hoistsaddle.haggle.runtime import Runtime
 from hoistsaddle.tally.counters import Counters
-from hoistsaddle.tally.moments import monotonic_now
 
 PERIOD = timedelta(milliseconds=250)
 PROBE_SPAN = timedelta(milliseconds=300)
@@ -19,12 +16,11 @@
 
 
 class Member:
-    def __init__(self, *, me: Rumour, seeds: list[str], lines: Lines, counters: Counters, changed: Callable[[Rumour], None]) -> None:
-        self.core = Membership(me=me, seed=random.Random(), period=PERIOD, suspicion=SUSPICION)
+    def __init__(self, *, me: Rumour, seeds: list[str], runtime: Runtime, counters: Counters) -> None:
+        self.core = Membership(me=me, seed=runtime.random, period=PERIOD, suspicion=SUSPICION)
         self.seeds = seeds
-        self.lines = lines
+        self.runtime = runtime
         self.counters = counters
-        self.changed = changed
         self.tasks: set[asyncio.Task] = set()
 
     async def run(self) -> None:
@@ -36,7 +32,7 @@
                     if seed != self.core.me.address:
                         self._spawn(self._meet(seed))
             turn += 1
-            self._carry_out(self.core.handle(Ticked(), now=monotonic_now()))
+            self._carry_out(self.core.handle(Ticked(), now=self.runtime.now()))
             await asyncio.sleep(PERIOD.total_seconds() / 2)
 
     def _spawn(self, work) -> None:
@@ -53,19 +49,18 @@
                     self._spawn(self._ask(command))
                 case Changed(rumour=rumour):
                     self.counters.happen("member changed", node=rumour.node, state=rumour.state)
-                    self.changed(rumour)
 
     def feed(self, event: tuple) -> None:
-        self._carry_out(self.core.handle(event, now=monotonic_now()))
+        self._carry_out(self.core.handle(event, now=self.runtime.now()))
 
     async def _meet(self, seed: str) -> None:
-        match await self.lines.call(seed, ProbeCall(self.core.me.node, self.core.rumours()), within=PROBE_SPAN):
+        match await self.runtime.lines.call(seed, ProbeCall(self.core.me.node, self.core.rumours()), within=PROBE_SPAN):
             case Success(ProbeAnswer(node=node, rumours=rumours)):
                 self.feed(ProbeAnswered(node, rumours))
 
     async def _probe(self, probe: Probe) -> None:
         self.counters.add("probes.sent")
-        match await self.lines.call(probe.address, ProbeCall(self.core.me.node, probe.rumours), within=PROBE_SPAN):
+        match await self.runtime.lines.call(probe.address, ProbeCall(self.core.me.node, probe.rumours), within=PROBE_SPAN):
             case Success(ProbeAnswer(node=node, rumours=rumours)) if node == probe.node:
                 self.feed(ProbeAnswered(node, rumours))
             case _:
@@ -73,7 +68,7 @@
                 self.feed(ProbeMissed(probe.node))
 
     async def _ask(self, ask: AskOpinions) -> None:
-        calls = [self.lines.call(helper, ProbeForCall(self.core.me.node, ask.address), within=OPINION_SPAN) for helper in ask.helpers]
+        calls = [self.runtime.lines.call(helper, ProbeForCall(self.core.me.node, ask.address), within=OPINION_SPAN) for helper in ask.helpers]
         answers = await asyncio.gather(*calls)
         alive = any(isinstance(answer, Success) and answer.unwrap().alive for answer in answers)
         self.feed(OpinionsIn(ask.node, alive))
@@ -84,7 +79,7 @@
                 self.feed(RumoursArrived(rumours))
                 return ProbeAnswer(self.core.me.node, self.core.rumours())
             case ProbeForCall(address=address):
-                match await self.lines.call(address, ProbeCall(self.core.me.node, self.core.rumours()), within=PROBE_SPAN):
+                match await self.runtime.lines.call(address, ProbeCall(self.core.me.node, self.core.rumours()), within=PROBE_SPAN):
                     case Success(ProbeAnswer(rumours=rumours)):
                         self.feed(RumoursArrived(rumours))
                         return ProbeForAnswer(True, rumours)
--- /dev/null
+++ b/packages/haggle/src/hoistsaddle/haggle/runtime.py
@@ -0,0 +1,49 @@
+"""What a node needs of the world: a clock, chance, names, lines. The simulator has another of the same shape."""
+import random
+import secrets
+from datetime import timedelta
+from typing import Protocol
+
+from returns.result import Result
+
+from hoistsaddle.haggle.line import Handler, Lines, LineServer
+from hoistsaddle.tally.mishaps import Mishap
+from hoistsaddle.tally.moments import monotonic_now
+
+
+class Calls(Protocol):
+    async def call(self, address: str, message: tuple, *, within: timedelta) -> Result[tuple, Mishap]: ...
+
+    def close(self) -> None: ...
+
+
+class Serving(Protocol):
+    async def stop(self) -> None: ...
+
+
+class Runtime(Protocol):
+    random: random.Random
+    lines: Calls
+
+    def now(self) -> timedelta: ...
+
+    def token(self, size: int) -> str: ...
+
+    async def serve(self, address: str, handler: Handler) -> Serving: ...
+
+
+class RealRuntime:
+    def __init__(self) -> None:
+        self.random = random.Random()
+        self.lines = Lines()
+
+    def now(self) -> timedelta:
+        return monotonic_now()
+
+    def token(self, size: int) -> str:
+        return secrets.token_hex(size)
+
+    async def serve(self, address: str, handler: Handler) -> LineServer:
+        server = LineServer(address=address, handler=handler)
+        await server.start()
+        return server
--- a/packages/ledger/src/hoistsaddle/ledger/disk.py
+++ b/packages/ledger/src/hoistsaddle/ledger/disk.py
@@ -6,6 +6,7 @@
 import os
 import secrets
 import sqlite3
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -35,8 +36,11 @@
 
 
 class Disk:
-    def __init__(self, *, folder: Path, replica: int) -> None:
+    def __init__(self, *, folder: Path, replica: int, token: Callable[[int], str] = secrets.token_hex, synchronous: str = "FULL") -> None:
         self.folder = folder
+        self.token = token
+        # Only the simulator, which models lost writes itself, runs without syncs.
+        self.synchronous = synchronous
         self.replica = replica
         self.checkpoints = folder / "checkpoints"
         self.connection: sqlite3.Connection | None = None
@@ -61,7 +65,7 @@
     def _connect(self, path: Path) -> None:
         self.connection = sqlite3.connect(path, check_same_thread=False, isolation_level=None)
         self.connection.execute("PRAGMA journal_mode=WAL")
-        self.connection.execute("PRAGMA synchronous=FULL")
+        self.connection.execute(f"PRAGMA synchronous={self.synchronous}")
         # Bounds the write-ahead file, so that the folder of a small disk doesn't grow.
         self.connection.execute("PRAGMA journal_size_limit=4194304")
         self.connection.execute("CREATE TABLE IF NOT EXISTS log (place INTEGER PRIMARY KEY, epoch INTEGER, stamp INTEGER, payload BLOB)")
@@ -73,7 +77,7 @@
         self.connection.execute("BEGIN")
         self.connection.execute("DELETE FROM log")
         self.connection.execute("DELETE FROM facts")
-        self._set_fact("incarnation", secrets.token_hex(8))
+        self._set_fact("incarnation", self.token(8))
         self.connection.execute("COMMIT")
 
     def _fact(self, name: str) -> object:
--- /dev/null
+++ b/packages/ledger/src/hoistsaddle/ledger/jobs.py
@@ -0,0 +1,139 @@
+"""The disk's jobs in order, and the one thread beside the loop that does them."""
+import queue
+import sqlite3
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+from typing import NamedTuple, Protocol
+
+from hoistsaddle.ledger.disk import Disk
+from hoistsaddle.ledger.events import Boot, Capture, CheckpointLoaded, CheckpointMishap, CheckpointStored, DropCheckpoints, StoreChunk, Synced, Write
+from hoistsaddle.tally.counters import Counters
+
+DISK_RETRY = timedelta(milliseconds=200)
+
+
+class Founding(NamedTuple):
+    mesh: str
+    voters: dict[int, str]
+    operators: dict[str, str]
+
+
+class Founded(NamedTuple):
+    """boot is None when the disk refused."""
+
+    boot: Boot | None
+
+
+class DiskWorker(Protocol):
+    def put(self, job: tuple) -> None: ...
+
+    def stop(self) -> None: ...
+
+
+class DiskJobs:
+    def __init__(self, *, disk: Disk, counters: Counters) -> None:
+        self.disk = disk
+        self.counters = counters
+
+    def do_next(self, jobs: deque) -> tuple | None:
+        """Does the first job and gives its report. A write that can't last raises and stays where it was."""
+        match jobs[0]:
+            case Write():
+                # Everything queued while the last sync ran goes into this one.
+                writes = []
+                for job in jobs:
+                    if not isinstance(job, Write):
+                        break
+                    writes.append(job)
+                began = time.monotonic()
+                self.disk.write(writes)
+                for _ in writes:
+                    jobs.popleft()
+                self.counters.add("disk.syncs")
+                self.counters.add("disk.records", sum(len(write.records) for write in writes))
+                self.counters.gauge("disk.sync_milliseconds", (time.monotonic() - began) * 1000)
+                return Synced(writes[-1].sequence)
+            case job:
+                jobs.popleft()
+                try:
+                    return self._do(job)
+                except (OSError, sqlite3.Error):
+                    self.counters.add("disk.mishaps")
+                    return self._report_mishap(job)
+
+    def _do(self, job: tuple) -> tuple | None:
+        began = time.monotonic()
+        match job:
+            case Capture(mark=mark, state=state):
+                size = self.disk.store_checkpoint(mark=mark, state=state)
+                self.counters.add("checkpoint.generated")
+                self.counters.gauge("checkpoint.generate_milliseconds", (time.monotonic() - began) * 1000)
+                self.counters.gauge("checkpoint.size_bytes", size)
+                return CheckpointStored(mark, size)
+            case StoreChunk(mark=mark, position=position, data=data, last=last):
+                state = self.disk.store_chunk(mark=mark, position=position, data=data, last=last)
+                if not last:
+                    return None
+                self.counters.add("checkpoint.pulled")
+                self.counters.gauge("checkpoint.load_milliseconds", (time.monotonic() - began) * 1000)
+                return CheckpointLoaded(mark, state)
+            case Founding(mesh=mesh, voters=voters, operators=operators):
+                self.disk.found(mesh=mesh, voters=voters, operators=operators)
+                return Founded(self.disk.boot())
+            case DropCheckpoints(below=below):
+                self.disk.drop_checkpoints(below=below)
+        return None
+
+    @staticmethod
+    def _report_mishap(job: tuple) -> tuple | None:
+        match job:
+            case Capture(mark=mark):
+                return CheckpointMishap(mark)
+            case StoreChunk(mark=mark):
+                return CheckpointLoaded(mark, None)
+            case Founding():
+                return Founded(None)
+        return None
+
+
+class DiskThread:
+    """The one thread beside the loop: disks stall, and the loop must not."""
+
+    def __init__(self, *, disk: Disk, report: Callable[[tuple], None], counters: Counters) -> None:
+        self.jobs = DiskJobs(disk=disk, counters=counters)
+        self.report = report
+        self.queue: queue.SimpleQueue = queue.SimpleQueue()
+        self.stopped = threading.Event()
+        self.thread = threading.Thread(target=self._run, name="disk", daemon=True)
+        self.thread.start()
+
+    def put(self, job: tuple) -> None:
+        self.queue.put(job)
+
+    def _run(self) -> None:
+        waiting: deque = deque()
+        while True:
+            if not waiting:
+                waiting.append(self.queue.get())
+            while not self.queue.empty():
+                waiting.append(self.queue.get())
+            if waiting[0] is None:
+                return
+            try:
+                report = self.jobs.do_next(waiting)
+            except (sqlite3.Error, OSError):
+                # A write is tried until it lasts: the core sees the wait and steps down if it must.
+                self.jobs.counters.add("disk.mishaps")
+                if self.stopped.wait(DISK_RETRY.total_seconds()):
+                    return
+                continue
+            if report is not None:
+                self.report(report)
+
+    def stop(self) -> None:
+        self.stopped.set()
+        self.queue.put(None)
+        self.thread.join(2.0)
--- a/packages/ledger/src/hoistsaddle/ledger/shell.py
+++ b/packages/ledger/src/hoistsaddle/ledger/shell.py
@@ -1,30 +1,21 @@
 """Sockets, schedule and disk thread round one ledger core."""
 import asyncio
-import queue
-import random
-import sqlite3
-import threading
 import time
 from collections.abc import Callable
 from datetime import timedelta
-from typing import NamedTuple
 
 from returns.result import Success
 
-from hoistsaddle.haggle.line import Lines
 from hoistsaddle.haggle.parcels import PullAnswer
+from hoistsaddle.haggle.runtime import Runtime
 from hoistsaddle.ledger.core import LedgerCore
 from hoistsaddle.ledger.disk import Disk
 from hoistsaddle.ledger.events import (
     Announce,
     Answer,
     AnswerArrived,
-    Boot,
     CallArrived,
     Capture,
-    CheckpointLoaded,
-    CheckpointMishap,
-    CheckpointStored,
     Concluded,
     DropCheckpoints,
     Mark,
@@ -40,115 +31,22 @@
     Ticked,
     Write,
 )
+from hoistsaddle.ledger.jobs import DiskThread, DiskWorker, Founded, Founding
 from hoistsaddle.tally.counters import Counters
-from hoistsaddle.tally.moments import milliseconds, monotonic_now
+from hoistsaddle.tally.moments import milliseconds
 
 TICK = timedelta(milliseconds=15)
 CALL_SPAN = timedelta(milliseconds=900)
-DISK_RETRY = timedelta(milliseconds=200)
-
-
-class _Founding(NamedTuple):
-    mesh: str
-    voters: dict[int, str]
-    operators: dict[str, str]
-
-
-class _Founded(NamedTuple):
-    boot: Boot | None
-
-
-class _DiskThread:
-    """The one thread beside the loop: disks stall, and the loop must not."""
-
-    def __init__(self, *, disk: Disk, report: Callable[[tuple], None], counters: Counters) -> None:
-        self.disk = disk
-        self.report = report
-        self.counters = counters
-        self.jobs: queue.SimpleQueue = queue.SimpleQueue()
-        self.thread = threading.Thread(target=self._run, name="disk", daemon=True)
-        self.thread.start()
-
-    def _run(self) -> None:
-        job = None
-        while True:
-            job = job or self.jobs.get()
-            if job is None:
-                return
-            following = None
-            match job:
-                case Write():
-                    # Everything queued while the last sync ran goes into this one.
-                    writes = [job]
-                    while not self.jobs.empty():
-                        following = self.jobs.get()
-                        if not isinstance(following, Write):
-                            break
-                        writes.append(following)
-                        following = None
-                    self._write(writes)
-                    if following is None and not self.jobs.empty():
-                        following = self.jobs.get()
-                case Capture(mark=mark, state=state):
-                    began = time.monotonic()
-                    try:
-                        size = self.disk.store_checkpoint(mark=mark, state=state)
-                    except OSError:
-                        self.counters.add("checkpoint.mishaps")
-                        self.report(CheckpointMishap(mark))
-                    else:
-                        self.counters.add("checkpoint.generated")
-                        self.counters.gauge("checkpoint.generate_milliseconds", (time.monotonic() - began) * 1000)
-                        self.counters.gauge("checkpoint.size_bytes", size)
-                        self.report(CheckpointStored(mark, size))
-                case StoreChunk(mark=mark, position=position, data=data, last=last):
-                    began = time.monotonic()
-                    try:
-                        state = self.disk.store_chunk(mark=mark, position=position, data=data, last=last)
-                    except OSError:
-                        self.counters.add("checkpoint.mishaps")
-                        state, last = None, True
-                    if last:
-                        self.counters.gauge("checkpoint.load_milliseconds", (time.monotonic() - began) * 1000)
-                        self.report(CheckpointLoaded(mark, state))
-                case _Founding(mesh=mesh, voters=voters, operators=operators):
-                    try:
-                        self.disk.found(mesh=mesh, voters=voters, operators=operators)
-                        self.report(_Founded(self.disk.boot()))
-                    except (sqlite3.Error, OSError):
-                        self.counters.add("disk.mishaps")
-                        self.report(_Founded(None))
-                case DropCheckpoints(below=below):
-                    try:
-                        self.disk.drop_checkpoints(below=below)
-                    except OSError:
-                        self.counters.add("checkpoint.mishaps")
-            job = following
-
-    def _write(self, writes: list[Write]) -> None:
-        # A write is tried until it lasts: the core sees the wait and steps down if it must.
-        while True:
-            began = time.monotonic()
-            try:
-                self.disk.write(writes)
-            except (sqlite3.Error, OSError):
-                self.counters.add("disk.mishaps")
-                time.sleep(DISK_RETRY.total_seconds())
-                continue
-            self.counters.add("disk.syncs")
-            self.counters.add("disk.records", sum(len(write.records) for write in writes))
-            self.counters.gauge("disk.sync_milliseconds", (time.monotonic() - began) * 1000)
-            self.report(Synced(writes[-1].sequence))
-            return
 
 
 class LedgerShell:
-    def __init__(self, *, disk: Disk, addresses: dict[int, str], pace: Pace, counters: Counters, lines: Lines) -> None:
+    def __init__(self, *, disk: Disk, addresses: dict[int, str], pace: Pace, counters: Counters, runtime: Runtime, make_worker: Callable[..., DiskWorker] = DiskThread) -> None:
         self.disk = disk
         self.addresses = addresses
         self.pace = pace
         self.counters = counters
-        self.lines = lines
+        self.runtime = runtime
+        self.make_worker = make_worker
         self.synced = 0
         self.waiting: list[tuple[int, tuple]] = []
         self.answers: dict[int, asyncio.Future] = {}
@@ -156,7 +54,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.core: LedgerCore | None = None
         self.founding: asyncio.Future | None = None
-        self.thread: _DiskThread | None = None
+        self.worker: DiskWorker | None = None
         self.loop: asyncio.AbstractEventLoop | None = None
 
     def start(self) -> None:
@@ -168,20 +66,20 @@
             self.counters.happen("disk remark", remark=remark)
         self.disk.remarks.clear()
         self.synced = 0
-        self.core = LedgerCore(boot=boot, replicas=tuple(self.addresses), pace=self.pace, seed=random.Random(), now=monotonic_now())
-        self.thread = _DiskThread(disk=self.disk, report=self._report, counters=self.counters)
+        self.core = LedgerCore(boot=boot, replicas=tuple(self.addresses), pace=self.pace, seed=self.runtime.random, now=self.runtime.now())
+        self.worker = self.make_worker(disk=self.disk, report=self._report, counters=self.counters)
         self._spawn(self._ticks())
 
     async def found(self, *, mesh: str, voters: dict[int, str], operators: dict[str, str]) -> bool:
         """Called while nothing is founded: the core starts over from what founding wrote."""
         # Until the disk thread is done, nothing the unfounded core does may be written over the founding.
         self.founding = self.loop.create_future()
-        self.thread.jobs.put(_Founding(mesh, voters, operators))
+        self.worker.put(Founding(mesh, voters, operators))
         boot = await self.founding
         self.founding = None
         if boot is None:
             return False
-        self.core = LedgerCore(boot=boot, replicas=tuple(self.addresses), pace=self.pace, seed=random.Random(), now=monotonic_now())
+        self.core = LedgerCore(boot=boot, replicas=tuple(self.addresses), pace=self.pace, seed=self.runtime.random, now=self.runtime.now())
         self.synced = 0
         self.waiting = []
         return True
@@ -201,12 +99,12 @@
 
     def feed(self, event: tuple) -> None:
         if self.founding is not None:
-            if isinstance(event, _Founded):
+            if isinstance(event, Founded):
                 self.founding.set_result(event.boot)
             return
         if isinstance(event, Synced):
             self.synced = max(self.synced, event.sequence)
-        for command in self.core.handle(event, now=monotonic_now()):
+        for command in self.core.handle(event, now=self.runtime.now()):
             self._carry_out(command)
         if isinstance(event, Synced):
             ready = [command for after, command in self.waiting if after <= self.synced]
@@ -223,7 +121,7 @@
             case Answer(ticket=ticket, message=message):
                 self._settle(ticket, message)
             case Write() | Capture() | StoreChunk() | DropCheckpoints():
-                self.thread.jobs.put(command)
+                self.worker.put(command)
             case ReadChunk():
                 self._spawn(self._read_chunk(command))
             case Concluded(ticket=ticket) | ReadReady(ticket=ticket):
@@ -238,7 +136,7 @@
 
     async def _call(self, send: Send) -> None:
         self.counters.add(f"sends.{type(send.message).__name__}")
-        match await self.lines.call(self.addresses[send.replica], send.message, within=CALL_SPAN):
+        match await self.runtime.lines.call(self.addresses[send.replica], send.message, within=CALL_SPAN):
             case Success(message):
                 self.feed(AnswerArrived(send.number, send.replica, message))
             case _:
@@ -278,6 +176,5 @@
         await asyncio.sleep(milliseconds(100).total_seconds())
         for task in list(self.tasks):
             task.cancel()
-        self.thread.jobs.put(None)
-        await self.loop.run_in_executor(None, self.thread.thread.join, 2.0)
+        self.worker.stop()
         self.disk.close()
--- /dev/null
+++ b/packages/stall/src/hoistsaddle/stall/node.py
@@ -0,0 +1,272 @@
+"""One stall without its HTTP doors: the line to other processes, the relay, vitals, and the schedule of its core."""
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from returns.result import Success
+
+from hoistsaddle.crier.holding import hold_poll
+from hoistsaddle.crier.member import Member
+from hoistsaddle.crier.membership import ALIVE
+from hoistsaddle.crier.relay import Relay, select_parents
+from hoistsaddle.haggle.parcels import PassAnswer, PassCall, PollAnswer, PollCall, ProbeCall, ProbeForCall, Rumour, Uptake, VitalsAnswer, VitalsCall, WriteAnswer, WriteCall
+from hoistsaddle.haggle.runtime import Runtime
+from hoistsaddle.shelf.commands import pack_command, unpack_outcome
+from hoistsaddle.shelf.state import GONE, READY, WARDEN
+from hoistsaddle.shelf.view import read_view
+from hoistsaddle.stall.core import StallCore, StallParamsView
+from hoistsaddle.stall.messages import (
+    Announce,
+    AnswerPass,
+    AnswerVisitor,
+    AskHold,
+    HoldAnswered,
+    LeaseRenewed,
+    PassAnswered,
+    PassArrived,
+    PassMissed,
+    PassOn,
+    ReportVitals,
+    RequestArrived,
+    RequestGone,
+    RunServer,
+    SetupChanged,
+    StopAsked,
+    Ticked,
+)
+from hoistsaddle.tally.counters import Counters
+from hoistsaddle.tally.mishaps import MishapKind
+from hoistsaddle.tally.moments import milliseconds
+from hoistsaddle.tally.params import StallParams
+
+TICK = milliseconds(50)
+# A gap this long between ticks means the process stood still; what is read right after may be old.
+FROZEN_GAP = milliseconds(400)
+VITALS_EVERY = milliseconds(400)
+POLL_SPAN = milliseconds(600)
+HOLD_SPAN = milliseconds(1200)
+STOP_SPAN = timedelta(seconds=20)
+
+# Runs a request on the server beside the stall and gives ServerAnswered or ServerMissed.
+Runner = Callable[[RunServer], Awaitable[tuple]]
+
+
+class StallNode:
+    def __init__(self, *, params: StallParams, runtime: Runtime, run_server: Runner) -> None:
+        self.params = params
+        self.runtime = runtime
+        self.run_server = run_server
+        self.incarnation = runtime.token(6)
+        self.counters = Counters(owner=params.name)
+        span = timedelta(seconds=params.lease_seconds)
+        self.core = StallCore(
+            params=StallParamsView(params.name, params.zone, self.incarnation, span, timedelta(seconds=params.vitals_seconds), params.backlog),
+            seed=runtime.random, now=runtime.now(),
+        )
+        self.relay = Relay(node=params.name, incarnation=self.incarnation, lease_span=span)
+        self.news = asyncio.Condition()
+        self.answers: dict[int, asyncio.Future] = {}
+        self.tickets = 0
+        self.work: set[asyncio.Task] = set()
+        self.ticked_at = runtime.now()
+        self.bourses: list[str] = list(params.seeds)
+        self.vitals_due = asyncio.Event()
+        self.vitals_told = (0, "")
+        me = Rumour(params.name, "stall", params.listen, params.zone, self.incarnation, 0, ALIVE)
+        self.member = Member(me=me, seeds=params.seeds, runtime=runtime, counters=self.counters)
+
+    async def start(self) -> None:
+        self.server = await self.runtime.serve(self.params.listen, self.answer)
+        self.tasks = [asyncio.ensure_future(work) for work in (self.member.run(), self._poll(), self._ticks(), self._tell_vitals())]
+        self.counters.happen("stall up", incarnation=self.incarnation)
+
+    async def finish(self) -> None:
+        """Planned stop: refuse new work at once, have the log mark the server, finish what is mid-answer."""
+        self.feed(StopAsked())
+        deadline = self.runtime.now() + STOP_SPAN
+        while self.runtime.now() < deadline and not (self.core.idle() and self._told_stopping()):
+            await asyncio.sleep(TICK.total_seconds())
+        # Others may still have requests on their way here for as long as their news can be old.
+        await asyncio.sleep(milliseconds(300).total_seconds())
+
+    async def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        self.member.stop()
+        await self.server.stop()
+        self.runtime.lines.close()
+
+    def _told_stopping(self) -> bool:
+        return self.core.server is None or (self.vitals_told[0] >= self.core.serial and self.vitals_told[1] != READY)
+
+    async def request(self, make: Callable[[int], RequestArrived]) -> AnswerVisitor:
+        ticket, future = self._ticket()
+        self.feed(make(ticket))
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.feed(RequestGone(ticket))
+            raise
+
+    # -- the owner ---------------------------------------------------------------------------------------------------
+
+    def feed(self, event: tuple) -> None:
+        for command in self.core.handle(event, now=self.runtime.now()):
+            match command:
+                case AnswerVisitor(ticket=ticket) | AnswerPass(ticket=ticket):
+                    future = self.answers.pop(ticket, None)
+                    if future is not None and not future.done():
+                        future.set_result(command)
+                case AskHold():
+                    self._spawn(self._ask_hold(command))
+                case PassOn():
+                    self._spawn(self._pass_on(command))
+                case RunServer():
+                    self._spawn(self._run(command))
+                case ReportVitals():
+                    self.vitals_due.set()
+                case Announce(kind=kind, detail=detail):
+                    self.counters.happen(kind, **detail)
+
+    def _spawn(self, work) -> None:
+        task = asyncio.ensure_future(work)
+        self.work.add(task)
+        task.add_done_callback(self.work.discard)
+
+    def _ticket(self) -> tuple[int, asyncio.Future]:
+        self.tickets += 1
+        future = self.answers[self.tickets] = asyncio.get_running_loop().create_future()
+        return self.tickets, future
+
+    async def _ticks(self) -> None:
+        while True:
+            now = self.runtime.now()
+            if now - self.ticked_at > FROZEN_GAP:
+                self.counters.happen("stood still", seconds=round((now - self.ticked_at).total_seconds(), 3))
+            self.ticked_at = now
+            self.feed(Ticked())
+            await asyncio.sleep(TICK.total_seconds())
+
+    def _frozen(self) -> bool:
+        return self.runtime.now() - self.ticked_at > FROZEN_GAP
+
+    # -- calls from the mesh -----------------------------------------------------------------------------------------
+
+    async def answer(self, message: tuple) -> tuple | None:
+        match message:
+            case PassCall():
+                ticket, future = self._ticket()
+                self.feed(PassArrived(ticket, message, self._frozen()))
+                return (await future).answer
+            case PollCall():
+                self.relay.heard(message.uptakes, now=self.runtime.now())
+                return await hold_poll(runtime=self.runtime, relay=self.relay, news=self.news, call=message)
+            case ProbeCall() | ProbeForCall():
+                return await self.member.answer(message)
+        return None
+
+    # -- commands ----------------------------------------------------------------------------------------------------
+
+    async def _ask_hold(self, ask: AskHold) -> None:
+        self.counters.add(f"holds.{type(ask.command).__name__}")
+        call = WriteCall(self.params.name, (pack_command(ask.command),))
+        deadline = self.runtime.now() + HOLD_SPAN
+        for address in list(self.bourses) * 2:
+            left = deadline - self.runtime.now()
+            if left <= timedelta():
+                break
+            match await self.runtime.lines.call(address, call, within=left):
+                case Success(WriteAnswer(mishap="", outcomes=(outcome,))):
+                    self.feed(HoldAnswered(ask.number, unpack_outcome(outcome)))
+                    return
+                case _:
+                    # The next bourse may reach the leader; the command is the same command there.
+                    if self.bourses and self.bourses[0] == address:
+                        self.bourses = [*self.bourses[1:], address]
+        self.counters.add("holds.mishaps")
+        self.feed(HoldAnswered(ask.number, None))
+
+    async def _pass_on(self, command: PassOn) -> None:
+        self.counters.add(f"sends.{command.call.service_name}")
+        # Directly before the pass-on: a freeze between deciding and sending makes both lease and budget old.
+        if self._frozen() or not self.core.fresh():
+            self.feed(PassMissed(command.number, True))
+            return
+        match await self.runtime.lines.call(command.address, command.call, within=command.within):
+            case Success(PassAnswer() as answer):
+                self.feed(PassAnswered(command.number, answer))
+            case result:
+                self.feed(PassMissed(command.number, result.failure().kind == MishapKind.UNREACHABLE))
+
+    async def _run(self, command: RunServer) -> None:
+        self.counters.add("runs")
+        event = await self.run_server(command)
+        self.feed(event)
+
+    # -- news and vitals ---------------------------------------------------------------------------------------------
+
+    def _uptake(self) -> Uptake:
+        view = self.core.view
+        return Uptake(self.params.name, view.revision, view.bundle_number, view.refusal, self.incarnation, view.refused_bundle)
+
+    def _parents(self) -> list[str]:
+        members = self.member.core
+        stalls = [(member.node, member.address) for member in members.alive(kind="stall")]
+        roots = [(member.node, member.address) for member in members.alive(kind="bourse")]
+        parents = select_parents(node=self.params.name, stalls=stalls, roots=roots)
+        return parents + [seed for seed in self.params.seeds if seed not in parents]
+
+    async def _poll(self) -> None:
+        turn = 0
+        while True:
+            parents = self._parents()
+            # The tree's parent first; each failure moves on towards the roots.
+            address = parents[turn % len(parents)]
+            sent = self.runtime.now()
+            match await self.runtime.lines.call(address, self.relay.poll(own=self._uptake(), now=sent), within=POLL_SPAN):
+                case Success(PollAnswer() as answer) if not answer.mishap:
+                    before = self.relay.lease_start
+                    if self.relay.polled(answer, sent=sent):
+                        view = read_view(revision=self.relay.copy.revision, items=self.relay.copy.items, node=self.params.name, zone=self.params.zone, before=self.core.view)
+                        self.counters.add("news.taken")
+                        self.feed(SetupChanged(view))
+                        known = [node.address for node in view.nodes.values() if node.kind == "bourse" and node.state != GONE]
+                        self.bourses = [each for each in self.bourses if each in known] + [each for each in known if each not in self.bourses] or list(self.params.seeds)
+                    if self.relay.lease_start is not None:
+                        self.feed(LeaseRenewed(self.relay.lease_start))
+                        self.counters.gauge("lease.age_milliseconds", (self.runtime.now() - self.relay.lease_start).total_seconds() * 1000)
+                    async with self.news:
+                        self.news.notify_all()
+                    # A parent that can't renew the lease is as good as none.
+                    turn = 0 if self.relay.lease_start != before else turn + 1
+                    continue
+                case _:
+                    self.counters.add("news.polls_missed")
+            turn += 1
+            await asyncio.sleep(milliseconds(30).total_seconds())
+
+    async def _tell_vitals(self) -> None:
+        turn = 0
+        while True:
+            server = self.core.server
+            state = self.core.server_state() if server is not None else ""
+            serial = self.core.serial
+            call = VitalsCall(self.params.name, self.incarnation, self.params.listen, self.params.zone, server.service if server else "", server.instance if server else "", server.address if server else "", state, serial)
+            duty = self.core.view.duties.get(WARDEN)
+            warden = self.core.view.nodes.get(duty.node) if duty is not None else None
+            addresses = ([warden.address] if warden is not None and turn == 0 else []) + self.bourses
+            self.vitals_due.clear()
+            match await self.runtime.lines.call(addresses[turn % len(addresses)], call, within=milliseconds(900)):
+                case Success(VitalsAnswer(mishap="") as answer):
+                    self.vitals_told = (serial, answer.state)
+                    turn = 0
+                case _:
+                    self.counters.add("vitals.missed")
+                    turn += 1
+                    await asyncio.sleep(milliseconds(50).total_seconds())
+                    continue
+            try:
+                async with asyncio.timeout(VITALS_EVERY.total_seconds()):
+                    await self.vitals_due.wait()
+            except TimeoutError:
+                pass
--- a/packages/warehouse/src/hoistsaddle/warehouse/service.py
+++ b/packages/warehouse/src/hoistsaddle/warehouse/service.py
@@ -1,11 +1,11 @@
 """The store: one ledger replica behind its mesh address."""
+from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
 
 import msgspec
 from aiomisc import Service
 
-from hoistsaddle.haggle.line import Lines, LineServer
 from hoistsaddle.haggle.parcels import (
     UNSET,
     BallotCall,
@@ -22,8 +22,10 @@
     WriteAnswer,
     WriteCall,
 )
+from hoistsaddle.haggle.runtime import RealRuntime, Runtime
 from hoistsaddle.ledger.disk import Disk
 from hoistsaddle.ledger.events import Pace
+from hoistsaddle.ledger.jobs import DiskThread, DiskWorker
 from hoistsaddle.ledger.shell import LedgerShell
 from hoistsaddle.shelf.commands import pack_outcome
 from hoistsaddle.shelf.readback import read_back
@@ -42,31 +44,25 @@
     )
 
 
-class WarehouseService(Service):
-    def __init__(self, *, params: WarehouseParams) -> None:
-        super().__init__()
+class Warehouse:
+    """One ledger replica and what it answers."""
+
+    def __init__(self, *, params: WarehouseParams, runtime: Runtime, disk: Disk, make_worker: Callable[..., DiskWorker] = DiskThread) -> None:
         self.params = params
+        self.runtime = runtime
         self.counters = Counters(owner=f"warehouse-{params.replica}")
+        addresses = {machine.replica: machine.warehouse for machine in params.core}
+        self.shell = LedgerShell(disk=disk, addresses=addresses, pace=pace_of(params), counters=self.counters, runtime=runtime, make_worker=make_worker)
 
     async def start(self) -> None:
-        self.lines = Lines()
-        self.shell = LedgerShell(
-            disk=Disk(folder=Path(self.params.data_folder), replica=self.params.replica),
-            addresses={machine.replica: machine.warehouse for machine in self.params.core},
-            pace=pace_of(self.params),
-            counters=self.counters,
-            lines=self.lines,
-        )
         self.shell.start()
-        self.server = LineServer(address=self.params.listen, handler=self.answer)
-        await self.server.start()
+        self.server = await self.runtime.serve(self.params.listen, self.answer)
         self.counters.happen("warehouse up", replica=self.params.replica, incarnation=self.shell.core.incarnation, mesh=self.shell.core.mesh)
-        self.start_event.set()
 
-    async def stop(self, exception: Exception | None = None) -> None:
+    async def stop(self) -> None:
         await self.shell.stop()
         await self.server.stop()
-        self.lines.close()
+        self.runtime.lines.close()
 
     async def answer(self, message: tuple) -> tuple | None:
         self.counters.add(f"calls.{type(message).__name__}")
@@ -125,3 +121,18 @@
             return FoundAnswer(str(MishapKind.DISK), "", core.incarnation)
         self.counters.happen("founded", mesh=call.mesh)
         return FoundAnswer("", call.mesh, core.incarnation)
+
+
+class WarehouseService(Service):
+    def __init__(self, *, params: WarehouseParams) -> None:
+        super().__init__()
+        self.warehouse_params = params
+
+    async def start(self) -> None:
+        params = self.warehouse_params
+        self.node = Warehouse(params=params, runtime=RealRuntime(), disk=Disk(folder=Path(params.data_folder), replica=params.replica))
+        await self.node.start()
+        self.start_event.set()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        await self.node.stop()
