--- a/packages/fairground/src/hoistsaddle/fairground/checkers.py
+++ b/packages/fairground/src/hoistsaddle/fairground/checkers.py
@@ -24,7 +24,8 @@
 SLIP_SPAN = 0.25
 BACK_SPAN = 15.0
 FURTHER_WINDOW = 10.0
-FURTHER_MARGIN = 10
+# Ten for a service, or one for each stall where there are more than ten.
+FURTHER_MARGIN = 13
 
 
 def runs_twice(history: History) -> list[str]:
--- a/packages/fairground/src/hoistsaddle/fairground/deployments.py
+++ b/packages/fairground/src/hoistsaddle/fairground/deployments.py
@@ -48,7 +48,7 @@
         requests_per_second=220,
     ),
     "thimble": Deployment(
-        name="thimble", core=3, zones=("a", "b", "c"), services=("portal", "ledger", "meter"),
+        name="thimble", core=3, zones=("a", "b", "c"), services=("portal", "ledger", "meter", "portal", "ledger", "meter"),
         asks=(Ask("GET", "/statements", False, 3), Ask("POST", "/payments", True, 2), Ask("POST", "/uploads", True, 1)),
         inner={("portal", "/statements"): (Inner("GET", "/balance"), Inner("GET", "/readings"))},
         requests_per_second=30,
--- /dev/null
+++ b/packages/fairground/src/hoistsaddle/fairground/simulation/clockwork.py
@@ -0,0 +1,122 @@
+"""An event loop whose time is simulated: nothing waits, every run of one seed is the same, nodes freeze and die."""
+import asyncio
+import contextvars
+import selectors
+from datetime import timedelta
+
+NODE: contextvars.ContextVar["Life | None"] = contextvars.ContextVar("node", default=None)
+
+
+class Life:
+    """One life of one simulated process. What it scheduled runs only while it lives and isn't frozen."""
+
+    def __init__(self, *, name: str, loop: "ClockworkLoop") -> None:
+        self.name = name
+        self.loop = loop
+        self.dead = False
+        self.frozen = False
+        self.parked: list[tuple] = []
+        self.context = contextvars.copy_context()
+        self.context.run(NODE.set, self)
+        # Kept on purpose: a task collected in the middle of a run would run its last lines at a random moment.
+        self.tasks: list[asyncio.Task] = []
+
+    def spawn(self, work) -> asyncio.Task:
+        task = self.loop.create_task(work, context=self.context.copy())
+        self.tasks.append(task)
+        return task
+
+    def kill(self) -> None:
+        self.dead = True
+        self.parked.clear()
+
+    def freeze(self) -> None:
+        self.frozen = True
+
+    def wake(self) -> None:
+        self.frozen = False
+        parked, self.parked = self.parked, []
+        for holder, callback, arguments, context in parked:
+            self.loop.call_soon(self._unpark, holder, callback, arguments, context=context)
+
+    @staticmethod
+    def _unpark(holder: list, callback, arguments: tuple) -> None:
+        # What was cancelled before its turn came must not run, however long it was due.
+        if not holder[0].cancelled():
+            callback(*arguments)
+
+
+class _StillSelector(selectors.BaseSelector):
+    """Never waits: a wait is a step of simulated time."""
+
+    def __init__(self) -> None:
+        self.loop: ClockworkLoop | None = None
+        self.files: dict = {}
+
+    def register(self, fileobj, events, data=None):
+        key = selectors.SelectorKey(fileobj, 0, events, data)
+        self.files[fileobj] = key
+        return key
+
+    def unregister(self, fileobj):
+        return self.files.pop(fileobj)
+
+    def get_map(self):
+        return self.files
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise RuntimeError("the simulation stands still: nothing is scheduled and nothing is ready")
+        self.loop.moment += max(0.0, timeout)
+        return []
+
+
+class ClockworkLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self.moment = 1000.0
+        selector = _StillSelector()
+        super().__init__(selector)
+        selector.loop = self
+        self._clock_resolution = 1e-9
+        self.mishaps: list[dict] = []
+        self.set_exception_handler(self._note_mishap)
+
+    def _note_mishap(self, loop, context) -> None:
+        # A life that was killed leaves tasks behind; everything else is a fault of ours and fails the run.
+        if "was destroyed but it is pending" not in context.get("message", ""):
+            self.mishaps.append(context)
+
+    def time(self) -> float:
+        return self.moment
+
+    def now(self) -> timedelta:
+        return timedelta(seconds=self.moment)
+
+    @staticmethod
+    def _guarded(life: Life, holder: list, callback, arguments: tuple, context) -> None:
+        if life.dead:
+            return
+        if life.frozen:
+            life.parked.append((holder, callback, arguments, context))
+            return
+        callback(*arguments)
+
+    def call_soon(self, callback, *args, context=None):
+        life = NODE.get() if context is None else context.get(NODE)
+        if life is None:
+            return super().call_soon(callback, *args, context=context)
+        holder: list = [None]
+        holder[0] = super().call_soon(self._guarded, life, holder, callback, args, context, context=context)
+        return holder[0]
+
+    def call_at(self, when, callback, *args, context=None):
+        life = NODE.get() if context is None else context.get(NODE)
+        if life is None:
+            return super().call_at(when, callback, *args, context=context)
+        holder: list = [None]
+        holder[0] = super().call_at(when, self._guarded, life, holder, callback, args, context, context=context)
+        return holder[0]
+
+    def call_soon_threadsafe(self, callback, *args, context=None):
+        # There are no threads here, and the pipe that wakes a real loop would only fill.
+        return self.call_soon(callback, *args, context=context)
--- /dev/null
+++ b/packages/fairground/src/hoistsaddle/fairground/simulation/world.py
@@ -0,0 +1,215 @@
+"""The simulated world round the nodes: a network that loses, delays, repeats and is cut, and disks that forget."""
+import asyncio
+import random
+import shutil
+import sqlite3
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+from pathlib import Path
+
+from returns.result import Failure, Result, Success
+
+from hoistsaddle.fairground.simulation.clockwork import ClockworkLoop, Life
+from hoistsaddle.haggle.line import Handler
+from hoistsaddle.haggle.parcels import BallotCall, FetchCall, LeadCall, PassCall, PullCall, WriteCall
+from hoistsaddle.ledger.disk import Disk
+from hoistsaddle.ledger.jobs import DISK_RETRY, DiskJobs
+from hoistsaddle.tally.counters import Counters
+from hoistsaddle.tally.mishaps import Mishap, MishapKind
+
+_unreachable = Failure(Mishap(MishapKind.UNREACHABLE, "no connection", "simulated"))
+_silent = Failure(Mishap(MishapKind.SILENT, "no answer", "simulated"))
+# These may reach their target twice: their receivers claim to know a copy when they see one.
+_repeatable = (FetchCall, PullCall, BallotCall, LeadCall, PassCall, WriteCall)
+
+
+class World:
+    def __init__(self, *, loop: ClockworkLoop, seed: int, folder: Path) -> None:
+        self.loop = loop
+        self.random = random.Random(seed)
+        self.folder = folder
+        self.listeners: dict[str, tuple[Life, Handler]] = {}
+        # Pairs (from, to) of process names between which nothing passes.
+        self.cuts: set[tuple[str, str]] = set()
+        self.lost = 0.0
+        self.repeated = 0.01
+        self.slow = 0.01
+        self.pending: dict[Life, set[asyncio.Future]] = {}
+        self.seen_calls: Callable[[Life, str, tuple], None] = lambda life, address, message: None
+        self.disk_faults: dict[str, str] = {}
+
+    def latency(self) -> float:
+        # Mostly fast; now and then a message takes long enough to arrive after later ones.
+        if self.random.random() < self.slow:
+            return self.random.uniform(0.02, 0.25)
+        return self.random.uniform(0.0002, 0.002)
+
+    def cut_off(self, sender: str, receiver: str) -> bool:
+        return (sender, receiver) in self.cuts
+
+    def cut(self, one_side: list[str], other_side: list[str], *, one_way: bool = False) -> None:
+        for one in one_side:
+            for other in other_side:
+                if one != other:
+                    self.cuts.add((one, other))
+                    if not one_way:
+                        self.cuts.add((other, one))
+
+    def heal(self) -> None:
+        self.cuts.clear()
+
+    def kill(self, life: Life) -> None:
+        life.kill()
+        for address in [address for address, (owner, _) in self.listeners.items() if owner is life]:
+            del self.listeners[address]
+        # Whoever waited for an answer sees its connection break.
+        for future in self.pending.pop(life, set()):
+            self.loop.call_later(self.latency(), self._settle, future, _silent)
+
+    @staticmethod
+    def _settle(future: asyncio.Future, result) -> None:
+        if not future.done():
+            future.set_result(result)
+
+    def start_call(self, life: Life, address: str, message: tuple, future: asyncio.Future, within: float) -> None:
+        caller = life.context
+
+        def settle(result) -> None:
+            self.loop.call_later(self.latency(), self._settle, future, result, context=caller)
+
+        listener = self.listeners.get(address)
+        if listener is None:
+            return settle(_unreachable)
+        target, handler = listener
+        if self.cut_off(life.name, target.name):
+            # Half the time the connection stood already: then the bytes wait, and may arrive once the cut heals.
+            if self.random.random() < 0.5:
+                self.loop.call_later(within * 0.98, self._settle, future, _unreachable, context=caller)
+            else:
+                self._arrive_late(life, address, message, until=self.loop.time() + 4)
+            return
+        if self.random.random() < self.lost:
+            return
+        self.pending.setdefault(target, set()).add(future)
+        future.add_done_callback(lambda done: self.pending.get(target, set()).discard(done))
+        copies = 2 if isinstance(message, _repeatable) and self.random.random() < self.repeated else 1
+        for copy in range(copies):
+            self.loop.call_later(self.latency() * (1 + copy * 5), self._deliver, life, target, handler, message, settle if copy == 0 else None, context=target.context)
+
+    def _arrive_late(self, life: Life, address: str, message: tuple, *, until: float) -> None:
+        listener = self.listeners.get(address)
+        if listener is None or self.loop.time() > until:
+            return
+        target, handler = listener
+        if self.cut_off(life.name, target.name):
+            self.loop.call_later(0.05, lambda: self._arrive_late(life, address, message, until=until))
+            return
+        self.loop.call_later(self.latency(), self._deliver, life, target, handler, message, None, context=target.context)
+
+    def _deliver(self, caller: Life, target: Life, handler: Handler, message: tuple, settle) -> None:
+        async def carry() -> None:
+            answer = await handler(message)
+            # The way back has cuts and losses of its own.
+            if settle is not None and answer is not None and not self.cut_off(target.name, caller.name) and self.random.random() >= self.lost:
+                settle(Success(answer))
+
+        target.spawn(carry())
+
+
+class SimulatedLines:
+    def __init__(self, *, world: World, life: Life) -> None:
+        self.world = world
+        self.life = life
+
+    async def call(self, address: str, message: tuple, *, within: timedelta) -> Result[tuple, Mishap]:
+        self.world.seen_calls(self.life, address, message)
+        future = self.world.loop.create_future()
+        self.world.start_call(self.life, address, message, future, within.total_seconds())
+        try:
+            async with asyncio.timeout(within.total_seconds()):
+                return await future
+        except TimeoutError:
+            return _silent
+
+    def close(self) -> None:
+        pass
+
+
+class _Serving:
+    def __init__(self, *, world: World, address: str) -> None:
+        self.world = world
+        self.address = address
+
+    async def stop(self) -> None:
+        self.world.listeners.pop(self.address, None)
+
+
+class SimulatedRuntime:
+    def __init__(self, *, world: World, life: Life) -> None:
+        self.world = world
+        self.life = life
+        self.random = random.Random(world.random.random())
+        self.lines = SimulatedLines(world=world, life=life)
+
+    def now(self) -> timedelta:
+        return self.world.loop.now()
+
+    def token(self, size: int) -> str:
+        return self.random.randbytes(size).hex()
+
+    async def serve(self, address: str, handler: Handler) -> _Serving:
+        self.world.listeners[address] = (self.life, handler)
+        return _Serving(world=self.world, address=address)
+
+
+class SimulatedDiskWorker:
+    """Does the disk's jobs after simulated syncs. What a killed process had not synced is lost."""
+
+    def __init__(self, *, disk: Disk, report: Callable[[tuple], None], counters: Counters, world: World, life: Life) -> None:
+        self.jobs = DiskJobs(disk=disk, counters=counters)
+        self.report = report
+        self.world = world
+        self.life = life
+        self.waiting: deque = deque()
+        self.busy = False
+
+    def put(self, job: tuple) -> None:
+        self.waiting.append(job)
+        if not self.busy:
+            self._begin()
+
+    def _begin(self) -> None:
+        self.busy = True
+        self.taken = len(self.waiting)
+        self.world.loop.call_later(self.world.random.uniform(0.0005, 0.004), self._end, context=self.life.context)
+
+    def _end(self) -> None:
+        fault = self.world.disk_faults.get(self.life.name, "")
+        if fault == "stalled":
+            self.world.loop.call_later(0.05, self._end, context=self.life.context)
+            return
+        # Only what was queued when the sync began is in it.
+        batch = deque(self.waiting.popleft() for _ in range(min(self.taken, len(self.waiting))))
+        while batch:
+            try:
+                if fault == "full":
+                    raise OSError(28, "no space left on device (simulated)")
+                report = self.jobs.do_next(batch)
+            except (OSError, sqlite3.Error):
+                self.waiting.extendleft(reversed(batch))
+                self.taken = len(self.waiting)
+                self.world.loop.call_later(DISK_RETRY.total_seconds(), self._end, context=self.life.context)
+                return
+            if report is not None:
+                self.report(report)
+        self.busy = False
+        if self.waiting:
+            self._begin()
+
+    def stop(self) -> None:
+        self.waiting.clear()
+
+
+def wipe(folder: Path) -> None:
+    shutil.rmtree(folder, ignore_errors=True)
--- a/packages/haggle/src/hoistsaddle/haggle/mesh.thrift
+++ b/packages/haggle/src/hoistsaddle/haggle/mesh.thrift
@@ -39,7 +39,7 @@
 struct ProbeForCall { 1: string asker, 2: string address }
 struct ProbeForAnswer { 1: bool alive, 2: list<Rumour> rumours }
 
-struct PassCall { 1: string send, 2: string caller, 3: string visitor, 4: string service_name, 5: string target, 6: string instance, 7: i64 bundle, 8: string entry, 9: i64 budget, 10: string method, 11: string path, 12: map<string, string> headers, 13: binary body, 14: string hold, 15: i64 answer_bytes }
+struct PassCall { 1: string send, 2: string caller, 3: string visitor, 4: string service_name, 5: string target, 6: string instance, 7: i64 bundle, 8: string entry, 9: i64 budget, 10: string method, 11: string path, 12: map<string, string> headers, 13: binary body, 14: string hold, 15: i64 answer_bytes, 16: i64 ordinal }
 struct PassAnswer { 1: string send, 2: string outcome, 3: string mishap, 4: string detail, 5: i64 status, 6: map<string, string> headers, 7: binary body, 8: string digest }
 
 union Parcel {
--- a/packages/haggle/src/hoistsaddle/haggle/parcels.py
+++ b/packages/haggle/src/hoistsaddle/haggle/parcels.py
@@ -264,6 +264,8 @@
     body: bytes
     hold: str
     answer_bytes: int
+    # 1 for a request's first send, more for further ones.
+    ordinal: int = 1
 
 
 class PassAnswer(NamedTuple):
--- a/packages/stall/src/hoistsaddle/stall/core.py
+++ b/packages/stall/src/hoistsaddle/stall/core.py
@@ -127,7 +127,7 @@
         self.server: _Server | None = None
         self.serial = 0
         self.stopping = False
-        self.further = FurtherSends(now=now)
+        self.further = FurtherSends()
         self.requests: dict[int, _Request] = {}
         self.waiting: deque[int] = deque()
         self.numbers = 0
@@ -356,9 +356,10 @@
                 # Everyone open has refused it: give the final answer now, not near the deadline.
                 return self._not_run(ticket, request.why or _mishap(MishapKind.NO_SERVER, f"No server of {entry.service} takes work.", "Come back after the time given."))
             return self._wait(ticket, _mishap(MishapKind.NO_SERVER, f"No server of {entry.service} is open.", "Come back after the time given."))
+        stalls, margin = len(self.view.live_stalls()), request.service.further_margin
         if request.sends == 0:
-            self.further.first(entry.service, now=self.now)
-        elif not self.further.admit(entry.service, percent=request.service.further_percent, margin=request.service.further_margin, now=self.now):
+            self.further.first(entry.service, percent=request.service.further_percent, margin=margin, stalls=stalls)
+        elif not self.further.admit(entry.service, margin=margin, stalls=stalls):
             mishap = _mishap(MishapKind.FURTHER_SENDS_SPENT, f"{entry.service} has no room for further sends.", "Come back after the time given.")
             return self._unknown(ticket, mishap) if request.uncertain else self._not_run(ticket, mishap)
         request.sends += 1
@@ -372,7 +373,7 @@
         call = PassCall(
             send=request.send, caller=event.caller or VISITORS, visitor=event.visitor, service_name=entry.service, target=target.stall, instance=target.instance,
             bundle=self.view.bundle_number, entry=entry.name, budget=budget, method=event.method, path=event.path + (f"?{event.query}" if event.query else ""),
-            headers=event.headers, body=event.body, hold=f"{request.scope} {request.claim}" if entry.once else "", answer_bytes=entry.answer_bytes,
+            headers=event.headers, body=event.body, hold=f"{request.scope} {request.claim}" if entry.once else "", answer_bytes=entry.answer_bytes, ordinal=request.sends,
         )
         self._out.append(PassOn(request.asked, self.view.nodes[target.stall].address, call, budget))
 
@@ -585,6 +586,9 @@
         run = self.runs.pop(event.number, None)
         if run is None:
             return
+        if event.unsent and self.server is not None and self.server.instance == run.call.instance and self.server_state() != GONE:
+            # Nobody listens there any more: no need to wait until its vitals run out.
+            self._silence()
         outcome = NOT_RUN if event.unsent else UNKNOWN
         self._out.append(AnswerPass(run.ticket, PassAnswer(run.call.send, outcome, str(event.mishap.kind), event.mishap.message)))
 
@@ -604,7 +608,6 @@
 
     def _setup(self, view: View) -> None:
         before, self.view = self.view, view
-        self.further.count_stalls(len(view.live_stalls()), now=self.now)
         if view.bundle_number != before.bundle_number:
             self._announce("bundle taken up", bundle=view.bundle_number, before=before.bundle_number, revision=view.revision)
         if view.refused_bundle and view.refused_bundle != before.refused_bundle:
@@ -634,9 +637,12 @@
             else:
                 self.release_again.append((moment, command, until))
         if self.server is not None and self.server.state != GONE and self.server_state() == GONE:
-            self.server = self.server._replace(state=GONE)
-            self._announce("server silent", service=self.server.service, instance=self.server.instance)
-            self._report()
+            self._silence()
+
+    def _silence(self) -> None:
+        self.server = self.server._replace(state=GONE)
+        self._announce("server silent", service=self.server.service, instance=self.server.instance)
+        self._report()
 
     def idle(self) -> bool:
         """Nothing mid-answer: a stopping stall may go."""
--- a/packages/stall/src/hoistsaddle/stall/further.py
+++ b/packages/stall/src/hoistsaddle/stall/further.py
@@ -1,47 +1,32 @@
-"""Further sends: over the whole fleet at most a share of a service's traffic plus a margin, in any ten seconds."""
-from collections import deque
-from datetime import timedelta
+"""Further sends: over the whole fleet at most a share of a service's traffic plus a margin, in any ten seconds.
 
-WINDOW = timedelta(seconds=10)
+Each first send earns this stall a share of a token, each further send spends one, and a stall keeps no more than its
+part of the margin. In a window of any length the fleet's further sends are then at most what the stalls had kept when
+it began, which is the margin, plus the share of the first sends inside it. (Counting both over the last ten seconds
+is not enough: when traffic falls, old further sends stay in a window whose first sends have left it.)
+"""
+from fractions import Fraction
 
 
 class FurtherSends:
-    """One stall's part of the bound. The share is of its own first sends; the margin is divided among the stalls.
-
-    Summed over the fleet that is the bound itself, however traffic falls on the stalls.
-    """
-
-    def __init__(self, *, now: timedelta) -> None:
-        self.born = now
-        self.firsts: dict[str, deque[timedelta]] = {}
-        self.furthers: dict[str, deque[timedelta]] = {}
-        self.stalls: deque[tuple[timedelta, int]] = deque()
+    def __init__(self) -> None:
+        # Fractions, because a fifth has no exact float and the bound is meant exactly.
+        self.tokens: dict[str, Fraction] = {}
 
     @staticmethod
-    def _trim(moments: deque, now: timedelta) -> None:
-        while moments and now - moments[0] >= WINDOW:
-            moments.popleft()
-
-    def count_stalls(self, count: int, *, now: timedelta) -> None:
-        self.stalls.append((now, count))
-        while len(self.stalls) > 1 and now - self.stalls[1][0] >= WINDOW:
-            self.stalls.popleft()
-
-    def first(self, service: str, *, now: timedelta) -> None:
-        moments = self.firsts.setdefault(service, deque())
-        self._trim(moments, now)
-        moments.append(now)
-
-    def admit(self, service: str, *, percent: int, margin: int, now: timedelta) -> bool:
-        firsts = self.firsts.setdefault(service, deque())
-        furthers = self.furthers.setdefault(service, deque())
-        self._trim(firsts, now)
-        self._trim(furthers, now)
-        # The largest count seen in the window divides the margin: a fleet that shrank can't spend it twice.
-        most = max((count for _, count in self.stalls), default=0)
-        # A newborn stall doesn't know what its former life spent, so its part of the margin waits one window.
-        part = margin / most if most and now - self.born >= WINDOW else 0.0
-        if len(furthers) + 1 > len(firsts) * percent / 100 + part:
+    def _kept(*, margin: int, stalls: int) -> Fraction:
+        # A part below one could never be spent; so the fleet's margin is at least one for each stall.
+        return max(Fraction(margin, max(1, stalls)), Fraction(1)) if margin else Fraction(0)
+
+    def first(self, service: str, *, percent: int, margin: int, stalls: int) -> None:
+        # A newborn stall begins with nothing: it can't know what its former life spent.
+        tokens = self.tokens.get(service, Fraction(0)) + Fraction(percent, 100)
+        self.tokens[service] = min(tokens, self._kept(margin=margin, stalls=stalls))
+
+    def admit(self, service: str, *, margin: int, stalls: int) -> bool:
+        # A fleet that grew lowers every stall's part at once.
+        tokens = min(self.tokens.get(service, Fraction(0)), self._kept(margin=margin, stalls=stalls))
+        if tokens < 1:
             return False
-        furthers.append(now)
+        self.tokens[service] = tokens - 1
         return True
--- a/packages/stall/src/hoistsaddle/stall/service.py
+++ b/packages/stall/src/hoistsaddle/stall/service.py
@@ -135,7 +135,7 @@
 
     async def run_server(self, command: RunServer) -> tuple:
         call = command.call
-        headers = {**call.headers, "X-Hoistsaddle-Caller": call.caller, "X-Hoistsaddle-Visitor": call.visitor, "X-Hoistsaddle-Send": call.send, "X-Hoistsaddle-Service": call.service_name, "X-Hoistsaddle-Instance": call.instance}
+        headers = {**call.headers, "X-Hoistsaddle-Caller": call.caller, "X-Hoistsaddle-Visitor": call.visitor, "X-Hoistsaddle-Send": call.send, "X-Hoistsaddle-Service": call.service_name, "X-Hoistsaddle-Instance": call.instance, "X-Hoistsaddle-Ordinal": str(call.ordinal)}
         silent = Mishap(MishapKind.SILENT, "The server gave no whole answer.", "Ask what became of the request before sending it again.")
         broken = Mishap(MishapKind.ANSWER_BROKEN, "The server's answer is not whole JSON.", "Ask what became of the request before sending it again.")
         try:
