--- a/packages/fairground/src/hoistsaddle/fairground/load.py
+++ b/packages/fairground/src/hoistsaddle/fairground/load.py
@@ -21,6 +21,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.latencies: list[float] = []
         self.session: aiohttp.ClientSession | None = None
+        self.stopping = False
 
     async def __aenter__(self) -> "Load":
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0, force_close=True), timeout=aiohttp.ClientTimeout(total=15))
@@ -34,7 +35,7 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         asked = 0
-        while (spent := loop.time() - began) < seconds:
+        while (spent := loop.time() - began) < seconds and not self.stopping:
             while asked < spent * self.rate:
                 asked += 1
                 task = asyncio.ensure_future(self._visit())
--- /dev/null
+++ b/packages/fairground/src/hoistsaddle/fairground/proof.py
@@ -0,0 +1,185 @@
+"""The main job on real processes: a deployment under load while everything a day can bring is done to it."""
+import asyncio
+import random
+from collections.abc import Callable
+
+import aiohttp
+
+from hoistsaddle.fairground.fleet import AUTHOR, SIGNER, Fleet
+from hoistsaddle.fairground.history import Accepted, Back, Expected, Interrupted, ReadBack, ServerChanged, Submitted, TookUp
+from hoistsaddle.fairground.load import Load
+
+Say = Callable[[str], None]
+
+
+class Proof:
+    def __init__(self, *, fleet: Fleet, load: Load, say: Say) -> None:
+        self.fleet = fleet
+        self.load = load
+        self.history = fleet.history
+        self.say = say
+        self.number = 1
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def observe(self) -> None:
+        """Writes down which bundle each ready stall acts under."""
+        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1)) as session:
+            async def look(name: str, address: str) -> None:
+                asked = self._now()
+                try:
+                    async with session.get(f"http://{address}/hoistsaddle/ready") as response:
+                        told = await response.json()
+                except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+                    return
+                # Dated from when it was asked: whatever it says held then or later.
+                if told["ready"]:
+                    self.history.add(TookUp(asked, name, told["bundle"], told["life"]))
+
+            while True:
+                await asyncio.gather(*(look(name, stall["visitors"]) for name, stall in self.fleet.stalls.items()))
+                await asyncio.sleep(0.1)
+
+    def next_bundle(self, note: str) -> str:
+        text = self.fleet.deployment.first_bundle()
+        return text.replace("number = 1\nbased_on = 0", f"number = {self.number + 1}\nbased_on = {self.number}").replace('note = "Opening day"', f'note = "{note}"')
+
+    async def change_bundle(self) -> None:
+        """A broken one first, then two desks at once; one of the two is taken, and rolled out in stages."""
+        broken = self.next_bundle("broken").replace('callers = ["visitors"]', 'callers = ["anybody"]')
+        status, answer = await self.fleet.operate("POST", "/bundles", broken, token=AUTHOR[1])
+        self.history.add(Submitted(self._now(), self.number + 1, True, "" if status == 200 else answer["refused"]["kind"]))
+        one, two = self.next_bundle("one desk"), self.next_bundle("other desk")
+        results = await asyncio.gather(*(self.fleet.operate("POST", "/bundles", text, token=token) for text, token in ((one, AUTHOR[1]), (two, SIGNER[1]))))
+        taken = [(answer, signer) for (status, answer), signer in zip(results, (SIGNER, AUTHOR), strict=True) if status == 200]
+        refused = [answer["refused"]["kind"] for status, answer in results if status != 200]
+        if len(taken) != 1:
+            raise AssertionError(f"two desks sent bundle {self.number + 1} at once, and {len(taken)} were taken: {results}")
+        detail, signer = taken[0][0]["submitted"], taken[0][1]
+        self.history.add(Submitted(self._now(), detail["number"], False, ""))
+        number, stage, stages = detail["number"], 0, 1
+        while stage < stages:
+            path, body = (f"/bundles/{number}/sign", {"digest": detail["digest"]}) if stage == 0 else (f"/bundles/{number}/advance", {"from_stage": stage})
+            status, answer = await self.fleet.operate("POST", path, body, token=signer[1])
+            if status != 200:
+                raise AssertionError(f"{path}: {answer}")
+            stage, stages = answer["stage"], answer["stages"]
+            self.history.add(Accepted(self._now(), answer["revision"], number, tuple(answer["machines"])))
+            self.say(f"bundle {number}: stage {stage} of {stages} ({answer['name']}) in force on {len(answer['machines'])} stalls after {answer['seconds']} s; the other desk was refused: {refused[0]}")
+        self.number = number
+
+    async def drain(self) -> str:
+        name = self.fleet.random.choice(list(self.fleet.stalls))
+        server = self.fleet.standins[name]
+        status, answer = await self.fleet.operate("POST", f"/servers/{name}/drain", {"drain": True}, token=AUTHOR[1])
+        if status != 200:
+            raise AssertionError(f"drain: {answer}")
+        self.history.add(ServerChanged(self._now(), server.service, server.instance, "drained"))
+        self.say(f"server {server.instance} beside {name} is drained; seen everywhere after {answer['seconds']} s")
+        return name
+
+    async def undrain(self, name: str) -> None:
+        server = self.fleet.standins[name]
+        self.history.add(ServerChanged(self._now(), server.service, server.instance, "ready"))
+        status, answer = await self.fleet.operate("POST", f"/servers/{name}/drain", {"drain": False}, token=AUTHOR[1])
+        if status != 200:
+            raise AssertionError(f"undrain: {answer}")
+
+    async def leader(self) -> int:
+        _, answer = await self.fleet.operate("GET", "/core")
+        return next((int(replica) for replica, machine in answer["machines"].items() if machine["standing"] == "leader"), 0)
+
+    async def rejoined(self, replica: int) -> bool:
+        status, setup = await self.fleet.operate("GET", "/setup")
+        _, core = await self.fleet.operate("GET", "/core")
+        machine = core["machines"][str(replica)]
+        voters = {voter["replica"]: voter["incarnation"] for voter in setup["voters"]} if status == 200 else {}
+        return voters.get(replica) == machine.get("incarnation") and machine["standing"] in ("follower", "leader")
+
+    async def wipe_leader(self) -> None:
+        """The core machine that just agreed loses its whole disk."""
+        await self.fleet.until(self._led, seconds=20, what="a leader")
+        replica = await self.leader()
+        await self.fleet.kill(f"warehouse-{replica}", f"bourse-{replica}")
+        self.fleet.wipe(replica)
+        await asyncio.sleep(1)
+        await asyncio.gather(self.fleet.launch(f"warehouse-{replica}"), self.fleet.launch(f"bourse-{replica}"))
+        took = await self.fleet.until(lambda: self.rejoined(replica), seconds=60, what=f"replica {replica} votes again")
+        self.say(f"core machine {replica} led, was killed and wiped, and votes again {took:.1f} s after its return")
+
+    async def _led(self) -> bool:
+        return await self.leader() != 0
+
+    async def kill_stalls(self) -> None:
+        names = self.fleet.random.sample(list(self.fleet.stalls), len(self.fleet.stalls) // 3)
+        await self.fleet.kill(*names)
+        await asyncio.gather(*(self.fleet.launch(name) for name in names))
+        took = await self.fleet.until(self.fleet.all_ready, seconds=30, what="the killed stalls are ready")
+        self.say(f"{len(names)} stalls were killed and are ready again after {took:.1f} s")
+
+    async def restart_stall(self) -> None:
+        name = self.fleet.random.choice(list(self.fleet.stalls))
+        began = self._now()
+        code = await self.fleet.stop_process(name)
+        self.history.add(Interrupted(began, self._now(), f"planned stop of {name}"))
+        await self.fleet.launch(name)
+        await self.fleet.until(self.fleet.all_ready, seconds=30, what=f"{name} is ready")
+        self.say(f"{name} was stopped as planned (exit {code}) and started again")
+
+    async def kill_everything(self) -> None:
+        names = list(self.fleet.processes)
+        await self.fleet.kill(*names)
+        await asyncio.gather(*(self.fleet.launch(name) for name in names))
+        began = self._now()
+        await self._service_back(began, "everything killed")
+
+    async def _service_back(self, began: float, what: str) -> None:
+        async def answered(ask) -> None:
+            while True:
+                got = await self.load.ask(ask=ask, visitor="tester", key=f"back-{self.fleet.random.random()}" if ask.once else "")
+                if got.outcome == "answered":
+                    return
+                await asyncio.sleep(0.05)
+
+        await asyncio.gather(*(answered(ask) for ask in self.fleet.deployment.asks))
+        self.history.add(Back(began, self._now(), what))
+        self.say(f"{what}: service is back {self._now() - began:.1f} s after the processes")
+
+    async def read_back(self, *, drained: tuple[str, ...] = ()) -> None:
+        self.history.add(Expected(self._now(), self.number, drained))
+        status, setup = await self.fleet.operate("GET", "/setup")
+        if status != 200:
+            raise AssertionError(f"read-back: {setup}")
+        marked = tuple(sorted(server["stall"] for server in setup["servers"] if server["drained_by"]))
+        self.history.add(ReadBack(self._now(), setup["in_force"], tuple((int(number), text) for number, text in setup["texts"].items()), marked))
+        self.say(f"read back: bundle {setup['in_force']} in force, {len(setup['servers'])} servers, {len(setup['nodes'])} nodes, drained: {list(marked)}")
+
+    async def run(self) -> None:
+        watching = asyncio.ensure_future(self.observe())
+        loading = asyncio.ensure_future(self.load.run(10**9))
+        try:
+            await asyncio.sleep(3)
+            await self.change_bundle()
+            drained = await self.drain()
+            await self.read_back(drained=(drained,))
+            await self.undrain(drained)
+            await self.wipe_leader()
+            await self.change_bundle()
+            await self.kill_stalls()
+            await self.restart_stall()
+            await self.kill_everything()
+            await self.fleet.until(self.fleet.all_ready, seconds=30, what="every stall is ready")
+            await asyncio.sleep(2)
+            await self.change_bundle()
+            await self.read_back()
+        finally:
+            self.load.stopping = True
+            await asyncio.wait([loading], timeout=20)
+            watching.cancel()
+
+
+async def prove(*, fleet: Fleet, seed: int, rate: float | None, say: Say) -> Load:
+    async with Load(deployment=fleet.deployment, doors=fleet.visitor_doors(), history=fleet.history, seed=random.Random(seed), rate=rate) as load:
+        await Proof(fleet=fleet, load=load, say=say).run()
+    return load
--- a/packages/kiosk/src/hoistsaddle/kiosk/fleet_commands.py
+++ b/packages/kiosk/src/hoistsaddle/kiosk/fleet_commands.py
@@ -3,12 +3,19 @@
 import random
 import signal
 import statistics
+import sys
 import tempfile
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import click
 
+_deployment = click.argument("deployment", type=click.Choice(["brindlefield", "kadiri", "thimble"]))
+_folder = click.option("--folder", type=click.Path(file_okay=False), help="Where settings, logs and data go; a temporary folder by default.")
+_rate = click.option("--rate", type=float, help="Visitor requests a second; the deployment's own by default.")
+_seed = click.option("--seed", type=int, default=1, show_default=True)
+
 
 @click.group()
 def fleet() -> None:
@@ -16,51 +23,116 @@
 
 
 @fleet.command()
-@click.argument("deployment", type=click.Choice(["brindlefield", "kadiri", "thimble"]))
-@click.option("--folder", type=click.Path(file_okay=False), help="Where settings, logs and data go; a temporary folder by default.")
+@_deployment
+@_folder
 @click.option("--seconds", type=float, help="Stop after this long; without it, run until interrupted.")
-@click.option("--rate", type=float, help="Visitor requests a second; the deployment's own by default, 0 for none.")
-@click.option("--seed", type=int, default=1, show_default=True)
+@_rate
+@_seed
 def run(deployment, folder, seconds, rate, seed) -> None:
-    """Starts it, founds it, rolls out its first bundle, and sends it visitors."""
+    """Starts it, founds it, rolls out its first bundle, and sends it visitors (none with --rate 0)."""
+
+    async def work(running, stopped: asyncio.Event):
+        from hoistsaddle.fairground.fleet import AUTHOR, SIGNER
+        from hoistsaddle.fairground.load import Load
+
+        click.echo(f"export HOISTSADDLE_DOORS='{' '.join(running.doors)}'")
+        click.echo(f"export HOISTSADDLE_STALLS='{' '.join(running.visitor_doors())}'")
+        click.echo(f"operators: {AUTHOR[0]} has token {AUTHOR[1]}, {SIGNER[0]} has token {SIGNER[1]}")
+        click.echo(f"a visitor: curl -i http://{running.visitor_doors()[0]}{running.deployment.asks[0].path}")
+        async with Load(deployment=running.deployment, doors=running.visitor_doors(), history=running.history, seed=random.Random(seed), rate=rate) as load:
+            loading = asyncio.ensure_future(load.run(10**9)) if rate != 0 else None
+            try:
+                await asyncio.wait_for(stopped.wait(), seconds)
+            except TimeoutError:
+                pass
+            load.stopping = True
+            if loading is not None:
+                await loading
+        return load
+
+    _with_fleet(deployment, folder, seed, work)
+
+
+@fleet.command()
+@_deployment
+@_folder
+@_rate
+@_seed
+def prove(deployment, folder, rate, seed) -> None:
+    """Does a day's worth of harm to it under load and checks every line of "What must never happen"."""
+
+    async def work(running, stopped: asyncio.Event):
+        from hoistsaddle.fairground.proof import prove as proof
+
+        return await proof(fleet=running, seed=seed, rate=rate, say=click.echo)
+
+    _with_fleet(deployment, folder, seed, work)
+
+
+@fleet.command()
+@_deployment
+@click.option("--scenario", "scenarios", multiple=True, help="One of those `--list` names; all by default.")
+@click.option("--seeds", default="1-5", show_default=True, help="FIRST-LAST.")
+@click.option("--list", "listing", is_flag=True, help="Names the scenarios and ends.")
+def simulate(deployment, scenarios, seeds, listing) -> None:
+    """Drives the same code through failures in simulated time, seed by seed."""
+    from hoistsaddle.fairground.simulation.runs import Run, carry_out_all
+    from hoistsaddle.fairground.simulation.scenarios import SCENARIOS
+
+    if listing:
+        for name, scenario in SCENARIOS.items():
+            click.echo(f"{name}: {(scenario.__doc__ or 'nothing goes wrong').strip()}")
+        return
+    first, _, last = seeds.partition("-")
+    unknown = sorted(set(scenarios) - set(SCENARIOS))
+    if unknown or not first.isdigit() or not (last or first).isdigit():
+        click.echo(f"refused: params: scenarios {unknown} or seeds {seeds!r} can't be read. Remedy: see --list; write seeds like 1-20.", err=True)
+        sys.exit(2)
+    runs = [Run(deployment, name, seed) for name in scenarios or SCENARIOS for seed in range(int(first), int(last or first) + 1)]
+    broken = 0
+    for outcome in carry_out_all(runs):
+        broken += bool(outcome.broken)
+        word = "held" if not outcome.broken else f"BROKEN {outcome.broken}"
+        click.echo(f"{outcome.run.scenario} seed {outcome.run.seed}: {outcome.answered} of {outcome.asked} answered, {word}")
+    click.echo(f"{len(runs)} runs, {broken} broken")
+    sys.exit(1 if broken else 0)
+
+
+def _with_fleet(name: str, folder: str | None, seed: int, work: Callable[..., Awaitable]) -> None:
     with tempfile.TemporaryDirectory(prefix="hoistsaddle-") as temporary:
-        asyncio.run(_run(deployment, Path(folder) if folder else Path(temporary), seconds, rate, seed))
+        sys.exit(asyncio.run(_run(name, Path(folder) if folder else Path(temporary), seed, work)))
 
 
-async def _run(name: str, folder: Path, seconds: float | None, rate: float | None, seed: int) -> None:
+async def _run(name: str, folder: Path, seed: int, work: Callable[..., Awaitable]) -> int:
     from hoistsaddle.fairground.checkers import check_all
     from hoistsaddle.fairground.deployments import DEPLOYMENTS
-    from hoistsaddle.fairground.fleet import AUTHOR, SIGNER, Fleet
+    from hoistsaddle.fairground.fleet import Fleet
     from hoistsaddle.fairground.history import Got
-    from hoistsaddle.fairground.load import Load
 
     deployment = DEPLOYMENTS[name]
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
+    main = asyncio.current_task()
+
+    def interrupt() -> None:
+        # The first interrupt ends the run in order, a second one cuts it short.
+        if stopped.is_set():
+            main.cancel()
+        stopped.set()
+
     for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, stopped.set)
+        loop.add_signal_handler(number, interrupt)
     async with Fleet(deployment=deployment, folder=folder, seed=seed) as running:
         click.echo(f"seed {seed}; settings, logs and data in {folder}")
         await running.start()
         click.echo(f"{name} is up: {deployment.core} core machines, {len(running.stalls)} stalls, each with its server")
-        click.echo(f"export HOISTSADDLE_DOORS='{' '.join(running.doors)}'")
-        click.echo(f"export HOISTSADDLE_STALLS='{' '.join(running.visitor_doors())}'")
-        click.echo(f"operators: {AUTHOR[0]} has token {AUTHOR[1]}, {SIGNER[0]} has token {SIGNER[1]}")
-        click.echo(f"a visitor: curl -i http://{running.visitor_doors()[0]}{deployment.asks[0].path}")
-        async with Load(deployment=deployment, doors=running.visitor_doors(), history=running.history, seed=random.Random(seed), rate=rate) as load:
-            work = asyncio.ensure_future(load.run(seconds or 10**9)) if rate != 0 else None
-            try:
-                await asyncio.wait_for(stopped.wait(), seconds)
-            except TimeoutError:
-                pass
-            if work is not None:
-                if stopped.is_set():
-                    work.cancel()
-                await asyncio.gather(work, return_exceptions=True)
+        load = await work(running, stopped)
         outcomes = Counter(got.outcome for got in running.history.of(Got))
         if load.latencies:
             ordered = sorted(load.latencies)
             click.echo(f"visitors: {sum(outcomes.values())} asked, {dict(outcomes)}, median {statistics.median(ordered) * 1000:.1f} ms, 99th of 100 {ordered[int(len(ordered) * 0.99)] * 1000:.1f} ms")
-        for line in check_all(running.history, deployment):
+        lines = check_all(running.history, deployment)
+        for line in lines:
             click.echo(line)
     click.echo("everything is stopped")
+    return 1 if any(line.startswith("BROKEN") for line in lines) else 0
--- a/packages/stall/src/hoistsaddle/stall/service.py
+++ b/packages/stall/src/hoistsaddle/stall/service.py
@@ -72,7 +72,7 @@
 
     async def _ready(self, request: web.Request) -> web.Response:
         mishap = self.node.core.ready()
-        state = {"ready": mishap is None, "bundle": self.node.core.view.bundle_number, "revision": self.node.core.view.revision, "server": self.node.core.server_state()}
+        state = {"ready": mishap is None, "bundle": self.node.core.view.bundle_number, "revision": self.node.core.view.revision, "server": self.node.core.server_state(), "life": self.node.incarnation}
         if mishap is not None:
             state["why"] = mishap.describe()
         return web.json_response(state, status=200 if mishap is None else 503)
