--- /dev/null
+++ b/tests/test_kip_630.py
@@ -0,0 +1,385 @@
+"""KIP-630's rules, each on the core or the disk that must keep it."""
+import random
+import tempfile
+from datetime import timedelta
+from pathlib import Path
+
+from immutables import Map
+from returns.result import Failure, Success
+from testtools import TestCase
+from testtools.matchers import Equals, IsInstance
+
+from hoistsaddle.haggle.parcels import BallotAnswer, BallotCall, FetchAnswer, FetchCall, LeadCall, PullAnswer, PullCall, Record
+from hoistsaddle.ledger.checkpoint import mark_of, name_of, pack_checkpoint, unpack_checkpoint
+from hoistsaddle.ledger.core import LEADER, NOT_LEADER_FOR_PARTITION, OFFSET_OUT_OF_RANGE, SNAPSHOT_NOT_FOUND, LedgerCore
+from hoistsaddle.ledger.disk import Disk
+from hoistsaddle.ledger.events import (
+    Answer,
+    AnswerArrived,
+    Boot,
+    CallArrived,
+    Capture,
+    CheckpointLoaded,
+    CheckpointStored,
+    DropCheckpoints,
+    Mark,
+    Pace,
+    ProposalArrived,
+    ReadChunk,
+    Send,
+    StoreChunk,
+    Synced,
+    Ticked,
+    Write,
+)
+from hoistsaddle.shelf.commands import ClaimHold, pack_command
+from hoistsaddle.shelf.state import State, found_state
+
+VOTERS = {1: "one", 2: "two", 3: "three"}
+PACE = Pace(checkpoint_records=5)
+
+
+def claim(number: int) -> bytes:
+    return pack_command(ClaimHold(f"scope-{number}", f"claim-{number}", "stall", "digest"))
+
+
+class Bench:
+    """One core on a bench: its writes are synced at once, the rest is kept to be looked at."""
+
+    def __init__(self, *, replica: int = 1, boot: Boot | None = None) -> None:
+        state = found_state(mesh="m", voters=VOTERS, operators={})
+        boot = boot or Boot(replica=replica, incarnation=VOTERS[replica], voters=tuple(VOTERS.items()), mesh="m", checkpoint=Mark(0, 0), state=state)
+        self.moment = timedelta(seconds=100)
+        self.core = LedgerCore(boot=boot, replicas=(1, 2, 3), pace=PACE, seed=random.Random(1), now=self.moment)
+        self.commands: list[tuple] = []
+        self.tickets = 0
+
+    def feed(self, event: tuple, *, later: timedelta = timedelta(), sync: bool = True) -> list[tuple]:
+        self.moment += later
+        commands = self.core.handle(event, now=self.moment)
+        self.commands += commands
+        for command in commands:
+            if sync and isinstance(command, Write):
+                self.feed(Synced(command.sequence))
+        return commands
+
+    def call(self, message: tuple, *, later: timedelta = timedelta()) -> tuple | None:
+        self.tickets += 1
+        before = len(self.commands)
+        self.feed(CallArrived(self.tickets, message), later=later)
+        return next((command.message for command in self.commands[before:] if isinstance(command, Answer) and command.ticket == self.tickets), None)
+
+    def sent(self, kind: type) -> list[Send]:
+        return [command for command in self.commands if isinstance(command, Send) and isinstance(command.message, kind)]
+
+    def of(self, kind: type) -> list:
+        return [command for command in self.commands if isinstance(command, kind)]
+
+    def lead(self) -> "Bench":
+        self.feed(Ticked(), later=timedelta(seconds=2))
+        for trial in (True, False):
+            epoch = self.core.epoch + 1 if trial else self.core.epoch
+            self.feed(AnswerArrived(self.sent(BallotCall)[-1].number, 2, BallotAnswer(epoch - 1 if trial else epoch, 2, "two", True, trial, epoch)))
+        assert self.core.standing == LEADER
+        return self
+
+    def fetch(self, replica: int, offset: int, epoch: int, *, whole: bool = True, incarnation: str = "", later: timedelta = timedelta()) -> FetchAnswer | None:
+        return self.call(FetchCall("m", replica, incarnation or VOTERS[replica], self.core.epoch, offset, epoch, self.core.round, whole), later=later)
+
+    def write(self, count: int) -> None:
+        for number in range(count):
+            self.feed(ProposalArrived(1000 + self.core.last.offset, (claim(self.core.last.offset),)))
+
+    def commit(self) -> None:
+        last = self.core.last
+        self.fetch(2, last.offset + 1, last.epoch)
+
+
+class Checkpoints(TestCase):
+    def test_names_hold_offset_of_twenty_digits_and_epoch(self) -> None:
+        self.assertThat(name_of(Mark(5120793, 2)), Equals("00000000000005120793-2.checkpoint"))
+        self.assertThat(mark_of("00000000000005120793-2.checkpoint"), Equals(Mark(5120793, 2)))
+        self.assertThat(mark_of("00000000000005120793-2.checkpoint.part"), Equals(None))
+
+    def test_torn_files_are_recognised_wherever_they_tear(self) -> None:
+        mark, state = Mark(7, 2), found_state(mesh="m", voters=VOTERS, operators={"ada": "d"})._replace(offset=7, epoch=2)
+        data = pack_checkpoint(mark=mark, state=state)
+        self.assertThat(unpack_checkpoint(mark=mark, data=data).unwrap(), Equals(state))
+        for length in range(0, len(data), 7):
+            self.assertThat(unpack_checkpoint(mark=mark, data=data[:length]), IsInstance(Failure), str(length))
+        for place in range(0, len(data), 5):
+            spoilt = data[:place] + bytes([data[place] ^ 1]) + data[place + 1 :]
+            self.assertThat(unpack_checkpoint(mark=mark, data=spoilt), IsInstance(Failure), str(place))
+        self.assertThat(unpack_checkpoint(mark=Mark(8, 2), data=data), IsInstance(Failure))
+
+    def test_one_is_taken_after_the_minimum_of_committed_records_and_no_sooner(self) -> None:
+        bench = Bench().lead()
+        bench.write(4)
+        bench.commit()
+        self.assertThat(bench.of(Capture), Equals([]))
+        bench.write(3)
+        # Not committed yet, so not counted.
+        self.assertThat(bench.of(Capture), Equals([]))
+        bench.commit()
+        capture = bench.of(Capture)[0]
+        self.assertThat((capture.mark.offset, capture.state.offset), Equals((bench.core.high_watermark, bench.core.high_watermark)))
+
+    def test_the_capture_stands_still_while_records_apply(self) -> None:
+        bench = Bench().lead()
+        bench.write(6)
+        bench.commit()
+        capture = bench.of(Capture)[0]
+        before = pack_checkpoint(mark=capture.mark, state=capture.state)
+        bench.write(5)
+        bench.commit()
+        self.assertThat(bench.core.state.offset > capture.mark.offset, Equals(True))
+        self.assertThat(pack_checkpoint(mark=capture.mark, state=capture.state), Equals(before))
+
+
+class BeginOffset(TestCase):
+    def leader_with_checkpoint(self) -> tuple[Bench, Mark]:
+        bench = Bench().lead()
+        bench.write(6)
+        bench.commit()
+        return bench, bench.of(Capture)[0].mark
+
+    def test_it_waits_for_every_live_replica(self) -> None:
+        bench, mark = self.leader_with_checkpoint()
+        bench.fetch(3, 1, 0)
+        bench.feed(CheckpointStored(mark, 100))
+        self.assertThat(bench.core.begin_offset, Equals(1))
+        last = bench.core.last
+        bench.fetch(3, last.offset + 1, last.epoch)
+        bench.feed(Ticked())
+        self.assertThat(bench.core.begin_offset, Equals(mark.offset + 1))
+        self.assertThat(bench.of(DropCheckpoints)[-1].below, Equals(mark.offset))
+
+    def test_it_waits_no_longer_than_the_lag_wait(self) -> None:
+        bench, mark = self.leader_with_checkpoint()
+        bench.fetch(3, 1, 0)
+        bench.feed(CheckpointStored(mark, 100))
+        for _ in range(int(PACE.lag_wait / timedelta(milliseconds=500)) + 1):
+            # The slow one lives on: it fetches, but always from the first record.
+            bench.fetch(3, 1, 0, later=timedelta(milliseconds=250))
+            bench.fetch(2, bench.core.last.offset + 1, bench.core.last.epoch, later=timedelta(milliseconds=250))
+            bench.feed(Ticked())
+        self.assertThat(bench.core.begin_offset, Equals(mark.offset + 1))
+
+    def test_the_dead_are_not_waited_for(self) -> None:
+        bench, mark = self.leader_with_checkpoint()
+        bench.feed(CheckpointStored(mark, 100))
+        # Replica 3 never fetched: the leader judges life from fetches alone.
+        self.assertThat(bench.core.begin_offset, Equals(mark.offset + 1))
+
+    def test_a_fetch_below_it_is_sent_to_the_checkpoint(self) -> None:
+        bench, mark = self.leader_with_checkpoint()
+        bench.feed(CheckpointStored(mark, 100))
+        answer = bench.fetch(3, 1, 0)
+        self.assertThat((answer.checkpoint_offset, answer.checkpoint_epoch, answer.next_offset, answer.records), Equals((*mark, mark.offset + 1, ())))
+
+    def test_followers_adopt_it_once_their_own_checkpoint_covers_it(self) -> None:
+        bench = Bench(replica=2)
+        bench.call(LeadCall("m", 1, 1))
+        records = tuple(Record(offset, 1, timedelta(seconds=offset), claim(offset)) for offset in range(1, 9))
+        bench.feed(AnswerArrived(bench.core.fetch_number, 1, FetchAnswer("", 1, 1, 8, 8, records)))
+        self.assertThat((bench.core.state.offset, bench.core.begin_offset), Equals((8, 1)))
+        bench.feed(CheckpointStored(bench.of(Capture)[0].mark, 100))
+        bench.feed(AnswerArrived(bench.core.fetch_number, 1, FetchAnswer("", 1, 1, 8, 8)))
+        self.assertThat(bench.core.begin_offset, Equals(8))
+
+
+class CatchUp(TestCase):
+    def follower_pulling(self) -> Bench:
+        bench = Bench(replica=2)
+        bench.call(LeadCall("m", 3, 1))
+        bench.feed(AnswerArrived(bench.core.fetch_number, 1, FetchAnswer("", 3, 1, 50, 41, checkpoint_offset=40, checkpoint_epoch=2, next_offset=41)))
+        return bench
+
+    def test_log_and_checkpoints_are_thrown_away_and_both_are_pulled_side_by_side(self) -> None:
+        bench = self.follower_pulling()
+        self.assertThat([write.clear for write in bench.of(Write)][-1], Equals(True))
+        self.assertThat(bench.of(DropCheckpoints)[-1].below > 40, Equals(True))
+        pull, fetch = bench.sent(PullCall)[-1].message, bench.sent(FetchCall)[-1].message
+        self.assertThat((pull.checkpoint_offset, pull.checkpoint_epoch, pull.position, pull.max_bytes), Equals((40, 2, 0, PACE.chunk_bytes)))
+        self.assertThat((fetch.fetch_offset, fetch.fetch_epoch, fetch.whole), Equals((41, 2, False)))
+
+    def test_it_pulls_until_continue_turns_false_then_applies_the_log_above(self) -> None:
+        bench = self.follower_pulling()
+        for position, data, continues in ((0, b"abc", True), (3, b"def", True), (6, b"g", False)):
+            self.assertThat(bench.sent(PullCall)[-1].message.position, Equals(position))
+            bench.feed(AnswerArrived(bench.core.pull_number, 1, PullAnswer("", 3, 40, 2, position, data, continues)))
+        self.assertThat([(chunk.position, chunk.last) for chunk in bench.of(StoreChunk)], Equals([(0, False), (3, False), (6, True)]))
+        records = tuple(Record(offset, 3, timedelta(seconds=offset), claim(offset)) for offset in (41, 42))
+        bench.feed(AnswerArrived(bench.core.fetch_number, 1, FetchAnswer("", 3, 1, 42, 41, records)))
+        self.assertThat(bench.core.state.offset, Equals(0))
+        bench.feed(CheckpointLoaded(Mark(40, 2), State(mesh="m", offset=40, epoch=2, voters=Map(VOTERS))))
+        bench.feed(AnswerArrived(bench.core.fetch_number, 1, FetchAnswer("", 3, 1, 42, 41)))
+        self.assertThat((bench.core.whole, bench.core.state.offset), Equals((True, 42)))
+
+    def test_each_of_the_three_errors_restarts_at_offset_and_epoch_zero(self) -> None:
+        for mishap in (SNAPSHOT_NOT_FOUND, OFFSET_OUT_OF_RANGE, NOT_LEADER_FOR_PARTITION):
+            bench = self.follower_pulling()
+            bench.feed(AnswerArrived(bench.core.pull_number, 1, PullAnswer(mishap, 3, 40, 2)))
+            bench.feed(Ticked(), later=PACE.fetch_retry * 2)
+            fetch = bench.sent(FetchCall)[-1].message
+            self.assertThat((fetch.fetch_offset, fetch.fetch_epoch), Equals((0, 0)), mishap)
+
+    def test_a_torn_pull_restarts_too(self) -> None:
+        bench = self.follower_pulling()
+        bench.feed(AnswerArrived(bench.core.pull_number, 1, PullAnswer("", 3, 40, 2, 0, b"abc", False)))
+        bench.feed(CheckpointLoaded(Mark(40, 2), None))
+        bench.feed(Ticked(), later=PACE.fetch_retry * 2)
+        self.assertThat(bench.sent(FetchCall)[-1].message.fetch_offset, Equals(0))
+
+    def test_an_incomplete_replica_votes_with_minus_one_and_does_not_stand(self) -> None:
+        bench = self.follower_pulling()
+        self.assertThat(bench.core.vote_mark, Equals(Mark(-1, -1)))
+        bench.feed(Ticked(), later=timedelta(seconds=5))
+        self.assertThat(bench.sent(BallotCall), Equals([]))
+        # Even a candidate with nothing at all is complete beside it.
+        answer = bench.call(BallotCall("m", 9, 3, "three", -1, -1, False))
+        self.assertThat(answer.granted, Equals(True))
+
+    def test_records_above_a_checkpoint_still_being_pulled_do_not_count(self) -> None:
+        bench = Bench().lead()
+        bench.write(3)
+        last = bench.core.last
+        bench.fetch(2, last.offset + 1, last.epoch, whole=False)
+        self.assertThat(bench.core.high_watermark, Equals(0))
+        bench.fetch(2, last.offset + 1, last.epoch, whole=True)
+        self.assertThat(bench.core.high_watermark, Equals(last.offset))
+
+    def test_only_the_leader_serves_chunks(self) -> None:
+        bench = Bench(replica=2)
+        answer = bench.call(PullCall(3, 0, 0, 0, 0, 100))
+        self.assertThat(answer.mishap, Equals(NOT_LEADER_FOR_PARTITION))
+        leading = Bench().lead()
+        leading.call(PullCall(3, leading.core.epoch, 0, 0, 0, 100))
+        self.assertThat(len(leading.of(ReadChunk)), Equals(1))
+
+
+class BlankDisks(TestCase):
+    def test_a_disk_outside_the_voter_set_neither_votes_nor_counts(self) -> None:
+        blank = Bench(boot=Boot(replica=2, incarnation="two-again"))
+        self.assertThat(blank.call(BallotCall("m", 5, 1, "one", 9, 4, False)).granted, Equals(False))
+        leading = Bench().lead()
+        leading.write(2)
+        last = leading.core.last
+        leading.fetch(2, last.offset + 1, last.epoch, incarnation="two-again")
+        self.assertThat(leading.core.high_watermark, Equals(0))
+
+    def test_a_caught_up_one_is_swapped_in_by_a_record_both_voter_sets_agree_to(self) -> None:
+        bench = Bench().lead()
+        bench.commit()
+        self.assertThat(bench.core.high_watermark, Equals(1))
+        for _ in range(9):
+            bench.fetch(2, bench.core.last.offset + 1, bench.core.last.epoch, later=timedelta(milliseconds=450))
+            bench.fetch(3, bench.core.last.offset + 1, bench.core.last.epoch, incarnation="three-again")
+            bench.feed(Ticked())
+        self.assertThat(bench.core.state.voters[3], Equals("three-again"))
+
+    def test_not_while_the_old_incarnation_is_heard(self) -> None:
+        bench = Bench().lead()
+        bench.commit()
+        for _ in range(9):
+            for incarnation in ("three", "three-again"):
+                bench.fetch(3, bench.core.last.offset + 1, bench.core.last.epoch, incarnation=incarnation)
+            bench.fetch(2, bench.core.last.offset + 1, bench.core.last.epoch, later=timedelta(milliseconds=450))
+            bench.feed(Ticked())
+        self.assertThat(bench.core.state.voters[3], Equals("three"))
+
+
+class MeshTime(TestCase):
+    def test_it_stands_still_while_nobody_leads_and_never_goes_back(self) -> None:
+        bench = Bench().lead()
+        bench.write(1)
+        first = bench.core.log[-1].stamp
+        bench.feed(Ticked(), later=timedelta(milliseconds=700))
+        bench.write(1)
+        self.assertThat(bench.core.log[-1].stamp - first, Equals(timedelta(milliseconds=700)))
+        # A majority is lost for an hour; the next leadership goes on from the newest stamp.
+        newest = bench.core.log[-1].stamp
+        bench.feed(Ticked(), later=timedelta(hours=1))
+        bench.lead()
+        self.assertThat(bench.core.log[-1].stamp, Equals(newest))
+
+
+class Disks(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.folder = Path(self.useTemporary())
+
+    def useTemporary(self) -> str:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        return folder.name
+
+    def founded(self) -> Disk:
+        disk = Disk(folder=self.folder, replica=1)
+        boot = disk.boot()
+        disk.found(mesh="m", voters={1: boot.incarnation}, operators={})
+        return disk
+
+    def write(self, disk: Disk, boot: Boot, records: tuple[Record, ...], begin: Mark = Mark(0, 0)) -> None:
+        disk.write([Write(1, 4, (1, boot.incarnation), boot.voters, "m", begin, False, False, -1, records)])
+
+    def test_log_epoch_and_vote_come_back(self) -> None:
+        disk = self.founded()
+        boot = disk.boot()
+        records = tuple(Record(offset, 4, timedelta(seconds=offset), claim(offset)) for offset in (1, 2, 3))
+        self.write(disk, boot, records)
+        disk.close()
+        again = Disk(folder=self.folder, replica=1).boot()
+        self.assertThat((again.incarnation, again.epoch, again.vote, again.records, again.checkpoint), Equals((boot.incarnation, 4, (1, boot.incarnation), records, Mark(0, 0))))
+
+    def test_a_torn_checkpoint_is_set_aside_and_the_older_one_used(self) -> None:
+        disk = self.founded()
+        boot = disk.boot()
+        records = tuple(Record(offset, 4, timedelta(seconds=offset), claim(offset)) for offset in (1, 2, 3))
+        self.write(disk, boot, records)
+        disk.store_checkpoint(mark=Mark(3, 4), state=boot.state._replace(offset=3, epoch=4))
+        path = self.folder / "checkpoints" / name_of(Mark(3, 4))
+        path.write_bytes(path.read_bytes()[:-9])
+        disk.close()
+        again = Disk(folder=self.folder, replica=1)
+        booted = again.boot()
+        self.assertThat((booted.checkpoint, len(booted.records), booted.incarnation), Equals((Mark(0, 0), 3, boot.incarnation)))
+        self.assertThat(path.exists(), Equals(False))
+        self.assertThat(len(again.remarks), Equals(1))
+
+    def test_without_a_checkpoint_in_range_it_is_a_blank_disk(self) -> None:
+        disk = self.founded()
+        boot = disk.boot()
+        self.write(disk, boot, tuple(Record(offset, 4, timedelta(seconds=offset), claim(offset)) for offset in (1, 2, 3)))
+        for path in (self.folder / "checkpoints").iterdir():
+            path.unlink()
+        disk.close()
+        booted = Disk(folder=self.folder, replica=1).boot()
+        self.assertThat((booted.incarnation != boot.incarnation, booted.mesh, booted.records, booted.vote), Equals((True, "", (), None)))
+
+    def test_a_database_that_cannot_be_read_makes_a_blank_disk(self) -> None:
+        disk = self.founded()
+        boot = disk.boot()
+        disk.close()
+        for path in self.folder.glob("ledger.sqlite3*"):
+            path.write_bytes(b"nothing sqlite3 knows" * 100)
+        booted = Disk(folder=self.folder, replica=1).boot()
+        self.assertThat((booted.incarnation != boot.incarnation, booted.mesh), Equals((True, "")))
+
+    def test_chunks_are_served_by_position_and_stored_whole_or_not_at_all(self) -> None:
+        disk = self.founded()
+        state = disk.boot().state._replace(offset=3, epoch=4)
+        disk.store_checkpoint(mark=Mark(3, 4), state=state)
+        self.assertThat(disk.read_chunk(mark=Mark(9, 4), position=0, max_bytes=10)[0], Equals(SNAPSHOT_NOT_FOUND))
+        self.assertThat(disk.read_chunk(mark=Mark(3, 4), position=10**6, max_bytes=10)[0], Equals(OFFSET_OUT_OF_RANGE))
+        other = Disk(folder=Path(self.useTemporary()), replica=2)
+        other.boot()
+        for spoil in (True, False):
+            position, continues, loaded = 0, True, None
+            while continues:
+                _, data, continues = disk.read_chunk(mark=Mark(3, 4), position=position, max_bytes=50)
+                loaded = other.store_chunk(mark=Mark(3, 4), position=position, data=bytes(len(data)) if spoil and position == 50 else data, last=not continues)
+                position += len(data)
+            self.assertThat(loaded, Equals(None if spoil else state))
+            self.assertThat((other.checkpoints / name_of(Mark(3, 4))).exists(), Equals(not spoil))
+        self.assertThat(isinstance(unpack_checkpoint(mark=Mark(3, 4), data=(other.checkpoints / name_of(Mark(3, 4))).read_bytes()), Success), Equals(True))
