--- a/packages/fairground/src/hoistsaddle/fairground/checkers.py
+++ b/packages/fairground/src/hoistsaddle/fairground/checkers.py
@@ -232,11 +232,12 @@
 TIMED = (work_after_leaving, not_in_force, too_many_further, not_back)
 
 
-def check(history: History, deployment: Deployment | None = None, *, timed: bool = True) -> dict[str, list[str]]:
+def check(history: History, deployment: Deployment | None = None, *, timed: bool = True, outsiders: bool = False) -> dict[str, list[str]]:
     """Each line with what broke it; lines that need a deployment are left out without one."""
     found = {}
     for line, checker in CHECKERS.items():
-        if checker in TIMED and not timed:
+        # Somebody else's requests, sent by hand, look like requests nobody sent.
+        if (checker in TIMED and not timed) or (checker is wrong_callers and outsiders):
             continue
         if checker in NEEDS_DEPLOYMENT:
             if deployment is not None and deployment.services:
@@ -246,8 +247,8 @@
     return found
 
 
-def check_all(history: History, deployment: Deployment | None = None) -> list[str]:
+def check_all(history: History, deployment: Deployment | None = None, *, outsiders: bool = False) -> list[str]:
     lines = []
-    for line, broken in check(history, deployment).items():
+    for line, broken in check(history, deployment, outsiders=outsiders).items():
         lines.append(f"held: {line}" if not broken else f"BROKEN: {line}: {broken[0]}" + (f" (and {len(broken) - 1} more)" if len(broken) > 1 else ""))
     return lines
--- a/packages/fairground/src/hoistsaddle/fairground/fleet.py
+++ b/packages/fairground/src/hoistsaddle/fairground/fleet.py
@@ -145,7 +145,10 @@
         for name, stall in self.stalls.items():
             await self.start_server(name, stall["service"])
         if bundle:
-            await self.roll_out(self.deployment.first_bundle())
+            _, setup = await self.operate("GET", "/setup")
+            # A folder of an earlier run goes on with what it agreed.
+            if not setup["in_force"]:
+                await self.roll_out(self.deployment.first_bundle())
             await self.until(self.all_ready, seconds=20, what="every stall is ready")
 
     async def start_server(self, name: str, service: str) -> StandIn:
--- /dev/null
+++ b/packages/fairground/src/hoistsaddle/fairground/measure.py
@@ -0,0 +1,207 @@
+"""Measurements on real processes. Variants take turns within one run, so that a busy machine troubles all alike."""
+import asyncio
+import statistics
+import time
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from pathlib import Path
+
+import aiohttp
+from returns.result import Success
+
+from hoistsaddle.bourse import writer as writing
+from hoistsaddle.bourse.writer import Writer
+from hoistsaddle.fairground.deployments import DEPLOYMENTS, Deployment
+from hoistsaddle.fairground.fleet import Fleet
+from hoistsaddle.haggle.parcels import LookAnswer, LookCall
+from hoistsaddle.haggle.runtime import RealRuntime
+from hoistsaddle.shelf.commands import ClaimHold, SettleHold
+from hoistsaddle.tally.counters import Counters
+
+Say = Callable[[str], None]
+
+
+def spread(values: list[float], *, unit: str = "") -> str:
+    ordered = sorted(values)
+    return f"{statistics.median(ordered):.3g}{unit} ({ordered[0]:.3g} to {ordered[-1]:.3g}, {len(ordered)} rounds)"
+
+
+class _Core:
+    """A fleet of core machines alone, and a writer of this process's own."""
+
+    def __init__(self, *, folder: Path, **warehouse_params) -> None:
+        self.fleet = Fleet(deployment=DEPLOYMENTS["three"], folder=folder, warehouse_params=warehouse_params)
+        self.runtime = RealRuntime()
+        self.warehouses = {replica: machine["warehouse"] for replica, machine in self.fleet.core.items()}
+        self.writer = Writer(name="measure", warehouses=self.warehouses, home=1, runtime=self.runtime, counters=Counters(owner="measure"))
+
+    async def look(self, replica: int) -> LookAnswer | None:
+        answer = await self.runtime.lines.call(self.warehouses[replica], LookCall("measure"), within=timedelta(seconds=1))
+        return answer.unwrap() if isinstance(answer, Success) else None
+
+    async def claims(self, *, count: int, outstanding: int, prefix: str, body: bytes = b"") -> list[float]:
+        """Writes so many claims, so many at a time; gives each one's latency in milliseconds."""
+        latencies: list[float] = []
+        numbers = iter(range(count))
+
+        async def one_after_another() -> None:
+            for number in numbers:
+                began = time.perf_counter()
+                scope = f"{prefix}-{number}"
+                result = await self.writer.write(ClaimHold(scope, scope, "measure", "digest"), within=timedelta(seconds=10))
+                if not isinstance(result, Success):
+                    raise AssertionError(f"claim {number}: {result}")
+                latencies.append((time.perf_counter() - began) * 1000)
+                if body:
+                    await self.writer.write(SettleHold(scope, scope, 200, {}, body, True), within=timedelta(seconds=10))
+
+        await asyncio.gather(*(one_after_another() for _ in range(outstanding)))
+        return latencies
+
+
+async def commits(*, folder: Path, say: Say, rounds: int = 5) -> None:
+    """Commit rate and claim latency against the most records a batch may hold."""
+    core = _Core(folder=folder)
+    async with core.fleet:
+        await core.fleet.start(bundle=False)
+        sizes = (1, 4, 16, 64, 128)
+        rates: dict[int, list[float]] = {size: [] for size in sizes}
+        latencies: dict[int, list[float]] = {size: [] for size in sizes}
+        for turn in range(rounds):
+            for size in sizes:
+                writing.MOST_IN_BATCH = size
+                began = time.perf_counter()
+                taken = await core.claims(count=600, outstanding=64, prefix=f"{turn}-{size}")
+                rates[size].append(600 / (time.perf_counter() - began))
+                latencies[size].append(statistics.median(taken))
+        for size in sizes:
+            say(f"batch of at most {size}: {spread(rates[size])} claims a second, median latency {spread(latencies[size], unit=' ms')}; rate against batch 1: {statistics.median(rates[size]) / statistics.median(rates[1]):.2f}")
+
+
+async def catch_up(*, folder: Path, say: Say, rounds: int = 3) -> None:
+    """Time from a blank follower's start until it holds everything, against the records in the log and the chunk size."""
+    for chunk in (16384, 65536, 262144):
+        core = _Core(folder=folder / f"chunk-{chunk}", chunk_bytes=chunk, checkpoint_records=500, lag_wait_seconds=2.0)
+        async with core.fleet:
+            await core.fleet.start(bundle=False)
+            written = 0
+            for target in (1000, 4000, 10000):
+                await core.claims(count=(target - written) // 2, outstanding=64, prefix=f"{target}", body=b'{"answer": "%s"}' % (b"x" * 500))
+                written = target
+                took: list[float] = []
+                for _ in range(rounds):
+                    looks = {replica: await core.look(replica) for replica in core.warehouses}
+                    follower = next(replica for replica, look in looks.items() if look is not None and look.standing == "follower")
+                    await core.fleet.kill(f"warehouse-{follower}")
+                    core.fleet.wipe(follower)
+                    await core.fleet.launch(f"warehouse-{follower}")
+
+                    async def blank(follower=follower) -> bool:
+                        return await core.look(follower) is not None
+
+                    await core.fleet.until(blank, seconds=20, what="the blank follower is up")
+                    began = time.perf_counter()
+
+                    async def whole(follower=follower) -> bool:
+                        look = await core.look(follower)
+                        return look is not None and look.standing in ("observer", "follower") and look.high_watermark >= looks[follower].high_watermark
+
+                    await core.fleet.until(whole, seconds=60, what="caught up")
+                    took.append(time.perf_counter() - began)
+
+                    async def votes(follower=follower) -> bool:
+                        look = await core.look(follower)
+                        return look is not None and look.standing == "follower"
+
+                    await core.fleet.until(votes, seconds=60, what="votes again")
+                say(f"chunk {chunk}: {written} records: {spread(took, unit=' s')} to hold everything")
+
+
+async def news(*, folder: Path, say: Say, deployment: Deployment, rounds: int = 8) -> None:
+    """From a bundle's commit to each stall's uptake, as the stalls' own happenings date it."""
+    fleet = Fleet(deployment=deployment, folder=folder)
+    async with fleet:
+        await fleet.start()
+        first: list[float] = []
+        last: list[float] = []
+        accepted: list[float] = []
+        number = 1
+        async with aiohttp.ClientSession() as session:
+            for _ in range(rounds):
+                text = deployment.first_bundle().partition("[[stages]]")[0].replace("number = 1\nbased_on = 0", f"number = {number + 1}\nbased_on = {number}")
+                began = time.time()
+                answers = await fleet.roll_out(text)
+                number += 1
+                accepted.append(answers[-1]["seconds"])
+                moments = []
+                for stall in fleet.stalls.values():
+                    async with session.get(f"http://{stall['visitors']}/hoistsaddle/happenings") as response:
+                        taken = [each for each in await response.json() if each["kind"] == "bundle taken up" and each["detail"]["bundle"] == number]
+                    moments.append(_seconds(taken[-1]["moment"]) - began)
+                first.append(min(moments))
+                last.append(max(moments))
+        say(f"{deployment.name}: from submitting a bundle to its uptake on the first stall {spread(first, unit=' s')}, on the last {spread(last, unit=' s')}; commit to acceptance {spread(accepted, unit=' s')}")
+
+
+def _seconds(moment: str) -> float:
+    return datetime.fromisoformat(moment).timestamp()
+
+
+async def added_latency(*, folder: Path, say: Say, rounds: int = 5) -> None:
+    """A safe request and one under a key through the mesh, against the stand-in called directly; one at a time."""
+    deployment = DEPLOYMENTS["thimble"]
+    fleet = Fleet(deployment=deployment, folder=folder)
+    async with fleet, aiohttp.ClientSession() as session:
+        await fleet.start()
+        meter = next(name for name, stall in fleet.stalls.items() if stall["service"] == "meter")
+        door = fleet.visitor_doors()[0]
+        ways = {
+            "directly": lambda number: session.get(f"http://{fleet.stalls[meter]['server']}/readings?nonce={number}"),
+            "through the mesh": lambda number: session.get(f"http://{door}/readings?nonce={number}"),
+            "under a key": lambda number: session.post(f"http://{door}/uploads", json={"nonce": str(number)}, headers={"Idempotency-Key": f"k{number}"}),
+        }
+        taken: dict[str, list[float]] = {way: [] for way in ways}
+        for turn in range(rounds):
+            for way, send in ways.items():
+                spans = []
+                for number in range(100):
+                    began = time.perf_counter()
+                    async with send(f"{turn}-{way[0]}-{number}") as response:
+                        await response.read()
+                        if response.status != 200:
+                            raise AssertionError(f"{way}: {response.status}")
+                    spans.append((time.perf_counter() - began) * 1000)
+                taken[way].append(statistics.median(spans))
+        for way, medians in taken.items():
+            say(f"{way}: {spread(medians, unit=' ms')}; against directly: {statistics.median(medians) / statistics.median(taken['directly']):.1f}")
+
+
+async def takeover(*, folder: Path, say: Say, rounds: int = 8) -> None:
+    """From kill -9 of the leading warehouse to the next write concluded; and the same for all core processes at once."""
+    core = _Core(folder=folder)
+    async with core.fleet:
+        await core.fleet.start(bundle=False)
+        single: list[float] = []
+        whole: list[float] = []
+        for turn in range(rounds):
+            looks = {replica: await core.look(replica) for replica in core.warehouses}
+            leader = next(replica for replica, look in looks.items() if look is not None and look.standing == "leader")
+            await core.fleet.kill(f"warehouse-{leader}")
+            began = time.perf_counter()
+            await core.claims(count=1, outstanding=1, prefix=f"single-{turn}")
+            single.append(time.perf_counter() - began)
+            await core.fleet.launch(f"warehouse-{leader}")
+
+            async def all_follow() -> bool:
+                found = [await core.look(replica) for replica in core.warehouses]
+                return all(look is not None and look.standing in ("leader", "follower") for look in found) and any(look.standing == "leader" for look in found)
+
+            await core.fleet.until(all_follow, seconds=20, what="all warehouses follow")
+            names = list(core.fleet.processes)
+            await core.fleet.kill(*names)
+            await asyncio.gather(*(core.fleet.launch(name) for name in names))
+            began = time.perf_counter()
+            await core.claims(count=1, outstanding=1, prefix=f"whole-{turn}")
+            whole.append(time.perf_counter() - began)
+            await core.fleet.until(all_follow, seconds=20, what="all warehouses follow")
+        say(f"leader killed: next write after {spread(single, unit=' s')}; all core processes killed and started: after {spread(whole, unit=' s')}")
--- a/packages/kiosk/src/hoistsaddle/kiosk/fleet_commands.py
+++ b/packages/kiosk/src/hoistsaddle/kiosk/fleet_commands.py
@@ -50,7 +50,7 @@
                 await loading
         return load
 
-    _with_fleet(deployment, folder, seed, work)
+    _with_fleet(deployment, folder, seed, work, outsiders=True)
 
 
 @fleet.command()
@@ -98,12 +98,35 @@
     sys.exit(1 if broken else 0)
 
 
-def _with_fleet(name: str, folder: str | None, seed: int, work: Callable[..., Awaitable]) -> None:
+@fleet.command()
+@click.argument("what", type=click.Choice(["commits", "catch-up", "news", "added-latency", "takeover"]))
+def measure(what) -> None:
+    """Takes one of the measurements that docs/measurements.md keeps."""
+    from hoistsaddle.fairground import measure as measuring
+    from hoistsaddle.fairground.deployments import DEPLOYMENTS
+
+    with tempfile.TemporaryDirectory(prefix="hoistsaddle-") as temporary:
+        work = {
+            "commits": lambda: measuring.commits(folder=Path(temporary), say=click.echo),
+            "catch-up": lambda: measuring.catch_up(folder=Path(temporary), say=click.echo),
+            "news": lambda: measuring.news(folder=Path(temporary), say=click.echo, deployment=DEPLOYMENTS["brindlefield"]),
+            "added-latency": lambda: measuring.added_latency(folder=Path(temporary), say=click.echo),
+            "takeover": lambda: measuring.takeover(folder=Path(temporary), say=click.echo),
+        }[what]
+        asyncio.run(work())
+
+
+def _with_fleet(name: str, folder: str | None, seed: int, work: Callable[..., Awaitable], *, outsiders: bool = False) -> None:
     with tempfile.TemporaryDirectory(prefix="hoistsaddle-") as temporary:
-        sys.exit(asyncio.run(_run(name, Path(folder) if folder else Path(temporary), seed, work)))
+        place = Path(folder) if folder else Path(temporary)
+        try:
+            sys.exit(asyncio.run(_run(name, place, seed, work, outsiders)))
+        except (AssertionError, asyncio.CancelledError) as problem:
+            click.echo(f"stopped: {problem or 'interrupted'}. Remedy: look at the logs in {place}, or begin with an empty folder.", err=True)
+            sys.exit(1)
 
 
-async def _run(name: str, folder: Path, seed: int, work: Callable[..., Awaitable]) -> int:
+async def _run(name: str, folder: Path, seed: int, work: Callable[..., Awaitable], outsiders: bool) -> int:
     from hoistsaddle.fairground.checkers import check_all
     from hoistsaddle.fairground.deployments import DEPLOYMENTS
     from hoistsaddle.fairground.fleet import Fleet
@@ -131,7 +154,7 @@
         if load.latencies:
             ordered = sorted(load.latencies)
             click.echo(f"visitors: {sum(outcomes.values())} asked, {dict(outcomes)}, median {statistics.median(ordered) * 1000:.1f} ms, 99th of 100 {ordered[int(len(ordered) * 0.99)] * 1000:.1f} ms")
-        lines = check_all(running.history, deployment)
+        lines = check_all(running.history, deployment, outsiders=outsiders)
         for line in lines:
             click.echo(line)
     click.echo("everything is stopped")
--- a/packages/kiosk/src/hoistsaddle/kiosk/watch.py
+++ b/packages/kiosk/src/hoistsaddle/kiosk/watch.py
@@ -1,13 +1,18 @@
 """`hoistsaddle watch`: what the mesh does, as it happens."""
 import asyncio
+import sys
 
 import aiohttp
 import click
 import msgspec
 
+from hoistsaddle.kiosk.caller import say
+
 _words = {
     "bundle submitted": "bundle {number} arrives from {author}",
-    "bundle refused": "a bundle is refused",
+    "bundle refused": "a bundle from {author} is refused: {mishap}",
+    "operator refused": "{operator} is refused: {wanted}, {mishap}",
+    "key given back": "gives back a key {scope} for {entry}: nothing ran",
     "bundle signed": "bundle {number} is signed by {operator}: stage {stage} of {stages} ({name})",
     "bundle advanced": "bundle {number} goes on to stage {stage} of {stages} ({name})",
     "bundle aborted": "bundle {number} is taken back",
@@ -32,13 +37,13 @@
 def line_of(happening: dict) -> str:
     kind = happening["kind"]
     shape = _words.get(kind)
-    rest = {name: value for name, value in happening.items() if name not in ("number", "moment", "owner", "kind")}
+    detail = happening["detail"]
     try:
-        text = shape.format(**rest) if shape else None
+        text = shape.format(**detail) if shape else ""
     except KeyError:
-        text = None
-    if text is None:
-        text = kind + "".join(f" {name}={value}" for name, value in rest.items())
+        # A process of another revision may tell it with other details.
+        text = ""
+    text = text or kind + "".join(f" {name}={value}" for name, value in detail.items())
     return f"{happening['moment'][11:23]}  {happening['owner']:<14} {text}"
 
 
@@ -82,9 +87,13 @@
 @click.option("--past", is_flag=True, help="Begin with what the processes still remember.")
 def watch(doors, stalls, seconds, past) -> None:
     """Shows changes arriving, servers leaving, keys held, core machines catching up, as they happen."""
+    if not doors and not stalls:
+        click.echo("refused: nothing to watch. Remedy: give --door and --stall, or set HOISTSADDLE_DOORS and HOISTSADDLE_STALLS.", err=True)
+        sys.exit(2)
     sources = [f"{door}/happenings" for door in doors]
-    # Each core machine's bourse also speaks for the warehouses; the first door that answers is enough for them.
-    sources += [f"{doors[place % len(doors)]}/happenings?warehouse={place + 1}" for place in range(len(doors))]
+    # The bourses also speak for the warehouses. Which there are is read once; each is asked through a door of its own.
+    replicas = sorted(say(doors=doors, method="GET", path="/core")["machines"], key=int) if doors else []
+    sources += [f"{doors[place % len(doors)]}/happenings?warehouse={replica}" for place, replica in enumerate(replicas)]
     sources += [f"{stall}/hoistsaddle/happenings" for stall in stalls]
     try:
         asyncio.run(follow(sources=sources, seconds=seconds, past=past, echo=click.echo))
--- a/packages/stall/src/hoistsaddle/stall/core.py
+++ b/packages/stall/src/hoistsaddle/stall/core.py
@@ -468,6 +468,7 @@
     def _let_go(self, request: _Request) -> None:
         """Gives a claimed key back: nothing ran under it and nothing will."""
         if request.claim and not request.uncertain:
+            self._announce("key given back", scope=request.scope[:12], entry=request.entry.name)
             self._release(ReleaseHold(request.scope, request.claim), self.now + RELEASE_SPAN)
 
     def _release(self, command: ReleaseHold, until: timedelta) -> None:
--- a/packages/tally/src/hoistsaddle/tally/counters.py
+++ b/packages/tally/src/hoistsaddle/tally/counters.py
@@ -43,7 +43,7 @@
     def happenings(self, *, after: int) -> list[dict]:
         with self._lock:
             return [
-                {"number": each.number, "moment": each.moment.isoformat(), "owner": self.owner, "kind": each.kind, **each.detail}
+                {"number": each.number, "moment": each.moment.isoformat(), "owner": self.owner, "kind": each.kind, "detail": each.detail}
                 for each in self._happenings
                 if each.number > after
             ]
