Fences for former lives and the warden's old news; checks directly before a send; docs

Cause, found by reading: a warden's "gone" about an older report, or a late report of a stall's former life, could undo a newer one in the log; a connection being made could carry a decision across a freeze; a warden that stood still called stalls gone that it merely hadn't read.

--- a/packages/bourse/src/hoistsaddle/bourse/duties.py
+++ b/packages/bourse/src/hoistsaddle/bourse/duties.py
@@ -20,18 +20,17 @@
         self.vitals_span = vitals_span
         self.heard: dict[str, Heartbeat] = {}
         self.holds_since: timedelta | None = None
-
-    def epoch(self, view: View) -> int:
-        duty = view.duties.get(WARDEN)
-        return duty.epoch if duty is not None and duty.node == self.node else 0
+        self.looked_at: timedelta | None = None
 
     def hear(self, stall: str, *, incarnation: str, now: timedelta) -> None:
         self.heard[stall] = Heartbeat(now, incarnation)
 
     def handle(self, *, view: View, live_bourses: list[str], fresh: bool, now: timedelta) -> list[tuple]:
         """What to log now. Names are the agreed order: the first live bourse takes the duty."""
-        if not fresh:
-            # Without a fresh lease this node can't know whose turn it is.
+        stood_still = self.looked_at is not None and now - self.looked_at > self.vitals_span / 2
+        self.looked_at = now
+        if not fresh or stood_still:
+            # Without a fresh lease this node can't know whose turn it is, and after a freeze it heard nobody.
             self.holds_since = None
             return []
         duty = view.duties.get(WARDEN)
--- a/packages/bourse/src/hoistsaddle/bourse/operators.py
+++ b/packages/bourse/src/hoistsaddle/bourse/operators.py
@@ -170,16 +170,15 @@
         after = int(request.query.get("after", "0"))
         if "warehouse" in request.query:
             replica = int(request.query["warehouse"])
-            look = (await self._look_all()).get(replica)
-            found = [] if look is None else [each for each in msgspec.json.decode(look.happenings) if each["number"] > after]
-            return web.json_response(found)
+            look = (await self._look_all(after=after)).get(replica)
+            return web.Response(body=b'{"newest": 0, "happenings": []}' if look is None else look.happenings, content_type="application/json")
         return web.json_response(self.bourse.counters.happenings(after=after))
 
     # -- the core machines -------------------------------------------------------------------------------------------
 
-    async def _look_all(self) -> dict[int, LookAnswer | None]:
+    async def _look_all(self, *, after: int = 2**62) -> dict[int, LookAnswer | None]:
         warehouses = self.bourse.warehouses
-        answers = await asyncio.gather(*(self.bourse.runtime.lines.call(address, LookCall(self.bourse.node), within=milliseconds(600)) for address in warehouses.values()))
+        answers = await asyncio.gather(*(self.bourse.runtime.lines.call(address, LookCall(self.bourse.node, after), within=milliseconds(600)) for address in warehouses.values()))
         return {replica: answer.unwrap() if isinstance(answer, Success) else None for replica, answer in zip(warehouses, answers, strict=True)}
 
     async def core(self, request: web.Request) -> web.Response:
--- a/packages/fairground/src/hoistsaddle/fairground/measure.py
+++ b/packages/fairground/src/hoistsaddle/fairground/measure.py
@@ -136,7 +136,7 @@
                 moments = []
                 for stall in fleet.stalls.values():
                     async with session.get(f"http://{stall['visitors']}/hoistsaddle/happenings") as response:
-                        taken = [each for each in await response.json() if each["kind"] == "bundle taken up" and each["detail"]["bundle"] == number]
+                        taken = [each for each in (await response.json())["happenings"] if each["kind"] == "bundle taken up" and each["detail"]["bundle"] == number]
                     moments.append(_seconds(taken[-1]["moment"]) - began)
                 first.append(min(moments))
                 last.append(max(moments))
--- a/packages/fairground/src/hoistsaddle/fairground/simulation/world.py
+++ b/packages/fairground/src/hoistsaddle/fairground/simulation/world.py
@@ -124,7 +124,11 @@
         self.world = world
         self.life = life
 
-    async def call(self, address: str, message: tuple, *, within: timedelta) -> Result[tuple, Mishap]:
+    async def call(self, address: str, message: tuple, *, within: timedelta, still: Callable[[], bool] = lambda: True) -> Result[tuple, Mishap]:
+        # A connection may have to be made first, and a freeze may fall right there.
+        await asyncio.sleep(self.world.latency())
+        if not still():
+            return _unreachable
         self.world.seen_calls(self.life, address, message)
         future = self.world.loop.create_future()
         self.world.start_call(self.life, address, message, future, within.total_seconds())
--- a/packages/haggle/src/hoistsaddle/haggle/line.py
+++ b/packages/haggle/src/hoistsaddle/haggle/line.py
@@ -79,7 +79,8 @@
                 connection = self._connections[address] = _Connection(reader=reader, writer=writer)
         return connection
 
-    async def call(self, address: str, message: tuple, *, within: timedelta) -> Result[tuple, Mishap]:
+    async def call(self, address: str, message: tuple, *, within: timedelta, still: Callable[[], bool] = lambda: True) -> Result[tuple, Mishap]:
+        """still is asked directly before the first byte is written: a freeze may lie between deciding and sending."""
         unreachable = Failure(Mishap(MishapKind.UNREACHABLE, f"{address} takes no connection.", "Check that the process runs and the address is right."))
         if self.cut(address):
             return unreachable
@@ -91,6 +92,8 @@
         except (OSError, TimeoutError):
             # Nothing was written, so the other side can't have heard of this call.
             return unreachable
+        if not still():
+            return unreachable
         number = next(self._numbers)
         future = connection.pending[number] = loop.create_future()
         silent = Failure(Mishap(MishapKind.SILENT, f"{address} gave no answer in time.", "The call may have been carried out: ask before repeating it."))
--- a/packages/haggle/src/hoistsaddle/haggle/mesh.thrift
+++ b/packages/haggle/src/hoistsaddle/haggle/mesh.thrift
@@ -15,7 +15,7 @@
 
 struct FoundCall { 1: string mesh, 2: map<i64, string> voters, 3: map<string, string> operators }
 struct FoundAnswer { 1: string mishap, 2: string mesh, 3: string incarnation }
-struct LookCall { 1: string asker }
+struct LookCall { 1: string asker, 2: i64 after }
 struct LookAnswer { 1: string mesh, 2: i64 replica, 3: string incarnation, 4: i64 epoch, 5: i64 leader, 6: string standing, 7: i64 last_offset, 8: i64 high_watermark, 9: i64 begin_offset, 10: binary counters, 11: binary happenings }
 
 struct WriteCall { 1: string asker, 2: list<binary> payloads }
--- a/packages/haggle/src/hoistsaddle/haggle/parcels.py
+++ b/packages/haggle/src/hoistsaddle/haggle/parcels.py
@@ -117,6 +117,8 @@
 
 class LookCall(NamedTuple):
     asker: str
+    # Happenings above this number go along; by default none.
+    after: int = 2**62
 
 
 class LookAnswer(NamedTuple):
--- a/packages/haggle/src/hoistsaddle/haggle/runtime.py
+++ b/packages/haggle/src/hoistsaddle/haggle/runtime.py
@@ -2,6 +2,7 @@
 import random
 import secrets
 from datetime import timedelta
+from collections.abc import Callable
 from typing import Protocol
 
 from returns.result import Result
@@ -12,7 +13,7 @@
 
 
 class Calls(Protocol):
-    async def call(self, address: str, message: tuple, *, within: timedelta) -> Result[tuple, Mishap]: ...
+    async def call(self, address: str, message: tuple, *, within: timedelta, still: Callable[[], bool] = ...) -> Result[tuple, Mishap]: ...
 
     def close(self) -> None: ...
 
--- a/packages/kiosk/src/hoistsaddle/kiosk/watch.py
+++ b/packages/kiosk/src/hoistsaddle/kiosk/watch.py
@@ -47,36 +47,36 @@
     return f"{happening['moment'][11:23]}  {happening['owner']:<14} {text}"
 
 
-async def happenings_of(*, session: aiohttp.ClientSession, address: str) -> list[dict]:
+async def happenings_of(*, session: aiohttp.ClientSession, address: str) -> dict | None:
     try:
         async with session.get(f"http://{address}") as response:
-            return msgspec.json.decode(await response.read()) if response.status == 200 else []
+            return msgspec.json.decode(await response.read()) if response.status == 200 else None
     except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError):
-        return []
+        return None
 
 
 async def follow(*, sources: list[str], seconds: float | None, past: bool, echo) -> None:
     loop = asyncio.get_running_loop()
     end = None if seconds is None else loop.time() + seconds
-    seen: dict[str, tuple[str, int]] = {}
-    first = not past
+    seen: dict[str, int] = {}
     async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.5)) as session:
         while end is None or loop.time() < end:
-            gathered = await asyncio.gather(*(happenings_of(session=session, address=source) for source in sources))
+            asked = [f"{source}{'&' if '?' in source else '?'}after={seen.get(source, -1)}" for source in sources]
+            gathered = await asyncio.gather(*(happenings_of(session=session, address=address) for address in asked))
             fresh: list[dict] = []
-            for source, happenings in zip(sources, gathered, strict=True):
-                if not happenings:
+            for source, told in zip(sources, gathered, strict=True):
+                if told is None:
                     continue
-                # A process that started anew counts from one again; its first happening tells the lives apart.
-                life, newest = happenings[0]["moment"], happenings[-1]["number"]
-                known_life, known = seen.get(source, ("", 0))
-                restarted = newest < known
-                if not first or known_life:
-                    fresh += [each for each in happenings if restarted or each["number"] > known]
-                seen[source] = (life, newest)
+                newest, happenings = told["newest"], told["happenings"]
+                # A process that started anew counts from one again: then all it says is new.
+                if newest < seen.get(source, -1):
+                    seen[source] = -1
+                    continue
+                if source in seen or past:
+                    fresh += happenings
+                seen[source] = newest
             for happening in sorted(fresh, key=lambda each: each["moment"]):
                 echo(line_of(happening))
-            first = False
             await asyncio.sleep(0.2)
 
 
--- a/packages/shelf/src/hoistsaddle/shelf/state.py
+++ b/packages/shelf/src/hoistsaddle/shelf/state.py
@@ -40,6 +40,7 @@
 READY = "ready"
 WINDING_DOWN = "winding down"
 GONE = "gone"
+BUNDLES_KEPT = 64
 CLAIMED = "claimed"
 SETTLED = "settled"
 
@@ -180,7 +181,12 @@
     if bundle.based_on != state.in_force:
         return state, _refuse(MishapKind.BUNDLE_WRONG_BASE, f"It is based on {bundle.based_on}, but {state.in_force} is in force.", f"Rework it on top of {state.in_force}.", "based_on")
     entry = BundleEntry(bundle.number, bundle.based_on, command.author, "", command.text, digest, DRAFT, 0, offset)
-    return state._replace(bundles=state.bundles.set(bundle.number, entry)), Outcome(detail={"number": bundle.number, "digest": digest})
+    bundles = state.bundles.set(bundle.number, entry)
+    # The log keeps so many; older ones are in git.
+    spare = sorted((each.offset, number) for number, each in bundles.items() if number not in (state.in_force, state.rolling, bundle.number))
+    for _, number in spare[: max(0, len(bundles) - BUNDLES_KEPT)]:
+        bundles = bundles.delete(number)
+    return state._replace(bundles=bundles), Outcome(detail={"number": bundle.number, "digest": digest})
 
 
 def _sign(state: State, command: SignBundle, offset: int) -> tuple[State, Outcome]:
@@ -252,9 +258,14 @@
     if refused := _fenced(state, WARDEN, command.duty_epoch):
         return state, refused
     known = state.servers.get(command.stall)
+    node = state.nodes.get(command.stall)
     # A report from an earlier life of the stall, or an earlier report of this life, must not undo a later one.
-    if known is not None and known.incarnation == command.incarnation and command.serial < known.serial:
-        return state, Outcome(detail={"old": True, "state": known.state, "serial": known.serial})
+    former = node is not None and node.incarnation != command.incarnation
+    earlier = known is not None and known.incarnation == command.incarnation and command.serial < known.serial
+    # The warden's "gone" is about the very report it saw last; whatever came since is news to it.
+    outdated = command.duty_epoch > 0 and known is not None and (known.incarnation, known.serial) != (command.incarnation, command.serial)
+    if former or earlier or outdated:
+        return state, Outcome(detail={"old": True, "state": known.state if known else "", "serial": known.serial if known else 0})
     drained_by = known.drained_by if known is not None and known.instance == command.instance else ""
     entry = ServerEntry(command.stall, command.service, command.instance, command.address, command.zone, command.state, command.serial, command.incarnation, drained_by, offset)
     if known is not None and known._replace(offset=offset, serial=command.serial) == entry:
--- a/packages/stall/src/hoistsaddle/stall/node.py
+++ b/packages/stall/src/hoistsaddle/stall/node.py
@@ -68,7 +68,7 @@
         self.answers: dict[int, asyncio.Future] = {}
         self.tickets = 0
         self.work: set[asyncio.Task] = set()
-        self.ticked_at = runtime.now()
+        self.ticked_at = self.thawed_at = runtime.now()
         self.bourses: list[str] = list(params.seeds)
         self.vitals_due = asyncio.Event()
         self.vitals_told = (0, "")
@@ -143,12 +143,15 @@
             now = self.runtime.now()
             if now - self.ticked_at > FROZEN_GAP:
                 self.counters.happen("stood still", seconds=round((now - self.ticked_at).total_seconds(), 3))
+                # What came in meanwhile is read over the next moments, in pieces; none of it is young.
+                self.thawed_at = now + FROZEN_GAP
             self.ticked_at = now
             self.feed(Ticked())
             await asyncio.sleep(TICK.total_seconds())
 
     def _frozen(self) -> bool:
-        return self.runtime.now() - self.ticked_at > FROZEN_GAP
+        now = self.runtime.now()
+        return now - self.ticked_at > FROZEN_GAP or now < self.thawed_at
 
     # -- calls from the mesh -----------------------------------------------------------------------------------------
 
@@ -188,11 +191,14 @@
 
     async def _pass_on(self, command: PassOn) -> None:
         self.counters.add(f"sends.{command.call.service_name}")
-        # Directly before the pass-on: a freeze between deciding and sending makes both lease and budget old.
-        if self._frozen() or not self.core.fresh():
-            self.feed(PassMissed(command.number, True))
-            return
-        match await self.runtime.lines.call(command.address, command.call, within=command.within):
+        decided = self.runtime.now()
+
+        def still() -> bool:
+            # A freeze between deciding and sending makes both lease and budget old.
+            now = self.runtime.now()
+            return now - decided < FROZEN_GAP and not self._frozen() and self.relay.fresh(now=now)
+
+        match await self.runtime.lines.call(command.address, command.call, within=command.within, still=still):
             case Success(PassAnswer() as answer):
                 self.feed(PassAnswered(command.number, answer))
             case result:
--- a/packages/tally/src/hoistsaddle/tally/counters.py
+++ b/packages/tally/src/hoistsaddle/tally/counters.py
@@ -40,13 +40,14 @@
             self._happenings.append(Happening(self._number, datetime.now(timezone.utc), kind, detail))
         logger.info("{} {} {}", self.owner, kind, detail)
 
-    def happenings(self, *, after: int) -> list[dict]:
+    def happenings(self, *, after: int) -> dict:
         with self._lock:
-            return [
+            told = [
                 {"number": each.number, "moment": each.moment.isoformat(), "owner": self.owner, "kind": each.kind, "detail": each.detail}
                 for each in self._happenings
                 if each.number > after
             ]
+            return {"newest": self._number, "happenings": told}
 
     def read(self) -> dict:
         with self._lock:
--- a/packages/warehouse/src/hoistsaddle/warehouse/service.py
+++ b/packages/warehouse/src/hoistsaddle/warehouse/service.py
@@ -77,8 +77,8 @@
                 if ready.mishap:
                     return ReadAnswer(ready.mishap, ready.leader)
                 return self._read(part, known, ready.leader, ready.state)
-            case LookCall():
-                return self._look()
+            case LookCall(after=after):
+                return self._look(after)
             case FoundCall():
                 return await self._found(message)
         return None
@@ -93,7 +93,7 @@
             content = msgspec.json.encode(dict(state.operators))
         return ReadAnswer("", leader, state.news, state.offset, content)
 
-    def _look(self) -> LookAnswer:
+    def _look(self, after: int) -> LookAnswer:
         core = self.shell.core
         self.counters.gauge("ledger.epoch", core.epoch)
         self.counters.gauge("ledger.last_offset", core.last.offset)
@@ -106,7 +106,7 @@
         return LookAnswer(
             core.mesh, core.replica, core.incarnation, core.epoch, core.leader if core.leader is not None else UNSET, standing,
             core.last.offset, core.high_watermark, core.begin_offset,
-            msgspec.json.encode(self.counters.read()), msgspec.json.encode(self.counters.happenings(after=0)),
+            msgspec.json.encode(self.counters.read()), msgspec.json.encode(self.counters.happenings(after=after)),
         )
 
     async def _found(self, call: FoundCall) -> FoundAnswer:
--- /dev/null
+++ b/tests/test_crier.py
@@ -0,0 +1,143 @@
+"""News, leases, repair and membership, on their cores."""
+import random
+from datetime import timedelta
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals
+
+from hoistsaddle.crier.membership import ALIVE, DEAD, SUSPECT, AskOpinions, Changed, Membership, OpinionsIn, Probe, ProbeAnswered, ProbeMissed, RumoursArrived, Ticked
+from hoistsaddle.crier.relay import Relay, select_parents
+from hoistsaddle.haggle.parcels import Rumour, Uptake
+
+SPAN = timedelta(seconds=1.5)
+OWN = Uptake("child", 0, 0, "", "life", 0)
+
+
+def at(seconds: float) -> timedelta:
+    return timedelta(seconds=seconds)
+
+
+def relay(name: str) -> Relay:
+    return Relay(node=name, incarnation="life", lease_span=SPAN)
+
+
+def items(count: int, *, revision: int = 1) -> dict[str, tuple[int, bytes]]:
+    return {f"server:stall-{number}": (revision, b"value") for number in range(count)}
+
+
+class Leases(TestCase):
+    def test_a_lease_counts_from_the_polls_sending_minus_the_parents_age(self) -> None:
+        root, child = relay("root"), relay("child")
+        root.confirmed(asked=at(10), mesh="m", revision=5, items=items(3))
+        # The child's clock shows something else entirely, and the answer is slow.
+        call = child.poll(own=OWN, now=at(700))
+        child.polled(root.answer(call, now=at(10.4)), sent=at(700))
+        self.assertThat(child.lease_start, Equals(at(699.6)))
+        self.assertThat((child.fresh(now=at(701.0)), child.fresh(now=at(701.1))), Equals((True, False)))
+
+    def test_a_lapsed_parent_renews_nothing(self) -> None:
+        root, child = relay("root"), relay("child")
+        root.confirmed(asked=at(10), mesh="m", revision=5, items=items(3))
+        answer = root.answer(child.poll(own=OWN, now=at(0)), now=at(12))
+        self.assertThat((answer.mishap, child.polled(answer, sent=at(0)), child.lease_start), Equals(("lease-lapsed", False, None)))
+
+    def test_a_ring_of_relays_starves(self) -> None:
+        one, two = relay("one"), relay("two")
+        one.confirmed(asked=at(10), mesh="m", revision=5, items=items(3))
+        moment = 10.0
+        while moment < 14:
+            for child, parent in ((one, two), (two, one)):
+                child.polled(parent.answer(child.poll(own=OWN, now=at(moment)), now=at(moment + 0.01)), sent=at(moment))
+            moment += 0.1
+        self.assertThat((one.fresh(now=at(moment)), two.fresh(now=at(moment))), Equals((False, False)))
+
+    def test_revisions_never_go_back_and_an_older_parent_gives_no_lease(self) -> None:
+        old, child = relay("old"), relay("child")
+        old.confirmed(asked=at(10), mesh="m", revision=5, items=items(3))
+        child.confirmed(asked=at(9), mesh="m", revision=6, items=items(2, revision=6))
+        changed = child.polled(old.answer(child.poll(own=OWN, now=at(10)), now=at(10)), sent=at(10))
+        self.assertThat((changed, child.copy.revision, child.lease_start), Equals((False, 6, at(9))))
+
+
+class Repair(TestCase):
+    def test_only_ranges_that_differ_travel_and_damage_is_mended(self) -> None:
+        root, child = relay("root"), relay("child")
+        root.confirmed(asked=at(1), mesh="m", revision=5, items=items(200))
+        child.polled(root.answer(child.poll(own=OWN, now=at(1)), now=at(1)), sent=at(1))
+        self.assertThat(child.copy.items, Equals(root.copy.items))
+        damaged = dict(child.copy.items)
+        damaged["server:stall-7"] = (1, b"damage")
+        del damaged["server:stall-8"]
+        damaged["server:never-was"] = (1, b"x")
+        child.copy.replace(mesh="m", revision=5, items=damaged)
+        answer = root.answer(child.poll(own=OWN, now=at(1)), now=at(1))
+        self.assertThat(0 < len(answer.items) < 100, Equals(True))
+        child.polled(answer, sent=at(1))
+        self.assertThat(child.copy.items, Equals(root.copy.items))
+
+    def test_what_was_removed_goes_from_every_copy(self) -> None:
+        root, child = relay("root"), relay("child")
+        root.confirmed(asked=at(1), mesh="m", revision=5, items=items(10))
+        child.polled(root.answer(child.poll(own=OWN, now=at(1)), now=at(1)), sent=at(1))
+        root.confirmed(asked=at(2), mesh="m", revision=6, items=items(4))
+        child.polled(root.answer(child.poll(own=OWN, now=at(2)), now=at(2)), sent=at(2))
+        self.assertThat((len(child.copy.items), child.copy.revision), Equals((4, 6)))
+
+    def test_another_meshs_news_is_not_taken(self) -> None:
+        root, child = relay("root"), relay("child")
+        root.confirmed(asked=at(1), mesh="other", revision=9, items=items(3))
+        child.confirmed(asked=at(1), mesh="m", revision=5, items=items(2))
+        self.assertThat(root.answer(child.poll(own=OWN, now=at(1)), now=at(1)).mishap, Equals("wrong-mesh"))
+
+
+class Tree(TestCase):
+    def test_everyone_has_a_way_to_a_root_and_no_parent_feeds_many(self) -> None:
+        roots = [(f"bourse-{number}", f"root-{number}") for number in range(3)]
+        stalls = [(f"stall-{number:02d}", f"at-{number:02d}") for number in range(40)]
+        first = {name: select_parents(node=name, stalls=stalls, roots=roots) for name, _ in stalls}
+        address_of = dict(stalls)
+        feeds: dict[str, int] = {}
+        for name, parents in first.items():
+            feeds[parents[0]] = feeds.get(parents[0], 0) + 1
+            self.assertThat(set(parents) >= {address for _, address in roots}, Equals(True))
+            at_node, steps = name, 0
+            while not (parent := first[at_node][0]).startswith("root-"):
+                at_node = next(each for each, address in address_of.items() if address == parent)
+                steps += 1
+                self.assertThat(steps < 8, Equals(True), name)
+        self.assertThat(max(feeds.values()), Equals(2))
+
+
+class Members(TestCase):
+    def member(self, name: str, *, count: int = 0, state: str = ALIVE) -> Rumour:
+        return Rumour(name, "stall", f"at-{name}", "a", f"life-{name}", count, state)
+
+    def membership(self) -> Membership:
+        core = Membership(me=self.member("me"), seed=random.Random(1), period=at(0.25), suspicion=at(1.2))
+        core.handle(RumoursArrived(tuple(self.member(name) for name in ("one", "two", "three"))), now=at(0))
+        return core
+
+    def test_everyone_is_probed_once_a_turn(self) -> None:
+        core = self.membership()
+        probed = [command.node for turn in range(1, 7) for command in core.handle(Ticked(), now=at(turn * 0.3)) if isinstance(command, Probe)]
+        self.assertThat((sorted(probed[:3]), sorted(probed[3:])), Equals((["one", "three", "two"],) * 2))
+
+    def test_a_miss_asks_others_then_suspects_then_removes(self) -> None:
+        core = self.membership()
+        asked = core.handle(ProbeMissed("one"), now=at(1))[0]
+        self.assertThat((type(asked), asked.node, sorted(asked.helpers)), Equals((AskOpinions, "one", ["at-three", "at-two"])))
+        self.assertThat(core.handle(OpinionsIn("one", True), now=at(1)), Equals([]))
+        self.assertThat([change.rumour.state for change in core.handle(OpinionsIn("one", False), now=at(1))], Equals([SUSPECT]))
+        self.assertThat([member.node for member in core.alive(kind="stall")], Contains("one"))
+        changes = [command.rumour.state for command in core.handle(Ticked(), now=at(2.3)) if isinstance(command, Changed)]
+        self.assertThat((changes, "one" in [member.node for member in core.alive(kind="stall")]), Equals(([DEAD], False)))
+
+    def test_a_suspect_outbids_the_rumour(self) -> None:
+        core = self.membership()
+        core.handle(RumoursArrived((self.member("me", state=SUSPECT),)), now=at(1))
+        self.assertThat((core.me.state, core.me.count), Equals((ALIVE, 1)))
+        other = self.membership()
+        other.handle(OpinionsIn("one", False), now=at(1))
+        other.handle(ProbeAnswered("one", (self.member("one", count=1),)), now=at(1.5))
+        other.handle(Ticked(), now=at(4))
+        self.assertThat("one" in [member.node for member in other.alive(kind="stall")], Equals(True))
--- /dev/null
+++ b/tests/test_shelf.py
@@ -0,0 +1,98 @@
+"""The state machine's fences: epochs, lives, serials, and repeats."""
+from datetime import timedelta
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from hoistsaddle.shelf.commands import AdvanceBundle, ClaimHold, Command, DrainServer, NoteNode, NoteServer, Outcome, ReleaseHold, SettleHold, SignBundle, SubmitBundle, TakeDuty, pack_command
+from hoistsaddle.shelf.state import BUNDLES_KEPT, State, apply, found_state, pack_state, unpack_state
+from hoistsaddle.fairground.deployments import DEPLOYMENTS
+
+TEXT = DEPLOYMENTS["thimble"].first_bundle()
+
+
+class Shelf(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.state: State = found_state(mesh="m", voters={1: "one"}, operators={})
+        self.seconds = 0.0
+
+    def apply(self, command: Command, *, later: float = 0.0) -> Outcome:
+        self.seconds += later
+        self.state, outcome = apply(self.state, offset=self.state.offset + 1, epoch=1, stamp=timedelta(seconds=self.seconds), payload=pack_command(command))
+        return outcome
+
+    def server(self, *, state: str = "ready", serial: int = 1, life: str = "life", duty_epoch: int = 0, instance: str = "i1") -> Outcome:
+        return self.apply(NoteServer("stall-1", "ledger", instance, "at", "a", state, serial, life, duty_epoch))
+
+    def test_the_wardens_gone_does_not_undo_what_came_since(self) -> None:
+        self.apply(TakeDuty("warden", "bourse-1", 1))
+        self.apply(NoteNode("stall-1", "stall", "at", "a", "life", "alive"))
+        self.server(serial=1)
+        self.server(state="winding down", serial=2)
+        self.server(state="gone", serial=1, duty_epoch=1)
+        self.assertThat(self.state.servers["stall-1"].state, Equals("winding down"))
+        self.server(state="gone", serial=2, duty_epoch=1)
+        self.assertThat(self.state.servers["stall-1"].state, Equals("gone"))
+
+    def test_a_former_life_says_nothing_of_the_present_one(self) -> None:
+        self.apply(NoteNode("stall-1", "stall", "at", "a", "second", "alive"))
+        self.server(life="second", serial=1)
+        self.server(life="first", serial=9, state="gone")
+        self.apply(NoteNode("stall-1", "stall", "at", "a", "first", "gone"))
+        self.assertThat((self.state.servers["stall-1"].state, self.state.nodes["stall-1"].state), Equals(("ready", "alive")))
+
+    def test_a_lower_duty_epoch_is_refused(self) -> None:
+        self.apply(TakeDuty("warden", "bourse-1", 1))
+        self.assertThat(self.apply(TakeDuty("warden", "bourse-2", 1)).mishap, Equals("duty-epoch-old"))
+        self.apply(TakeDuty("warden", "bourse-2", 2))
+        self.server()
+        self.assertThat(self.server(state="gone", duty_epoch=1).mishap, Equals("duty-epoch-old"))
+        self.assertThat(self.state.servers["stall-1"].state, Equals("ready"))
+
+    def test_a_drain_mark_belongs_to_the_instance(self) -> None:
+        self.server()
+        self.apply(DrainServer("r1", "ada", "stall-1", True))
+        self.server(serial=2)
+        self.assertThat(self.state.servers["stall-1"].drained_by, Equals("ada"))
+        self.server(serial=3, instance="i2")
+        self.assertThat(self.state.servers["stall-1"].drained_by, Equals(""))
+
+    def test_a_hold_runs_its_course_in_mesh_time(self) -> None:
+        claim = ClaimHold("scope", "claim-1", "stall-1", "digest")
+        self.assertThat(self.apply(claim).detail["phase"], Equals("granted"))
+        self.assertThat(self.apply(claim).detail["phase"], Equals("granted"))
+        self.assertThat(self.apply(claim._replace(claim="claim-2")).detail["phase"], Equals("claimed"))
+        self.assertThat(self.apply(claim._replace(body_digest="other")).mishap, Equals("key-other-body"))
+        self.assertThat(self.apply(ReleaseHold("scope", "claim-2")).detail["phase"], Equals("kept"))
+        self.apply(SettleHold("scope", "claim-1", 200, {}, b"{}", True))
+        self.assertThat(self.apply(ReleaseHold("scope", "claim-1")).detail["phase"], Equals("kept"))
+        self.assertThat(self.apply(claim._replace(claim="claim-3"), later=74).detail["body"], Equals(b"{}"))
+        self.assertThat(self.apply(claim._replace(claim="claim-4"), later=2).detail["phase"], Equals("granted"))
+        # Unsettled, it stays for ten minutes, and is then swept.
+        self.assertThat(self.apply(claim._replace(claim="claim-5"), later=599).detail["phase"], Equals("claimed"))
+        self.apply(ClaimHold("other", "claim-6", "stall-1", "digest"), later=10)
+        self.assertThat(sorted(self.state.holds), Equals(["other"]))
+
+    def test_a_repeated_call_gets_the_first_outcome(self) -> None:
+        first = self.apply(SubmitBundle("r1", "ada", TEXT))
+        self.assertThat(self.apply(SubmitBundle("r1", "ada", TEXT)), Equals(first))
+        self.assertThat(self.apply(SubmitBundle("r2", "ada", TEXT)).mishap, Equals("bundle-duplicate"))
+        signed = self.apply(SignBundle("r3", "ben", 1, first.detail["digest"]))
+        self.assertThat(self.apply(SignBundle("r3", "ben", 1, first.detail["digest"])), Equals(signed))
+        advanced = self.apply(AdvanceBundle("r4", "ben", 1, 1))
+        self.assertThat(self.apply(AdvanceBundle("r4", "ben", 1, 1)), Equals(advanced))
+        self.assertThat((self.state.in_force, self.state.rolling), Equals((1, 0)))
+
+    def test_the_state_survives_its_packing_and_keeps_a_bounded_history(self) -> None:
+        number = 0
+        for number in range(1, BUNDLES_KEPT + 20):
+            text = TEXT.partition("[[stages]]")[0].replace("number = 1\nbased_on = 0", f"number = {number}\nbased_on = {number - 1}")
+            digest = self.apply(SubmitBundle(f"s{number}", "ada", text)).detail["digest"]
+            self.apply(SignBundle(f"g{number}", "ben", number, digest))
+        self.server()
+        self.apply(ClaimHold("scope", "claim", "stall-1", "digest"))
+        self.assertThat((self.state.in_force, len(self.state.bundles)), Equals((number, BUNDLES_KEPT)))
+        again = unpack_state(pack_state(self.state))
+        self.assertThat(pack_state(again), Equals(pack_state(self.state)))
+        self.assertThat(again, Equals(self.state))
