--- a/packages/fairground/src/hoistsaddle/fairground/fleet.py
+++ b/packages/fairground/src/hoistsaddle/fairground/fleet.py
@@ -24,12 +24,20 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Ports the machine has free now, held open together so that none comes twice."""
-    holders = []
+    """Ports that are free now, held open together so that none comes twice.
+
+    They lie below the range that the system gives to outgoing connections: there, a killed process could find its port
+    taken by somebody's connection when it comes back.
+    """
+    holders: list[socket.socket] = []
     try:
-        for _ in range(count):
+        while len(holders) < count:
             holder = socket.socket()
-            holder.bind((HOST, 0))
+            try:
+                holder.bind((HOST, random.SystemRandom().randrange(11000, 32000)))
+            except OSError:
+                holder.close()
+                continue
             holders.append(holder)
         return [holder.getsockname()[1] for holder in holders]
     finally:
--- a/packages/fairground/src/hoistsaddle/fairground/measure.py
+++ b/packages/fairground/src/hoistsaddle/fairground/measure.py
@@ -117,6 +117,19 @@
                 say(f"chunk {chunk}: {written} records: {spread(took, unit=' s')} to hold everything")
 
 
+async def growth(*, folder: Path, say: Say) -> None:
+    """The size of each data folder while claims keep coming and settle."""
+    core = _Core(folder=folder)
+    async with core.fleet:
+        await core.fleet.start(bundle=False)
+        for turn in range(12):
+            await core.claims(count=2500, outstanding=64, prefix=f"{turn}", body=b'{"answer": "%s"}' % (b"x" * 500))
+            sizes = [sum(path.stat().st_size for path in (folder / f"data-{replica}").rglob("*") if path.is_file()) / 1e6 for replica in core.warehouses]
+            looks = [await core.look(replica) for replica in core.warehouses]
+            begin = [look.begin_offset for look in looks if look is not None]
+            say(f"{(turn + 1) * 5000} records: folders {', '.join(f'{size:.1f}' for size in sizes)} MB; the logs begin at {begin}")
+
+
 async def news(*, folder: Path, say: Say, deployment: Deployment, rounds: int = 8) -> None:
     """From a bundle's commit to each stall's uptake, as the stalls' own happenings date it."""
     fleet = Fleet(deployment=deployment, folder=folder)
--- a/packages/fairground/src/hoistsaddle/fairground/proof.py
+++ b/packages/fairground/src/hoistsaddle/fairground/proof.py
@@ -118,6 +118,23 @@
         took = await self.fleet.until(self.fleet.all_ready, seconds=30, what="the killed stalls are ready")
         self.say(f"{len(names)} stalls were killed and are ready again after {took:.1f} s")
 
+    async def freeze(self) -> None:
+        """Some stalls and the leader's whole machine stand still, and wake; a bundle lands meanwhile."""
+        await self.fleet.until(self._led, seconds=20, what="a leader")
+        replica = await self.leader()
+        stalls = self.fleet.random.sample(list(self.fleet.stalls), len(self.fleet.stalls) // 4)
+        names = [f"warehouse-{replica}", f"bourse-{replica}", *stalls]
+        self.fleet.freeze(*names)
+        await asyncio.sleep(1)
+        # The frozen bourse takes no calls; operators turn to another one.
+        doors = tuple(door for place, door in enumerate(self.fleet.doors) if place + 1 != replica)
+        plain, self.fleet.doors = self.fleet.doors, doors
+        await self.change_bundle()
+        self.fleet.doors = plain
+        self.fleet.wake(*names)
+        took = await self.fleet.until(self.fleet.all_ready, seconds=30, what="the woken are ready")
+        self.say(f"core machine {replica}, which led, and {len(stalls)} stalls stood still while bundle {self.number} came into force; ready {took:.1f} s after waking")
+
     async def restart_stall(self) -> None:
         name = self.fleet.random.choice(list(self.fleet.stalls))
         began = self._now()
@@ -167,6 +184,7 @@
             await self.wipe_leader()
             await self.change_bundle()
             await self.kill_stalls()
+            await self.freeze()
             await self.restart_stall()
             await self.kill_everything()
             await self.fleet.until(self.fleet.all_ready, seconds=30, what="every stall is ready")
--- a/packages/haggle/src/hoistsaddle/haggle/line.py
+++ b/packages/haggle/src/hoistsaddle/haggle/line.py
@@ -17,7 +17,7 @@
 _length = struct.Struct("!I")
 
 
-async def _read_frame(reader: asyncio.StreamReader) -> tuple[int, bool, tuple]:
+async def _read_frame(reader: asyncio.StreamReader) -> tuple[int, bool, tuple | None]:
     (length,) = _length.unpack(await reader.readexactly(4))
     # A frame over the limit is garbage from something that isn't a hoistsaddle process.
     if length > LARGEST_FRAME:
@@ -132,6 +132,9 @@
         try:
             while True:
                 number, _, message = await _read_frame(reader)
+                if message is None:
+                    # A newer release's call: unanswered, so its sender knows that it isn't understood here.
+                    continue
                 task = asyncio.ensure_future(self._answer(writer, number, message))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
--- a/packages/haggle/src/hoistsaddle/haggle/parcels.py
+++ b/packages/haggle/src/hoistsaddle/haggle/parcels.py
@@ -338,10 +338,10 @@
     return serialize(mesh_thrift.Frame(number=number, answer=answer, parcel=parcel), _protocol)
 
 
-def unpack(data: bytes) -> tuple[int, bool, tuple]:
+def unpack(data: bytes) -> tuple[int, bool, tuple | None]:
+    """Number, whether it is an answer, and the message; None for one that only a newer release knows."""
     frame = deserialize(mesh_thrift.Frame(), data, _protocol)
     for value in vars(frame.parcel).values():
         if value is not None:
             return frame.number, bool(frame.answer), from_thrift(value)
-    # A newer sender's message that this revision has no name for.
-    raise ValueError("the parcel holds no message known here")
+    return frame.number, bool(frame.answer), None
--- a/packages/kiosk/src/hoistsaddle/kiosk/commands.py
+++ b/packages/kiosk/src/hoistsaddle/kiosk/commands.py
@@ -8,6 +8,7 @@
 
 from hoistsaddle.kiosk.fleet_commands import fleet
 from hoistsaddle.kiosk.operator_commands import OPERATOR_COMMANDS
+from hoistsaddle.tally.mishaps import Mishap, MishapKind
 from hoistsaddle.tally.params import BourseParams, StallParams, WarehouseParams, read_params
 
 
@@ -20,8 +21,13 @@
             pass
     logger.remove()
     logger.add(sys.stderr, format="{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {message}", level="INFO")
-    with entrypoint(service(params=params), log_config=False) as loop:
-        loop.run_forever()
+    try:
+        with entrypoint(service(params=params), log_config=False) as loop:
+            loop.run_forever()
+    except OSError as problem:
+        mishap = Mishap(MishapKind.PARAMS, f"It can't start: {problem}.", "Free the address or mend the data folder, or name another in the settings.", "listen" if problem.errno in (98, 99) else "data_folder")
+        click.echo(f"refused: {mishap}", err=True)
+        sys.exit(2)
 
 
 def _core_machines(values: tuple[str, ...]) -> list[dict] | None:
--- a/packages/kiosk/src/hoistsaddle/kiosk/fleet_commands.py
+++ b/packages/kiosk/src/hoistsaddle/kiosk/fleet_commands.py
@@ -99,7 +99,7 @@
 
 
 @fleet.command()
-@click.argument("what", type=click.Choice(["commits", "catch-up", "news", "added-latency", "takeover"]))
+@click.argument("what", type=click.Choice(["commits", "catch-up", "growth", "news", "added-latency", "takeover"]))
 def measure(what) -> None:
     """Takes one of the measurements that docs/measurements.md keeps."""
     from hoistsaddle.fairground import measure as measuring
@@ -109,6 +109,7 @@
         work = {
             "commits": lambda: measuring.commits(folder=Path(temporary), say=click.echo),
             "catch-up": lambda: measuring.catch_up(folder=Path(temporary), say=click.echo),
+            "growth": lambda: measuring.growth(folder=Path(temporary), say=click.echo),
             "news": lambda: measuring.news(folder=Path(temporary), say=click.echo, deployment=DEPLOYMENTS["brindlefield"]),
             "added-latency": lambda: measuring.added_latency(folder=Path(temporary), say=click.echo),
             "takeover": lambda: measuring.takeover(folder=Path(temporary), say=click.echo),
--- a/packages/kiosk/src/hoistsaddle/kiosk/operator_commands.py
+++ b/packages/kiosk/src/hoistsaddle/kiosk/operator_commands.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Success
 
 from hoistsaddle.kiosk.caller import say, show
+from hoistsaddle.kiosk.export import export
 from hoistsaddle.kiosk.plan import plan
 from hoistsaddle.kiosk.watch import watch
 from hoistsaddle.tariff.bundle import digest_of, read_bundle
@@ -127,4 +128,4 @@
     show(say(doors=doors, method="GET", path="/counters"))
 
 
-OPERATOR_COMMANDS = (found, check, submit, sign, advance, abort, status, drain, setup, core, counters, plan, watch)
+OPERATOR_COMMANDS = (found, check, submit, sign, advance, abort, status, drain, setup, core, counters, plan, export, watch)
--- a/packages/ledger/src/hoistsaddle/ledger/disk.py
+++ b/packages/ledger/src/hoistsaddle/ledger/disk.py
@@ -3,6 +3,7 @@
 Something lasts once it is synced: sqlite3 runs with full synchronisation, and a checkpoint is synced under a temporary
 name, renamed, and then its folder is synced.
 """
+import errno
 import os
 import secrets
 import sqlite3
@@ -17,6 +18,7 @@
 from hoistsaddle.ledger.core import OFFSET_OUT_OF_RANGE, SNAPSHOT_NOT_FOUND
 from hoistsaddle.ledger.events import Boot, Mark, Write
 from hoistsaddle.shelf.state import State, found_state
+from hoistsaddle.tally.mishaps import MishapKind
 from hoistsaddle.tally.moments import from_microseconds, to_microseconds
 
 
@@ -131,6 +133,8 @@
             match unpack_checkpoint(mark=mark, data=path.read_bytes()):
                 case Success(state):
                     return mark, state
+                case Failure(mishap) if mishap.kind == MishapKind.OTHER_RELEASE:
+                    raise OSError(errno.EPROTO, str(mishap))
                 case Failure(mishap):
                     self.remarks.append(str(mishap))
                     _set_aside(path)
--- a/packages/stall/src/hoistsaddle/stall/core.py
+++ b/packages/stall/src/hoistsaddle/stall/core.py
@@ -139,6 +139,8 @@
         self.release_again: list[tuple[timedelta, ReleaseHold, timedelta]] = []
         self.seen: OrderedDict[str, timedelta] = OrderedDict()
         self.outstanding: dict[str, int] = {}
+        # Service, entry, caller and outcome to requests, further sends, bytes in and bytes out.
+        self.usage: dict[tuple[str, str, str, str], list[int]] = {}
         self._out: list[tuple] = []
 
     # -- what is known ---------------------------------------------------------------------------------------------
@@ -446,7 +448,11 @@
         return request
 
     def _answer(self, ticket: int, outcome: str, status: int, headers: dict[str, str], body: bytes, mishap: Mishap | None = None, retry_after: timedelta | None = None) -> None:
-        self._finish(ticket)
+        request = self._finish(ticket)
+        if request.entry is not None:
+            used = self.usage.setdefault((request.entry.service, request.entry.name, request.event.caller or VISITORS, outcome), [0, 0, 0, 0])
+            for place, amount in enumerate((1, max(0, request.sends - 1), len(request.event.body), len(body))):
+                used[place] += amount
         self._out.append(AnswerVisitor(ticket, outcome, status, headers, body, mishap, retry_after))
 
     def _refuse(self, ticket: int, status: int, mishap: Mishap) -> None:
--- a/packages/stall/src/hoistsaddle/stall/service.py
+++ b/packages/stall/src/hoistsaddle/stall/service.py
@@ -61,6 +61,7 @@
         application.router.add_get("/hoistsaddle/ready", self._ready)
         application.router.add_get("/hoistsaddle/counters", self._counters)
         application.router.add_get("/hoistsaddle/happenings", self._happenings)
+        application.router.add_get("/hoistsaddle/usage", self._usage)
         if inner:
             application.router.add_post("/hoistsaddle/vitals", self._take_vitals)
         application.router.add_route("*", "/{tail:.*}", self._inner if inner else self._visitor)
@@ -84,6 +85,11 @@
         after = request.query.get("after", "0")
         return web.json_response(self.node.counters.happenings(after=int(after) if after.isdigit() else 0))
 
+    async def _usage(self, request: web.Request) -> web.Response:
+        names = ("service", "entry", "caller", "outcome", "requests", "further_sends", "body_bytes", "answer_bytes")
+        usage = [dict(zip(names, (*key, *amounts), strict=True)) for key, amounts in sorted(self.node.core.usage.items())]
+        return web.json_response({"stall": self.stall_params.name, "life": self.node.incarnation, "usage": usage})
+
     async def _take_vitals(self, request: web.Request) -> web.Response:
         broken = Mishap(MishapKind.REQUEST_BROKEN, "The vitals can't be read.", 'Send JSON with service, instance, address and state "ready" or "winding down".', "body")
         try:
--- a/packages/tally/src/hoistsaddle/tally/mishaps.py
+++ b/packages/tally/src/hoistsaddle/tally/mishaps.py
@@ -26,6 +26,7 @@
     SILENT = "silent"
     CHECKPOINT_TORN = "checkpoint-torn"
     DISK = "disk"
+    OTHER_RELEASE = "other-release"
     LEASE_LAPSED = "lease-lapsed"
     NOT_ALLOWED = "not-allowed"
     NO_ENTRY = "no-entry"
--- /dev/null
+++ b/tests/test_clocks.py
@@ -0,0 +1,25 @@
+"""Wall clocks jump at Brindlefield, so nothing may decide by one."""
+import ast
+from pathlib import Path
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+PACKAGES = Path(__file__).parent.parent / "packages"
+# Happenings carry a wall-clock moment for people to read; the export says when it was read; measurements are no daemons.
+MAY_READ = {"tally/src/hoistsaddle/tally/counters.py", "kiosk/src/hoistsaddle/kiosk/export.py", "fairground/src/hoistsaddle/fairground/measure.py"}
+WALL = {("datetime", "now"), ("datetime", "utcnow"), ("datetime", "today"), ("time", "time"), ("time", "time_ns"), ("date", "today"), ("time", "localtime"), ("time", "gmtime")}
+
+
+class Clocks(TestCase):
+    def test_no_daemon_reads_a_wall_clock(self) -> None:
+        readers = set()
+        looked = 0
+        for path in PACKAGES.glob("*/src/**/*.py"):
+            looked += 1
+            for node in ast.walk(ast.parse(path.read_text())):
+                match node:
+                    case ast.Call(func=ast.Attribute(value=ast.Name(id=owner), attr=name)) if (owner, name) in WALL:
+                        readers.add(str(path.relative_to(PACKAGES)))
+        self.assertThat(readers, Equals(MAY_READ))
+        self.assertThat(looked > 40, Equals(True))
--- a/tests/test_kip_630.py
+++ b/tests/test_kip_630.py
@@ -7,7 +7,7 @@
 from immutables import Map
 from returns.result import Failure, Success
 from testtools import TestCase
-from testtools.matchers import Equals, IsInstance
+from testtools.matchers import Equals, IsInstance, raises
 
 from hoistsaddle.haggle.parcels import BallotAnswer, BallotCall, FetchAnswer, FetchCall, LeadCall, PullAnswer, PullCall, Record
 from hoistsaddle.ledger.checkpoint import mark_of, name_of, pack_checkpoint, unpack_checkpoint
@@ -347,6 +347,14 @@
         self.assertThat(path.exists(), Equals(False))
         self.assertThat(len(again.remarks), Equals(1))
 
+    def test_another_releases_checkpoint_is_refused_and_left_alone(self) -> None:
+        disk = self.founded()
+        path = self.folder / "checkpoints" / name_of(Mark(0, 0))
+        path.write_bytes(path.read_bytes().replace(b"CHECKPOINT-1\n", b"CHECKPOINT-2\n"))
+        disk.close()
+        self.assertThat(lambda: Disk(folder=self.folder, replica=1).boot(), raises(OSError))
+        self.assertThat(path.exists(), Equals(True))
+
     def test_without_a_checkpoint_in_range_it_is_a_blank_disk(self) -> None:
         disk = self.founded()
         boot = disk.boot()
--- /dev/null
+++ b/tests/test_usage.py
@@ -0,0 +1,44 @@
+"""Usage leaves as Parquet and CSV under one schema, and adds up to what the callers asked."""
+import tempfile
+from collections import Counter
+from datetime import datetime, timezone
+from pathlib import Path
+
+from pyarrow import csv, parquet
+from returns.result import Failure
+from testtools import TestCase
+from testtools.matchers import Equals, IsInstance
+
+from hoistsaddle.docket.usage import SCHEMA, table_of, write_usage
+from hoistsaddle.fairground.deployments import DEPLOYMENTS
+from hoistsaddle.fairground.history import Got
+from hoistsaddle.fairground.simulation.deployment import SimulatedDeployment, simulate
+
+
+class Usage(TestCase):
+    def test_files_add_up_to_what_was_asked(self) -> None:
+        told: list[dict] = []
+
+        async def scenario(whole: SimulatedDeployment) -> None:
+            await whole.start()
+            await whole.load(seconds=5, rate=30)
+            for name in whole.stalls:
+                core = whole.nodes[name].core
+                usage = [dict(zip(("service", "entry", "caller", "outcome", "requests", "further_sends", "body_bytes", "answer_bytes"), (*key, *amounts))) for key, amounts in core.usage.items()]
+                told.append({"stall": name, "life": whole.nodes[name].incarnation, "usage": usage})
+
+        whole = simulate(deployment=DEPLOYMENTS["thimble"], seed=2, scenario=scenario)
+        table = table_of(told, read_at=datetime(2026, 12, 1, tzinfo=timezone.utc))
+        with tempfile.TemporaryDirectory() as folder:
+            for name, read in (("usage.parquet", parquet.read_table), ("usage.csv", csv.read_csv)):
+                path = Path(folder) / name
+                self.assertThat(write_usage(table, path=path).unwrap(), Equals(table.num_rows))
+                again = read(path)
+                self.assertThat(again.column_names, Equals(SCHEMA.names))
+                asked = Counter()
+                for row in again.to_pylist():
+                    if row["caller"] == "visitors":
+                        asked[row["outcome"]] += row["requests"]
+                self.assertThat(asked, Equals(Counter(got.outcome for got in whole.history.of(Got))))
+            self.assertThat(parquet.read_schema(Path(folder) / "usage.parquet").equals(SCHEMA, check_metadata=True), Equals(True))
+            self.assertThat(write_usage(table, path=Path(folder) / "usage.xls"), IsInstance(Failure))
