--- a/packages/fairground/src/hoistsaddle/fairground/deployments.py
+++ b/packages/fairground/src/hoistsaddle/fairground/deployments.py
@@ -28,6 +28,10 @@
     inner: dict[tuple[str, str], tuple[Inner, ...]]
     requests_per_second: int
 
+    def zone_of(self, place: int) -> str:
+        # Shifted by one every round, so that no service has all its servers in one zone.
+        return self.zones[(place + place // len(self.zones)) % len(self.zones)]
+
     def first_bundle(self) -> str:
         return resources.files("hoistsaddle.fairground").joinpath("bundles", f"{self.name}-1.toml").read_text()
 
--- a/packages/fairground/src/hoistsaddle/fairground/fleet.py
+++ b/packages/fairground/src/hoistsaddle/fairground/fleet.py
@@ -92,7 +92,7 @@
         self.stalls: dict[str, dict] = {}
         for place, service in enumerate(deployment.services):
             name = f"stall-{place + 1:02d}"
-            stall = {"name": name, "zone": deployment.zones[place % len(deployment.zones)], "listen": next(ports), "visitors": next(ports), "inner": next(ports), "seeds": seeds}
+            stall = {"name": name, "zone": deployment.zone_of(place), "listen": next(ports), "visitors": next(ports), "inner": next(ports), "seeds": seeds}
             self.stalls[name] = {**stall, "service": service, "server": next(ports)}
             self._settings("stall", name, stall)
 
--- a/packages/fairground/src/hoistsaddle/fairground/simulation/scenarios.py
+++ b/packages/fairground/src/hoistsaddle/fairground/simulation/scenarios.py
@@ -499,6 +499,49 @@
     await whole.read_back(in_force=3)
 
 
+async def zone_lost(whole: SimulatedDeployment) -> None:
+    """One whole zone loses its power: core machine, stalls and servers; visitors of the others must hardly notice."""
+    await whole.start()
+    zones = whole.deployment.zones
+    lost = whole.random.choice(zones)
+    machines = [machine for place, machine in enumerate(whole.core) if zones[place % len(zones)] == lost]
+    stalls = [name for name, (zone, _) in whole.stalls.items() if zone == lost]
+    # With five core machines in three zones a zone may hold two: still a majority is left.
+    names = [name for machine in machines for name in (machine.warehouse, machine.bourse)] + stalls
+
+    async def trouble() -> None:
+        await asyncio.sleep(3)
+        whole.kill(*names)
+        for name in stalls:
+            whole.servers[name].vanish()
+        await asyncio.sleep(6)
+        whole.restart(*names)
+        for name in stalls:
+            whole.servers[name] = SimulatedServer(whole=whole, stall=name, service=whole.stalls[name][1])
+        await whole.service_back("zone lost")
+
+    await under_load(whole, trouble(), seconds=14)
+    await whole.until(whole.serving, seconds=15, what="serving again")
+    await whole.read_back(in_force=1)
+
+
+async def control_lost(whole: SimulatedDeployment) -> None:
+    """Every core process dies at once and comes back; what was passed on is still answered."""
+    await whole.start()
+
+    async def trouble() -> None:
+        for pause in (0.2, 1.0, 3.0):
+            await asyncio.sleep(2)
+            names = [name for machine in whole.core for name in (machine.warehouse, machine.bourse)]
+            whole.kill(*names)
+            await asyncio.sleep(pause)
+            whole.restart(*names)
+            await whole.service_back(f"control lost for {pause} s")
+
+    await under_load(whole, trouble(), seconds=18)
+    await whole.read_back(in_force=1)
+
+
 async def broken_bundle(whole: SimulatedDeployment) -> None:
     """A broken bundle is sent, and signed if that is let happen."""
     await whole.start()
@@ -677,6 +720,6 @@
 SCENARIOS: dict[str, Scenario] = {
     scenario.__name__: scenario
     for scenario in (
-        calm, core_machine_lost, disk_wiped, herd_killed, stalls_killed, cut_apart, frozen, disks_fail, servers_change, servers_misbehave, bundles_race, rolling_restart, lossy, bundle_while_cut_off, broken_bundle, anything
+        calm, core_machine_lost, disk_wiped, herd_killed, stalls_killed, cut_apart, frozen, disks_fail, servers_change, servers_misbehave, bundles_race, rolling_restart, lossy, zone_lost, control_lost, bundle_while_cut_off, broken_bundle, anything
     )
 }
