--- a/packages/bourse/src/hoistsaddle/bourse/writer.py
+++ b/packages/bourse/src/hoistsaddle/bourse/writer.py
@@ -13,6 +13,8 @@
 from hoistsaddle.tally.moments import milliseconds
 
 CALL_SPAN = timedelta(milliseconds=700)
+# How long a warehouse that gave no answer is passed by, whatever the others believe of it.
+PASSED_BY = timedelta(seconds=1)
 MOST_IN_BATCH = 128
 MOST_IN_FLIGHT = 6
 
@@ -26,17 +28,25 @@
         self.leader = home
         self.runtime = runtime
         self.counters = counters
+        self.silent: dict[int, timedelta] = {}
         self.backlog: list[tuple[bytes, timedelta, asyncio.Future]] = []
         self.in_flight = 0
         self.tasks: set[asyncio.Task] = set()
 
     def _follow_hint(self, hint: int, tried: int) -> None:
-        if hint in self.warehouses and hint != tried:
+        now = self.runtime.now()
+        passed_by = {replica for replica, moment in self.silent.items() if now - moment < PASSED_BY}
+        if hint in self.warehouses and hint != tried and hint not in passed_by:
             self.leader = hint
-        elif self.leader == tried:
-            # Nobody knows: go round.
+        elif self.leader == tried or hint in passed_by:
+            # Nobody knows, or they still name the one that fell silent: go round.
             order = sorted(self.warehouses)
-            self.leader = order[(order.index(tried) + 1) % len(order)]
+            turn = order[order.index(tried) + 1 :] + order[: order.index(tried)]
+            self.leader = next((replica for replica in turn if replica not in passed_by), turn[0] if turn else tried)
+
+    def _fell_silent(self, tried: int) -> None:
+        self.silent[tried] = self.runtime.now()
+        self._follow_hint(-1, tried)
 
     async def read(self, *, part: str, known_revision: int, within: timedelta) -> Result[ReadAnswer, Mishap]:
         deadline = self.runtime.now() + within
@@ -48,7 +58,7 @@
                 case Success(ReadAnswer(leader=leader)):
                     self._follow_hint(leader, tried)
                 case _:
-                    self._follow_hint(-1, tried)
+                    self._fell_silent(tried)
             await asyncio.sleep(milliseconds(15).total_seconds())
         return Failure(NO_LEADER)
 
@@ -92,7 +102,7 @@
                     case Success(WriteAnswer(leader=leader)):
                         self._follow_hint(leader, tried)
                     case _:
-                        self._follow_hint(-1, tried)
+                        self._fell_silent(tried)
                 self.counters.add("writes.again")
                 now = self.runtime.now()
                 for _, deadline, future in batch:
--- a/packages/fairground/src/hoistsaddle/fairground/simulation/scenarios.py
+++ b/packages/fairground/src/hoistsaddle/fairground/simulation/scenarios.py
@@ -164,6 +164,23 @@
     await whole.read_back(in_force=4)
 
 
+async def leader_frozen(whole: SimulatedDeployment) -> None:
+    """The leading machine stands still, again and again; the others must take over within a lease."""
+    await whole.start()
+
+    async def trouble() -> None:
+        for _ in range(4):
+            await asyncio.sleep(2)
+            name = whole.leader()
+            names = [name, f"bourse-{name.rpartition('-')[2]}"]
+            whole.freeze(*names)
+            await asyncio.sleep(3)
+            whole.wake(*names)
+
+    await under_load(whole, trouble(), seconds=20, rate=60)
+    await whole.service_back("leader frozen")
+
+
 async def disks_fail(whole: SimulatedDeployment) -> None:
     """Full and stalled disks on a follower and on the leader."""
     await whole.start()
@@ -720,6 +737,6 @@
 SCENARIOS: dict[str, Scenario] = {
     scenario.__name__: scenario
     for scenario in (
-        calm, core_machine_lost, disk_wiped, herd_killed, stalls_killed, cut_apart, frozen, disks_fail, servers_change, servers_misbehave, bundles_race, rolling_restart, lossy, zone_lost, control_lost, bundle_while_cut_off, broken_bundle, anything
+        calm, core_machine_lost, leader_frozen, disk_wiped, herd_killed, stalls_killed, cut_apart, frozen, disks_fail, servers_change, servers_misbehave, bundles_race, rolling_restart, lossy, zone_lost, control_lost, bundle_while_cut_off, broken_bundle, anything
     )
 }
--- a/packages/stall/src/hoistsaddle/stall/core.py
+++ b/packages/stall/src/hoistsaddle/stall/core.py
@@ -29,6 +29,7 @@
     LeaseRenewed,
     PassAnswered,
     PassArrived,
+    PassHeld,
     PassMissed,
     PassOn,
     ReportVitals,
@@ -137,6 +138,7 @@
         self.claims: dict[int, ClaimHold] = {}
         self.releases: dict[int, tuple[ReleaseHold, timedelta]] = {}
         self.release_again: list[tuple[timedelta, ReleaseHold, timedelta]] = []
+        self.parked: dict[int, tuple[PassArrived, timedelta]] = {}
         self.seen: OrderedDict[str, timedelta] = OrderedDict()
         self.outstanding: dict[str, int] = {}
         # Service, entry, caller and outcome to requests, further sends, bytes in and bytes out.
@@ -187,6 +189,8 @@
                 self._pass_answered(number, answer)
             case PassMissed(number=number, unsent=unsent):
                 self._pass_missed(number, unsent)
+            case PassHeld(number=number):
+                self._pass_held(number)
             case PassArrived():
                 self._pass(event)
             case ServerAnswered():
@@ -202,6 +206,7 @@
                 self.lease_start = start if self.lease_start is None else max(start, self.lease_start)
                 if self.fresh() and not was:
                     self._announce("lease fresh", revision=self.view.revision)
+                    self._retry_parked()
                     self._retry_waiting()
             case StopAsked():
                 self.stopping = True
@@ -416,6 +421,15 @@
             return self._send_again(ticket, _mishap(MishapKind.UNREACHABLE, f"{request.target.stall} takes no connection.", "Come back after the time given."))
         self._uncertain(ticket, _mishap(MishapKind.SILENT, f"{request.target.stall} gave no answer.", "Ask what became of the request before sending it again."))
 
+    def _pass_held(self, number: int) -> None:
+        found = self._passed(number)
+        if found is None:
+            return
+        ticket, request = found
+        # Nothing left this stall, so this was no send and costs none.
+        request.sends -= 1
+        self._wait(ticket, _mishap(MishapKind.LEASE_LAPSED, "No fresh news from the core.", "Come back after the time given."))
+
     def _send_again(self, ticket: int, mishap: Mishap) -> None:
         request = self.requests[ticket]
         request.refused_by.add(request.target.stall)
@@ -493,16 +507,20 @@
 
     # -- the target's side -------------------------------------------------------------------------------------------
 
-    def _pass(self, event: PassArrived) -> None:
+    def _pass(self, event: PassArrived, *, again: bool = False) -> None:
         call = event.call
         mishap = self._admit(event)
+        if mishap is not None and mishap.kind == MishapKind.LEASE_LAPSED and len(self.parked) < self.params.backlog and not again:
+            # A gap of the core's is short: wait it out for half the budget before troubling another stall.
+            self.parked[event.ticket] = (event, self.now + call.budget / 2)
+            return
         if mishap is None:
             self._remember(call.send)
             number = self._number()
             self.runs[number] = _Run(ticket=event.ticket, call=call, arrived=self.now)
             self._out.append(RunServer(number, self.server.address, call, call.budget))
             return
-        if call.send in self.seen and mishap.kind == MishapKind.ALREADY_SEEN:
+        if mishap.kind == MishapKind.ALREADY_SEEN:
             # It ran or was refused under this very id: nothing certain can be said to the second copy.
             self._out.append(AnswerPass(event.ticket, PassAnswer(call.send, UNKNOWN, str(mishap.kind), mishap.message)))
             return
@@ -510,6 +528,14 @@
         self._remember(call.send)
         self._out.append(AnswerPass(event.ticket, PassAnswer(call.send, NOT_RUN, str(mishap.kind), mishap.message)))
 
+    def _retry_parked(self) -> None:
+        for ticket, (event, until) in list(self.parked.items()):
+            if self.fresh() or self.now >= until:
+                # Admitted anew, with what of its budget is left; past its time the refusal stands.
+                spent = self.now - (until - event.call.budget / 2)
+                del self.parked[ticket]
+                self._pass(event._replace(call=event.call._replace(budget=event.call.budget - spent)), again=True)
+
     def _remember(self, send: str) -> None:
         self.seen[send] = self.now
         while self.seen and self.now - next(iter(self.seen.values())) > REMEMBERED:
@@ -517,7 +543,7 @@
 
     def _admit(self, event: PassArrived) -> Mishap | None:
         call = event.call
-        if call.send in self.seen:
+        if call.send in self.seen or any(parked.ticket != event.ticket and parked.call.send == call.send for parked, _ in self.parked.values()):
             return _mishap(MishapKind.ALREADY_SEEN, "This send was here before.", "Never send one id twice.")
         if event.frozen:
             # After standing still nobody can tell how old the envelope is.
@@ -631,6 +657,7 @@
             self._spent(ticket)
         self.waiting = deque(ticket for ticket in self.waiting if ticket in self.requests)
         self._retry_waiting()
+        self._retry_parked()
         for number, run in list(self.runs.items()):
             if run.answer is not None and not run.answered and self.now >= run.deadline:
                 # The run is done and its answer true, even if the hold can't be settled yet.
@@ -653,5 +680,5 @@
 
     def idle(self) -> bool:
         """Nothing mid-answer: a stopping stall may go."""
-        return not self.requests and not self.runs and not self.releases
+        return not self.requests and not self.runs and not self.releases and not self.parked
 
--- a/packages/stall/src/hoistsaddle/stall/messages.py
+++ b/packages/stall/src/hoistsaddle/stall/messages.py
@@ -52,6 +52,12 @@
     unsent: bool
 
 
+class PassHeld(NamedTuple):
+    """This stall held the send back itself, directly before its first byte: its lease had lapsed, or it had stood still."""
+
+    number: int
+
+
 class PassArrived(NamedTuple):
     ticket: int
     call: PassCall
--- a/packages/stall/src/hoistsaddle/stall/node.py
+++ b/packages/stall/src/hoistsaddle/stall/node.py
@@ -24,6 +24,7 @@
     LeaseRenewed,
     PassAnswered,
     PassArrived,
+    PassHeld,
     PassMissed,
     PassOn,
     ReportVitals,
@@ -44,7 +45,9 @@
 FROZEN_GAP = milliseconds(400)
 VITALS_EVERY = milliseconds(400)
 POLL_SPAN = milliseconds(600)
-HOLD_SPAN = milliseconds(1200)
+HOLD_SPAN = milliseconds(1500)
+# One bourse gets this long; the same command is then tried at the next, which may not be frozen.
+HOLD_TRY = milliseconds(500)
 STOP_SPAN = timedelta(seconds=20)
 
 # Runs a request on the server beside the stall and gives ServerAnswered or ServerMissed.
@@ -178,7 +181,7 @@
             left = deadline - self.runtime.now()
             if left <= timedelta():
                 break
-            match await self.runtime.lines.call(address, call, within=left):
+            match await self.runtime.lines.call(address, call, within=min(left, HOLD_TRY)):
                 case Success(WriteAnswer(mishap="", outcomes=(outcome,))):
                     self.feed(HoldAnswered(ask.number, unpack_outcome(outcome)))
                     return
@@ -192,15 +195,20 @@
     async def _pass_on(self, command: PassOn) -> None:
         self.counters.add(f"sends.{command.call.service_name}")
         decided = self.runtime.now()
+        held = False
 
         def still() -> bool:
             # A freeze between deciding and sending makes both lease and budget old.
+            nonlocal held
             now = self.runtime.now()
-            return now - decided < FROZEN_GAP and not self._frozen() and self.relay.fresh(now=now)
+            held = now - decided >= FROZEN_GAP or self._frozen() or not self.relay.fresh(now=now)
+            return not held
 
         match await self.runtime.lines.call(command.address, command.call, within=command.within, still=still):
             case Success(PassAnswer() as answer):
                 self.feed(PassAnswered(command.number, answer))
+            case _ if held:
+                self.feed(PassHeld(command.number))
             case result:
                 self.feed(PassMissed(command.number, result.failure().kind == MishapKind.UNREACHABLE))
 
