Uptake climbs the tree at once; a failing disk keeps its votes; chunks are read on the disk thread

Cause: acceptance waited for uptakes that relays told only with their next poll, which their parent was holding. Ruled out: the way down (the last stall had it within 35 to 123 ms). Also found by reading: sqlite3's operational errors at boot (full, locked) were taken for damage.

--- a/packages/crier/src/hoistsaddle/crier/relay.py
+++ b/packages/crier/src/hoistsaddle/crier/relay.py
@@ -113,11 +113,15 @@
         ranges = self.copy.differing(call.digests)
         return PollAnswer("", self.copy.mesh, self.copy.revision, age, ranges, self.copy.items_in(ranges))
 
-    def heard(self, uptakes: tuple[Uptake, ...], *, now: timedelta) -> None:
+    def heard(self, uptakes: tuple[Uptake, ...], *, now: timedelta) -> bool:
+        """Notes what is taken up below; true if any of it is new."""
+        new = False
         for uptake in uptakes:
             known = self.uptakes.get(uptake.node)
             if known is None or known[0].incarnation != uptake.incarnation or uptake.revision >= known[0].revision:
+                new = new or known is None or known[0] != uptake
                 self.uptakes[uptake.node] = (uptake, now)
+        return new
 
     def known_uptakes(self, *, now: timedelta) -> tuple[Uptake, ...]:
         return tuple(uptake for uptake, moment in self.uptakes.values() if now - moment < self.lease_span)
--- a/packages/fairground/src/hoistsaddle/fairground/fleet.py
+++ b/packages/fairground/src/hoistsaddle/fairground/fleet.py
@@ -3,7 +3,6 @@
 import hashlib
 import os
 import random
-import secrets
 import shutil
 import signal
 import socket
@@ -256,7 +255,3 @@
 
 def token_digest(token: str) -> str:
     return hashlib.sha256(token.encode()).hexdigest()
-
-
-def fresh_folder(parent: Path) -> Path:
-    return parent / f"fleet-{secrets.token_hex(4)}"
--- a/packages/fairground/src/hoistsaddle/fairground/measure.py
+++ b/packages/fairground/src/hoistsaddle/fairground/measure.py
@@ -122,7 +122,9 @@
     core = _Core(folder=folder)
     async with core.fleet:
         await core.fleet.start(bundle=False)
-        for turn in range(12):
+        # Longer than a settled hold is kept: only then what comes in and what expires are in balance.
+        for turn in range(24):
+            await asyncio.sleep(5)
             await core.claims(count=2500, outstanding=64, prefix=f"{turn}", body=b'{"answer": "%s"}' % (b"x" * 500))
             sizes = [sum(path.stat().st_size for path in (folder / f"data-{replica}").rglob("*") if path.is_file()) / 1e6 for replica in core.warehouses]
             looks = [await core.look(replica) for replica in core.warehouses]
--- a/packages/fairground/src/hoistsaddle/fairground/simulation/deployment.py
+++ b/packages/fairground/src/hoistsaddle/fairground/simulation/deployment.py
@@ -93,7 +93,6 @@
         self.servers: dict[str, SimulatedServer] = {}
         for place, service in enumerate(deployment.services):
             self.stalls[f"stall-{place + 1:02d}"] = (deployment.zone_of(place), service)
-        self.held_answers: dict[str, asyncio.Event] = {}
         self.happenings: list[tuple[float, str, str, dict]] = []
         world.seen_calls = self._see_call
 
--- a/packages/kiosk/src/hoistsaddle/kiosk/commands.py
+++ b/packages/kiosk/src/hoistsaddle/kiosk/commands.py
@@ -12,8 +12,8 @@
 from hoistsaddle.tally.params import BourseParams, StallParams, WarehouseParams, read_params
 
 
-def _run(*, kind: type, service, settings: str | None, flags: dict) -> None:
-    match read_params(kind=kind, path=settings, flags=flags):
+def _run(*, kind: type, service, params_file: str | None, flags: dict) -> None:
+    match read_params(kind=kind, path=params_file, flags=flags):
         case Failure(mishap):
             click.echo(f"refused: {mishap}", err=True)
             sys.exit(2)
@@ -44,7 +44,7 @@
     """hoistsaddle: a service mesh you can watch at work."""
 
 
-_settings = click.option("--settings", type=str, help="TOML file with the fields below; flags win over it.")
+_settings = click.option("--params", "--settings", "params_file", type=str, help="TOML file with the fields below; flags win over it.")
 _core = click.option("--core", multiple=True, help="A core machine: REPLICA=WAREHOUSE_ADDRESS,BOURSE_ADDRESS. Repeat for each.")
 
 
@@ -55,11 +55,11 @@
 @click.option("--listen", help="Mesh address, IP:PORT.")
 @click.option("--data-folder")
 @_core
-def warehouse(settings, core, **flags) -> None:
+def warehouse(params_file, core, **flags) -> None:
     """Runs the store on a core machine."""
     from hoistsaddle.warehouse.service import WarehouseService
 
-    _run(kind=WarehouseParams, service=WarehouseService, settings=settings, flags={**flags, "core": _core_machines(core)})
+    _run(kind=WarehouseParams, service=WarehouseService, params_file=params_file, flags={**flags, "core": _core_machines(core)})
 
 
 @main.command()
@@ -69,11 +69,11 @@
 @click.option("--listen", help="Mesh address, IP:PORT.")
 @click.option("--operators", help="Operators' HTTP address, IP:PORT.")
 @_core
-def bourse(settings, core, **flags) -> None:
+def bourse(params_file, core, **flags) -> None:
     """Runs the registry on a core machine."""
     from hoistsaddle.bourse.service import BourseService
 
-    _run(kind=BourseParams, service=BourseService, settings=settings, flags={**flags, "core": _core_machines(core)})
+    _run(kind=BourseParams, service=BourseService, params_file=params_file, flags={**flags, "core": _core_machines(core)})
 
 
 @main.command()
@@ -84,11 +84,11 @@
 @click.option("--visitors", help="Visitors' HTTP address, IP:PORT.")
 @click.option("--inner", help="HTTP address for this machine's own server, IP:PORT.")
 @click.option("--seed", "seeds", multiple=True, help="A bourse's mesh address; give three.")
-def stall(settings, seeds, **flags) -> None:
+def stall(params_file, seeds, **flags) -> None:
     """Runs the proxy beside a server."""
     from hoistsaddle.stall.service import StallService
 
-    _run(kind=StallParams, service=StallService, settings=settings, flags={**flags, "seeds": list(seeds)})
+    _run(kind=StallParams, service=StallService, params_file=params_file, flags={**flags, "seeds": list(seeds)})
 
 
 main.add_command(fleet)
--- a/packages/ledger/src/hoistsaddle/ledger/core.py
+++ b/packages/ledger/src/hoistsaddle/ledger/core.py
@@ -608,7 +608,7 @@
     def _pull_call(self, ticket: int, call: PullCall) -> None:
         if self.standing != LEADER or call.epoch != self.epoch:
             return self._answer(ticket, PullAnswer(NOT_LEADER_FOR_PARTITION, self.epoch, call.checkpoint_offset, call.checkpoint_epoch))
-        self._out.append(ReadChunk(ticket, self.epoch, call))
+        self._out.append(ReadChunk(ticket, self.epoch, call, min(call.max_bytes, self.pace.chunk_bytes)))
 
     # -- the follower's side -----------------------------------------------------------------------------------------
 
--- a/packages/ledger/src/hoistsaddle/ledger/disk.py
+++ b/packages/ledger/src/hoistsaddle/ledger/disk.py
@@ -50,18 +50,28 @@
 
     # -- opening -----------------------------------------------------------------------------------------------------
 
-    def _open(self) -> None:
-        self.checkpoints.mkdir(parents=True, exist_ok=True)
-        path = self.folder / "ledger.sqlite3"
+    def boot(self) -> Boot:
+        """Reads everything back; what can't be trusted makes this a blank disk with a new incarnation."""
         try:
-            self._connect(path)
+            if self.connection is None:
+                self._open()
+            return self._read()
+        except sqlite3.OperationalError as problem:
+            # Full, locked or failing: the votes may still be there, so nothing is thrown away.
+            raise OSError(errno.EIO, f"the ledger can't be used now: {problem}") from problem
         except sqlite3.DatabaseError:
             # A database that can't be read has lost its votes: lay the folder anew, under a new incarnation.
             self.remarks.append("the ledger could not be read and was set aside")
-            for suffix in ("", "-wal", "-shm"):
-                if (part := path.with_name(path.name + suffix)).exists():
+            self.close()
+            for part in sorted(self.folder.glob("ledger.sqlite3*")):
+                if ".aside-" not in part.name:
                     _set_aside(part)
-            self._connect(path)
+            self._open()
+            return self._read()
+
+    def _open(self) -> None:
+        self.checkpoints.mkdir(parents=True, exist_ok=True)
+        self._connect(self.folder / "ledger.sqlite3")
         _sync_folder(self.folder)
 
     def _connect(self, path: Path) -> None:
@@ -89,10 +99,7 @@
     def _set_fact(self, name: str, value: object) -> None:
         self.connection.execute("INSERT OR REPLACE INTO facts VALUES (?, ?)", (name, msgspec.msgpack.encode(value)))
 
-    def boot(self) -> Boot:
-        """Reads everything back; what can't be trusted makes this a blank disk with a new incarnation."""
-        if self.connection is None:
-            self._open()
+    def _read(self) -> Boot:
         mesh = self._fact("mesh") or ""
         vote = self._fact("vote")
         known = Boot(
--- a/packages/ledger/src/hoistsaddle/ledger/events.py
+++ b/packages/ledger/src/hoistsaddle/ledger/events.py
@@ -124,6 +124,7 @@
     ticket: int
     epoch: int
     call: PullCall
+    max_bytes: int
 
 
 class Concluded(NamedTuple):
--- a/packages/ledger/src/hoistsaddle/ledger/jobs.py
+++ b/packages/ledger/src/hoistsaddle/ledger/jobs.py
@@ -8,8 +8,9 @@
 from datetime import timedelta
 from typing import NamedTuple, Protocol
 
+from hoistsaddle.haggle.parcels import PullAnswer
 from hoistsaddle.ledger.disk import Disk
-from hoistsaddle.ledger.events import Boot, Capture, CheckpointLoaded, CheckpointMishap, CheckpointStored, DropCheckpoints, StoreChunk, Synced, Write
+from hoistsaddle.ledger.events import Boot, Capture, CheckpointLoaded, CheckpointMishap, CheckpointStored, DropCheckpoints, Mark, ReadChunk, StoreChunk, Synced, Write
 from hoistsaddle.tally.counters import Counters
 
 DISK_RETRY = timedelta(milliseconds=200)
@@ -27,6 +28,11 @@
     boot: Boot | None
 
 
+class ChunkRead(NamedTuple):
+    ticket: int
+    answer: PullAnswer
+
+
 class DiskWorker(Protocol):
     def put(self, job: tuple) -> None: ...
 
@@ -80,6 +86,11 @@
                 self.counters.add("checkpoint.pulled")
                 self.counters.gauge("checkpoint.load_milliseconds", (time.monotonic() - began) * 1000)
                 return CheckpointLoaded(mark, state)
+            case ReadChunk(ticket=ticket, epoch=epoch, call=call, max_bytes=max_bytes):
+                mark = Mark(call.checkpoint_offset, call.checkpoint_epoch)
+                mishap, data, continues = self.disk.read_chunk(mark=mark, position=call.position, max_bytes=max_bytes)
+                self.counters.add("checkpoint.chunks_served")
+                return ChunkRead(ticket, PullAnswer(mishap, epoch, *mark, call.position, data, continues))
             case Founding(mesh=mesh, voters=voters, operators=operators):
                 self.disk.found(mesh=mesh, voters=voters, operators=operators)
                 return Founded(self.disk.boot())
--- a/packages/ledger/src/hoistsaddle/ledger/shell.py
+++ b/packages/ledger/src/hoistsaddle/ledger/shell.py
@@ -6,7 +6,6 @@
 
 from returns.result import Success
 
-from hoistsaddle.haggle.parcels import PullAnswer
 from hoistsaddle.haggle.runtime import Runtime
 from hoistsaddle.ledger.core import LedgerCore
 from hoistsaddle.ledger.disk import Disk
@@ -18,7 +17,6 @@
     Capture,
     Concluded,
     DropCheckpoints,
-    Mark,
     Pace,
     ProposalArrived,
     ReadArrived,
@@ -31,7 +29,7 @@
     Ticked,
     Write,
 )
-from hoistsaddle.ledger.jobs import DiskThread, DiskWorker, Founded, Founding
+from hoistsaddle.ledger.jobs import ChunkRead, DiskThread, DiskWorker, Founded, Founding
 from hoistsaddle.tally.counters import Counters
 from hoistsaddle.tally.moments import milliseconds
 
@@ -102,6 +100,9 @@
             if isinstance(event, Founded):
                 self.founding.set_result(event.boot)
             return
+        if isinstance(event, ChunkRead):
+            self._settle(event.ticket, event.answer)
+            return
         if isinstance(event, Synced):
             self.synced = max(self.synced, event.sequence)
         for command in self.core.handle(event, now=self.runtime.now()):
@@ -120,10 +121,8 @@
                 self._spawn(self._call(command))
             case Answer(ticket=ticket, message=message):
                 self._settle(ticket, message)
-            case Write() | Capture() | StoreChunk() | DropCheckpoints():
+            case Write() | Capture() | StoreChunk() | DropCheckpoints() | ReadChunk():
                 self.worker.put(command)
-            case ReadChunk():
-                self._spawn(self._read_chunk(command))
             case Concluded(ticket=ticket) | ReadReady(ticket=ticket):
                 self._settle(ticket, command)
             case Announce(kind=kind, detail=detail):
@@ -142,14 +141,6 @@
             case _:
                 self.counters.add("sends.mishaps")
 
-    async def _read_chunk(self, command: ReadChunk) -> None:
-        call = command.call
-        mark = Mark(call.checkpoint_offset, call.checkpoint_epoch)
-        # A checkpoint never changes under its name, so this read needs no turn behind the disk thread.
-        mishap, data, continues = self.disk.read_chunk(mark=mark, position=call.position, max_bytes=min(call.max_bytes, self.pace.chunk_bytes))
-        self.counters.add("checkpoint.chunks_served")
-        self._settle(command.ticket, PullAnswer(mishap, command.epoch, *mark, call.position, data, continues))
-
     async def ask(self, make: Callable[[int], tuple]) -> tuple:
         """Feeds the event made for a fresh ticket and waits for what the core has to say to it."""
         self.tickets += 1
--- a/packages/stall/src/hoistsaddle/stall/core.py
+++ b/packages/stall/src/hoistsaddle/stall/core.py
@@ -366,7 +366,7 @@
         stalls, margin = len(self.view.live_stalls()), request.service.further_margin
         if request.sends == 0:
             self.further.first(entry.service, percent=request.service.further_percent, margin=margin, stalls=stalls)
-        elif not self.further.admit(entry.service, margin=margin, stalls=stalls):
+        elif not self.further.gate(entry.service, margin=margin, stalls=stalls):
             mishap = _mishap(MishapKind.FURTHER_SENDS_SPENT, f"{entry.service} has no room for further sends.", "Come back after the time given.")
             return self._unknown(ticket, mishap) if request.uncertain else self._not_run(ticket, mishap)
         request.sends += 1
@@ -509,7 +509,7 @@
 
     def _pass(self, event: PassArrived, *, again: bool = False) -> None:
         call = event.call
-        mishap = self._admit(event)
+        mishap = self._gate(event)
         if mishap is not None and mishap.kind == MishapKind.LEASE_LAPSED and len(self.parked) < self.params.backlog and not again:
             # A gap of the core's is short: wait it out for half the budget before troubling another stall.
             self.parked[event.ticket] = (event, self.now + call.budget / 2)
@@ -541,7 +541,7 @@
         while self.seen and self.now - next(iter(self.seen.values())) > REMEMBERED:
             self.seen.popitem(last=False)
 
-    def _admit(self, event: PassArrived) -> Mishap | None:
+    def _gate(self, event: PassArrived) -> Mishap | None:
         call = event.call
         if call.send in self.seen or any(parked.ticket != event.ticket and parked.call.send == call.send for parked, _ in self.parked.values()):
             return _mishap(MishapKind.ALREADY_SEEN, "This send was here before.", "Never send one id twice.")
--- a/packages/stall/src/hoistsaddle/stall/further.py
+++ b/packages/stall/src/hoistsaddle/stall/further.py
@@ -23,7 +23,7 @@
         tokens = self.tokens.get(service, Fraction(0)) + Fraction(percent, 100)
         self.tokens[service] = min(tokens, self._kept(margin=margin, stalls=stalls))
 
-    def admit(self, service: str, *, margin: int, stalls: int) -> bool:
+    def gate(self, service: str, *, margin: int, stalls: int) -> bool:
         # A fleet that grew lowers every stall's part at once.
         tokens = min(self.tokens.get(service, Fraction(0)), self._kept(margin=margin, stalls=stalls))
         if tokens < 1:
--- a/packages/stall/src/hoistsaddle/stall/node.py
+++ b/packages/stall/src/hoistsaddle/stall/node.py
@@ -73,6 +73,7 @@
         self.work: set[asyncio.Task] = set()
         self.ticked_at = self.thawed_at = runtime.now()
         self.bourses: list[str] = list(params.seeds)
+        self.parent = params.seeds[0]
         self.vitals_due = asyncio.Event()
         self.vitals_told = (0, "")
         me = Rumour(params.name, "stall", params.listen, params.zone, self.incarnation, 0, ALIVE)
@@ -165,7 +166,9 @@
                 self.feed(PassArrived(ticket, message, self._frozen()))
                 return (await future).answer
             case PollCall():
-                self.relay.heard(message.uptakes, now=self.runtime.now())
+                if self.relay.heard(message.uptakes, now=self.runtime.now()):
+                    # Somebody below took something up: the own poll may be held just now, so a second one tells it.
+                    self._spawn(self._poll_once(self.parent))
                 return await hold_poll(runtime=self.runtime, relay=self.relay, news=self.news, call=message)
             case ProbeCall() | ProbeForCall():
                 return await self.member.answer(message)
@@ -230,32 +233,38 @@
         parents = select_parents(node=self.params.name, stalls=stalls, roots=roots)
         return parents + [seed for seed in self.params.seeds if seed not in parents]
 
+    async def _poll_once(self, address: str) -> bool:
+        """Asks one parent; true if that renewed the lease."""
+        sent = self.runtime.now()
+        match await self.runtime.lines.call(address, self.relay.poll(own=self._uptake(), now=sent), within=POLL_SPAN):
+            case Success(PollAnswer() as answer) if not answer.mishap:
+                pass
+            case _:
+                self.counters.add("news.polls_missed")
+                return False
+        before = self.relay.lease_start
+        if self.relay.polled(answer, sent=sent):
+            view = read_view(revision=self.relay.copy.revision, items=self.relay.copy.items, node=self.params.name, zone=self.params.zone, before=self.core.view)
+            self.counters.add("news.taken")
+            self.feed(SetupChanged(view))
+            known = [node.address for node in view.nodes.values() if node.kind == "bourse" and node.state != GONE]
+            self.bourses = [each for each in self.bourses if each in known] + [each for each in known if each not in self.bourses] or list(self.params.seeds)
+        if self.relay.lease_start is not None:
+            self.feed(LeaseRenewed(self.relay.lease_start))
+            self.counters.gauge("lease.age_milliseconds", (self.runtime.now() - self.relay.lease_start).total_seconds() * 1000)
+        async with self.news:
+            self.news.notify_all()
+        return self.relay.lease_start != before
+
     async def _poll(self) -> None:
         turn = 0
         while True:
             parents = self._parents()
-            # The tree's parent first; each failure moves on towards the roots.
-            address = parents[turn % len(parents)]
-            sent = self.runtime.now()
-            match await self.runtime.lines.call(address, self.relay.poll(own=self._uptake(), now=sent), within=POLL_SPAN):
-                case Success(PollAnswer() as answer) if not answer.mishap:
-                    before = self.relay.lease_start
-                    if self.relay.polled(answer, sent=sent):
-                        view = read_view(revision=self.relay.copy.revision, items=self.relay.copy.items, node=self.params.name, zone=self.params.zone, before=self.core.view)
-                        self.counters.add("news.taken")
-                        self.feed(SetupChanged(view))
-                        known = [node.address for node in view.nodes.values() if node.kind == "bourse" and node.state != GONE]
-                        self.bourses = [each for each in self.bourses if each in known] + [each for each in known if each not in self.bourses] or list(self.params.seeds)
-                    if self.relay.lease_start is not None:
-                        self.feed(LeaseRenewed(self.relay.lease_start))
-                        self.counters.gauge("lease.age_milliseconds", (self.runtime.now() - self.relay.lease_start).total_seconds() * 1000)
-                    async with self.news:
-                        self.news.notify_all()
-                    # A parent that can't renew the lease is as good as none.
-                    turn = 0 if self.relay.lease_start != before else turn + 1
-                    continue
-                case _:
-                    self.counters.add("news.polls_missed")
+            # The tree's parent first; each failure, or an answer that renews nothing, moves on towards the roots.
+            self.parent = parents[turn % len(parents)]
+            if await self._poll_once(self.parent):
+                turn = 0
+                continue
             turn += 1
             await asyncio.sleep(milliseconds(30).total_seconds())
 
--- a/packages/stall/src/hoistsaddle/stall/service.py
+++ b/packages/stall/src/hoistsaddle/stall/service.py
@@ -3,6 +3,7 @@
 
 import aiohttp
 import msgspec
+import yarl
 from aiohttp import web
 from aiomisc import Service
 
@@ -145,8 +146,9 @@
         silent = Mishap(MishapKind.SILENT, "The server gave no whole answer.", "Ask what became of the request before sending it again.")
         broken = Mishap(MishapKind.ANSWER_BROKEN, "The server's answer is not whole JSON.", "Ask what became of the request before sending it again.")
         try:
+            # The path goes on byte for byte as it was admitted.
             timeout = aiohttp.ClientTimeout(total=command.within.total_seconds())
-            async with self.session.request(call.method, f"http://{command.address}{call.path}", headers=headers, data=call.body or None, timeout=timeout, allow_redirects=False) as answer:
+            async with self.session.request(call.method, yarl.URL(f"http://{command.address}{call.path}", encoded=True), headers=headers, data=call.body or None, timeout=timeout, allow_redirects=False) as answer:
                 body = await answer.content.read(LARGEST_BODY + 1)
                 while not answer.content.at_eof() and len(body) <= LARGEST_BODY:
                     body += await answer.content.read(LARGEST_BODY + 1 - len(body))
--- a/tests/plants.py
+++ b/tests/plants.py
@@ -51,7 +51,7 @@
 
 
 def _target_admits_all():
-    return mock.patch.object(StallCore, "_admit", lambda self, event: None)
+    return mock.patch.object(StallCore, "_gate", lambda self, event: None)
 
 
 def _inner_calls_as_visitors():
@@ -86,7 +86,7 @@
 
 
 def _further_sends_unbounded():
-    return mock.patch.object(FurtherSends, "admit", lambda self, service, *, margin, stalls: True)
+    return mock.patch.object(FurtherSends, "gate", lambda self, service, *, margin, stalls: True)
 
 
 def _read_back_kept():
--- a/tests/test_kip_630.py
+++ b/tests/test_kip_630.py
@@ -1,8 +1,10 @@
 """KIP-630's rules, each on the core or the disk that must keep it."""
 import random
+import sqlite3
 import tempfile
 from datetime import timedelta
 from pathlib import Path
+from unittest import mock
 
 from immutables import Map
 from returns.result import Failure, Success
@@ -374,6 +376,15 @@
         booted = Disk(folder=self.folder, replica=1).boot()
         self.assertThat((booted.incarnation != boot.incarnation, booted.mesh), Equals((True, "")))
 
+    def test_a_disk_that_fails_now_keeps_its_votes(self) -> None:
+        disk = self.founded()
+        boot = disk.boot()
+        disk.close()
+        failing = Disk(folder=self.folder, replica=1)
+        with mock.patch.object(Disk, "_connect", side_effect=sqlite3.OperationalError("database or disk is full")):
+            self.assertThat(failing.boot, raises(OSError))
+        self.assertThat(Disk(folder=self.folder, replica=1).boot().incarnation, Equals(boot.incarnation))
+
     def test_chunks_are_served_by_position_and_stored_whole_or_not_at_all(self) -> None:
         disk = self.founded()
         state = disk.boot().state._replace(offset=3, epoch=4)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -72,6 +72,7 @@
 
         async def scenario(whole: SimulatedDeployment) -> None:
             await whole.start()
+            await whole.until(lambda: len(whole.nodes["bourse-1"].view.nodes) == len(whole.stalls) + len(whole.core), seconds=10, what="every node noted")
             setup = await read_setup(whole)
             await whole.until(lambda: first_parents(whole) == parents(setup), seconds=10, what="everyone at its place")
             forecast = weigh_change(setup, Change(gone=("stall-01",))).unwrap()
