--- a/packages/fairground/src/hoistsaddle/fairground/simulation/scenarios.py
+++ b/packages/fairground/src/hoistsaddle/fairground/simulation/scenarios.py
@@ -85,6 +85,28 @@
     await whole.read_back(in_force=1)
 
 
+async def days_end(whole: SimulatedDeployment) -> None:
+    """At day's end everything fails together: every process, one core machine's disk, the others' disks slow; then the read-back."""
+    await whole.start()
+
+    async def trouble() -> None:
+        await whole.roll_out(next_bundle(whole, number=2, based_on=1))
+        assert isinstance(await whole.drain("stall-02"), Success)
+        names = list(whole.lives)
+        whole.kill(*names)
+        whole.wipe(whole.random.choice(whole.core).replica)
+        whole.world.sync_seconds = (0.02, 0.1)
+        await asyncio.sleep(1)
+        whole.restart(*names)
+        await whole.until(lambda: whole.leader() is not None, seconds=15, what="a leader")
+        await whole.read_back(in_force=2, drained=("stall-02",))
+        await whole.service_back("day's end")
+
+    await under_load(whole, trouble(), seconds=10)
+    await whole.until(lambda: all(whole.rejoined(machine.replica) for machine in whole.core), seconds=20, what="all votes back")
+    await whole.read_back(in_force=2, drained=("stall-02",))
+
+
 async def stalls_killed(whole: SimulatedDeployment) -> None:
     """All stalls die together, three times; the keys they held must not run again."""
     await whole.start()
@@ -737,6 +759,6 @@
 SCENARIOS: dict[str, Scenario] = {
     scenario.__name__: scenario
     for scenario in (
-        calm, core_machine_lost, leader_frozen, disk_wiped, herd_killed, stalls_killed, cut_apart, frozen, disks_fail, servers_change, servers_misbehave, bundles_race, rolling_restart, lossy, zone_lost, control_lost, bundle_while_cut_off, broken_bundle, anything
+        calm, core_machine_lost, leader_frozen, disk_wiped, herd_killed, days_end, stalls_killed, cut_apart, frozen, disks_fail, servers_change, servers_misbehave, bundles_race, rolling_restart, lossy, zone_lost, control_lost, bundle_while_cut_off, broken_bundle, anything
     )
 }
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,64 @@
+"""A stage that one machine refuses, and taking a roll-out back, in simulated time."""
+from unittest import mock
+
+from returns.result import Failure, Success
+from testtools import TestCase
+from testtools.matchers import Contains, Equals
+
+from hoistsaddle.fairground.deployments import DEPLOYMENTS
+from hoistsaddle.fairground.simulation.clockwork import NODE
+from hoistsaddle.fairground.simulation.deployment import SimulatedDeployment, simulate
+from hoistsaddle.fairground.simulation.scenarios import next_bundle
+from hoistsaddle.shelf import view
+from hoistsaddle.tally.mishaps import Mishap, MishapKind
+
+OLD_RELEASE = "stall-05"
+
+
+def read_as_an_old_release(text: str):
+    """One stall runs a release that can't read the new bundle; everybody else can."""
+    life = NODE.get()
+    if life is not None and life.name == OLD_RELEASE and 'note = "newer"' in text:
+        return Failure(Mishap(MishapKind.BUNDLE_BROKEN, "It has a field this release doesn't know.", "Install the newer release.", "entries[0].newer"))
+    return plain(text)
+
+
+plain = view.read_bundle
+
+
+class Rollouts(TestCase):
+    def test_a_machine_that_refuses_is_named_stays_as_it_is_and_the_rollout_can_be_taken_back(self) -> None:
+        told: dict = {}
+
+        def bundles(whole: SimulatedDeployment) -> dict[str, int]:
+            return {name: whole.nodes[name].core.view.bundle_number for name in whole.stalls}
+
+        async def scenario(whole: SimulatedDeployment) -> None:
+            await whole.start()
+            text = next_bundle(whole, number=2, based_on=1, note="newer")
+            submitted = (await whole.submit(text)).unwrap()["submitted"]
+            one = (await whole.sign(2, submitted["digest"])).unwrap()
+            two = (await whole.advance(2, 1)).unwrap()
+            told["answers"] = (one["accepted"], two["accepted"], two["refused"]["message"], two["refused"]["kind"])
+            told["refusal"] = two["machines"][OLD_RELEASE]
+            told["bundles"] = bundles(whole)
+            # It refuses, and goes on serving under what it has.
+            told["ready"] = whole.nodes[OLD_RELEASE].core.ready()
+            # The next bundle, which it can read, brings it along.
+            await whole.roll_out(next_bundle(whole, number=3, based_on=2))
+            told["later"] = bundles(whole)
+            third = (await whole.submit(next_bundle(whole, number=4, based_on=3, note="regretted"))).unwrap()["submitted"]
+            assert isinstance(await whole.sign(4, third["digest"]), Success)
+            told["rolling"] = sorted(set(bundles(whole).values()))
+            aborted = await whole.at_desk(lambda desk, request: desk.abort(operator="ada", number=4, request=request))
+            told["aborted"] = (aborted.unwrap()["accepted"], sorted(set(bundles(whole).values())))
+            again = await whole.sign(4, third["digest"])
+            told["again"] = again.failure().kind
+
+        with mock.patch.object(view, "read_bundle", read_as_an_old_release):
+            simulate(deployment=DEPLOYMENTS["thimble"], seed=6, scenario=scenario)
+        self.assertThat(told["answers"], Equals((True, False, f"{OLD_RELEASE} refused it.", "bundle-refused")))
+        self.assertThat(told["refusal"], Contains("entries[0].newer"))
+        self.assertThat(told["bundles"], Equals({f"stall-{place:02d}": 1 if f"stall-{place:02d}" == OLD_RELEASE else 2 for place in range(1, 7)}))
+        self.assertThat((told["ready"], set(told["later"].values())), Equals((None, {3})))
+        self.assertThat((told["rolling"], told["aborted"], told["again"]), Equals(([3, 4], (True, [3]), "bundle-wrong-phase")))
--- /dev/null
+++ b/tests/test_stall.py
@@ -0,0 +1,255 @@
+"""The stall's core on a bench: what it answers, and when."""
+import random
+from datetime import timedelta
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from hoistsaddle.fairground.deployments import DEPLOYMENTS
+from hoistsaddle.haggle.parcels import PassAnswer, PassCall
+from hoistsaddle.shelf.commands import ClaimHold, Outcome, ReleaseHold, SettleHold
+from hoistsaddle.shelf.state import NodeEntry, ServerEntry
+from hoistsaddle.shelf.view import View
+from hoistsaddle.stall.core import StallCore, StallParamsView, digest_of_body
+from hoistsaddle.stall.messages import (
+    AnswerPass,
+    AnswerVisitor,
+    AskHold,
+    HoldAnswered,
+    LeaseRenewed,
+    PassAnswered,
+    PassArrived,
+    PassHeld,
+    PassMissed,
+    PassOn,
+    RequestArrived,
+    RunServer,
+    ServerAnswered,
+    ServerMissed,
+    SetupChanged,
+    StopAsked,
+    Ticked,
+    VitalsArrived,
+)
+from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.tariff.bundle import read_bundle
+
+BUNDLE = read_bundle(DEPLOYMENTS["thimble"].first_bundle()).unwrap()
+SERVICES = ("portal", "ledger", "meter", "portal", "ledger", "meter")
+
+
+def setup(**drained: str) -> View:
+    nodes = {f"stall-{place}": NodeEntry(f"stall-{place}", "stall", f"at-{place}", "a", "life", "alive", 1) for place in range(1, 7)}
+    servers = {
+        name: ServerEntry(name, SERVICES[place], f"i-{place + 1}", "address", "a", "ready", 1, "life", drained.get(name.replace("-", "_"), ""), 1) for place, name in enumerate(nodes)
+    }
+    return View(5, BUNDLE, 0, 0, "", servers, nodes, {})
+
+
+class Bench:
+    def __init__(self, *, name: str = "stall-1", fresh: bool = True, backlog: int = 5) -> None:
+        self.moment = timedelta(seconds=50)
+        self.core = StallCore(params=StallParamsView(name, "a", "life", timedelta(seconds=1.5), timedelta(seconds=1.5), backlog), seed=random.Random(1), now=self.moment)
+        self.out: list[tuple] = []
+        self.feed(SetupChanged(setup()))
+        place = int(name[-1])
+        self.feed(VitalsArrived(SERVICES[place - 1], f"i-{place}", "address", "ready"))
+        if fresh:
+            self.renew()
+        self.tickets = 0
+
+    def renew(self) -> None:
+        self.feed(LeaseRenewed(self.moment))
+
+    def feed(self, event: tuple, *, later: float = 0.0) -> list[tuple]:
+        self.moment += timedelta(seconds=later)
+        out = self.core.handle(event, now=self.moment)
+        self.out += out
+        return out
+
+    def ask(self, method: str = "GET", path: str = "/readings", *, key: str = "", body: bytes = b"") -> int:
+        self.tickets += 1
+        self.feed(RequestArrived(self.tickets, "", "visitor", method, path, "", {}, body, key))
+        return self.tickets
+
+    def newest(self, kind: type) -> tuple:
+        return next(command for command in reversed(self.out) if isinstance(command, kind))
+
+    def count(self, kind: type) -> int:
+        return sum(isinstance(command, kind) for command in self.out)
+
+    def answer(self, ticket: int) -> AnswerVisitor | None:
+        return next((command for command in self.out if isinstance(command, AnswerVisitor) and command.ticket == ticket), None)
+
+    def refuse_pass(self) -> None:
+        sent = self.newest(PassOn)
+        self.feed(PassAnswered(sent.number, PassAnswer(sent.call.send, "not-run", "winding-down", "it leaves")))
+
+    def call(self, send: str = "s1", *, budget: float = 4.0, **changes) -> PassCall:
+        whole = PassCall(send, "visitors", "visitor", "meter", "stall-3", "i-3", 1, "readings", timedelta(seconds=budget), "GET", "/readings", {}, b"", "", 1024)
+        return whole._replace(**changes)
+
+
+class Entry(TestCase):
+    def test_the_backlog_is_bounded_and_overflow_is_told_at_once(self) -> None:
+        bench = Bench(fresh=False, backlog=5)
+        tickets = [bench.ask() for _ in range(8)]
+        answers = [bench.answer(ticket) for ticket in tickets]
+        self.assertThat([answer is None for answer in answers], Equals([True] * 5 + [False] * 3))
+        self.assertThat((answers[5].outcome, answers[5].mishap.kind, answers[5].retry_after), Equals(("not-run", "backlog-full", timedelta(seconds=1))))
+        bench.renew()
+        self.assertThat(bench.count(PassOn), Equals(5))
+
+    def test_given_up_means_answered_at_once(self) -> None:
+        bench = Bench()
+        ticket = bench.ask()
+        # Tokens for a further send are earned by first ones.
+        for _ in range(10):
+            bench.ask()
+        first = next(command for command in bench.out if isinstance(command, PassOn))
+        bench.feed(PassAnswered(first.number, PassAnswer(first.call.send, "not-run", "winding-down", "it leaves")))
+        self.assertThat(bench.answer(ticket), Equals(None))
+        bench.refuse_pass()
+        answer = bench.answer(ticket)
+        self.assertThat((answer.outcome, answer.status, answer.retry_after is not None), Equals(("not-run", 503, True)))
+
+    def test_waiting_ends_with_the_budget_and_nothing_is_sent_after(self) -> None:
+        bench = Bench(fresh=False)
+        ticket = bench.ask()
+        bench.feed(Ticked(), later=5.1)
+        self.assertThat(bench.answer(ticket).outcome, Equals("not-run"))
+        bench.renew()
+        self.assertThat(bench.count(PassOn), Equals(0))
+
+    def test_silence_is_unknown_and_only_safe_methods_go_further(self) -> None:
+        bench = Bench()
+        for _ in range(10):
+            bench.ask()
+        bench.feed(PassMissed(bench.newest(PassOn).number, False))
+        self.assertThat(bench.newest(PassOn).call.ordinal, Equals(2))
+        bench.feed(PassMissed(bench.newest(PassOn).number, False))
+        self.assertThat(bench.answer(10).outcome, Equals("unknown"))
+        ticket = bench.ask("POST", "/payments", key="k")
+        bench.feed(HoldAnswered(bench.newest(AskHold).number, Outcome(detail={"phase": "granted"})))
+        bench.feed(PassMissed(bench.newest(PassOn).number, False))
+        self.assertThat((bench.answer(ticket).outcome, bench.answer(ticket).status), Equals(("unknown", 504)))
+        # It may have run, so its key stays held.
+        self.assertThat(isinstance(bench.newest(AskHold).command, ClaimHold), Equals(True))
+
+    def test_nothing_is_sent_before_the_claim_is_committed(self) -> None:
+        bench = Bench()
+        bench.ask("POST", "/payments", key="k")
+        self.assertThat(bench.count(PassOn), Equals(0))
+        bench.feed(HoldAnswered(bench.newest(AskHold).number, Outcome(detail={"phase": "granted"})))
+        self.assertThat(bench.count(PassOn), Equals(1))
+
+    def test_a_claim_granted_too_late_is_given_back(self) -> None:
+        bench = Bench()
+        ticket = bench.ask("POST", "/payments", key="k")
+        claim = bench.newest(AskHold)
+        bench.renew()
+        bench.feed(Ticked(), later=5.1)
+        self.assertThat(bench.answer(ticket).outcome, Equals("not-run"))
+        before = bench.count(AskHold)
+        bench.feed(HoldAnswered(claim.number, Outcome(detail={"phase": "granted"})))
+        released = bench.newest(AskHold).command
+        self.assertThat((bench.count(AskHold) - before, type(released), released.claim), Equals((1, ReleaseHold, claim.command.claim)))
+        self.assertThat(bench.count(PassOn), Equals(0))
+
+    def test_an_answer_altered_or_not_to_this_send_is_nobodys(self) -> None:
+        for spoil in (lambda answer: answer._replace(body=b"{}x"), lambda answer: answer._replace(send="another")):
+            bench = Bench()
+            ticket = bench.ask()
+            sent = bench.newest(PassOn)
+            bench.feed(PassAnswered(sent.number, spoil(PassAnswer(sent.call.send, "answered", "", "", 200, {}, b"{}", digest_of_body(b"{}")))))
+            self.assertThat((bench.answer(ticket).outcome, bench.answer(ticket).body), Equals(("unknown", b"")))
+
+    def test_a_send_held_back_here_costs_nothing_and_goes_out_when_fresh(self) -> None:
+        bench = Bench()
+        ticket = bench.ask()
+        bench.feed(PassHeld(bench.newest(PassOn).number))
+        self.assertThat(bench.answer(ticket), Equals(None))
+        bench.feed(Ticked(), later=0.05)
+        self.assertThat((bench.count(PassOn), bench.newest(PassOn).call.ordinal), Equals((2, 1)))
+
+    def test_after_a_freeze_nothing_goes_out_on_the_old_lease(self) -> None:
+        bench = Bench()
+        ticket = bench.ask("POST", "/payments", key="k")
+        bench.feed(HoldAnswered(bench.newest(AskHold).number, Outcome(detail={"phase": "granted"})), later=2.0)
+        self.assertThat((bench.count(PassOn), bench.answer(ticket)), Equals((0, None)))
+
+
+class Target(TestCase):
+    def test_a_send_runs_once_however_often_it_comes(self) -> None:
+        bench = Bench(name="stall-3")
+        for ticket in (1, 2):
+            bench.feed(PassArrived(ticket, bench.call(), False))
+        self.assertThat((bench.count(RunServer), bench.newest(AnswerPass).answer.outcome), Equals((1, "unknown")))
+
+    def test_what_was_refused_never_runs_later(self) -> None:
+        bench = Bench(name="stall-3")
+        bench.feed(PassArrived(1, bench.call(instance="another"), False))
+        self.assertThat(bench.newest(AnswerPass).answer.outcome, Equals("not-run"))
+        bench.feed(PassArrived(2, bench.call(), False))
+        self.assertThat((bench.count(RunServer), bench.newest(AnswerPass).answer.outcome), Equals((0, "unknown")))
+
+    def test_each_gate_refuses(self) -> None:
+        cases = {
+            "frozen": ({}, True),
+            "wrong-instance": ({"service_name": "ledger"}, False),
+            "budget-spent": ({"budget": 0.0}, False),
+            "no-entry": ({"entry": "balance", "path": "/balance"}, False),
+            "not-allowed": ({"caller": "ledger"}, False),
+            "key-missing": ({"entry": "uploads", "path": "/uploads", "method": "POST"}, False),
+            "body-too-large": ({"body": b"x" * 70000}, False),
+        }
+        for kind, (changes, frozen) in cases.items():
+            bench = Bench(name="stall-3")
+            bench.feed(PassArrived(1, bench.call(**changes), frozen))
+            answer = bench.newest(AnswerPass).answer
+            self.assertThat((answer.outcome, answer.mishap, bench.count(RunServer)), Equals(("not-run", kind, 0)))
+
+    def test_leaving_is_known_here_before_any_news_of_it(self) -> None:
+        leave = {
+            "told": lambda bench: bench.feed(VitalsArrived("meter", "i-3", "address", "winding down")),
+            "stopping": lambda bench: bench.feed(StopAsked()),
+            "silent": lambda bench: (bench.feed(Ticked(), later=1.0), bench.renew(), bench.feed(Ticked(), later=0.6)),
+            "drained": lambda bench: bench.feed(SetupChanged(setup(stall_3="ada"))),
+            "replaced": lambda bench: bench.feed(VitalsArrived("ledger", "i-9", "address", "ready")),
+        }
+        for way, do in leave.items():
+            bench = Bench(name="stall-3")
+            do(bench)
+            bench.feed(PassArrived(1, bench.call(), False))
+            self.assertThat((bench.newest(AnswerPass).answer.outcome, bench.count(RunServer)), Equals(("not-run", 0)), way)
+
+    def test_a_short_gap_is_waited_out_for_half_the_budget(self) -> None:
+        bench = Bench(name="stall-3", fresh=False)
+        bench.feed(PassArrived(1, bench.call(), False))
+        self.assertThat((bench.count(RunServer), bench.count(AnswerPass)), Equals((0, 0)))
+        bench.moment += timedelta(seconds=1)
+        bench.feed(VitalsArrived("meter", "i-3", "address", "ready"))
+        bench.renew()
+        self.assertThat((bench.count(RunServer), bench.newest(RunServer).within), Equals((1, timedelta(seconds=3))))
+        never = Bench(name="stall-3", fresh=False)
+        never.feed(PassArrived(1, never.call(), False))
+        never.feed(Ticked(), later=2.1)
+        self.assertThat(never.newest(AnswerPass).answer.mishap, Equals("lease-lapsed"))
+        never.feed(VitalsArrived("meter", "i-3", "address", "ready"))
+        never.renew()
+        self.assertThat(never.count(RunServer), Equals(0))
+
+    def test_the_answer_is_settled_before_it_is_given(self) -> None:
+        bench = Bench(name="stall-3")
+        bench.feed(PassArrived(1, bench.call(entry="uploads", path="/uploads", method="POST", hold="scope claim"), False))
+        bench.feed(ServerAnswered(bench.newest(RunServer).number, 200, {}, b"{}"))
+        self.assertThat((bench.count(AnswerPass), bench.newest(AskHold).command), Equals((0, SettleHold("scope", "claim", 200, {}, b"{}", True))))
+        bench.feed(HoldAnswered(bench.newest(AskHold).number, Outcome(detail={"phase": "settled"})))
+        self.assertThat(bench.newest(AnswerPass).answer.outcome, Equals("answered"))
+
+    def test_a_server_that_took_no_connection_did_not_run_it_and_counts_as_gone(self) -> None:
+        bench = Bench(name="stall-3")
+        bench.feed(PassArrived(1, bench.call(), False))
+        bench.feed(ServerMissed(bench.newest(RunServer).number, True, Mishap(MishapKind.UNREACHABLE, "no connection", "none")))
+        self.assertThat((bench.newest(AnswerPass).answer.outcome, bench.core.server_state()), Equals(("not-run", "gone")))
+
