--- a/packages/fairground/src/hoistsaddle/fairground/checkers.py
+++ b/packages/fairground/src/hoistsaddle/fairground/checkers.py
@@ -26,8 +26,7 @@
 SLIP_SPAN = 0.25
 BACK_SPAN = 15.0
 FURTHER_WINDOW = 10.0
-# Ten for a service, or one for each stall where there are more than ten.
-FURTHER_MARGIN = 13
+FURTHER_MARGIN = 10
 
 
 def runs_twice(history: History) -> list[str]:
@@ -155,9 +154,11 @@
     ]
 
 
-def too_many_further(history: History) -> list[str]:
+def too_many_further(history: History, deployment: Deployment) -> list[str]:
     """Further tries to a service exceed a fifth of its traffic plus a small margin in any ten seconds."""
     found = []
+    # Each stall may hold one further send, so where there are more than ten stalls the margin is their number.
+    margin = max(FURTHER_MARGIN, len(deployment.services))
     sends = defaultdict(list)
     for event in sorted(history.of(Further), key=lambda event: event.moment):
         sends[event.service].append(event)
@@ -170,7 +171,7 @@
                 firsts -= not events[begin].further
                 furthers -= events[begin].further
                 begin += 1
-            if furthers > firsts * 0.2 + FURTHER_MARGIN:
+            if furthers > firsts * 0.2 + margin:
                 found.append(f"{service} got {furthers} further sends beside {firsts} first ones in ten seconds")
                 break
     return found
@@ -227,7 +228,7 @@
     "service returns in time": not_back,
     "what was agreed stays agreed": lost_agreements,
 }
-NEEDS_DEPLOYMENT = (forbidden_runs, wrong_callers)
+NEEDS_DEPLOYMENT = (forbidden_runs, wrong_callers, too_many_further)
 # These compare moments. In simulated time they are exact; on a busy real machine they also measure the machine.
 TIMED = (work_after_leaving, not_in_force, too_many_further, not_back)
 
--- a/packages/fairground/src/hoistsaddle/fairground/proof.py
+++ b/packages/fairground/src/hoistsaddle/fairground/proof.py
@@ -144,6 +144,18 @@
         await self.fleet.until(self.fleet.all_ready, seconds=30, what=f"{name} is ready")
         self.say(f"{name} was stopped as planned (exit {code}) and started again")
 
+    async def restart_core(self) -> None:
+        """The leading core machine is stopped as planned: its bourse, then its warehouse, which resigns."""
+        await self.fleet.until(self._led, seconds=20, what="a leader")
+        replica = await self.leader()
+        began = self._now()
+        for name in (f"bourse-{replica}", f"warehouse-{replica}"):
+            await self.fleet.stop_process(name)
+        await asyncio.gather(self.fleet.launch(f"warehouse-{replica}"), self.fleet.launch(f"bourse-{replica}"))
+        await self.fleet.until(lambda: self.rejoined(replica), seconds=30, what=f"replica {replica} follows")
+        self.history.add(Interrupted(began, self._now(), f"planned restart of core machine {replica}"))
+        self.say(f"core machine {replica}, which led, was stopped as planned, started, and follows {self._now() - began:.1f} s after")
+
     async def kill_everything(self) -> None:
         names = list(self.fleet.processes)
         await self.fleet.kill(*names)
@@ -186,6 +198,7 @@
             await self.kill_stalls()
             await self.freeze()
             await self.restart_stall()
+            await self.restart_core()
             await self.kill_everything()
             await self.fleet.until(self.fleet.all_ready, seconds=30, what="every stall is ready")
             await asyncio.sleep(2)
--- a/packages/stall/src/hoistsaddle/stall/core.py
+++ b/packages/stall/src/hoistsaddle/stall/core.py
@@ -67,7 +67,10 @@
     incarnation: str
     lease_span: timedelta
     vitals_span: timedelta
+    # The most requests that wait here, and the most runs at once on the own server.
     backlog: int
+    # The most sends of this stall under way to one target.
+    outstanding: int
 
 
 class _Server(NamedTuple):
@@ -239,7 +242,11 @@
         request.phase = "waiting"
         request.why = why
         if ticket not in self.waiting:
-            if len(self.waiting) >= self.params.backlog:
+            visitor = request.event.visitor
+            mine = sum(self.requests[other].event.visitor == visitor for other in self.waiting if other in self.requests)
+            # Once half the room is taken, nobody may hold more than an eighth of it: one crowd doesn't shut out the rest.
+            crowded = len(self.waiting) * 2 >= self.params.backlog and mine * 8 >= self.params.backlog
+            if crowded or len(self.waiting) >= self.params.backlog:
                 return self._not_run(ticket, _mishap(MishapKind.BACKLOG_FULL, "Too many requests wait here.", "Come back after the time given."))
             self.waiting.append(ticket)
 
@@ -338,6 +345,7 @@
     def _select(self, request: _Request) -> ServerEntry | None:
         """The least loaded open server, the own zone's first, those that refused this request last not at all."""
         open_servers = [each for each in self.view.open_servers(request.entry.service) if each.stall not in request.refused_by]
+        open_servers = [each for each in open_servers if self.outstanding.get(each.stall, 0) < self.params.outstanding]
         # The own stall knows its server's standing before any news of it has travelled.
         if self.server_state() != READY:
             open_servers = [each for each in open_servers if each.stall != self.params.name]
@@ -570,6 +578,8 @@
             return _mishap(MishapKind.NOT_ALLOWED, f"{call.caller} may not call {entry.name}.", "Have a bundle allow it.")
         if len(call.body) > entry.body_bytes:
             return _mishap(MishapKind.BODY_TOO_LARGE, f"The body is over {entry.body_bytes} bytes.", "Send a smaller body.")
+        if len(self.runs) >= self.params.backlog:
+            return _mishap(MishapKind.BACKLOG_FULL, "Too many runs are under way on this server.", "Send it elsewhere.")
         # Once entries run under a key on this side too.
         if entry.once and not call.hold:
             return _mishap(MishapKind.KEY_MISSING, f"{entry.name} runs once per key.", "Claim its key first.")
--- a/packages/stall/src/hoistsaddle/stall/node.py
+++ b/packages/stall/src/hoistsaddle/stall/node.py
@@ -63,7 +63,7 @@
         self.counters = Counters(owner=params.name)
         span = timedelta(seconds=params.lease_seconds)
         self.core = StallCore(
-            params=StallParamsView(params.name, params.zone, self.incarnation, span, timedelta(seconds=params.vitals_seconds), params.backlog),
+            params=StallParamsView(params.name, params.zone, self.incarnation, span, timedelta(seconds=params.vitals_seconds), params.backlog, params.outstanding),
             seed=runtime.random, now=runtime.now(),
         )
         self.relay = Relay(node=params.name, incarnation=self.incarnation, lease_span=span)
--- a/packages/tally/src/hoistsaddle/tally/params.py
+++ b/packages/tally/src/hoistsaddle/tally/params.py
@@ -49,6 +49,7 @@
     lease_seconds: float = 1.5
     vitals_seconds: float = 1.5
     backlog: int = 200
+    outstanding: int = 100
 
 
 Params = WarehouseParams | BourseParams | StallParams
@@ -75,7 +76,7 @@
     for field in ("listen", "visitors", "inner", "operators"):
         if hasattr(params, field) and (found := check_address(field=field, address=getattr(params, field))):
             return found
-    for field in ("lease_seconds", "vitals_seconds", "lag_wait_seconds", "disk_stall_seconds", "checkpoint_records", "chunk_bytes", "backlog"):
+    for field in ("lease_seconds", "vitals_seconds", "lag_wait_seconds", "disk_stall_seconds", "checkpoint_records", "chunk_bytes", "backlog", "outstanding"):
         if getattr(params, field, 1) <= 0:
             return Mishap(MishapKind.PARAMS, "The number must be above zero.", "Leave it out for the default, or raise it.", field)
     match params:
--- a/tests/test_stall.py
+++ b/tests/test_stall.py
@@ -47,9 +47,9 @@
 
 
 class Bench:
-    def __init__(self, *, name: str = "stall-1", fresh: bool = True, backlog: int = 5) -> None:
+    def __init__(self, *, name: str = "stall-1", fresh: bool = True, backlog: int = 5, outstanding: int = 50) -> None:
         self.moment = timedelta(seconds=50)
-        self.core = StallCore(params=StallParamsView(name, "a", "life", timedelta(seconds=1.5), timedelta(seconds=1.5), backlog), seed=random.Random(1), now=self.moment)
+        self.core = StallCore(params=StallParamsView(name, "a", "life", timedelta(seconds=1.5), timedelta(seconds=1.5), backlog, outstanding), seed=random.Random(1), now=self.moment)
         self.out: list[tuple] = []
         self.feed(SetupChanged(setup()))
         place = int(name[-1])
@@ -67,9 +67,9 @@
         self.out += out
         return out
 
-    def ask(self, method: str = "GET", path: str = "/readings", *, key: str = "", body: bytes = b"") -> int:
+    def ask(self, method: str = "GET", path: str = "/readings", *, key: str = "", body: bytes = b"", visitor: str = "") -> int:
         self.tickets += 1
-        self.feed(RequestArrived(self.tickets, "", "visitor", method, path, "", {}, body, key))
+        self.feed(RequestArrived(self.tickets, "", visitor or f"visitor-{self.tickets}", method, path, "", {}, body, key))
         return self.tickets
 
     def newest(self, kind: type) -> tuple:
@@ -100,6 +100,23 @@
         bench.renew()
         self.assertThat(bench.count(PassOn), Equals(5))
 
+    def test_one_crowd_does_not_shut_out_the_rest(self) -> None:
+        bench = Bench(fresh=False, backlog=40)
+        crowd = [bench.ask(visitor="crowd") for _ in range(60)]
+        others = [bench.ask(visitor=f"other-{number}") for number in range(20)]
+        self.assertThat(sum(bench.answer(ticket) is None for ticket in crowd), Equals(20))
+        self.assertThat([bench.answer(ticket) for ticket in others], Equals([None] * 20))
+
+    def test_a_slow_server_holds_only_so_many(self) -> None:
+        bench = Bench(backlog=30, outstanding=4)
+        tickets = [bench.ask() for _ in range(20)]
+        # Two meters, four sends to each; the rest waits for room.
+        self.assertThat((bench.count(PassOn), [bench.answer(ticket) for ticket in tickets]), Equals((8, [None] * 20)))
+        sent = bench.newest(PassOn)
+        bench.feed(PassAnswered(sent.number, PassAnswer(sent.call.send, "answered", "", "", 200, {}, b"{}", digest_of_body(b"{}"))))
+        bench.feed(Ticked())
+        self.assertThat(bench.count(PassOn), Equals(9))
+
     def test_given_up_means_answered_at_once(self) -> None:
         bench = Bench()
         ticket = bench.ask()
