--- a/packages/fairground/src/hoistsaddle/fairground/standins.py
+++ b/packages/fairground/src/hoistsaddle/fairground/standins.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from hoistsaddle.fairground.deployments import Deployment
-from hoistsaddle.fairground.history import History, Ran, ServerChanged
+from hoistsaddle.fairground.history import Further, History, Ran, ServerChanged
 
 VITALS_SECONDS = 0.8
 _runs = itertools.count(1)
@@ -88,6 +88,7 @@
             self._now(), nonce, self.service, self.instance, request.method, request.path, headers.get("Idempotency-Key", ""),
             headers.get("X-Hoistsaddle-Visitor", ""), headers.get("X-Hoistsaddle-Caller", ""), headers.get("X-Hoistsaddle-Send", ""), run,
         ))
+        self.history.add(Further(self._now(), self.service, headers.get("X-Hoistsaddle-Ordinal", "1") != "1"))
         if self.slow_seconds:
             await asyncio.sleep(self.slow_seconds)
         if self.hold is not None:
