--- a/packages/shelf/src/hoistsaddle/shelf/state.py
+++ b/packages/shelf/src/hoistsaddle/shelf/state.py
@@ -139,6 +139,9 @@
     for name in ("stamp", "swept"):
         plain[name] = from_microseconds(plain[name])
     for name in ("voters", "operators", *_entries):
+        if name not in plain:
+            # Packed by a release before this part was.
+            continue
         kind = _entries.get(name)
         plain[name] = Map({key: kind(*value) if kind else value for key, value in plain[name]})
     return State(**plain)
--- a/tests/test_shelf.py
+++ b/tests/test_shelf.py
@@ -1,6 +1,7 @@
 """The state machine's fences: epochs, lives, serials, and repeats."""
 from datetime import timedelta
 
+import msgspec
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -74,6 +75,22 @@
         self.apply(ClaimHold("other", "claim-6", "stall-1", "digest"), later=10)
         self.assertThat(sorted(self.state.holds), Equals(["other"]))
 
+    def test_a_newer_releases_records_are_read_as_far_as_they_are_known(self) -> None:
+        def record(payload: bytes) -> Outcome:
+            self.state, outcome = apply(self.state, offset=self.state.offset + 1, epoch=1, stamp=timedelta(), payload=payload)
+            return outcome
+
+        newer = {**ClaimHold("scope", "claim", "stall-1", "digest")._asdict(), "colour": "blue"}
+        self.assertThat(record(msgspec.msgpack.encode(["ClaimHold", newer])).detail["phase"], Equals("granted"))
+        before = self.state
+        self.assertThat(record(msgspec.msgpack.encode(["PaintServer", {"colour": "blue"}])), Equals(Outcome()))
+        self.assertThat(self.state, Equals(before._replace(offset=before.offset + 1)))
+        # What an older release packed lacks the newest fields; they take their defaults.
+        older = msgspec.msgpack.decode(pack_state(self.state))
+        older["colours"] = [["a", "b"]]
+        del older["duties"]
+        self.assertThat(unpack_state(msgspec.msgpack.encode(older)), Equals(self.state))
+
     def test_a_repeated_call_gets_the_first_outcome(self) -> None:
         first = self.apply(SubmitBundle("r1", "ada", TEXT))
         self.assertThat(self.apply(SubmitBundle("r1", "ada", TEXT)), Equals(first))
