--- a/packages/kiosk/src/hoistsaddle/kiosk/fleet_commands.py
+++ b/packages/kiosk/src/hoistsaddle/kiosk/fleet_commands.py
@@ -1,5 +1,6 @@
 """`hoistsaddle fleet`: a whole deployment on one machine, with stand-in servers and callers."""
 import asyncio
+import os
 import random
 import signal
 import statistics
@@ -34,6 +35,7 @@
     async def work(running, stopped: asyncio.Event):
         from hoistsaddle.fairground.fleet import AUTHOR, SIGNER
         from hoistsaddle.fairground.load import Load
+        from hoistsaddle.fairground.proof import Proof
 
         click.echo(f"export HOISTSADDLE_DOORS='{' '.join(running.doors)}'")
         click.echo(f"export HOISTSADDLE_STALLS='{' '.join(running.visitor_doors())}'")
@@ -41,11 +43,22 @@
         click.echo(f"a visitor: curl -i http://{running.visitor_doors()[0]}{running.deployment.asks[0].path}")
         async with Load(deployment=running.deployment, doors=running.visitor_doors(), history=running.history, seed=random.Random(seed), rate=rate) as load:
             loading = asyncio.ensure_future(load.run(10**9)) if rate != 0 else None
+            proof = Proof(fleet=running, load=load, say=click.echo)
+            wiping: list[asyncio.Task] = []
+
+            def wipe() -> None:
+                # One core machine at a time: a second one waits until the first votes again.
+                if all(task.done() for task in wiping):
+                    wiping.append(asyncio.ensure_future(proof.wipe_leader()))
+
+            asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, wipe)
+            click.echo(f"to see the leading core machine lose its disk and come back: kill -USR1 {os.getpid()}")
             try:
                 await asyncio.wait_for(stopped.wait(), seconds)
             except TimeoutError:
                 pass
             load.stopping = True
+            await asyncio.gather(*wiping, return_exceptions=True)
             if loading is not None:
                 await loading
         return load
