A stopping stall answers what its standing connections still bring

Connections accepted but not yet read were closed with the door. Ruled out: requests mid-answer (the core was idle). Doors now close to new connections first, answer 'not run' on standing ones for 0.7 s, then close.

--- a/packages/fairground/src/hoistsaddle/fairground/checkers.py
+++ b/packages/fairground/src/hoistsaddle/fairground/checkers.py
@@ -154,9 +154,9 @@
     ]
 
 
-def too_many_further(history: History, deployment: Deployment) -> list[str]:
-    """Further tries to a service exceed a fifth of its traffic plus a small margin in any ten seconds."""
-    found = []
+def worst_further_window(history: History, deployment: Deployment) -> tuple[float, str]:
+    """How much of what is allowed the fullest ten seconds of any service held, and which they were."""
+    worst = (0.0, "")
     # Each stall may hold one further send, so where there are more than ten stalls the margin is their number.
     margin = max(FURTHER_MARGIN, len(deployment.services))
     sends = defaultdict(list)
@@ -171,10 +171,16 @@
                 firsts -= not events[begin].further
                 furthers -= events[begin].further
                 begin += 1
-            if furthers > firsts * 0.2 + margin:
-                found.append(f"{service} got {furthers} further sends beside {firsts} first ones in ten seconds")
-                break
-    return found
+            used = furthers / (firsts * 0.2 + margin)
+            if used > worst[0]:
+                worst = (used, f"{service} got {furthers} further sends beside {firsts} first ones in ten seconds")
+    return worst
+
+
+def too_many_further(history: History, deployment: Deployment) -> list[str]:
+    """Further tries to a service exceed a fifth of its traffic plus a small margin in any ten seconds."""
+    used, which = worst_further_window(history, deployment)
+    return [which] if used > 1 else []
 
 
 def stale_read_back(history: History) -> list[str]:
--- a/packages/fairground/src/hoistsaddle/fairground/fleet.py
+++ b/packages/fairground/src/hoistsaddle/fairground/fleet.py
@@ -3,6 +3,7 @@
 import hashlib
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -129,6 +130,15 @@
         for name in names:
             self.processes[name].send_signal(signal.SIGCONT)
 
+    def fill_disk(self, name: str) -> None:
+        """From now on no file of the process may grow or be written, as on a full disk."""
+        _, hard = resource.prlimit(self.processes[name].pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(self.processes[name].pid, resource.RLIMIT_FSIZE, (0, hard))
+
+    def free_disk(self, name: str) -> None:
+        _, hard = resource.prlimit(self.processes[name].pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(self.processes[name].pid, resource.RLIMIT_FSIZE, (hard, hard))
+
     async def stop_process(self, name: str) -> int:
         """A planned stop: asks, and waits until it is gone."""
         process = self.processes[name]
--- a/packages/fairground/src/hoistsaddle/fairground/proof.py
+++ b/packages/fairground/src/hoistsaddle/fairground/proof.py
@@ -144,6 +144,20 @@
         await self.fleet.until(self.fleet.all_ready, seconds=30, what=f"{name} is ready")
         self.say(f"{name} was stopped as planned (exit {code}) and started again")
 
+    async def fill_leaders_disk(self) -> None:
+        """The leader can't write any more: it must resign by itself, and follow again once there is room."""
+        await self.fleet.until(self._led, seconds=20, what="a leader")
+        replica = await self.leader()
+        self.fleet.fill_disk(f"warehouse-{replica}")
+
+        async def another() -> bool:
+            return await self.leader() not in (0, replica)
+
+        took = await self.fleet.until(another, seconds=30, what="another leader")
+        self.fleet.free_disk(f"warehouse-{replica}")
+        again = await self.fleet.until(lambda: self.rejoined(replica), seconds=30, what=f"replica {replica} follows")
+        self.say(f"core machine {replica}, which led, had no room left: another leads after {took:.1f} s; it follows {again:.1f} s after there was room")
+
     async def restart_core(self) -> None:
         """The leading core machine is stopped as planned: its bourse, then its warehouse, which resigns."""
         await self.fleet.until(self._led, seconds=20, what="a leader")
@@ -199,6 +213,7 @@
             await self.freeze()
             await self.restart_stall()
             await self.restart_core()
+            await self.fill_leaders_disk()
             await self.kill_everything()
             await self.fleet.until(self.fleet.all_ready, seconds=30, what="every stall is ready")
             await asyncio.sleep(2)
--- a/packages/fairground/src/hoistsaddle/fairground/simulation/runs.py
+++ b/packages/fairground/src/hoistsaddle/fairground/simulation/runs.py
@@ -5,7 +5,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from typing import NamedTuple
 
-from hoistsaddle.fairground.checkers import check
+from hoistsaddle.fairground.checkers import check, worst_further_window
 from hoistsaddle.fairground.deployments import DEPLOYMENTS
 from hoistsaddle.fairground.history import Got
 from hoistsaddle.fairground.simulation.deployment import simulate
@@ -22,6 +22,8 @@
     run: Run
     asked: int
     answered: int
+    # The part of the further sends allowed that the fullest ten seconds used.
+    further: float
     # Of the whole history, so that two runs can be told apart in their last detail.
     digest: str
     broken: dict[str, list[str]]
@@ -35,8 +37,9 @@
         whole = simulate(deployment=DEPLOYMENTS[run.deployment], seed=run.seed, scenario=scenario)
     got = whole.history.of(Got)
     broken = {line: found for line, found in check(whole.history, whole.deployment).items() if found}
+    further = worst_further_window(whole.history, whole.deployment)[0] if whole.deployment.services else 0.0
     digest = hashlib.sha256(repr(whole.history.events).encode()).hexdigest()
-    return Outcome(run, len(got), sum(each.outcome == "answered" for each in got), digest, broken)
+    return Outcome(run, len(got), sum(each.outcome == "answered" for each in got), round(further, 3), digest, broken)
 
 
 def carry_out_all(runs: list[Run], *, workers: int | None = None) -> list[Outcome]:
--- a/packages/kiosk/src/hoistsaddle/kiosk/fleet_commands.py
+++ b/packages/kiosk/src/hoistsaddle/kiosk/fleet_commands.py
@@ -106,7 +106,7 @@
     for outcome in carry_out_all(runs):
         broken += bool(outcome.broken)
         word = "held" if not outcome.broken else f"BROKEN {outcome.broken}"
-        click.echo(f"{outcome.run.scenario} seed {outcome.run.seed}: {outcome.answered} of {outcome.asked} answered, {word}")
+        click.echo(f"{outcome.run.scenario} seed {outcome.run.seed}: {outcome.answered} of {outcome.asked} answered, further sends at most {outcome.further:.2f} of the bound, {word}")
     click.echo(f"{len(runs)} runs, {broken} broken")
     sys.exit(1 if broken else 0)
 
--- a/packages/stall/src/hoistsaddle/stall/node.py
+++ b/packages/stall/src/hoistsaddle/stall/node.py
@@ -87,11 +87,15 @@
     async def finish(self) -> None:
         """Planned stop: refuse new work at once, have the log mark the server, finish what is mid-answer."""
         self.feed(StopAsked())
+        await self.settle()
+        # Others may still have requests on their way here for as long as their news can be old.
+        await asyncio.sleep(milliseconds(300).total_seconds())
+
+    async def settle(self) -> None:
+        """Waits until nothing is mid-answer here and the log knows that the server leaves."""
         deadline = self.runtime.now() + STOP_SPAN
         while self.runtime.now() < deadline and not (self.core.idle() and self._told_stopping()):
             await asyncio.sleep(TICK.total_seconds())
-        # Others may still have requests on their way here for as long as their news can be old.
-        await asyncio.sleep(milliseconds(300).total_seconds())
 
     async def stop(self) -> None:
         for task in self.tasks:
--- a/packages/stall/src/hoistsaddle/stall/service.py
+++ b/packages/stall/src/hoistsaddle/stall/service.py
@@ -1,5 +1,7 @@
 """The stall's HTTP: a door for visitors, one for its own server, and the way to that server."""
+import asyncio
 import hashlib
+from datetime import timedelta
 
 import aiohttp
 import msgspec
@@ -16,6 +18,7 @@
 from hoistsaddle.tally.params import StallParams, split_address
 from hoistsaddle.tariff.bundle import LARGEST_BODY
 
+DOOR_WAIT = timedelta(milliseconds=700)
 # Hop-by-hop headers and the mesh's own names never pass from one side to the other.
 _dropped = frozenset({"connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "host", "content-length", "expect", "accept-encoding", "content-encoding"})
 _mesh_prefix = "x-hoistsaddle-"
@@ -50,6 +53,13 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         await self.node.finish()
+        # The doors close to new connections first. One that stood already may hold a request nobody has read yet: it
+        # gets its "not run" in this while, in place of a cut.
+        for runner in self.runners:
+            for site in list(runner.sites):
+                await site.stop()
+        await asyncio.sleep(DOOR_WAIT.total_seconds())
+        await self.node.settle()
         for runner in self.runners:
             await runner.cleanup()
         await self.node.stop()
@@ -130,6 +140,9 @@
     def _respond(self, answer: AnswerVisitor) -> web.Response:
         self.node.counters.add(f"outcomes.{answer.outcome}")
         headers = {"X-Hoistsaddle-Outcome": answer.outcome}
+        if self.node.core.stopping:
+            # A kept connection would bring the next request to a door that closes.
+            headers["Connection"] = "close"
         if answer.retry_after is not None:
             headers["Retry-After"] = str(max(1, round(answer.retry_after.total_seconds())))
         if answer.outcome == ANSWERED:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -178,6 +178,33 @@
 
         on_fleet(scenario)
 
+    def test_more_loss_than_the_core_can_stand_is_said_aloud(self) -> None:
+        async def run(folder: Path) -> tuple[dict, tuple, tuple]:
+            async with Fleet(deployment=DEPLOYMENTS["three"], folder=folder) as fleet:
+                await fleet.start(bundle=False)
+                lost = ("warehouse-1", "warehouse-2")
+                await fleet.kill(*lost)
+                for replica in (1, 2):
+                    fleet.wipe(replica)
+                await asyncio.gather(*(fleet.launch(name) for name in lost))
+
+                async def said() -> bool:
+                    _, core = await fleet.operate("GET", "/core")
+                    return "refused" in core and "unreachable" not in {machine["standing"] for machine in core["machines"].values()}
+
+                await fleet.until(said, seconds=30, what="the loss is named")
+                _, core = await fleet.operate("GET", "/core")
+                founding = await fleet.operate("POST", "/found", {"operators": {"a": "0" * 64, "b": "1" * 64}})
+                return core, founding, await fleet.operate("GET", "/setup")
+
+        with tempfile.TemporaryDirectory() as folder:
+            core, founding, setup = asyncio.run(run(Path(folder)))
+        self.assertThat((core["refused"]["kind"], core["refused"]["message"]), Equals(("no-leader", "Replicas [1, 2] hold no voter's disk, so no majority is left.")))
+        self.assertThat(core["refused"]["remedy"], Contains("replacing-core-machines.md"))
+        # Two blank disks and a survivor don't found a mesh by accident, and nothing answers as if it knew.
+        self.assertThat((founding[0], founding[1]["refused"]["kind"]), Equals((409, "already-founded")))
+        self.assertThat((setup[0], setup[1]["refused"]["kind"]), Equals((503, "no-leader")))
+
     def test_settings_are_refused_with_field_and_remedy(self) -> None:
         async def refusal(*arguments: str) -> tuple[int, str]:
             process = await asyncio.create_subprocess_exec(sys.executable, "-m", "hoistsaddle.kiosk", *arguments, stderr=asyncio.subprocess.PIPE)
