--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -73,6 +73,29 @@
 
         on_fleet(scenario)
 
+    def test_a_request_on_a_standing_connection_is_answered_while_the_doors_close(self) -> None:
+        async def scenario(fleet: Fleet, load: Load) -> None:
+            host, _, port = fleet.visitor_doors()[0].rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            stopping = asyncio.ensure_future(fleet.stop_process("stall-01"))
+
+            async def closed() -> bool:
+                try:
+                    _, other = await asyncio.open_connection(host, int(port))
+                except OSError:
+                    return True
+                other.close()
+                return False
+
+            await fleet.until(closed, seconds=20, what="the door is closed to new connections")
+            writer.write(b"GET /readings?nonce=1 HTTP/1.1\r\nHost: a\r\n\r\n")
+            self.assertThat((await reader.readline())[:12], Equals(b"HTTP/1.1 503"))
+            told = (await reader.read()).decode()
+            self.assertThat(told, Contains("X-Hoistsaddle-Outcome: not-run"))
+            self.assertThat(await stopping, Equals(0))
+
+        on_fleet(scenario)
+
     def test_what_visitors_do_wrong_is_refused_and_nothing_is_sent(self) -> None:
         async def scenario(fleet: Fleet, load: Load) -> None:
             door = fleet.visitor_doors()[0]
