One place for a deployment's next bundle and for the warden's silence

No change of behaviour: three copies of the numbering of a later bundle are one, the warden's two equal span checks are one, and the life it noted beside each heartbeat, which nothing read, is gone.

--- a/packages/bourse/src/hoistsaddle/bourse/duties.py
+++ b/packages/bourse/src/hoistsaddle/bourse/duties.py
@@ -1,29 +1,26 @@
 """Sole duties: the first live node in an agreed order does a duty, under an epoch the log hands out."""
 from datetime import timedelta
-from typing import NamedTuple
 
 from hoistsaddle.shelf.commands import NoteNode, NoteServer, TakeDuty
 from hoistsaddle.shelf.state import GONE, WARDEN
 from hoistsaddle.shelf.view import View
 
 
-class Heartbeat(NamedTuple):
-    moment: timedelta
-    incarnation: str
-
-
 class Warden:
     """Watches that stalls are heard of, and logs as gone what was not. Only while it holds the duty."""
 
     def __init__(self, *, node: str, vitals_span: timedelta) -> None:
         self.node = node
         self.vitals_span = vitals_span
-        self.heard: dict[str, Heartbeat] = {}
+        self.heard: dict[str, timedelta] = {}
         self.holds_since: timedelta | None = None
         self.looked_at: timedelta | None = None
 
-    def hear(self, stall: str, *, incarnation: str, now: timedelta) -> None:
-        self.heard[stall] = Heartbeat(now, incarnation)
+    def hear(self, stall: str, *, now: timedelta) -> None:
+        self.heard[stall] = now
+
+    def _silent(self, stall: str, *, now: timedelta) -> bool:
+        return now - max(self.heard.get(stall, self.holds_since), self.holds_since) > self.vitals_span
 
     def handle(self, *, view: View, live_bourses: list[str], fresh: bool, now: timedelta) -> list[tuple]:
         """What to log now. Names are the agreed order: the first live bourse takes the duty."""
@@ -46,15 +43,9 @@
             self.holds_since = now
         commands: list[tuple] = []
         for server in view.servers.values():
-            heard = self.heard.get(server.stall)
-            since = max(heard.moment if heard else self.holds_since, self.holds_since)
-            if server.state != GONE and now - since > self.vitals_span:
+            if server.state != GONE and self._silent(server.stall, now=now):
                 commands.append(NoteServer(server.stall, server.service, server.instance, server.address, server.zone, GONE, server.serial, server.incarnation, duty.epoch))
         for node in view.nodes.values():
-            if node.kind != "stall" or node.state == GONE:
-                continue
-            heard = self.heard.get(node.node)
-            since = max(heard.moment if heard else self.holds_since, self.holds_since)
-            if now - since > self.vitals_span:
+            if node.kind == "stall" and node.state != GONE and self._silent(node.node, now=now):
                 commands.append(NoteNode(node.node, node.kind, node.address, node.zone, node.incarnation, GONE, duty.epoch))
         return commands
--- a/packages/bourse/src/hoistsaddle/bourse/service.py
+++ b/packages/bourse/src/hoistsaddle/bourse/service.py
@@ -169,8 +169,7 @@
         return await self.take_vitals(call)
 
     async def take_vitals(self, call: VitalsCall) -> VitalsAnswer:
-        now = self.runtime.now()
-        self.warden.hear(call.node, incarnation=call.incarnation, now=now)
+        self.warden.hear(call.node, now=self.runtime.now())
         # Only changes are logged; a heartbeat that says what the log says already ends here.
         node = self.view.nodes.get(call.node)
         if node is None or (node.address, node.zone, node.incarnation, node.state) != (call.address, call.zone, call.incarnation, "alive"):
--- a/packages/fairground/src/hoistsaddle/fairground/deployments.py
+++ b/packages/fairground/src/hoistsaddle/fairground/deployments.py
@@ -35,6 +35,11 @@
     def first_bundle(self) -> str:
         return resources.files("hoistsaddle.fairground").joinpath("bundles", f"{self.name}-1.toml").read_text()
 
+    def next_bundle(self, *, number: int, based_on: int, note: str = "") -> str:
+        """The first bundle under another number, as any later change of it begins."""
+        text = self.first_bundle().replace("number = 1\nbased_on = 0", f"number = {number}\nbased_on = {based_on}")
+        return text.replace('note = "Opening day"', f'note = "{note or number}"')
+
 
 DEPLOYMENTS = {
     "brindlefield": Deployment(
--- a/packages/fairground/src/hoistsaddle/fairground/measure.py
+++ b/packages/fairground/src/hoistsaddle/fairground/measure.py
@@ -143,7 +143,7 @@
         number = 1
         async with aiohttp.ClientSession() as session:
             for _ in range(rounds):
-                text = deployment.first_bundle().partition("[[stages]]")[0].replace("number = 1\nbased_on = 0", f"number = {number + 1}\nbased_on = {number}")
+                text = deployment.next_bundle(number=number + 1, based_on=number).partition("[[stages]]")[0]
                 began = time.time()
                 answers = await fleet.roll_out(text)
                 number += 1
--- a/packages/fairground/src/hoistsaddle/fairground/proof.py
+++ b/packages/fairground/src/hoistsaddle/fairground/proof.py
@@ -42,8 +42,7 @@
                 await asyncio.sleep(0.1)
 
     def next_bundle(self, note: str) -> str:
-        text = self.fleet.deployment.first_bundle()
-        return text.replace("number = 1\nbased_on = 0", f"number = {self.number + 1}\nbased_on = {self.number}").replace('note = "Opening day"', f'note = "{note}"')
+        return self.fleet.deployment.next_bundle(number=self.number + 1, based_on=self.number, note=note)
 
     async def change_bundle(self) -> None:
         """A broken one first, then two desks at once; one of the two is taken, and rolled out in stages."""
--- a/packages/fairground/src/hoistsaddle/fairground/simulation/scenarios.py
+++ b/packages/fairground/src/hoistsaddle/fairground/simulation/scenarios.py
@@ -17,8 +17,7 @@
 
 
 def next_bundle(whole: SimulatedDeployment, *, number: int, based_on: int, note: str = "") -> str:
-    text = whole.deployment.first_bundle()
-    return text.replace("number = 1\nbased_on = 0", f"number = {number}\nbased_on = {based_on}").replace('note = "Opening day"', f'note = "{note or number}"')
+    return whole.deployment.next_bundle(number=number, based_on=based_on, note=note)
 
 
 async def under_load(whole: SimulatedDeployment, trouble: Coroutine, *, seconds: float, rate: float = RATE) -> None:
