--- /dev/null
+++ b/packages/bourse/src/hoistsaddle/bourse/founding.py
@@ -0,0 +1,80 @@
+"""Founding without a person: the first seed of a cold start asks the others for their disks and founds the mesh.
+
+Nobody is told how many core machines there are. The founders are the seeds; whoever else comes joins by a logged
+change of the voters, up to what the losses to be borne ask for. A blank disk that was not told of a cold start never
+founds: it looks for the leader instead.
+"""
+
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from hoistsaddle.haggle.parcels import FoundCall, LookAnswer
+from hoistsaddle.shelf.commands import LEVEL
+
+ASK_EVERY = timedelta(milliseconds=150)
+# A seed that says nothing for so long founds nothing; it joins once it is there.
+WAIT_FOR_ALL = timedelta(seconds=3)
+
+
+class Look(NamedTuple):
+    """Ask these replicas what is on their disks."""
+
+    replicas: tuple[int, ...]
+
+
+class Found(NamedTuple):
+    """Tell these replicas that they are founded."""
+
+    replicas: tuple[int, ...]
+    call: FoundCall
+
+
+class Founding:
+    def __init__(
+        self, *, replica: int, seeds: tuple[int, ...], may_found: bool, losses: int, mesh: str, now: timedelta
+    ) -> None:
+        self.replica = replica
+        self.seeds = seeds
+        # The first of the agreed order, and only at a cold start: two founders would be two meshes.
+        self.duty = may_found and bool(seeds) and seeds[0] == replica
+        self.losses = losses
+        self.mesh = mesh
+        self.began = now
+        self.asked_at: timedelta | None = None
+        self.blank: dict[int, str] = {}
+        self.call: FoundCall | None = None
+        self.told: set[int] = set()
+
+    def looked(self, answer: LookAnswer) -> None:
+        if answer.mesh:
+            # Somebody is founded already: nothing may be founded beside it.
+            if self.call is None or answer.mesh != self.mesh:
+                self.duty = False
+            return
+        self.blank[answer.replica] = answer.incarnation
+
+    def handle(self, *, founded: bool, now: timedelta) -> list[Any]:
+        if not self.duty:
+            return []
+        if self.asked_at is not None and now - self.asked_at < ASK_EVERY:
+            return []
+        self.asked_at = now
+        if self.call is not None:
+            # Told again until each has heard: the same founding twice is one.
+            left = tuple(replica for replica in self.call.voters if replica not in self.told)
+            if not left or (founded and now - self.began > WAIT_FOR_ALL * 3):
+                # Whoever never answered is a voter with an empty log: the leader feeds it once it is there.
+                self.duty = False
+                return []
+            return [Found(left, self.call)]
+        if founded:
+            self.duty = False
+            return []
+        wanted = min(2 * self.losses + 1, len(self.seeds))
+        everyone = all(seed in self.blank for seed in self.seeds)
+        if self.replica in self.blank and (everyone or now - self.began > WAIT_FOR_ALL):
+            known = [seed for seed in self.seeds if seed in self.blank][:wanted]
+            voters = {seed: self.blank[seed] for seed in known}
+            self.call = FoundCall(self.mesh, voters, {}, LEVEL)
+            return [Found(tuple(voters), self.call)]
+        return [Look(tuple(seed for seed in self.seeds if seed not in self.blank))]
--- /dev/null
+++ b/packages/bourse/src/hoistsaddle/bourse/market.py
@@ -0,0 +1,251 @@
+"""Both core programs in one process: a warehouse and the bourse beside it, in a core that founds itself.
+
+The bourse reads the warehouse's state in memory, so news costs no messages between them. How old that state may be is
+what the replica knows of its leader: the tree below is told the same age as ever.
+"""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from hoistsaddle.bourse.founding import Found, Founding, Look
+from hoistsaddle.bourse.places import Places, number_of_host
+from hoistsaddle.bourse.service import Bourse
+from hoistsaddle.crier.member import MemberPace
+from hoistsaddle.haggle.parcels import FoundAnswer, LookAnswer, LookCall, ReadAnswer
+from hoistsaddle.haggle.runtime import Runtime
+from hoistsaddle.ledger.core import LEADER
+from hoistsaddle.ledger.disk import Disk
+from hoistsaddle.ledger.events import Pace
+from hoistsaddle.ledger.jobs import DiskThread, DiskWorker
+from hoistsaddle.shelf.commands import PatchItems
+from hoistsaddle.shelf.digests import digests_of
+from hoistsaddle.shelf.state import news_of
+from hoistsaddle.shelf.view import read_view
+from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.tally.moments import milliseconds
+from hoistsaddle.tally.params import BourseParams, MarketParams, WarehouseParams
+from hoistsaddle.tariff.items import Patch, pack_patch
+from hoistsaddle.warehouse.service import Warehouse
+
+LOOK_EVERY = milliseconds(20)
+MARKET_PACE = MemberPace(
+    period=timedelta(seconds=1),
+    probe_span=milliseconds(500),
+    opinion_span=milliseconds(900),
+    suspicion=timedelta(seconds=2),
+    seed_turns=20,
+    spread=6,
+)
+
+
+class MarketBourse(Bourse):
+    """A bourse whose news comes from the replica in its own process."""
+
+    def __init__(self, *, params: BourseParams, runtime: Runtime, warehouse: Warehouse, peers: Places, stores: Places):
+        self.warehouse = warehouse
+        self.peer_places, self.store_places = peers, stores
+        super().__init__(params=params, runtime=runtime, poll_hold=milliseconds(300), member_pace=MARKET_PACE)
+
+    def _peers(self) -> dict[int, str]:
+        return self.peer_places
+
+    def _warehouses(self) -> dict[int, str]:
+        return self.store_places
+
+    def _heard_leader(self) -> timedelta | None:
+        """The moment for which this replica's state is known to be the newest: near enough, the leader's last word."""
+        core = self.warehouse.shell.core
+        if not core.whole or core.halted:
+            return None
+        if core.standing == LEADER:
+            recent = [
+                progress.heard for (replica, _), progress in core.progress.items() if replica in core.state.voters
+            ]
+            needed = len(core.state.voters) // 2
+            if not needed:
+                return self.runtime.now()
+            return sorted(recent, reverse=True)[needed - 1] if len(recent) >= needed else None
+        return core.heard_leader
+
+    async def _read_news(self) -> None:
+        while True:
+            await self.refresh(within=timedelta())
+            await asyncio.sleep(LOOK_EVERY.total_seconds())
+
+    async def refresh(self, *, within: timedelta) -> bool:
+        heard = self._heard_leader()
+        if heard is None:
+            return False
+        state = self.warehouse.shell.core.state
+        self.writer.leader = (
+            self.warehouse.shell.core.leader if self.warehouse.shell.core.leader > 0 else self.writer.leader
+        )
+        if state.news == self.relay.copy.revision:
+            was_fresh = self.relay.fresh(now=self.runtime.now())
+            self.relay.renewed(asked=heard)
+            if not was_fresh and self.relay.fresh(now=self.runtime.now()):
+                await self._tell_children()
+            return True
+        for replica in state.voters:
+            self.peer_places.learn(replica)
+            self.store_places.learn(replica)
+        items = news_of(state)
+        if not self.relay.confirmed(
+            asked=heard, mesh=state.mesh, revision=state.news, items=items, vouched=digests_of(items)
+        ):
+            return False
+        self.view = read_view(
+            revision=self.relay.copy.revision,
+            items=self.relay.copy.items,
+            node=self.node,
+            zone=self.params.zone,
+            before=self.view,
+        )
+        self._note_gone()
+        self.counters.add("news.taken")
+        await self._tell_children()
+        return True
+
+    async def _tell_children(self) -> None:
+        async with self.news:
+            self.news.notify_all()
+
+
+class Market:
+    def __init__(
+        self,
+        *,
+        params: MarketParams,
+        runtime: Runtime,
+        disk: Disk | None = None,
+        make_worker: Callable[..., DiskWorker] = DiskThread,
+    ) -> None:
+        self.params = params
+        self.runtime = runtime
+        self.replica = number_of_host(params.host)
+        hosts = [*params.seeds, params.host]
+        self.stores = Places(port=params.warehouse_port, hosts=hosts)
+        self.peers = Places(port=params.bourse_port, hosts=hosts)
+        self.may_found = params.cold_start
+        self.warehouse = Warehouse(
+            params=WarehouseParams(
+                replica=self.replica,
+                zone=params.zone,
+                listen=self.stores[self.replica],
+                data_folder=params.data_folder,
+                core=[],
+            ),
+            runtime=runtime,
+            disk=disk or Disk(folder=Path(params.data_folder), replica=self.replica),
+            make_worker=make_worker,
+            addresses=self.stores,
+            pace=Pace(checkpoint_records=params.checkpoint_records, chunk_bytes=params.chunk_bytes),
+            wanted_voters=2 * params.losses + 1,
+        )
+        self.bourse = MarketBourse(
+            params=BourseParams(
+                replica=self.replica,
+                zone=params.zone,
+                listen=self.peers[self.replica],
+                operators="",
+                core=[],
+                lease_seconds=params.lease_seconds,
+                vitals_seconds=params.vitals_seconds,
+            ),
+            runtime=runtime,
+            warehouse=self.warehouse,
+            peers=self.peers,
+            stores=self.stores,
+        )
+        self.counters = self.bourse.counters
+        self.requests = 0
+
+    async def start(self) -> None:
+        await self.warehouse.start()
+        await self.bourse.start()
+        self.founding = asyncio.ensure_future(self._found())
+
+    async def stop(self) -> None:
+        self.founding.cancel()
+        # The leader's resignation leaves first: the others needn't wait for its silence.
+        await self.warehouse.stop()
+        await self.bourse.stop()
+
+    async def _found(self) -> None:
+        duty = Founding(
+            replica=self.replica,
+            seeds=tuple(number_of_host(seed) for seed in self.params.seeds),
+            may_found=self.may_found,
+            losses=self.params.losses,
+            mesh=self.runtime.token(8),
+            now=self.runtime.now(),
+        )
+        while duty.duty:
+            for command in duty.handle(founded=bool(self.warehouse.shell.core.mesh), now=self.runtime.now()):
+                match command:
+                    case Look(replicas=replicas):
+                        await asyncio.gather(*(self._look(duty, replica) for replica in replicas))
+                    case Found(replicas=replicas, call=call):
+                        # Its own disk first: a founder that dies half-way is known by what it founded.
+                        for replica in sorted(replicas, key=lambda each: each != self.replica):
+                            match await self.runtime.lines.call(self.stores[replica], call, within=milliseconds(800)):
+                                case Success(FoundAnswer(mishap="")):
+                                    duty.told.add(replica)
+            await asyncio.sleep(milliseconds(50).total_seconds())
+
+    async def _look(self, duty: Founding, replica: int) -> None:
+        match await self.runtime.lines.call(self.stores[replica], LookCall(self.bourse.node), within=milliseconds(500)):
+            case Success(LookAnswer() as answer):
+                duty.looked(answer)
+
+    # -- operators ---------------------------------------------------------------------------------------------------
+
+    async def patch(self, patch: Patch) -> Result[dict, Mishap]:
+        """A bundle in parts, taken at once under the standing sign-off. Idempotent by its items' revisions."""
+        bourse = self.bourse
+        self.requests += 1
+        request = f"{bourse.node}.{bourse.incarnation}.{self.requests}"
+        command = PatchItems(request, self.params.desk, self.params.standing_sign_off, pack_patch(patch))
+        match await bourse.writer.write(command, within=timedelta(seconds=self.params.write_seconds)):
+            case Failure(mishap):
+                return Failure(mishap)
+            case Success(outcome) if outcome.mishap:
+                bourse.counters.happen("patch refused", mishap=outcome.mishap, field=outcome.field)
+                return Failure(Mishap(outcome.mishap, outcome.message, outcome.remedy, outcome.field))
+            case Success(outcome):
+                pass
+        if outcome.detail["number"]:
+            bourse.counters.happen(
+                "bundle patched", number=outcome.detail["number"], items=len(outcome.detail["changed"])
+            )
+        waits = await self._await_uptake(outcome.detail["offset"])
+        return Success({**outcome.detail, "waits_for": waits})
+
+    async def _await_uptake(self, revision: int) -> list[str]:
+        """Until every stall that lives has taken it up, or the span is over: the rest follow as news reaches them."""
+        bourse = self.bourse
+        deadline = bourse.runtime.now() + timedelta(seconds=self.params.uptake_seconds)
+        while True:
+            now = bourse.runtime.now()
+            taken = {uptake.node for uptake in bourse.relay.known_uptakes(now=now) if uptake.revision >= revision}
+            # A bourse hears of its own part of the tree; the others' parts are theirs to see.
+            mine = {uptake.node for uptake in bourse.relay.known_uptakes(now=now)}
+            left = sorted(mine - taken)
+            if now >= deadline or not left:
+                return left
+            await asyncio.sleep(milliseconds(15).total_seconds())
+
+    async def read_items(self, *, within: timedelta) -> Result[list[tuple[str, str, int, bytes]], Mishap]:
+        """Every item that stands, as kind, name, revision and the operator's own text, confirmed by the leader."""
+        match await self.bourse.writer.read(part="items", known_revision=-1, within=within):
+            case Success(ReadAnswer(content=content)):
+                return Success([tuple(each) for each in msgspec.msgpack.decode(content)])
+            case _:
+                return Failure(
+                    Mishap(MishapKind.NO_LEADER, "No warehouse leads now.", "Ask again shortly, or another machine.")
+                )
--- a/packages/bourse/src/hoistsaddle/bourse/service.py
+++ b/packages/bourse/src/hoistsaddle/bourse/service.py
@@ -11,8 +11,8 @@
 from hoistsaddle.bourse.duties import Warden
 from hoistsaddle.bourse.operators import OperatorDoor
 from hoistsaddle.bourse.writer import NO_LEADER, Writer
-from hoistsaddle.crier.holding import hold_poll
-from hoistsaddle.crier.member import Member
+from hoistsaddle.crier.holding import POLL_HOLD, hold_poll
+from hoistsaddle.crier.member import Member, MemberPace
 from hoistsaddle.crier.membership import ALIVE
 from hoistsaddle.crier.relay import Relay
 from hoistsaddle.haggle.parcels import (
@@ -56,15 +56,23 @@
 
 
 class Bourse:
-    def __init__(self, *, params: BourseParams, runtime: Runtime) -> None:
+    def __init__(
+        self,
+        *,
+        params: BourseParams,
+        runtime: Runtime,
+        poll_hold: timedelta = POLL_HOLD,
+        member_pace: MemberPace = MemberPace(),  # noqa: B008
+    ) -> None:
+        self.poll_hold = poll_hold
         self.params = params
         self.runtime = runtime
         self.node = f"bourse-{params.replica}"
         self.level = params.release_level or LEVEL
         self.incarnation = runtime.token(6)
         self.counters = Counters(owner=self.node)
-        self.peers = {machine.replica: machine.bourse for machine in params.core}
-        self.warehouses = {machine.replica: machine.warehouse for machine in params.core}
+        self.peers = self._peers()
+        self.warehouses = self._warehouses()
         self.writer = Writer(
             name=self.node, warehouses=self.warehouses, home=params.replica, runtime=runtime, counters=self.counters
         )
@@ -82,8 +90,15 @@
             seeds=[address for address in self.peers.values() if address != params.listen],
             runtime=runtime,
             counters=self.counters,
+            pace=member_pace,
         )
 
+    def _peers(self) -> dict[int, str]:
+        return {machine.replica: machine.bourse for machine in self.params.core}
+
+    def _warehouses(self) -> dict[int, str]:
+        return {machine.replica: machine.warehouse for machine in self.params.core}
+
     async def start(self) -> None:
         self.server = await self.runtime.serve(self.params.listen, self.answer)
         self.tasks = [
@@ -179,7 +194,7 @@
 
     async def _poll(self, call: PollCall) -> PollAnswer:
         self.relay.heard(call.uptakes, now=self.runtime.now())
-        return await hold_poll(runtime=self.runtime, relay=self.relay, news=self.news, call=call)
+        return await hold_poll(runtime=self.runtime, relay=self.relay, news=self.news, call=call, hold=self.poll_hold)
 
     async def _write_for_stall(self, payloads: tuple[bytes, ...]) -> WriteAnswer:
         for payload in payloads:
@@ -193,7 +208,8 @@
                     outcomes.append(pack_outcome(outcome))
                 case Failure(mishap):
                     return WriteAnswer(str(mishap.kind), -1)
-        return WriteAnswer("", -1, tuple(outcomes))
+        # Who leads goes along: whoever asks there next time saves a hop.
+        return WriteAnswer("", self.writer.leader, tuple(outcomes))
 
     async def _vitals(self, call: VitalsCall) -> VitalsAnswer:
         duty = self.view.duties.get(WARDEN)
--- /dev/null
+++ b/packages/broker/src/hoistsaddle/broker/counter.py
@@ -0,0 +1,220 @@
+"""The target's side: what runs on the server beside this stall, what waits for it, and what is turned away at once.
+
+Nobody else reaches this server, so this side alone decides how much it works on at a time. Waiting work is ordered by
+rank and then by deadline. Work that can't be done in its time is refused the moment that is known.
+"""
+
+import heapq
+from datetime import timedelta
+from typing import NamedTuple
+
+from hoistsaddle.broker.messages import AnswerDeal, DealArrived, Serve, Served, ServeMissed, Vitals
+from hoistsaddle.haggle.parcels import DealAnswer, DealCall
+from hoistsaddle.shelf.state import GONE, READY
+from hoistsaddle.stall.messages import ANSWERED, NOT_RUN, UNKNOWN
+from hoistsaddle.stall.standing import OwnServer, Standing
+from hoistsaddle.tally.mishaps import MishapKind
+from hoistsaddle.tally.moments import ZERO, milliseconds
+
+# What a server of unknown pace is taken to need for one request.
+FIRST_GUESS = milliseconds(50)
+# The newest run's share in what is expected of the next.
+WEIGHT = 0.1
+PATIENT_RANK = 1000
+
+
+class _Run:
+    def __init__(self, *, ticket: int, call: DealCall, now: timedelta) -> None:
+        self.ticket = ticket
+        self.call = call
+        self.arrived = now
+        self.deadline = now + call.budget
+        self.started: timedelta | None = None
+
+
+class Waiting(NamedTuple):
+    rank: int
+    deadline: timedelta
+    number: int
+
+
+class CounterSide(Standing):
+    def __init__(self, **needs) -> None:
+        super().__init__(**needs)
+        self.room = 1
+        self.runs: dict[int, _Run] = {}
+        self.running: set[int] = set()
+        self.line: list[Waiting] = []
+        # Entry to the time its runs take here.
+        self.spans: dict[str, timedelta] = {}
+        # The mean over all entries, for one not met yet.
+        self.mean = FIRST_GUESS
+        self.drain_span = timedelta(seconds=2)
+        self.closed_at: timedelta | None = None
+
+    # -- the own server ----------------------------------------------------------------------------------------------
+
+    def _vitals_told(self, event: Vitals) -> None:
+        before = self.server
+        was = self.server_state()
+        self.server = OwnServer(event.service, event.instance, event.address, event.state, self.now)
+        self.room = max(1, event.room)
+        if event.state == READY:
+            self.closed_at = None
+        elif self.closed_at is None or (before is not None and before.instance != event.instance):
+            self.closed_at = self.now
+        if before is None or before[:4] != self.server[:4] or was != self.server_state():
+            self._announce("server told", service=event.service, instance=event.instance, state=event.state)
+            self._report()
+
+    def assume_server(self, server: OwnServer) -> None:
+        """After a restart: the one the log names here, until its own next word. A wrong guess runs nothing."""
+        if self.server is None:
+            self.server = server
+            self._report()
+
+    # -- what is expected --------------------------------------------------------------------------------------------
+
+    def _span_of(self, entry: str) -> timedelta:
+        return self.spans.get(entry, self.mean)
+
+    def backlog(self, *, rank: int | None = None) -> timedelta:
+        """How long until a request of this rank that came now would start; of the last rank if none is given."""
+        ahead = ZERO
+        for number in self.running:
+            run = self.runs[number]
+            span = self._span_of(run.call.entry)
+            # A run over its usual time is taken to need some more of it.
+            ahead += max(span - (self.now - run.started), span / 5)
+        free = self.room - len(self.running)
+        waiting = 0
+        for rank_there, _, number in self.line:
+            if rank is None or rank_there <= rank:
+                ahead += self._span_of(self.runs[number].call.entry)
+                waiting += 1
+        if free > waiting:
+            return ZERO
+        return ahead / self.room
+
+    def load(self) -> int:
+        return len(self.running) + len(self.line)
+
+    def _learn(self, run: _Run, took: timedelta) -> None:
+        known = self.spans.get(run.call.entry)
+        self.spans[run.call.entry] = took if known is None else known + (took - known) * WEIGHT
+        self.mean += (took - self.mean) * WEIGHT
+
+    # -- deals -------------------------------------------------------------------------------------------------------
+
+    def _deal(self, event: DealArrived) -> None:
+        call = event.call
+        if (kind := self._refusal(call)) is not None:
+            return self._turn_away(event.ticket, call, kind)
+        # Nobody could serve a patient one within its aim: it stands behind all that still can be.
+        rank = call.rank + (PATIENT_RANK if call.patient else 0)
+        wait = self.backlog(rank=rank)
+        needs = wait + self._span_of(call.entry)
+        late = needs > (call.budget if call.patient else call.aim)
+        if wait > ZERO and late:
+            return self._turn_away(event.ticket, call, MishapKind.BACKLOG_FULL)
+        if len(self.line) >= self.params.backlog:
+            return self._turn_away(event.ticket, call, MishapKind.BACKLOG_FULL)
+        number = self._number()
+        run = self.runs[number] = _Run(ticket=event.ticket, call=call, now=self.now)
+        if len(self.running) < self.room:
+            return self._start(number, run)
+        heapq.heappush(self.line, Waiting(rank, run.deadline, number))
+
+    def _refusal(self, call: DealCall) -> MishapKind | None:
+        if call.budget <= ZERO:
+            return MishapKind.BUDGET_SPENT
+        server = self.server
+        if server is None or self.server_state() == GONE:
+            return MishapKind.NO_SERVER
+        if server.state != READY:
+            return MishapKind.WINDING_DOWN
+        if (call.target, call.service_name) != (self.params.name, server.service):
+            return MishapKind.WRONG_INSTANCE
+        if call.instance != server.instance:
+            return MishapKind.WRONG_INSTANCE
+        return None
+
+    def _turn_away(self, ticket: int, call: DealCall, kind: MishapKind) -> None:
+        self._out.append(
+            AnswerDeal(ticket, DealAnswer(call.send, NOT_RUN, str(kind), load=self.load(), room=self.room))
+        )
+
+    def _start(self, number: int, run: _Run) -> None:
+        run.started = self.now
+        self.running.add(number)
+        within = run.deadline - self.now
+        self._out.append(Serve(number, self.server.address, run.call, within))
+
+    def _next(self) -> None:
+        while self.line and len(self.running) < self.room:
+            number = heapq.heappop(self.line).number
+            run = self.runs[number]
+            # What was promised to a server that leaves ends before its last moment; what can't be in time, now.
+            leaving = self.closed_at is not None and self.now - self.closed_at > self.drain_span * 0.7
+            gone = self.server is None or self.server.instance != run.call.instance or self.server_state() == GONE
+            if leaving or gone or self.now + self._span_of(run.call.entry) / 2 > run.deadline:
+                del self.runs[number]
+                kind = MishapKind.WINDING_DOWN if leaving or gone else MishapKind.BUDGET_SPENT
+                self._turn_away(run.ticket, run.call, kind)
+                continue
+            self._start(number, run)
+
+    def _served(self, event: Served) -> None:
+        run = self.runs.pop(event.number, None)
+        if run is None:
+            return
+        self.running.discard(event.number)
+        took = self.now - run.started
+        if event.not_run:
+            # A full server's word for "not run" says nothing of its pace.
+            answer = DealAnswer(run.call.send, NOT_RUN, str(MishapKind.SERVER_FULL), load=self.load(), room=self.room)
+        else:
+            if event.status < 500:
+                self._learn(run, took)
+            answer = DealAnswer(
+                run.call.send, ANSWERED, "", event.status, event.headers, event.body, self.load(), self.room, took
+            )
+        self._out.append(AnswerDeal(run.ticket, answer))
+        self._next()
+
+    def _serve_missed(self, event: ServeMissed) -> None:
+        run = self.runs.pop(event.number, None)
+        if run is None:
+            return
+        self.running.discard(event.number)
+        if (
+            event.unsent
+            and self.server is not None
+            and self.server.instance == run.call.instance
+            and self.server_state() != GONE
+        ):
+            # Nobody listens there any more: no need to wait until its vitals run out.
+            self._silence()
+        outcome = NOT_RUN if event.unsent else UNKNOWN
+        kind = MishapKind.NO_SERVER if event.unsent else event.mishap.kind
+        self._out.append(
+            AnswerDeal(run.ticket, DealAnswer(run.call.send, outcome, str(kind), load=self.load(), room=self.room))
+        )
+        self._next()
+
+    def _counter_tick(self) -> None:
+        if self.server is not None and self.server.state != GONE and self.server_state() == GONE:
+            self._silence()
+        # What can no longer be done in its time is told so now, not when a slot comes free.
+        late = [
+            each
+            for each in self.line
+            if self.now + self._span_of(self.runs[each.number].call.entry) / 2 > each.deadline
+        ]
+        if late or (self.closed_at is not None and self.line):
+            for each in late:
+                self.line.remove(each)
+                run = self.runs.pop(each.number)
+                self._turn_away(run.ticket, run.call, MishapKind.BUDGET_SPENT)
+            heapq.heapify(self.line)
+            self._next()
--- /dev/null
+++ b/packages/broker/src/hoistsaddle/broker/door.py
@@ -0,0 +1,103 @@
+"""The door of a stall that serves items: any method, any bytes, whole requests in and whole answers out."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from hoistsaddle.broker.messages import Asked, Reply
+from hoistsaddle.broker.node import BrokerNode
+from hoistsaddle.broker.serverline import HOP_BY_HOP, pack_pairs, unpack_pairs
+from hoistsaddle.broker.wording import Wording
+from hoistsaddle.tally.params import split_address
+
+LARGEST_HEADER = 262144
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+_rewritten = HOP_BY_HOP | {b"date", b"server"}
+
+
+async def open_door(*, address: str, handler: Handler, idle: timedelta = timedelta(seconds=75)) -> web.ServerRunner:
+    """A plain HTTP door; its runner closes it."""
+    server = web.Server(
+        handler,
+        access_log=None,
+        max_line_size=LARGEST_HEADER,
+        max_field_size=LARGEST_HEADER,
+        keepalive_timeout=idle.total_seconds(),
+        lingering_time=0.5,
+    )
+    runner = web.ServerRunner(server, handle_signals=False)
+    await runner.setup()
+    host, port = split_address(address)
+    await web.TCPSite(runner, host, port, backlog=1024, reuse_address=True).start()
+    return runner
+
+
+class Door:
+    def __init__(self, *, node: BrokerNode, wording: Wording) -> None:
+        self.node = node
+        self.wording = wording
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
+            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        items = self.node.core.view.items
+        if items is not None:
+            request._client_max_size = 0
+            handler: RequestHandler = request.protocol
+            # The operators' limit on silence may change under an open connection.
+            handler._keepalive_timeout = items.limits.idle_seconds
+        body = await request.read()
+        raw = request.raw_headers
+        budget = _milliseconds(request.headers.get(self.wording.budget))
+        answer = await self.node.request_items(
+            lambda ticket: Asked(
+                ticket,
+                request.method,
+                (request.headers.get("Host") or "").partition(":")[0].lower(),
+                request.raw_path,
+                pack_pairs(raw),
+                sum(len(name) + len(value) + 4 for name, value in raw),
+                body,
+                budget,
+                request.headers.get(self.wording.key, ""),
+                request.headers.get(self.wording.send_id, ""),
+            )
+        )
+        return self._respond(answer)
+
+    def _respond(self, answer: Reply) -> web.Response:
+        counters = self.node.counters
+        if answer.mishap is None:
+            response = web.Response(status=answer.status, body=answer.body)
+            response.headers.pop("Content-Type", None)
+            for name, value in unpack_pairs(answer.headers):
+                if name.lower() not in _rewritten:
+                    response.headers.add(name.decode("utf-8", "replace"), value.decode("utf-8", "replace"))
+            counters.add("replies.answered")
+        else:
+            response = web.json_response({"error": str(answer.mishap)}, status=answer.status)
+            counters.add(f"replies.{answer.status}.{answer.mishap.kind}")
+        if answer.retry_after is not None:
+            response.headers["Retry-After"] = f"{answer.retry_after.total_seconds():.3f}"
+        if self.node.core.stopping:
+            # A kept connection would bring the next request to a door that closes.
+            response.force_close()
+        return response
+
+
+def _milliseconds(text: str | None) -> timedelta | None:
+    try:
+        return None if text is None else timedelta(milliseconds=max(0.0, float(text)))
+    except (ValueError, OverflowError):
+        return None
+
+
+async def close_door(runner: web.ServerRunner, *, wait: timedelta) -> None:
+    """New connections first; one that stood already may hold a request nobody has read yet, and gets its answer."""
+    for site in list(runner.sites):
+        await site.stop()
+    await asyncio.sleep(wait.total_seconds())
+    await runner.cleanup()
--- /dev/null
+++ b/packages/broker/src/hoistsaddle/broker/messages.py
@@ -0,0 +1,126 @@
+"""Events that reach a broker's core and the commands it answers with. Headers are msgpack of pairs of bytes."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from hoistsaddle.haggle.parcels import DealAnswer, DealCall, RecallAnswer, RecallCall
+from hoistsaddle.tally.mishaps import Mishap
+
+
+class Asked(NamedTuple):
+    """A request at this stall's door, read whole."""
+
+    ticket: int
+    method: str
+    host: str
+    # Path and query as they came.
+    path: str
+    headers: bytes
+    header_bytes: int
+    body: bytes
+    # What its sender gives it; None leaves it to the entry.
+    budget: timedelta | None
+    key: str
+    send_id: str
+
+
+class Gone(NamedTuple):
+    """The visitor hung up; what was sent is still followed to its end."""
+
+    ticket: int
+
+
+class DealAnswered(NamedTuple):
+    number: int
+    answer: DealAnswer
+
+
+class DealMissed(NamedTuple):
+    """No answer. unsent means that nothing was ever written to the target."""
+
+    number: int
+    unsent: bool
+
+
+class DealArrived(NamedTuple):
+    ticket: int
+    call: DealCall
+
+
+class Served(NamedTuple):
+    number: int
+    status: int
+    headers: bytes
+    body: bytes
+    # The server says itself that it did not run it.
+    not_run: bool
+
+
+class ServeMissed(NamedTuple):
+    number: int
+    unsent: bool
+    mishap: Mishap
+
+
+class RecallArrived(NamedTuple):
+    ticket: int
+    call: RecallCall
+
+
+class RecallAnswered(NamedTuple):
+    """answer is None when the stall that holds the key said nothing."""
+
+    number: int
+    answer: RecallAnswer | None
+
+
+class Vitals(NamedTuple):
+    """What the own server says of itself."""
+
+    service: str
+    instance: str
+    address: str
+    state: str
+    room: int
+    cold: timedelta
+
+
+class Reply(NamedTuple):
+    """The final answer at the door; headers are only the server's own."""
+
+    ticket: int
+    status: int
+    headers: bytes
+    body: bytes
+    mishap: Mishap | None
+    retry_after: timedelta | None
+
+
+class DealOn(NamedTuple):
+    number: int
+    address: str
+    call: DealCall
+    within: timedelta
+
+
+class Serve(NamedTuple):
+    number: int
+    address: str
+    call: DealCall
+    within: timedelta
+
+
+class Recall(NamedTuple):
+    number: int
+    address: str
+    call: RecallCall
+
+
+class AnswerDeal(NamedTuple):
+    ticket: int
+    answer: DealAnswer
+
+
+class AnswerRecall(NamedTuple):
+    ticket: int
+    answer: RecallAnswer
--- /dev/null
+++ b/packages/broker/src/hoistsaddle/broker/node.py
@@ -0,0 +1,162 @@
+"""A stall's node with the broker's core: the same lines, tree, vitals and schedule, other requests."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any
+
+from returns.result import Success
+
+from hoistsaddle.broker.core import BrokerCore
+from hoistsaddle.broker.messages import (
+    AnswerDeal,
+    AnswerRecall,
+    Asked,
+    DealAnswered,
+    DealArrived,
+    DealMissed,
+    DealOn,
+    Gone,
+    Recall,
+    RecallAnswered,
+    RecallArrived,
+    Reply,
+    Serve,
+)
+from hoistsaddle.crier.member import MemberPace
+from hoistsaddle.crier.relay import select_parents
+from hoistsaddle.haggle.parcels import DealAnswer, DealCall, RecallAnswer, RecallCall
+from hoistsaddle.haggle.runtime import Runtime
+from hoistsaddle.shelf.state import GONE
+from hoistsaddle.stall.messages import Announce, AskHold, ReportVitals, StopAsked
+from hoistsaddle.stall.node import StallNode
+from hoistsaddle.tally.mishaps import MishapKind
+from hoistsaddle.tally.moments import milliseconds
+from hoistsaddle.tally.params import BrokerParams
+
+RECALL_SPAN = milliseconds(400)
+FAN_OUT = 8
+Server = Callable[[Serve], Awaitable[tuple]]
+
+
+class BrokerNode(StallNode):
+    poll_hold = milliseconds(300)
+    vitals_every = timedelta(seconds=1)
+    poll_span = milliseconds(800)
+    tick = milliseconds(20)
+    member_pace = MemberPace(
+        period=timedelta(seconds=1),
+        probe_span=milliseconds(500),
+        opinion_span=milliseconds(900),
+        suspicion=timedelta(seconds=2),
+        seed_turns=20,
+        spread=6,
+    )
+
+    def __init__(self, *, params: BrokerParams, runtime: Runtime, serve: Server) -> None:
+        self.serve = serve
+        self.broker_params = params
+        super().__init__(params=params, runtime=runtime, run_server=serve)
+
+    def _make_core(self) -> Any:
+        params = self.broker_params
+        return BrokerCore(
+            params=self._params_view(),
+            seed=self.runtime.random,
+            now=self.runtime.now(),
+            server=params.server,
+            drain_span=timedelta(seconds=params.drain_seconds),
+            further_percent=params.further_percent,
+            further_margin=params.further_margin,
+            key_span=timedelta(seconds=params.key_seconds),
+            service=params.service,
+        )
+
+    async def request_items(self, make: Callable[[int], Asked]) -> Reply:
+        ticket, future = self._ticket()
+        self.feed(make(ticket))
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.feed(Gone(ticket))
+            raise
+
+    def feed(self, event: tuple) -> None:
+        for command in self.core.handle(event, now=self.runtime.now()):
+            match command:
+                case Reply(ticket=ticket) | AnswerDeal(ticket=ticket) | AnswerRecall(ticket=ticket):
+                    future = self.answers.pop(ticket, None)
+                    if future is not None and not future.done():
+                        future.set_result(command)
+                case DealOn():
+                    self._spawn(self._deal_on(command))
+                case Serve():
+                    self._spawn(self._run_deal(command))
+                case AskHold():
+                    self._spawn(self._ask_hold(command))
+                case Recall():
+                    self._spawn(self._recall(command))
+                case ReportVitals():
+                    self.vitals_due.set()
+                case Announce(kind=kind, detail=detail):
+                    self.counters.happen(kind, **detail)
+
+    async def answer(self, message: tuple) -> tuple | None:
+        match message:
+            case DealCall():
+                ticket, future = self._ticket()
+                self.feed(DealArrived(ticket, message))
+                return (await future).answer
+            case RecallCall():
+                ticket, future = self._ticket()
+                self.feed(RecallArrived(ticket, message))
+                return (await future).answer
+        return await super().answer(message)
+
+    async def _deal_on(self, command: DealOn) -> None:
+        self.counters.add(f"sends.{command.call.service_name}")
+        match await self.runtime.lines.call(command.address, command.call, within=command.within):
+            case Success(DealAnswer() as answer):
+                self.feed(DealAnswered(command.number, answer))
+            case result:
+                unsent = not isinstance(result, Success) and result.failure().kind == MishapKind.UNREACHABLE
+                self.counters.add("sends.missed")
+                self.feed(DealMissed(command.number, unsent))
+
+    async def _run_deal(self, command: Serve) -> None:
+        self.counters.add("runs")
+        self.feed(await self.serve(command))
+
+    async def _recall(self, command: Recall) -> None:
+        match await self.runtime.lines.call(command.address, command.call, within=RECALL_SPAN):
+            case Success(RecallAnswer() as answer):
+                self.feed(RecallAnswered(command.number, answer))
+            case _:
+                self.feed(RecallAnswered(command.number, None))
+
+    def _parents(self) -> list[str]:
+        """The own zone's part of the tree first: news then crosses between zones once for each zone's root."""
+        view = self.core.view
+        nodes = [node for node in view.nodes.values() if node.state != GONE]
+        roots = [(node.node, node.address) for node in nodes if node.kind == "bourse"]
+        near = [(node.node, node.address) for node in nodes if node.kind == "bourse" and node.zone == self.params.zone]
+        stalls = [
+            (node.node, node.address)
+            for node in nodes
+            if node.kind == "stall" and (not near or node.zone == self.params.zone)
+        ]
+        parents = select_parents(node=self.params.name, stalls=stalls, roots=near or roots, fan_out=FAN_OUT)
+        parents += [address for _, address in roots if address not in parents]
+        return parents + [seed for seed in self.params.seeds if seed not in parents]
+
+    async def wind_down(self, *, quiet: timedelta, most: timedelta) -> None:
+        """Planned stop: says so at once, goes on with all that comes, and ends once nothing has come for a while."""
+        began = self.runtime.now()
+        self.feed(StopAsked())
+        last = began
+        while self.runtime.now() - began < most:
+            if not self.core.idle():
+                last = self.runtime.now()
+            elif self.runtime.now() - last >= quiet:
+                break
+            await asyncio.sleep(self.tick.total_seconds())
--- /dev/null
+++ b/packages/broker/src/hoistsaddle/broker/serverline.py
@@ -0,0 +1,297 @@
+"""Connections to the own server, kept as long as they are clean. An answer counts only under its request's id.
+
+Reading is aiohttp's parser; what is ours is the bookkeeping: a server may answer late in the place of the next answer,
+send more after a whole one, break off, or close a connection just as it is used.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Sequence
+from datetime import timedelta
+
+import aiohttp
+import msgspec
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http import HttpResponseParser
+
+from hoistsaddle.broker.messages import Serve, Served, ServeMissed
+from hoistsaddle.broker.wording import Wording
+from hoistsaddle.tally.counters import Counters
+from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.tally.params import split_address
+
+CONNECT_SPAN = 0.4
+# Used again only within this share of the time the server says it keeps a connection, so that the two never meet.
+KEPT_SHARE = 0.6
+# Where it says nothing.
+KEPT_SECONDS = 4.0
+MOST_KEPT = 64
+# They concern one connection only, or are written anew.
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+        b"proxy-connection",
+    }
+)
+Pairs = Sequence[tuple[bytes, bytes]]
+_not_run_statuses = frozenset({421})
+
+
+def pack_pairs(pairs: Pairs) -> bytes:
+    return msgspec.msgpack.encode([(name, value) for name, value in pairs if name.lower() not in HOP_BY_HOP])
+
+
+def unpack_pairs(data: bytes) -> list[tuple[bytes, bytes]]:
+    return msgspec.msgpack.decode(data, type=list[tuple[bytes, bytes]]) if data else []
+
+
+class _Broken(Exception):
+    """What came is no whole answer to the request. began: whether the server had been heard of at all."""
+
+
+class _Connection(BaseProtocol):
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.parser: HttpResponseParser | None = None
+        self.messages: deque = deque()
+        self.arrived: asyncio.Future | None = None
+        # Not to be used again; and nothing more can be read from it.
+        self.dirty = False
+        self.lost = False
+        self.uses = 0
+        self.idle_since = 0.0
+        self.keeps = KEPT_SECONDS
+
+    def begin(self, *, with_body: bool) -> None:
+        self.parser = HttpResponseParser(
+            self,
+            self._loop,
+            2**16,
+            max_line_size=65536,
+            max_field_size=65536,
+            payload_exception=aiohttp.ClientPayloadError,
+            response_with_body=with_body,
+            read_until_eof=True,
+            auto_decompress=False,
+        )
+        self.messages.clear()
+        self.uses += 1
+
+    def data_received(self, data: bytes) -> None:
+        if self.parser is None:
+            # Nobody asked anything: whatever it is, it is no answer.
+            self.dirty = True
+            self.abort()
+            return
+        try:
+            messages, upgraded, tail = self.parser.feed_data(data)
+        except Exception:
+            # The parser's many ways to say that these bytes are no answer.
+            self.dirty = True
+            self.abort()
+            return
+        if upgraded or tail:
+            self.dirty = True
+        self.messages.extend(messages)
+        self._wake()
+
+    def _wake(self) -> None:
+        if self.arrived is not None and not self.arrived.done():
+            self.arrived.set_result(None)
+
+    def eof_received(self) -> bool:
+        self.dirty = self.lost = True
+        if self.parser is not None:
+            try:
+                self.parser.feed_eof()
+            except Exception:
+                pass
+        self._wake()
+        return False
+
+    def connection_lost(self, exception: BaseException | None) -> None:
+        super().connection_lost(exception)
+        self.lost = self.dirty = True
+        if self.parser is not None:
+            try:
+                self.parser.feed_eof()
+            except Exception:
+                pass
+        self._wake()
+
+    def abort(self) -> None:
+        self.dirty = self.lost = True
+        if self.transport is not None:
+            self.transport.abort()
+        self._wake()
+
+    async def next_message(self):
+        while not self.messages:
+            if self.lost:
+                raise _Broken
+            self.arrived = self._loop.create_future()
+            await self.arrived
+        return self.messages.popleft()
+
+
+class ServerLine:
+    def __init__(self, *, wording: Wording, counters: Counters) -> None:
+        self.wording = wording
+        self.counters = counters
+        self.kept: deque[_Connection] = deque()
+        self.address = ""
+        self.send_id = wording.send_id.lower().encode()
+        self.not_run = wording.not_run.lower().encode()
+        self.rewritten = {
+            name.lower().encode() for name in (wording.budget, wording.caller, wording.instance, wording.send_id)
+        }
+
+    def close(self) -> None:
+        for connection in self.kept:
+            connection.abort()
+        self.kept.clear()
+
+    def _turn_to(self, address: str, instance: str) -> None:
+        # A new life of the server, or another one: what was open belongs to the former.
+        place = f"{address} {instance}"
+        if place != self.address:
+            self.close()
+            self.address = place
+
+    def _kept_one(self) -> _Connection | None:
+        now = asyncio.get_running_loop().time()
+        while self.kept:
+            # The newest first: it is the least likely to be closed from the other side.
+            connection = self.kept.pop()
+            if not connection.dirty and not connection.lost and now - connection.idle_since < connection.keeps:
+                return connection
+            connection.abort()
+        return None
+
+    async def _open(self, address: str) -> _Connection:
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(CONNECT_SPAN):
+            _, connection = await loop.create_connection(lambda: _Connection(loop), host, port)
+        self.counters.add("server.connections")
+        return connection
+
+    def _request(self, serve: Serve, left: timedelta) -> bytes:
+        call = serve.call
+        parts = [call.method.encode(), b" ", call.path, b" HTTP/1.1\r\n"]
+        for name, value in unpack_pairs(call.headers):
+            if name.lower() not in self.rewritten:
+                parts += (name, b": ", value, b"\r\n")
+        budget = max(1, int(left.total_seconds() * 1000))
+        added = [
+            (self.wording.send_id, call.send_id),
+            (self.wording.budget, str(budget)),
+            (self.wording.caller, call.caller),
+            (self.wording.instance, call.instance),
+        ]
+        parts += [f"{name}: {value}\r\n".encode() for name, value in added if value]
+        if call.body or call.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+            parts.append(b"Content-Length: %d\r\n" % len(call.body))
+        parts += (b"\r\n", call.body)
+        return b"".join(parts)
+
+    async def serve(self, serve: Serve) -> tuple:
+        """Runs the request on the server: Served, or ServeMissed with whether anything was written."""
+        call = serve.call
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + serve.within.total_seconds()
+        self._turn_to(serve.address, call.instance)
+        while True:
+            connection = self._kept_one()
+            fresh = connection is None
+            if connection is None:
+                try:
+                    connection = await self._open(serve.address)
+                except (OSError, TimeoutError):
+                    return ServeMissed(
+                        serve.number,
+                        True,
+                        Mishap(MishapKind.UNREACHABLE, "The server takes no connection.", "Send it elsewhere."),
+                    )
+            left = timedelta(seconds=deadline - loop.time())
+            connection.begin(with_body=call.method != "HEAD")
+            try:
+                async with asyncio.timeout_at(deadline):
+                    connection.transport.write(self._request(serve, left))
+                    message, body = await self._answer(connection, call.send_id)
+            except (_Broken, aiohttp.ClientError, OSError, ValueError):
+                heard = bool(connection.messages)
+                connection.abort()
+                if call.repeatable and not fresh and not heard and loop.time() < deadline:
+                    # A kept connection that the server closed as it was used: once more, on a new one.
+                    self.counters.add("server.stale_connections")
+                    self.close()
+                    continue
+                return self._missed(serve, MishapKind.ANSWER_BROKEN)
+            except TimeoutError:
+                connection.abort()
+                return self._missed(serve, MishapKind.BUDGET_SPENT)
+            except asyncio.CancelledError:
+                connection.abort()
+                raise
+            self._keep(connection, message)
+            if any(name.lower() == b"content-encoding" for name, _ in message.raw_headers):
+                return self._missed(serve, MishapKind.ANSWER_BROKEN)
+            said = any(name.lower() == self.not_run for name, _ in message.raw_headers)
+            return Served(
+                serve.number,
+                message.code,
+                pack_pairs(message.raw_headers),
+                body,
+                said or message.code in _not_run_statuses,
+            )
+
+    def _missed(self, serve: Serve, kind: MishapKind) -> ServeMissed:
+        self.counters.add(f"server.{kind}")
+        return ServeMissed(
+            serve.number, False, Mishap(kind, "The server gave no whole answer in time.", "Ask what became of it.")
+        )
+
+    async def _answer(self, connection: _Connection, send_id: str):
+        """The answer under this id. One under another's stands in its place and belongs to nobody."""
+        while True:
+            message, payload = await connection.next_message()
+            body = await payload.read()
+            if 100 <= message.code < 200:
+                continue
+            carried = [value for name, value in message.raw_headers if name.lower() == self.send_id]
+            if carried == [send_id.encode()]:
+                length = [value for name, value in message.raw_headers if name.lower() == b"content-length"]
+                unmarked = bool(body) and not length and not message.chunked
+                if unmarked:
+                    # It ends where its connection ends, which may be anywhere.
+                    raise _Broken
+                return message, body
+            self.counters.add("server.strange_answers")
+            connection.dirty = True
+
+    def _keep(self, connection: _Connection, message) -> None:
+        connection.parser = None
+        closes = message.should_close
+        for name, value in message.raw_headers:
+            if name.lower() == b"keep-alive":
+                for part in value.split(b","):
+                    key, _, told = part.strip().partition(b"=")
+                    if key.lower() == b"timeout" and told.strip().isdigit():
+                        connection.keeps = max(0.1, int(told) * KEPT_SHARE)
+        if connection.dirty or connection.lost or connection.messages or closes or len(self.kept) >= MOST_KEPT:
+            if connection.messages:
+                self.counters.add("server.surplus_answers")
+            connection.abort()
+            return
+        connection.idle_since = asyncio.get_running_loop().time()
+        self.kept.append(connection)
--- /dev/null
+++ b/packages/broker/src/hoistsaddle/broker/service.py
@@ -0,0 +1,56 @@
+"""A stall that serves items as a service of the house: node, server line and door, opened and closed in order."""
+
+from datetime import timedelta
+
+from aiohttp import web
+from aiomisc import Service
+
+from hoistsaddle.broker.door import Door, close_door, open_door
+from hoistsaddle.broker.node import BrokerNode
+from hoistsaddle.broker.serverline import ServerLine
+from hoistsaddle.broker.wording import Wording
+from hoistsaddle.haggle.line import Pulse
+from hoistsaddle.haggle.runtime import RealRuntime
+from hoistsaddle.tally.counters import Counters
+from hoistsaddle.tally.moments import milliseconds
+from hoistsaddle.tally.params import BrokerParams
+
+PULSE = Pulse(every=milliseconds(250), span=milliseconds(900))
+CONNECT_SPAN = milliseconds(350)
+# A stopping stall ends once nothing has come for so long: whoever asks for its readiness has seen twice that it stops.
+QUIET = milliseconds(700)
+# What closing the doors needs of the grace.
+CLOSING = milliseconds(900)
+
+
+class BrokerService(Service):
+    def __init__(self, *, params: BrokerParams, wording: Wording | None = None) -> None:
+        super().__init__()
+        self.broker_params = params
+        self.wording = wording or Wording()
+
+    async def start(self) -> None:
+        params = self.broker_params
+        runtime = RealRuntime(pulse=PULSE, connect_span=CONNECT_SPAN, home=True)
+        self.server_line = ServerLine(wording=self.wording, counters=Counters(owner=params.name))
+        self.node = BrokerNode(params=params, runtime=runtime, serve=self.server_line.serve)
+        self.server_line.counters = self.node.counters
+        await self.node.start()
+        self.door = await open_door(
+            address=params.door, handler=Door(node=self.node, wording=self.wording).handle, idle=timedelta(seconds=60)
+        )
+        self.side_doors = await self.open_side_doors()
+        self.start_event.set()
+
+    async def open_side_doors(self) -> list[web.ServerRunner]:
+        """Where readiness is asked and vitals are told: in whose words, the deployment says."""
+        return []
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        grace = timedelta(seconds=self.broker_params.grace_seconds)
+        await self.node.wind_down(quiet=QUIET, most=grace - CLOSING)
+        await close_door(self.door, wait=milliseconds(150))
+        for runner in self.side_doors:
+            await runner.cleanup()
+        await self.node.stop()
+        self.server_line.close()
--- a/packages/crier/src/hoistsaddle/crier/holding.py
+++ b/packages/crier/src/hoistsaddle/crier/holding.py
@@ -1,6 +1,7 @@
 """Holding a child's poll, the same at a root and at a relay."""
 
 import asyncio
+from datetime import timedelta
 
 from hoistsaddle.crier.relay import Relay
 from hoistsaddle.haggle.parcels import PollAnswer, PollCall
@@ -10,11 +11,13 @@
 POLL_HOLD = milliseconds(150)
 
 
-async def hold_poll(*, runtime: Runtime, relay: Relay, news: asyncio.Condition, call: PollCall) -> PollAnswer:
+async def hold_poll(
+    *, runtime: Runtime, relay: Relay, news: asyncio.Condition, call: PollCall, hold: timedelta = POLL_HOLD
+) -> PollAnswer:
     """A child that knows everything is held until there is news, or for a short while."""
     if relay.must_wait(call):
         try:
-            async with asyncio.timeout(POLL_HOLD.total_seconds()), news:
+            async with asyncio.timeout(hold.total_seconds()), news:
                 await news.wait_for(lambda: not relay.must_wait(call))
         except TimeoutError:
             pass
--- a/packages/crier/src/hoistsaddle/crier/membership.py
+++ b/packages/crier/src/hoistsaddle/crier/membership.py
@@ -66,7 +66,10 @@
         suspicion: timedelta,
         helpers: int = 2,
         most_rumours: int = 24,
+        spread: int | None = None,
     ) -> None:
+        # How often a rumour is passed on before it counts as known; None passes everything on for ever.
+        self.spread = spread
         self.me = me
         self.random = seed
         self.period = period
@@ -85,10 +88,20 @@
         """Everyone not removed: a suspect still counts until its suspicion runs out."""
         return [member for member in self.members.values() if member.kind == kind and member.state != DEAD]
 
-    def rumours(self) -> tuple[Rumour, ...]:
-        # What was told least goes first; oneself always goes along.
-        order = sorted((node for node in self.members if node != self.me.node), key=lambda node: self.told.get(node, 0))
-        picked = [self.me.node, *order[: self.most_rumours - 1]]
+    def knows(self, node: str) -> bool:
+        return node in self.members
+
+    def rumours(self, *, whole: bool = False) -> tuple[Rumour, ...]:
+        """Oneself and what was told least; whole, for one just met, also what everybody else knows by now."""
+        told = [
+            (self.told.get(node, 0), node)
+            for node in self.members
+            if node != self.me.node and (whole or self.spread is None or self.told.get(node, 0) < self.spread)
+        ]
+        most = len(told) if whole else self.most_rumours - 1
+        # Stable by what was told alone: members keep the order in which they were met.
+        order = [node for _, node in sorted(told, key=lambda each: each[0])]
+        picked = [self.me.node, *order[:most]]
         for node in picked:
             self.told[node] = self.told.get(node, 0) + 1
         return tuple(self.members[node] for node in picked)
--- a/packages/crier/src/hoistsaddle/crier/relay.py
+++ b/packages/crier/src/hoistsaddle/crier/relay.py
@@ -94,6 +94,10 @@
         self._renew(asked)
         return changed
 
+    def renewed(self, *, asked: timedelta) -> None:
+        """A root's copy was just what the log says, as of that moment."""
+        self._renew(asked)
+
     def _renew(self, start: timedelta) -> None:
         # Answers may come out of order: a lease only ever moves forward.
         if self.lease_start is None or start > self.lease_start:
@@ -167,7 +171,9 @@
         return tuple(uptake for uptake, moment in self.uptakes.values() if now - moment < self.lease_span)
 
 
-def select_parents(*, node: str, stalls: list[tuple[str, str]], roots: list[tuple[str, str]]) -> list[str]:
+def select_parents(
+    *, node: str, stalls: list[tuple[str, str]], roots: list[tuple[str, str]], fan_out: int = FAN_OUT
+) -> list[str]:
     """Addresses to poll, best first: the place in the tree, then the roots as the way out when it fails.
 
     Every node computes the tree from the members it knows, so nobody hands out places. Nodes with different views may
@@ -179,11 +185,11 @@
     parents: list[str] = []
     if node in names and roots:
         place = names.index(node)
-        direct = len(roots) * FAN_OUT
+        direct = len(roots) * fan_out
         if place < direct:
             parents.append(roots[place % len(roots)][1])
         else:
-            parents.append(order[(place - direct) // FAN_OUT][1])
+            parents.append(order[(place - direct) // fan_out][1])
         turn = place % len(roots)
         parents += [address for _, address in roots[turn:] + roots[:turn]]
     else:
--- a/packages/fairground/src/hoistsaddle/fairground/proof.py
+++ b/packages/fairground/src/hoistsaddle/fairground/proof.py
@@ -20,6 +20,7 @@
     read_back_of,
 )
 from hoistsaddle.fairground.load import Load
+from hoistsaddle.shelf.commands import LEVEL
 from hoistsaddle.tariff.bundle import digest_of
 
 Say = Callable[[str], None]
@@ -276,7 +277,7 @@
                     self.history.add(Promised(self._now(), f"newer commands wait, not {came!r}", kept))
 
         async def raised() -> bool:
-            return await level() == 2
+            return await level() == LEVEL
 
         took = await self.fleet.until(raised, seconds=30, what="the level rises")
         self.history.add(Interrupted(began, self._now(), "the upgrade"))
--- a/packages/haggle/src/hoistsaddle/haggle/line.py
+++ b/packages/haggle/src/hoistsaddle/haggle/line.py
@@ -6,12 +6,13 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from pathlib import Path
+from typing import NamedTuple
 
 import msgspec
 from loguru import logger
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.haggle.parcels import pack, unpack
+from hoistsaddle.haggle.parcels import PulseAnswer, PulseCall, pack, unpack
 from hoistsaddle.tally.mishaps import Mishap, MishapKind
 from hoistsaddle.tally.params import split_address
 
@@ -35,9 +36,24 @@
     writer.write(_length.pack(len(data)) + data)
 
 
+class Pulse(NamedTuple):
+    """How a line with calls under way is felt: asked after this long a silence, given up after that long a one.
+
+    A machine without power says nothing. Without pulses a call to it would wait out its whole budget.
+    """
+
+    every: timedelta
+    span: timedelta
+
+
 class _Connection:
-    def __init__(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(
+        self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, pulse: Pulse | None = None
+    ) -> None:
         self.writer = writer
+        self.pulse = pulse
+        self.heard = 0.0
+        self.felt: asyncio.TimerHandle | None = None
         self.pending: dict[int, asyncio.Future] = {}
         self.closed = False
         self._task = asyncio.ensure_future(self._listen(reader))
@@ -46,6 +62,7 @@
         try:
             while True:
                 number, _, message = await _read_frame(reader)
+                self.heard = asyncio.get_running_loop().time()
                 future = self.pending.pop(number, None)
                 if future is not None and not future.done():
                     future.set_result(message)
@@ -54,6 +71,33 @@
         finally:
             self.close()
 
+    def feel(self) -> None:
+        """Called with each call: a line that nobody waits on needs no pulse."""
+        if self.pulse is not None and self.felt is None:
+            self.heard = asyncio.get_running_loop().time()
+            self._feel_later()
+
+    def _feel_later(self) -> None:
+        self.felt = asyncio.get_running_loop().call_later(self.pulse.every.total_seconds(), self._feel)
+
+    def _feel(self) -> None:
+        self.felt = None
+        if self.closed or not self.pending:
+            return None
+        silence = asyncio.get_running_loop().time() - self.heard
+        # A process that was late itself reads what came in meanwhile before it gives anyone up.
+        if silence >= (self.pulse.span + self.pulse.every * 2).total_seconds():
+            self.heard = asyncio.get_running_loop().time() - (self.pulse.span - self.pulse.every).total_seconds()
+        elif silence >= self.pulse.span.total_seconds():
+            return self.close()
+        if silence >= self.pulse.every.total_seconds() * 0.9:
+            try:
+                # Number 0 is no call's: its answer only shows that somebody is there.
+                _write_frame(self.writer, number=0, answer=False, message=PulseCall(""))
+            except OSError:
+                return self.close()
+        self._feel_later()
+
     def close(self) -> None:
         self.closed = True
         self.writer.close()
@@ -108,7 +152,17 @@
 class Lines:
     """Calls other processes. A mishap says whether the call can have reached the other side."""
 
-    def __init__(self, *, faults: "LineFaults | None" = None) -> None:
+    def __init__(
+        self,
+        *,
+        faults: "LineFaults | None" = None,
+        pulse: Pulse | None = None,
+        connect_span: timedelta = CONNECT_SPAN,
+    ) -> None:
+        self.pulse = pulse
+        self.connect_span = connect_span
+        # Addresses that this very process serves: a call to one of them is a call of a function.
+        self.home: dict[str, Handler] = {}
         self._connections: dict[str, _Connection] = {}
         self._opening: dict[str, asyncio.Lock] = {}
         self._numbers = itertools.count(1)
@@ -121,7 +175,7 @@
             if connection is None or connection.closed:
                 host, port = split_address(address)
                 reader, writer = await asyncio.open_connection(host, port)
-                connection = self._connections[address] = _Connection(reader=reader, writer=writer)
+                connection = self._connections[address] = _Connection(reader=reader, writer=writer, pulse=self.pulse)
         return connection
 
     async def call(
@@ -137,12 +191,23 @@
         )
         loop = asyncio.get_running_loop()
         deadline = loop.time() + within.total_seconds()
+        if address in self.home:
+            if not still():
+                return unreachable
+            # As on a line, whoever stops waiting doesn't stop the work.
+            work = asyncio.ensure_future(self.home[address](message))
+            try:
+                async with asyncio.timeout_at(deadline):
+                    home_answer = await asyncio.shield(work)
+            except TimeoutError:
+                return Failure(silent_at(address))
+            return Failure(silent_at(address)) if home_answer is None else Success(home_answer)
         if self.faults is not None and self.faults.drops_calls_to(address):
             # Bytes that vanish on the way look like this from here: nothing comes back, and nobody can say why.
             await asyncio.sleep(within.total_seconds())
             return Failure(silent_at(address))
         try:
-            async with asyncio.timeout_at(min(deadline, loop.time() + CONNECT_SPAN.total_seconds())):
+            async with asyncio.timeout_at(min(deadline, loop.time() + self.connect_span.total_seconds())):
                 connection = await self._connect(address)
         except (OSError, TimeoutError):
             # Nothing was written, so the other side can't have heard of this call.
@@ -154,6 +219,7 @@
         silent = Failure(silent_at(address))
         try:
             _write_frame(connection.writer, number=number, answer=False, message=message)
+            connection.feel()
             async with asyncio.timeout_at(deadline):
                 answer = await future
         except TimeoutError:
@@ -190,6 +256,9 @@
         try:
             while True:
                 number, _, message = await _read_frame(reader)
+                if isinstance(message, PulseCall):
+                    _write_frame(writer, number=number, answer=True, message=PulseAnswer(""))
+                    continue
                 if message is None:
                     # A newer release's call: unanswered, so its sender knows that it isn't understood here.
                     continue
--- a/packages/haggle/src/hoistsaddle/haggle/mesh.thrift
+++ b/packages/haggle/src/hoistsaddle/haggle/mesh.thrift
@@ -45,6 +45,14 @@
 struct PassCall { 1: string send, 2: string caller, 3: string visitor, 4: string service_name, 5: string target, 6: string instance, 7: i64 bundle, 8: string entry, 9: i64 budget, 10: string method, 11: string path, 12: map<string, string> headers, 13: binary body, 14: string hold, 15: i64 answer_bytes, 16: i64 ordinal }
 struct PassAnswer { 1: string send, 2: string outcome, 3: string mishap, 4: string detail, 5: i64 status, 6: map<string, string> headers, 7: binary body, 8: string digest }
 
+// A request under items, on its way to the stall beside the server that is to run it. Headers are packed name, value pairs.
+struct DealCall { 1: string send, 2: string service_name, 3: string target, 4: string instance, 5: i64 budget, 6: i64 aim, 7: i64 rank, 8: string entry, 9: string method, 10: binary path, 11: binary headers, 12: binary body, 13: string caller, 14: string send_id, 15: i64 ordinal, 16: bool repeatable, 17: bool patient }
+struct DealAnswer { 1: string send, 2: string outcome, 3: string mishap, 4: i64 status, 5: binary headers, 6: binary body, 7: i64 load, 8: i64 room, 9: i64 took }
+struct RecallCall { 1: string claim }
+struct RecallAnswer { 1: string standing, 2: i64 status, 3: binary headers, 4: binary body }
+struct PulseCall { 1: string asker }
+struct PulseAnswer { 1: string node }
+
 union Parcel {
   1: FetchCall fetch_call, 2: FetchAnswer fetch_answer, 3: PullCall pull_call, 4: PullAnswer pull_answer,
   5: BallotCall ballot_call, 6: BallotAnswer ballot_answer, 7: LeadCall lead_call, 8: ResignCall resign_call, 9: Heard heard,
@@ -53,7 +61,9 @@
   18: PollCall poll_call, 19: PollAnswer poll_answer, 20: UptakeCall uptake_call, 21: UptakeAnswer uptake_answer,
   22: VitalsCall vitals_call, 23: VitalsAnswer vitals_answer,
   24: ProbeCall probe_call, 25: ProbeAnswer probe_answer, 26: ProbeForCall probe_for_call, 27: ProbeForAnswer probe_for_answer,
-  28: PassCall pass_call, 29: PassAnswer pass_answer, 30: RaiseCall raise_call, 31: RaiseAnswer raise_answer
+  28: PassCall pass_call, 29: PassAnswer pass_answer, 30: RaiseCall raise_call, 31: RaiseAnswer raise_answer,
+  32: DealCall deal_call, 33: DealAnswer deal_answer, 34: RecallCall recall_call, 35: RecallAnswer recall_answer,
+  36: PulseCall pulse_call, 37: PulseAnswer pulse_answer
 }
 
 // One frame on a line: number pairs an answer with its call.
--- a/packages/haggle/src/hoistsaddle/haggle/parcels.py
+++ b/packages/haggle/src/hoistsaddle/haggle/parcels.py
@@ -305,6 +305,62 @@
     digest: str = ""
 
 
+class DealCall(NamedTuple):
+    """A request under items. Headers are msgpack of name, value pairs of bytes, in their order."""
+
+    send: str
+    service_name: str
+    target: str
+    instance: str
+    budget: timedelta
+    aim: timedelta
+    rank: int
+    entry: str
+    method: str
+    path: bytes
+    headers: bytes
+    body: bytes
+    caller: str
+    # The visitor's own id of this try.
+    send_id: str
+    ordinal: int = 1
+    repeatable: bool = False
+    # Nobody could serve it within its aim: any time within its budget will do.
+    patient: bool = False
+
+
+class DealAnswer(NamedTuple):
+    send: str
+    outcome: str
+    mishap: str = ""
+    status: int = 0
+    headers: bytes = b""
+    body: bytes = b""
+    # Requests running and waiting at the target's server, how many it works on at a time, and what this one took.
+    load: int = 0
+    room: int = 1
+    took: timedelta = timedelta()
+
+
+class RecallCall(NamedTuple):
+    claim: str
+
+
+class RecallAnswer(NamedTuple):
+    standing: str
+    status: int = 0
+    headers: bytes = b""
+    body: bytes = b""
+
+
+class PulseCall(NamedTuple):
+    asker: str
+
+
+class PulseAnswer(NamedTuple):
+    node: str
+
+
 MESSAGES: dict[str, Any] = {
     name: value
     for name, value in list(globals().items())
--- a/packages/haggle/src/hoistsaddle/haggle/runtime.py
+++ b/packages/haggle/src/hoistsaddle/haggle/runtime.py
@@ -9,7 +9,7 @@
 
 from returns.result import Result
 
-from hoistsaddle.haggle.line import Handler, LineFaults, Lines, LineServer
+from hoistsaddle.haggle.line import CONNECT_SPAN, Handler, LineFaults, Lines, LineServer, Pulse
 from hoistsaddle.tally.mishaps import Mishap
 from hoistsaddle.tally.moments import monotonic_now
 
@@ -40,9 +40,19 @@
 
 
 class RealRuntime:
-    def __init__(self, *, line_faults: str = "") -> None:
+    def __init__(
+        self,
+        *,
+        line_faults: str = "",
+        pulse: Pulse | None = None,
+        connect_span: timedelta = CONNECT_SPAN,
+        home: bool = False,
+    ) -> None:
+        self.home = home
         self.random = random.Random()
-        self.lines = Lines(faults=LineFaults(path=Path(line_faults)) if line_faults else None)
+        self.lines = Lines(
+            faults=LineFaults(path=Path(line_faults)) if line_faults else None, pulse=pulse, connect_span=connect_span
+        )
 
     def now(self) -> timedelta:
         return monotonic_now()
@@ -53,4 +63,6 @@
     async def serve(self, address: str, handler: Handler) -> LineServer:
         server = LineServer(address=address, handler=handler)
         await server.start()
+        if self.home:
+            self.lines.home[address] = handler
         return server
--- a/packages/ledger/src/hoistsaddle/ledger/core.py
+++ b/packages/ledger/src/hoistsaddle/ledger/core.py
@@ -49,6 +49,8 @@
 from hoistsaddle.shelf.apply import apply
 from hoistsaddle.shelf.commands import (
     LEVEL,
+    AddVoter,
+    DropVoter,
     LeaderNote,
     Outcome,
     RaiseLevel,
@@ -83,12 +85,26 @@
         self.level = 1
 
 
-def _swap_in(payload: bytes) -> SwapVoter | None:
+VoterChange = SwapVoter | AddVoter | DropVoter
+
+
+def _change_in(payload: bytes) -> VoterChange | None:
     # Cheap look first: nearly no record is a voter change.
-    if b"SwapVoter" not in payload[:16]:
+    if b"Voter" not in payload[:16]:
         return None
     command = unpack_command(payload)
-    return command if isinstance(command, SwapVoter) else None
+    return command if isinstance(command, SwapVoter | AddVoter | DropVoter) else None
+
+
+def _changed(voters: dict[int, str], change: VoterChange) -> dict[int, str]:
+    match change:
+        case SwapVoter(replica=replica, new=new):
+            return {**voters, replica: new}
+        case AddVoter(replica=replica, incarnation=incarnation):
+            return {**voters, replica: incarnation}
+        case DropVoter(replica=replica):
+            return {each: incarnation for each, incarnation in voters.items() if each != replica}
+    return voters
 
 
 class LedgerCore:
@@ -101,10 +117,16 @@
         seed: random.Random,
         now: timedelta,
         level: int = LEVEL,
+        wanted_voters: int = 0,
     ) -> None:
         self.replica = boot.replica
+        # How many voters the losses to be borne ask for; 0 where founding named them once and for all.
+        self.wanted_voters = wanted_voters
         self.incarnation = boot.incarnation
-        self.replicas = replicas
+        # Those it may always turn to; voters that joined since are asked and told beside them.
+        self.seeds = replicas
+        self.sought = 0
+        self.sought_at = now
         self.pace = pace
         self.level = min(level, LEVEL)
         # Why this replica can't go on; empty while it can.
@@ -135,7 +157,7 @@
         self.swaps = [
             (record.offset, swap)
             for record in self.log
-            if record.offset > self.state.offset and (swap := _swap_in(record.payload))
+            if record.offset > self.state.offset and (swap := _change_in(record.payload))
         ]
         self.sequence = 0
         self.unsynced: list[tuple[int, int, timedelta]] = []
@@ -199,10 +221,17 @@
         voters = dict(self.state.voters) if self.whole else dict(self.known_voters)
         sets = [voters]
         for _, swap in self.swaps:
-            voters = {**voters, swap.replica: swap.new}
+            voters = _changed(voters, swap)
             sets.append(voters)
         return sets
 
+    @property
+    def replicas(self) -> tuple[int, ...]:
+        known = set(self.seeds)
+        for voters in self.voter_sets():
+            known.update(voters)
+        return tuple(sorted(known))
+
     def is_voter(self) -> bool:
         return any(voters.get(self.replica) == self.incarnation for voters in self.voter_sets())
 
@@ -330,7 +359,7 @@
     def _append(self, records: tuple[Record, ...]) -> None:
         for record in records:
             self.log.append(record)
-            if swap := _swap_in(record.payload):
+            if swap := _change_in(record.payload):
                 self.swaps.append((record.offset, swap))
         self.appended_at = self.now
         self._write(records=records)
@@ -705,7 +734,13 @@
             self._tell_changes(before, outcome)
             if self.swaps and self.swaps[0][0] <= record.offset:
                 _, swap = self.swaps.pop(0)
-                self._announce("voter swapped", voter=swap.replica, old=swap.old, new=swap.new)
+                match swap:
+                    case SwapVoter(replica=replica, old=old, new=new):
+                        self._announce("voter swapped", voter=replica, old=old, new=new)
+                    case AddVoter(replica=replica):
+                        self._announce("voter added", voter=replica, voters=len(self.state.voters))
+                    case DropVoter(replica=replica):
+                        self._announce("voter dropped", voter=replica, voters=len(self.state.voters))
             ticket = self.ticket_of.pop(record.offset, None)
             if ticket is not None:
                 held = self.waiting[ticket]
@@ -802,6 +837,9 @@
             else:
                 self._step_down(answer.epoch, UNSET)
             return None
+        if self.leader == UNSET and not answer.mishap and answer.epoch == self.epoch and answer.leader == replica:
+            # The one that was asked on the off chance leads itself.
+            return self._follow(answer.epoch, replica)
         if answer.mishap and answer.epoch == self.epoch and replica == self.leader:
             # It led once and says it no longer does: wait for a call to follow, or for the election schedule.
             self.leader = UNSET
@@ -907,7 +945,7 @@
         self.checkpoints = [(mark, self.now)]
         self.high_watermark = mark.offset
         self._check_level()
-        self.swaps = [(record.offset, swap) for record in self.log if (swap := _swap_in(record.payload))]
+        self.swaps = [(record.offset, swap) for record in self.log if (swap := _change_in(record.payload))]
         self._write()
         self._announce("caught up", checkpoint=mark.offset, log_end=self.last.offset)
         self._fetch()
@@ -930,6 +968,8 @@
                 and (self.pull_sent is None or self.now - self.pull_sent > self.pace.fetch_retry * 2)
             ):
                 self._pull()
+        if self.leader == UNSET and not self.is_voter() and self.now - self.sought_at >= self.pace.seek_every:
+            self._seek()
         if self.now >= self.election_at:
             if self._can_stand():
                 # A trial first: a replica that was merely cut off must not raise everyone's epoch.
@@ -938,6 +978,18 @@
                 self.leader = UNSET
                 self.election_at = self.now + self._election_span()
 
+    def _seek(self) -> None:
+        """Nobody calls a replica nobody knows of: it asks the seeds and its last voters who leads."""
+        others = [replica for replica in self.replicas if replica != self.replica]
+        if not others:
+            return
+        self.sought_at = self.now
+        self.sought += 1
+        self.fetch_number = self._send(
+            others[self.sought % len(others)],
+            FetchCall(self.mesh, self.replica, self.incarnation, self.epoch, 0, 0, 0, False, self.level),
+        )
+
     def _lead_tick(self) -> None:
         if self.unsynced and self.now - self.unsynced[0][2] > self.pace.disk_stall:
             self._announce("disk stalled", since=str(self.now - self.unsynced[0][2]))
@@ -974,7 +1026,7 @@
         """Logs the one-voter change that swaps a caught-up new disk in for the one it replaces."""
         # One change at a time, and only once this epoch has committed something.
         if self.swaps or self.high_watermark < self.epoch_began or self.now - self.lead_since < self.pace.alive_span:
-            return
+            return None
         voters = dict(self.state.voters)
         for (replica, incarnation), progress in self.progress.items():
             old = voters.get(replica)
@@ -988,6 +1040,35 @@
             former = self.progress.get((replica, old))
             gone = former is None or self.now - former.heard > self.pace.alive_span
             if gone and progress.offset >= self.high_watermark:
-                self._append((self._record(pack_command(SwapVoter(replica, old, incarnation))),))
-                self._answer_held()
-                return
+                return self._change_voters(SwapVoter(replica, old, incarnation))
+        self._grow_voters(voters)
+
+    def _change_voters(self, change: VoterChange) -> None:
+        self._append((self._record(pack_command(change)),))
+        self._answer_held()
+
+    def _grow_voters(self, voters: dict[int, str]) -> None:
+        """One change at a time towards the number wanted; a voter long silent makes room for one that keeps up."""
+        if not self.wanted_voters or self.state.level < 3:
+            return None
+        ready = sorted(
+            (replica, incarnation)
+            for (replica, incarnation), progress in self.progress.items()
+            if replica not in voters
+            and progress.whole
+            and self.now - progress.heard < self.pace.fetch_retry
+            and progress.offset >= self.high_watermark
+        )
+        if not ready:
+            return None
+        if len(voters) < self.wanted_voters:
+            return self._change_voters(AddVoter(*ready[0]))
+        if self.now - self.lead_since < self.pace.replace_span:
+            return None
+        for replica, incarnation in sorted(voters.items()):
+            if replica == self.replica:
+                continue
+            heard = [each.heard for (other, _), each in self.progress.items() if other == replica]
+            if self.now - max(heard, default=self.lead_since) > self.pace.replace_span:
+                # The new one joins next, once this is committed: never fewer than one below what is wanted.
+                return self._change_voters(DropVoter(replica, incarnation))
--- a/packages/ledger/src/hoistsaddle/ledger/events.py
+++ b/packages/ledger/src/hoistsaddle/ledger/events.py
@@ -170,6 +170,9 @@
     disk_stall: timedelta = timedelta(seconds=1)
     tick_record: timedelta = timedelta(seconds=1)
     checkpoint_records: int = 2000
+    # How often a replica that no leader knows of asks for one, and how long a voter must be silent to be replaced.
+    seek_every: timedelta = timedelta(milliseconds=300)
+    replace_span: timedelta = timedelta(seconds=20)
     chunk_bytes: int = 65536
     fetch_records: int = 500
     fetch_bytes: int = 1024 * 1024
--- a/packages/ledger/src/hoistsaddle/ledger/shell.py
+++ b/packages/ledger/src/hoistsaddle/ledger/shell.py
@@ -52,7 +52,9 @@
         runtime: Runtime,
         make_worker: Callable[..., DiskWorker] = DiskThread,
         level: int = LEVEL,
+        wanted_voters: int = 0,
     ) -> None:
+        self.wanted_voters = wanted_voters
         self.disk = disk
         self.addresses = addresses
         self.pace = pace
@@ -91,6 +93,7 @@
             seed=self.runtime.random,
             now=self.runtime.now(),
             level=self.level,
+            wanted_voters=self.wanted_voters,
         )
 
     async def found(self, *, mesh: str, voters: dict[int, str], operators: dict[str, str], level: int = 1) -> bool:
--- a/packages/shelf/src/hoistsaddle/shelf/apply.py
+++ b/packages/shelf/src/hoistsaddle/shelf/apply.py
@@ -4,21 +4,24 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from hoistsaddle.shelf import bundles, fleet, keys, people
+from hoistsaddle.shelf import bundles, fleet, items, keys, people
 from hoistsaddle.shelf.commands import (
     LEVEL,
     LEVEL_OF,
     AbortBundle,
+    AddVoter,
     AdvanceBundle,
     ChangeOperator,
     ClaimHold,
     Command,
     DrainServer,
     DropOperator,
+    DropVoter,
     LeaderNote,
     NoteNode,
     NoteServer,
     Outcome,
+    PatchItems,
     Purge,
     RaiseLevel,
     ReleaseHold,
@@ -94,6 +97,16 @@
             if state.voters.get(replica) != old:
                 return state, refuse(MishapKind.UNSURE, "The voter was swapped already.", "Read the voters.", "replica")
             return state._replace(voters=state.voters.set(replica, new), news=offset), Outcome()
+        case AddVoter(replica=replica, incarnation=incarnation):
+            if replica in state.voters:
+                return state, refuse(MishapKind.UNSURE, "It is a voter already.", "Read the voters.", "replica")
+            return state._replace(voters=state.voters.set(replica, incarnation), news=offset), Outcome()
+        case DropVoter(replica=replica, incarnation=incarnation):
+            if state.voters.get(replica) != incarnation or len(state.voters) < 2:
+                return state, refuse(MishapKind.UNSURE, "It is no voter.", "Read the voters.", "replica")
+            return state._replace(voters=state.voters.delete(replica), news=offset), Outcome()
+        case PatchItems():
+            return items.patch(state, command, offset)
         case SubmitBundle(request=request, author=author):
             return once(request, author, bundles.submit)
         case SignBundle(request=request, signer=signer):
--- a/packages/shelf/src/hoistsaddle/shelf/commands.py
+++ b/packages/shelf/src/hoistsaddle/shelf/commands.py
@@ -24,6 +24,27 @@
     new: str
 
 
+class AddVoter(NamedTuple):
+    """One more voter: a disk that has caught up joins those that decide."""
+
+    replica: int
+    incarnation: str
+
+
+class DropVoter(NamedTuple):
+    replica: int
+    incarnation: str
+
+
+class PatchItems(NamedTuple):
+    """Part of a setup: items with revisions of their own, one numbered bundle under a standing sign-off."""
+
+    request: str
+    author: str
+    signer: str
+    patch: bytes
+
+
 class SubmitBundle(NamedTuple):
     request: str
     author: str
@@ -102,6 +123,10 @@
     by: str = ""
     who: str = ""
     entry: str = ""
+    # Seconds of mesh time the key stays held; 0 for the rule of old.
+    span: int = 0
+    # A claim that its holder has given up for good: this one takes its place.
+    after: str = ""
 
 
 class SettleHold(NamedTuple):
@@ -161,6 +186,9 @@
     LeaderNote
     | Tick
     | SwapVoter
+    | AddVoter
+    | DropVoter
+    | PatchItems
     | SubmitBundle
     | SignBundle
     | AdvanceBundle
@@ -179,8 +207,16 @@
     | DropOperator
 )
 # The highest release level this release supports, and the commands that came with each level above the first.
-LEVEL = 2
-LEVEL_OF: dict[type, int] = {Purge: 2, ChangeOperator: 2, SignOperator: 2, DropOperator: 2}
+LEVEL = 3
+LEVEL_OF: dict[type, int] = {
+    Purge: 2,
+    ChangeOperator: 2,
+    SignOperator: 2,
+    DropOperator: 2,
+    AddVoter: 3,
+    DropVoter: 3,
+    PatchItems: 3,
+}
 COMMANDS: dict[str, Any] = {kind.__name__: kind for kind in Command.__args__}
 _encoder = msgspec.msgpack.Encoder()
 
--- a/packages/shelf/src/hoistsaddle/shelf/keys.py
+++ b/packages/shelf/src/hoistsaddle/shelf/keys.py
@@ -1,5 +1,7 @@
 """What the log makes of keys that must run once: claims, answers kept, keys given back, and their expiry."""
 
+from datetime import timedelta
+
 from hoistsaddle.shelf.commands import (
     HOLD_SETTLED,
     HOLD_UNSETTLED,
@@ -18,6 +20,10 @@
 BY_CREDENTIALS = "credentials"
 
 
+def _span_of(command: ClaimHold) -> timedelta:
+    return timedelta(seconds=command.span) if command.span else HOLD_UNSETTLED
+
+
 def _live(state: State, scope: str) -> Hold | None:
     hold = state.holds.get(scope)
     # Expiry is judged against mesh time: the same on every replica, never early.
@@ -43,8 +49,9 @@
                 "kept": hold.kept,
             }
         )
-    # The same claim forwarded twice is one claim.
-    return Outcome(detail={"phase": "granted" if hold.claim == command.claim else CLAIMED, "scope": scope})
+    # The same claim forwarded twice is one claim. Who holds it is told, as its answer may be kept there.
+    phase = "granted" if hold.claim == command.claim else CLAIMED
+    return Outcome(detail={"phase": phase, "scope": scope, "claim": hold.claim, "stall": hold.stall})
 
 
 def _told_apart(hold: Hold, command: ClaimHold) -> bool:
@@ -74,6 +81,15 @@
         if (hold := _live(state, scope)) is None:
             continue
         if (hold.by, hold.who) == (command.by, command.who):
+            if command.after and hold.claim == command.after and hold.phase == CLAIMED:
+                # Its holder has told that nothing ran under it and nothing will.
+                moved = hold._replace(
+                    claim=command.claim,
+                    stall=command.stall,
+                    expires=to_microseconds(state.stamp + _span_of(command)),
+                )
+                state = state._replace(holds=state.holds.set(scope, moved))
+                return state, Outcome(detail={"phase": "granted", "scope": scope})
             return state, _meet(hold, scope, command)
         others.append((scope, hold))
     if not all(_told_apart(hold, command) for _, hold in others):
@@ -86,7 +102,7 @@
         )
     # The handle hangs on nothing that a bundle, a renewed credential or a new address changes.
     handle = digest_of("\0".join((command.bucket, command.by, command.who)))
-    expires = to_microseconds(state.stamp + HOLD_UNSETTLED)
+    expires = to_microseconds(state.stamp + _span_of(command))
     hold = Hold(
         command.claim,
         command.stall,
--- a/packages/shelf/src/hoistsaddle/shelf/state.py
+++ b/packages/shelf/src/hoistsaddle/shelf/state.py
@@ -86,6 +86,27 @@
     entry: str = ""
 
 
+class ItemEntry(NamedTuple):
+    """One item with its own revision. A dropped one keeps it, so that an older setting can't bring it back."""
+
+    revision: int
+    offset: int
+    dropped: bool
+    body: bytes
+    said: bytes
+
+
+class PatchEntry(NamedTuple):
+    """A bundle in parts on the time line: taken at once, under a standing sign-off."""
+
+    number: int
+    author: str
+    signer: str
+    digest: str
+    offset: int
+    changed: tuple[str, ...]
+
+
 class State(NamedTuple):
     mesh: str = ""
     offset: int = 0
@@ -113,11 +134,15 @@
     buckets: Map = Map()
     # Operator's name to a change proposed and not signed: token digest, proposer, digest of the change.
     changes: Map = Map()
+    # "kind:name" to its item, and the newest patches by number; kept from release level 3 on.
+    items: Map = Map()
+    patches: Map = Map()
 
 
 # Fields of level 1. Below level 2 the others hold their defaults and aren't packed: a former release reads this too.
 _first_fields = {"servers": 10, "nodes": 7, "holds": 9}
 _first_parts = {"level", "raised", "purged", "buckets", "changes"}
+_second_parts = {"items", "patches"}
 _entries: dict[str, Any] = {
     "bundles": BundleEntry,
     "servers": ServerEntry,
@@ -127,11 +152,15 @@
     "outcomes": None,
     "buckets": None,
     "changes": None,
+    "items": ItemEntry,
+    "patches": PatchEntry,
 }
 
 
 def pack_state(state: State) -> bytes:
     plain = state._asdict()
+    if state.level < 3:
+        plain = {name: value for name, value in plain.items() if name not in _second_parts}
     if state.level < 2:
         plain = {name: value for name, value in plain.items() if name not in _first_parts}
     for name, value in plain.items():
@@ -192,6 +221,10 @@
         items[f"node:{entry.node}"] = (entry.offset, encode(list(entry)))
     for _, entry in sorted(state.duties.items()):
         items[f"duty:{entry.duty}"] = (entry.offset, encode(list(entry)))
+    for key, entry in sorted(state.items.items()):
+        # A dropped item's revision is the log's affair; the data plane only needs to know that it is gone.
+        if not entry.dropped:
+            items[f"item:{key}"] = (entry.offset, encode([entry.revision, entry.body]))
     if state.level > 1:
         items["level:mesh"] = (state.raised, encode([state.level]))
     if state.purged:
--- a/packages/shelf/src/hoistsaddle/shelf/view.py
+++ b/packages/shelf/src/hoistsaddle/shelf/view.py
@@ -7,6 +7,7 @@
 
 from hoistsaddle.shelf.state import GONE, IN_FORCE, READY, DutyEntry, NodeEntry, ServerEntry
 from hoistsaddle.tariff.bundle import Bundle, Service, read_bundle
+from hoistsaddle.tariff.items import Item, ItemSetup, unpack_item
 
 
 class View(NamedTuple):
@@ -23,6 +24,9 @@
     in_play: tuple[Bundle, ...] = ()
     # Under which of them each stall acts, as far as its stage tells.
     acting: dict[str, Bundle] = {}
+    # The items in force, and the revision of each; None while there are none.
+    items: ItemSetup | None = None
+    item_marks: dict[str, int] = {}
 
     @property
     def bundle_number(self) -> int:
@@ -51,6 +55,8 @@
     duties: dict[str, DutyEntry] = {}
     bundles: list[tuple[str, int, Bundle]] = []
     refused, refusal, level = 0, "", 1
+    marks: dict[str, int] = {}
+    bodies: dict[str, bytes] = {}
     for key, (_, value) in items.items():
         kind, _, name = key.partition(":")
         fields = msgspec.msgpack.decode(value)
@@ -61,6 +67,8 @@
                 nodes[name] = NodeEntry(*fields[: len(NodeEntry._fields)])
             case "duty":
                 duties[name] = DutyEntry(*fields[: len(DutyEntry._fields)])
+            case "item":
+                marks[name], bodies[name] = fields
             case "level":
                 level = fields[0]
             case "bundle":
@@ -82,7 +90,15 @@
         for each in nodes.values()
         if (found := _acting(bundles, stall=each.node, zone=each.zone)) is not None
     }
-    return View(revision, bundle, rolling, refused, refusal, servers, nodes, duties, level, in_play, acting)
+    item_setup = before.items if marks == before.item_marks else _item_setup(bodies)
+    return View(
+        revision, bundle, rolling, refused, refusal, servers, nodes, duties, level, in_play, acting, item_setup, marks
+    )
+
+
+def _item_setup(bodies: dict[str, bytes]) -> ItemSetup:
+    items: dict[str, Item] = {key: unpack_item(key.partition(":")[0], body) for key, body in sorted(bodies.items())}
+    return ItemSetup(items=items)
 
 
 def _acting(bundles: list[tuple[str, int, Bundle]], *, stall: str, zone: str) -> Bundle | None:
--- a/packages/stall/src/hoistsaddle/stall/node.py
+++ b/packages/stall/src/hoistsaddle/stall/node.py
@@ -3,11 +3,12 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from typing import Any
 
 from returns.result import Success
 
-from hoistsaddle.crier.holding import hold_poll
-from hoistsaddle.crier.member import Member
+from hoistsaddle.crier.holding import POLL_HOLD, hold_poll
+from hoistsaddle.crier.member import Member, MemberPace
 from hoistsaddle.crier.membership import ALIVE
 from hoistsaddle.crier.relay import Relay, select_parents
 from hoistsaddle.haggle.parcels import (
@@ -53,7 +54,7 @@
 from hoistsaddle.tally.counters import Counters
 from hoistsaddle.tally.mishaps import MishapKind
 from hoistsaddle.tally.moments import milliseconds
-from hoistsaddle.tally.params import StallParams
+from hoistsaddle.tally.params import BrokerParams, StallParams
 
 TICK = milliseconds(50)
 # A gap this long between ticks means the process stood still; what is read right after may be old.
@@ -65,12 +66,19 @@
 HOLD_TRY = milliseconds(500)
 STOP_SPAN = timedelta(seconds=20)
 
-# Runs a request on the server beside the stall and gives ServerAnswered or ServerMissed.
-Runner = Callable[[RunServer], Awaitable[tuple]]
+# Runs a request on the server beside the stall (a RunServer, or a broker's Serve) and gives what came of it.
+Runner = Callable[[Any], Awaitable[tuple]]
 
 
 class StallNode:
-    def __init__(self, *, params: StallParams, runtime: Runtime, run_server: Runner) -> None:
+    # What a deployment with thin links sets wider.
+    poll_hold = POLL_HOLD
+    vitals_every = VITALS_EVERY
+    poll_span = POLL_SPAN
+    tick = TICK
+    member_pace = MemberPace()
+
+    def __init__(self, *, params: StallParams | BrokerParams, runtime: Runtime, run_server: Runner) -> None:
         self.params = params
         self.runtime = runtime
         self.run_server = run_server
@@ -78,19 +86,7 @@
         self.level = params.release_level or LEVEL
         self.counters = Counters(owner=params.name)
         span = timedelta(seconds=params.lease_seconds)
-        self.core = StallCore(
-            params=StallParamsView(
-                params.name,
-                params.zone,
-                self.incarnation,
-                span,
-                timedelta(seconds=params.vitals_seconds),
-                params.backlog,
-                params.outstanding,
-            ),
-            seed=runtime.random,
-            now=runtime.now(),
-        )
+        self.core = self._make_core()
         self.relay = Relay(node=params.name, incarnation=self.incarnation, lease_span=span)
         self.news = asyncio.Condition()
         self.answers: dict[int, asyncio.Future] = {}
@@ -102,7 +98,22 @@
         self.vitals_due = asyncio.Event()
         self.vitals_told = (0, "")
         me = Rumour(params.name, "stall", params.listen, params.zone, self.incarnation, 0, ALIVE)
-        self.member = Member(me=me, seeds=params.seeds, runtime=runtime, counters=self.counters)
+        self.member = Member(me=me, seeds=params.seeds, runtime=runtime, counters=self.counters, pace=self.member_pace)
+
+    def _params_view(self) -> StallParamsView:
+        params = self.params
+        return StallParamsView(
+            params.name,
+            params.zone,
+            self.incarnation,
+            timedelta(seconds=params.lease_seconds),
+            timedelta(seconds=params.vitals_seconds),
+            params.backlog,
+            params.outstanding,
+        )
+
+    def _make_core(self) -> Any:
+        return StallCore(params=self._params_view(), seed=self.runtime.random, now=self.runtime.now())
 
     async def start(self) -> None:
         self.server = await self.runtime.serve(self.params.listen, self.answer)
@@ -183,7 +194,7 @@
                 self.thawed_at = now + FROZEN_GAP
             self.ticked_at = now
             self.feed(Ticked())
-            await asyncio.sleep(TICK.total_seconds())
+            await asyncio.sleep(self.tick.total_seconds())
 
     def _frozen(self) -> bool:
         now = self.runtime.now()
@@ -201,7 +212,9 @@
                 if self.relay.heard(message.uptakes, now=self.runtime.now()):
                     # Somebody below took something up: the own poll may be held just now, so a second one tells it.
                     self._spawn(self._poll_once(self.parent))
-                return await hold_poll(runtime=self.runtime, relay=self.relay, news=self.news, call=message)
+                return await hold_poll(
+                    runtime=self.runtime, relay=self.relay, news=self.news, call=message, hold=self.poll_hold
+                )
             case ProbeCall() | ProbeForCall():
                 return await self.member.answer(message)
         return None
@@ -217,7 +230,8 @@
             if left <= timedelta():
                 break
             match await self.runtime.lines.call(address, call, within=min(left, HOLD_TRY)):
-                case Success(WriteAnswer(mishap="", outcomes=(outcome,))):
+                case Success(WriteAnswer(mishap="", leader=leader, outcomes=(outcome,))):
+                    self._lead_hint(leader)
                     self.feed(HoldAnswered(ask.number, unpack_outcome(outcome)))
                     return
                 case _:
@@ -227,6 +241,12 @@
         self.counters.add("holds.mishaps")
         self.feed(HoldAnswered(ask.number, None))
 
+    def _lead_hint(self, leader: int) -> None:
+        """The bourse beside the leader is asked first from now on."""
+        known = self.core.view.nodes.get(f"bourse-{leader}")
+        if known is not None and known.address in self.bourses and self.bourses[0] != known.address:
+            self.bourses = [known.address, *(each for each in self.bourses if each != known.address)]
+
     async def _pass_on(self, command: PassOn) -> None:
         self.counters.add(f"sends.{command.call.service_name}")
         decided = self.runtime.now()
@@ -270,7 +290,9 @@
     async def _poll_once(self, address: str) -> bool:
         """Asks one parent; true if that renewed the lease."""
         sent = self.runtime.now()
-        match await self.runtime.lines.call(address, self.relay.poll(own=self._uptake(), now=sent), within=POLL_SPAN):
+        match await self.runtime.lines.call(
+            address, self.relay.poll(own=self._uptake(), now=sent), within=self.poll_span
+        ):
             case Success(PollAnswer() as answer) if not answer.mishap:
                 pass
             case _:
@@ -345,7 +367,7 @@
                     await asyncio.sleep(milliseconds(50).total_seconds())
                     continue
             try:
-                async with asyncio.timeout(VITALS_EVERY.total_seconds()):
+                async with asyncio.timeout(self.vitals_every.total_seconds()):
                     await self.vitals_due.wait()
             except TimeoutError:
                 pass
--- a/packages/tally/src/hoistsaddle/tally/params.py
+++ b/packages/tally/src/hoistsaddle/tally/params.py
@@ -64,6 +64,62 @@
     line_faults: str = ""
 
 
+class MarketParams(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One core machine whose two core programs share a process, in a core that founds itself and grows by its log."""
+
+    host: str
+    zone: str
+    data_folder: str
+    # Hosts of up to three core machines; at a cold start the first founds, and it alone.
+    seeds: list[str]
+    cold_start: bool
+    # How many core machines may be lost at once: the voters wanted are twice as many and one.
+    losses: int = 1
+    bourse_port: int = 7100
+    warehouse_port: int = 7101
+    operators_port: int = 7102
+    # Who answers for patches: their author and the standing sign-off under which they count at once.
+    desk: str = "desk"
+    standing_sign_off: str = "standing"
+    lease_seconds: float = 1.5
+    vitals_seconds: float = 4.0
+    checkpoint_records: int = 600
+    chunk_bytes: int = 65536
+    # How long a patch waits to be seen in force on every stall before it is acknowledged all the same.
+    uptake_seconds: float = 0.35
+    write_seconds: float = 0.5
+
+
+class BrokerParams(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One stall that serves items: a door for visitors and its own server, and the way to that server."""
+
+    name: str
+    zone: str
+    listen: str
+    # The door, where visitors and the own server call.
+    door: str
+    # Where the platform asks whether it is ready, and where the server tells its vitals.
+    vitals_door: str
+    ready_door: str
+    seeds: list[str]
+    # The server beside it: its service and address, as the machine's settings have them.
+    service: str
+    server: str
+    lease_seconds: float = 1.5
+    vitals_seconds: float = 5.0
+    backlog: int = 400
+    outstanding: int = 400
+    release_level: int = 0
+    # Further sends: this share of a service's traffic in any ten seconds, plus the margin, over the whole fleet.
+    further_percent: int = 20
+    further_margin: int = 10
+    # A key stays held for so long.
+    key_seconds: float = 75.0
+    # After its stop a stall goes on for so long at most; a server that leaves gets no work after that long.
+    grace_seconds: float = 6.0
+    drain_seconds: float = 2.0
+
+
 _plain = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")
 RANGES: dict[str, tuple[float, float]] = {
     "replica": (1, 1000),
@@ -76,8 +132,16 @@
     "backlog": (1, 10**6),
     "outstanding": (1, 10**6),
     "release_level": (0, 1000),
+    "losses": (0, 10),
+    "uptake_seconds": (0, 60),
+    "write_seconds": (0.05, 60),
+    "further_percent": (0, 100),
+    "further_margin": (0, 100000),
+    "key_seconds": (1, 86400),
+    "grace_seconds": (0.5, 600),
+    "drain_seconds": (0.1, 600),
 }
-Params = WarehouseParams | BourseParams | StallParams
+Params = WarehouseParams | BourseParams | StallParams | MarketParams | BrokerParams
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -130,6 +194,24 @@
             for place, seed in enumerate(seeds):
                 if found := check_address(field=f"seeds[{place}]", address=seed):
                     return found
+        case BrokerParams() as broker:
+            if not 1 <= len(broker.seeds) <= 3:
+                return Mishap(MishapKind.PARAMS, f"{len(broker.seeds)} seeds given.", "Give one to three.", "seeds")
+            for field in ("door", "vitals_door", "ready_door", "server"):
+                if found := check_address(field=field, address=getattr(broker, field)):
+                    return found
+            for place, seed in enumerate(broker.seeds):
+                if found := check_address(field=f"seeds[{place}]", address=seed):
+                    return found
+        case MarketParams() as market:
+            if not 1 <= len(market.seeds) <= 3:
+                return Mishap(MishapKind.PARAMS, f"{len(market.seeds)} seeds given.", "Give one to three.", "seeds")
+            for field, host in (
+                ("host", market.host),
+                *((f"seeds[{place}]", each) for place, each in enumerate(market.seeds)),
+            ):
+                if found := check_address(field=field, address=f"{host}:1"):
+                    return found
         case WarehouseParams(replica=replica, core=core) | BourseParams(replica=replica, core=core):
             if replica not in [machine.replica for machine in core]:
                 return Mishap(
@@ -149,6 +231,12 @@
     return None
 
 
+def check_params(params: Params) -> Result[Params, Mishap]:
+    """The whole check for params that another format brought."""
+    found = _mishaps(params)
+    return Failure(found) if found else Success(params)
+
+
 def read_params(*, kind: type, path: str | None, flags: dict) -> Result[Params, Mishap]:
     values: dict = {}
     if path is not None:
--- /dev/null
+++ b/packages/tariff/src/hoistsaddle/tariff/items.py
@@ -0,0 +1,221 @@
+"""Items: a bundle in parts. Each entry, service and the limits carry a revision of their own, and the highest prevails.
+
+A patch sets some items and drops others. It is checked whole before any of it counts, and once more against what else
+stands when the log applies it, as two desks may send at the same moment.
+"""
+
+from datetime import timedelta
+from typing import Literal, NamedTuple
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from hoistsaddle.tally.mishaps import Mishap, MishapKind, field_in
+
+REPEATABLE = "repeatable"
+ONCE_PER_SEND = "once per send"
+ONCE_PER_KEY = "once per key"
+UPLOAD = "upload"
+Kind = Literal["entry", "service", "limits"]
+ENTRY: Kind = "entry"
+SERVICE: Kind = "service"
+LIMITS: Kind = "limits"
+# An aim may lie above the longest hold by less than this: further off, one of the two is a slip of the pen.
+AIM_ABOVE_HOLD = 60.0
+LARGEST_REVISION = 2**62
+
+
+class Part(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One service's weight in an entry."""
+
+    service: str
+    weight: float = 1.0
+
+
+class EntryItem(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    host: str
+    # Begins and ends with a slash; of a host's entries the longest that begins the path is taken.
+    prefix: str
+    kind: Literal["repeatable", "once per send", "once per key", "upload"]
+    parts: list[Part]
+    # Seconds: the longest a request is held, and within which its answer is worth all.
+    hold_seconds: float
+    aim_seconds: float
+    # 0 is served first.
+    rank: int = 0
+    # The most servers one send of a visitor may go to.
+    most_sends: int = 1
+
+
+class ServiceItem(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    vitals_path: str = "/"
+    # The most connections a server of it takes from all of the mesh.
+    connections: int = 100
+    # Its servers keep their own record of keys.
+    keeps_keys: bool = False
+
+
+class LimitsItem(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a visitor may send, and how long it may take over it or say nothing."""
+
+    name: str = LIMITS
+    header_bytes: int = 16384
+    body_bytes: int = 8 * 1024 * 1024
+    header_seconds: float = 10.0
+    idle_seconds: float = 60.0
+
+
+Item = EntryItem | ServiceItem | LimitsItem
+KINDS: dict[str, type] = {ENTRY: EntryItem, SERVICE: ServiceItem, LIMITS: LimitsItem}
+
+
+class Setting(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One item with its revision; said is the operator's own text of it, given back word for word."""
+
+    kind: Kind
+    revision: int
+    item: dict
+    said: bytes = b""
+
+
+class Dropping(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    kind: Kind
+    revision: int
+    name: str
+
+
+class Patch(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    sets: list[Setting] = []
+    drops: list[Dropping] = []
+
+
+def key_of(kind: str, name: str) -> str:
+    return f"{kind}:{name}"
+
+
+def pack_patch(patch: Patch) -> bytes:
+    return msgspec.msgpack.encode(patch)
+
+
+def pack_item(item: Item) -> bytes:
+    return msgspec.msgpack.encode(item)
+
+
+def unpack_item(kind: str, data: bytes) -> Item:
+    return msgspec.msgpack.decode(data, type=KINDS[kind])
+
+
+def _broken(field: str, message: str, remedy: str) -> Mishap:
+    return Mishap(MishapKind.ITEM_BROKEN, message, remedy, field)
+
+
+def _check_entry(entry: EntryItem, where: str) -> Mishap | None:
+    checks = (
+        (not entry.host, "host", "An entry needs a host.", "Name the host that visitors call."),
+        (
+            not (entry.prefix.startswith("/") and entry.prefix.endswith("/")),
+            "prefix",
+            f"{entry.prefix!r} is no prefix.",
+            "Begin and end it with a slash.",
+        ),
+        (not entry.parts, "parts", "No service is named.", "Name at least one."),
+        (
+            any(not part.weight >= 0 for part in entry.parts),
+            "parts",
+            "A weight is below 0.",
+            "Give 0 or more for each service.",
+        ),
+        (
+            not sum(part.weight for part in entry.parts) > 0,
+            "parts",
+            "No service has any weight.",
+            "Give at least one service a weight above 0.",
+        ),
+        (not entry.hold_seconds > 0, "hold_seconds", "The longest hold is 0.", "Give above 0 seconds."),
+        (not entry.aim_seconds >= 0, "aim_seconds", "The aim is below 0.", "Give 0 seconds or more."),
+        (
+            not entry.aim_seconds < entry.hold_seconds + AIM_ABOVE_HOLD,
+            "aim_seconds",
+            "The aim is far above the longest hold.",
+            "Lower the aim or raise the hold.",
+        ),
+        (entry.most_sends < 1, "most_sends", "No server may be tried.", "Give 1 or more."),
+    )
+    for wrong, field, message, remedy in checks:
+        if wrong:
+            return _broken(f"{where}.{field}", message, remedy)
+    return None
+
+
+class Checked(NamedTuple):
+    """A patch that is right in itself."""
+
+    sets: list[tuple[Setting, Item]]
+    drops: list[Dropping]
+
+
+def check_patch(patch: Patch) -> Result[Checked, Mishap]:
+    sets: list[tuple[Setting, Item]] = []
+    for place, setting in enumerate(patch.sets):
+        where = f"sets[{place}]"
+        try:
+            item: Item = msgspec.convert(setting.item, KINDS[setting.kind])
+        except msgspec.ValidationError as problem:
+            return Failure(_broken(f"{where}.{field_in(problem)}", f"{problem}.", "Mend the field."))
+        if not item.name:
+            return Failure(_broken(f"{where}.name", "An item needs a name.", "Give one."))
+        if not 0 <= setting.revision <= LARGEST_REVISION:
+            return Failure(_broken(f"{where}.revision", "The revision is out of range.", "Give 0 or more."))
+        if isinstance(item, EntryItem) and (found := _check_entry(item, where)):
+            return Failure(found)
+        if isinstance(item, LimitsItem) and min(item.header_bytes, item.body_bytes) <= 0:
+            return Failure(_broken(f"{where}.body_bytes", "A limit is 0.", "Give above 0."))
+        sets.append((setting, item))
+    for place, dropping in enumerate(patch.drops):
+        if not dropping.name or not 0 <= dropping.revision <= LARGEST_REVISION:
+            return Failure(_broken(f"drops[{place}]", "A drop needs a name and a revision.", "Give both."))
+    return Success(Checked(sets, list(patch.drops)))
+
+
+def read_patch(data: bytes) -> Result[Checked, Mishap]:
+    try:
+        patch = msgspec.msgpack.decode(data, type=Patch)
+    except (msgspec.DecodeError, msgspec.ValidationError) as problem:
+        return Failure(_broken(field_in(problem), f"{problem}.", "Send a whole patch."))
+    return check_patch(patch)
+
+
+class ItemSetup:
+    """The items in force, ready for look-ups."""
+
+    def __init__(self, *, items: dict[str, Item]) -> None:
+        self.entries: dict[str, list[EntryItem]] = {}
+        self.services: dict[str, ServiceItem] = {}
+        self.limits = LimitsItem()
+        for item in items.values():
+            match item:
+                case EntryItem(host=host):
+                    self.entries.setdefault(host, []).append(item)
+                case ServiceItem(name=name):
+                    self.services[name] = item
+                case LimitsItem():
+                    self.limits = item
+        for entries in self.entries.values():
+            # Longest first, so that the first that begins the path is the one; names settle ties the same everywhere.
+            entries.sort(key=lambda entry: (-len(entry.prefix), entry.name))
+
+    def select_entry(self, *, host: str, path: str) -> EntryItem | None:
+        for entry in self.entries.get(host, ()):
+            if path.startswith(entry.prefix):
+                return entry
+        return None
+
+
+def hold_of(entry: EntryItem) -> timedelta:
+    return timedelta(seconds=entry.hold_seconds)
+
+
+def aim_of(entry: EntryItem) -> timedelta:
+    return timedelta(seconds=entry.aim_seconds)
--- a/packages/warehouse/src/hoistsaddle/warehouse/service.py
+++ b/packages/warehouse/src/hoistsaddle/warehouse/service.py
@@ -58,19 +58,24 @@
         runtime: Runtime,
         disk: Disk,
         make_worker: Callable[..., DiskWorker] = DiskThread,
+        addresses: dict[int, str] | None = None,
+        pace: Pace | None = None,
+        wanted_voters: int = 0,
     ) -> None:
         self.params = params
         self.runtime = runtime
         self.counters = Counters(owner=f"warehouse-{params.replica}")
-        addresses = {machine.replica: machine.warehouse for machine in params.core}
+        if addresses is None:
+            addresses = {machine.replica: machine.warehouse for machine in params.core}
         self.shell = LedgerShell(
             disk=disk,
             addresses=addresses,
-            pace=pace_of(params),
+            pace=pace or pace_of(params),
             counters=self.counters,
             runtime=runtime,
             make_worker=make_worker,
             level=params.release_level or LEVEL,
+            wanted_voters=wanted_voters,
         )
         # Of the newest news, so that a read costs no digests while nothing changes.
         self.vouched: tuple[int, tuple[int, ...]] = (UNSET, ())
@@ -132,6 +137,14 @@
             content = msgspec.json.encode(dict(state.operators))
         elif part == "changes":
             content = msgspec.json.encode(people_of(state))
+        elif part == "items":
+            content = msgspec.msgpack.encode(
+                [
+                    (*key.split(":", 1), entry.revision, entry.said)
+                    for key, entry in sorted(state.items.items())
+                    if not entry.dropped
+                ]
+            )
         elif part == "holds":
             content = msgspec.json.encode(holds_of(state))
         return ReadAnswer("", leader, state.news, state.offset, content, digests)
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -22,5 +22,7 @@
             self.assertThat(code, Equals(0), told)
 
     def test_types(self) -> None:
-        code, told = said("mypy", *(str(path) for path in sorted(ROOT.glob("packages/*/src"))))
+        code, told = said(
+            "mypy", *(str(path) for path in [*sorted(ROOT.glob("packages/*/src")), ROOT / "platform" / "src"])
+        )
         self.assertThat(code, Equals(0), told)
