--- /dev/null
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/machines.py
@@ -0,0 +1,184 @@
+"""The arcade's machines: the product's own programs under the platform's settings, their doors, and how they end."""
+
+import asyncio
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from hoistsaddle.bourse.market import Market
+from hoistsaddle.broker.door import Door
+from hoistsaddle.broker.messages import Serve
+from hoistsaddle.broker.node import BrokerNode
+from hoistsaddle.broker.service import CLOSING, CONNECT_SPAN, QUIET
+from hoistsaddle.fairground.arcade.customs import adapter
+from hoistsaddle.fairground.arcade.day import BOUNDS, CoreMachine, StallMachine
+from hoistsaddle.fairground.arcade.history import Started
+from hoistsaddle.fairground.simulation.clockwork import Life
+from hoistsaddle.fairground.simulation.world import SimulatedDiskWorker, SimulatedRuntime, World, wipe
+from hoistsaddle.haggle.line import Handler
+from hoistsaddle.ledger.disk import Disk
+from hoistsaddle.tally.params import check_params
+
+if TYPE_CHECKING:
+    from hoistsaddle.fairground.arcade.arena import Arena
+
+# How long a line with a pulse takes to miss a machine that says nothing.
+PULSE_SECONDS = 0.9
+GRACE_LEFT = 0.15
+
+
+class ArcadeWorld(World):
+    """A world whose machines may lose power: then nothing comes back, not even a reset."""
+
+    def __init__(self, **needs: Any) -> None:
+        super().__init__(**needs)
+        self.dark: set[str] = set()
+        self.slow = 0.002
+        self.repeated = 0.002
+
+    def start_call(self, life: Life, address: str, message: tuple, future: asyncio.Future, within: float) -> None:
+        if address.partition(":")[0] in self.dark:
+            span = min(within, CONNECT_SPAN.total_seconds())
+            # No listener stands there: the plain world's answer, only later.
+            self.loop.call_later(
+                span, lambda: World.start_call(self, life, address, message, future, within), context=life.context
+            )
+            return
+        super().start_call(life, address, message, future, within)
+
+    def kill(self, life: Life, *, power: bool = False) -> None:
+        waiting = self.pending.pop(life, {}) if power else {}
+        super().kill(life)
+        for future in waiting:
+            self.loop.call_later(PULSE_SECONDS, self._settle, future, _silent_result())
+
+
+def _silent_result() -> Any:
+    from hoistsaddle.fairground.simulation import world
+
+    return world._silent
+
+
+class Process:
+    """One life of a machine's program."""
+
+    def __init__(self, *, arena: "Arena", machine: CoreMachine | StallMachine, number: int) -> None:
+        self.arena = arena
+        self.machine = machine
+        self.number = number
+        self.service = machine.service if isinstance(machine, StallMachine) else ""
+        self.life = Life(name=machine.name, loop=arena.loop)
+        self.runtime = SimulatedRuntime(world=arena.world, life=self.life)
+        self.ended: asyncio.Future = arena.loop.create_future()
+        self.pending: dict[asyncio.Task, None] = {}
+        self.open = False
+        self.dark = False
+        self.stopping_since: float | None = None
+        self.node: Any = None
+        self.door: Any = None
+        self.control: Any = None
+        arena.history.add(Started(arena.moment(), machine.name, self.service, number))
+
+    def settings(self, *, cold: bool) -> Any:
+        arena, machine = self.arena, self.machine
+        core = arena.day.site.core
+        # At the first start all get the same three, later whichever the operator's list begins with.
+        seeds = core[:3] if cold else arena.random.sample(core, min(3, len(core)))
+        written = adapter("samples").settings(
+            node=machine.name,
+            host=machine.host,
+            zone=machine.zone,
+            seeds=[seed.host for seed in seeds],
+            cold_start=cold,
+            losses=arena.day.site.losses,
+            bounds=BOUNDS,
+            folder=str(self.folder) if isinstance(machine, CoreMachine) else None,
+            service=self.service,
+            server=f"{machine.host}:8301" if self.service else "",
+        )
+        path = arena.world.folder / f"{machine.name}.json"
+        path.write_bytes(written)
+        return adapter("papers").read_settings(str(path))
+
+    @property
+    def folder(self) -> Path:
+        return self.arena.world.folder / f"data-{self.machine.name}"
+
+    def start(self, *, cold: bool) -> None:
+        settings = self.settings(cold=cold)
+        self.life.context.run(self._make, settings)
+        self.life.spawn(self._boot())
+
+    def _make(self, settings: Any) -> None:
+        doors, papers = adapter("doors"), adapter("papers")
+        if isinstance(self.machine, CoreMachine):
+            params = check_params(papers.market_params(settings)).unwrap()
+            self.folder.mkdir(parents=True, exist_ok=True)
+            replica = int.from_bytes(bytes(int(part) for part in params.host.split(".")))
+            disk = Disk(folder=self.folder, replica=replica, token=self.runtime.token, synchronous="OFF")
+
+            def make_worker(**needs: Any) -> SimulatedDiskWorker:
+                return SimulatedDiskWorker(world=self.arena.world, life=self.life, **needs)
+
+            self.node = Market(params=params, runtime=self.runtime, disk=disk, make_worker=make_worker)
+            self.control = doors.OperatorDoor(market=self.node)
+        else:
+            params = check_params(papers.broker_params(settings)).unwrap()
+            self.node = BrokerNode(params=params, runtime=self.runtime, serve=self._serve)
+            self.door = Door(node=self.node, wording=papers.WORDING)
+            self.control = doors.BeatDoor(node=self.node)
+        self.arena.listen(self.node.counters)
+
+    async def _boot(self) -> None:
+        await self.node.start()
+        self.open = True
+
+    async def _serve(self, serve: Serve) -> tuple:
+        server = self.arena.servers[self.machine.name]
+        return await self.arena.keep(server.serve(serve))
+
+    async def ready(self) -> bool:
+        answer = await adapter("doors").ready_door(self.node, None)
+        return answer.status == 200
+
+    async def wind_down(self) -> None:
+        """What SIGTERM does, step by step as the services of the house do it."""
+        arena = self.arena
+        self.stopping_since = arena.moment()
+        if isinstance(self.machine, CoreMachine):
+            await arena.within(self.life.spawn(self.node.stop()), BOUNDS["grace_s"])
+            return
+        end = arena.moment() + BOUNDS["grace_s"]
+        from datetime import timedelta
+
+        most = timedelta(seconds=BOUNDS["grace_s"]) - CLOSING
+        await arena.within(self.life.spawn(self.node.wind_down(quiet=QUIET, most=most)), BOUNDS["grace_s"])
+        self.open = False
+        await asyncio.sleep(GRACE_LEFT)
+        while self.pending and arena.moment() < end and not self.life.dead:
+            await asyncio.sleep(0.02)
+
+    def kill(self, *, power: bool = False) -> None:
+        if self.life.dead:
+            return
+        self.arena.world.kill(self.life, power=power)
+        self.dark = power
+        if power:
+            self.arena.world.dark.add(self.machine.host)
+        if isinstance(self.machine, CoreMachine):
+            self.node.warehouse.shell.disk.close()
+        self.open = False
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+    def wipe(self) -> None:
+        wipe(self.folder)
+
+    def leads(self) -> int:
+        """The epoch this machine leads, or 0."""
+        if not isinstance(self.machine, CoreMachine) or self.life.dead or self.life.frozen:
+            return 0
+        core = self.node.warehouse.shell.core
+        return core.epoch if core is not None and core.standing == "leader" else 0
+
+
+__all__ = ["ArcadeWorld", "Handler", "Process"]
--- /dev/null
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/servers.py
@@ -0,0 +1,205 @@
+"""The application servers beside the stalls: slots, a short queue, lives, beats, and the ways they go wrong."""
+
+import asyncio
+import hashlib
+from collections import deque
+from typing import TYPE_CHECKING
+
+from hoistsaddle.broker.messages import Serve, Served, ServeMissed
+from hoistsaddle.broker.serverline import pack_pairs, unpack_pairs
+from hoistsaddle.fairground.arcade.customs import adapter
+from hoistsaddle.fairground.arcade.day import BOUNDS, StallMachine
+from hoistsaddle.fairground.arcade.history import Arrived, Beaten, Ran, Replied
+from hoistsaddle.tally.mishaps import Mishap, MishapKind
+
+if TYPE_CHECKING:
+    from hoistsaddle.fairground.arcade.arena import Arena
+
+BEAT_SECONDS = 1.5
+# A server that just started takes twice as long for a while.
+COLD_SECONDS = 3.0
+SEAL = "Server-Seal"
+
+
+def digest_of(data: bytes) -> str:
+    return hashlib.sha256(data).hexdigest()[:16]
+
+
+class Server:
+    """One life of one server."""
+
+    def __init__(self, *, arena: "Arena", machine: StallMachine, service: str) -> None:
+        self.arena = arena
+        self.machine = machine
+        self.service = service
+        self.instance = f"i-{next(arena.counter):06x}"
+        self.address = f"{machine.host}:8301"
+        shape = next(each for each in arena.day.site.services if each.name == service)
+        self.slots, self.queue = shape.slots, shape.queue
+        self.began = arena.moment()
+        self.leaving = False
+        self.ended = False
+        self.beats = 0
+        self.acknowledged: set[str] = set()
+        self.working = 0
+        self.waiting: deque[asyncio.Future] = deque()
+        self.works: dict[asyncio.Future, None] = {}
+
+    # -- beats -------------------------------------------------------------------------------------------------------
+
+    async def keep_beating(self) -> None:
+        while not self.ended:
+            await self.beat()
+            await asyncio.sleep(BEAT_SECONDS * self.arena.random.uniform(0.9, 1.1))
+
+    async def beat(self) -> bool:
+        self.beats += 1
+        cold = max(0.0, self.began + COLD_SECONDS - self.arena.moment())
+        leaving = self.leaving
+        body = adapter("samples").beat(
+            service=self.service,
+            address=self.address,
+            zone=self.machine.zone,
+            capacity=self.slots,
+            leaving=leaving,
+            cold=cold,
+            number=self.beats,
+        )
+        return await self._tell("PUT", body, "decaying" if leaving else "ready")
+
+    async def _tell(self, method: str, body: bytes, state: str) -> bool:
+        answer = await self.arena.control(
+            self.machine.name, method, f"/-/instances/{self.instance}", body, within=1.0
+        )
+        if answer is None or answer.status >= 300:
+            return False
+        self.acknowledged.add(state)
+        self.arena.history.add(Beaten(self.arena.moment(), self.machine.name, self.instance, state))
+        return True
+
+    async def leave(self) -> None:
+        """A planned end: says so, serves on for the span promised and somewhat longer, then goes."""
+        self.leaving = True
+        gives_up = self.arena.moment() + 4.0
+        while not await self.beat() and self.arena.moment() < gives_up and not self.ended:
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(BOUNDS["drain_s"] + self.arena.random.uniform(0.2, 0.8))
+        if not self.ended:
+            # What it works on is ended first, within a span.
+            end = self.arena.moment() + 2.0
+            while self.working and self.arena.moment() < end:
+                await asyncio.sleep(0.02)
+            await self._tell("DELETE", b"", "gone")
+        self.end()
+
+    def end(self) -> None:
+        self.ended = True
+        for future in [*self.works, *self.waiting]:
+            if not future.done():
+                future.set_result(False)
+
+    # -- requests ----------------------------------------------------------------------------------------------------
+
+    def _missed(self, serve: Serve, *, unsent: bool = False) -> ServeMissed:
+        kind = MishapKind.UNREACHABLE if unsent else MishapKind.ANSWER_BROKEN
+        return ServeMissed(serve.number, unsent, Mishap(kind, "The server broke off.", "simulated"))
+
+    def _not_run(self, serve: Serve, status: int) -> Served:
+        headers = pack_pairs([(b"Not-Run", b"1"), (b"Attempt-Id", serve.call.send_id.encode())])
+        return Served(serve.number, status, headers, b"", True)
+
+    async def _slot(self, within: float) -> bool:
+        if self.working < self.slots:
+            self.working += 1
+            return True
+        turn = self.arena.loop.create_future()
+        self.waiting.append(turn)
+        done, _ = await asyncio.wait({turn}, timeout=max(0.0, within))
+        if turn in done:
+            return turn.result()
+        self.waiting.remove(turn)
+        return False
+
+    def _free(self) -> None:
+        while self.waiting:
+            turn = self.waiting.popleft()
+            if not turn.done():
+                # The slot passes on as it is.
+                turn.set_result(True)
+                return
+        self.working -= 1
+
+    async def serve(self, serve: Serve) -> tuple:
+        """One request from the stall; runs outside the stall's life, as a server is a process of its own."""
+        arena, call = self.arena, serve.call
+        if self.ended:
+            return self._missed(serve, unsent=True)
+        until = arena.moment() + serve.within.total_seconds()
+        astray = bool(call.instance) and call.instance != self.instance
+        arena.history.add(
+            Arrived(arena.moment(), call.send_id, self.service, self.instance, self.machine.name, astray)
+        )
+        if astray:
+            return self._not_run(serve, 421)
+        if self.working >= self.slots and len(self.waiting) >= self.queue:
+            return self._not_run(serve, 503)
+        if not await self._slot(until - arena.moment()):
+            return self._missed(serve, unsent=False) if self.ended else self._not_run(serve, 503)
+        try:
+            return await self._run(serve, until)
+        finally:
+            self._free()
+
+    async def _run(self, serve: Serve, until: float) -> tuple:
+        arena, call = self.arena, serve.call
+        run = f"run-{next(arena.counter)}"
+        path = call.path.decode()
+        headers = {name.decode().lower(): value.decode() for name, value in unpack_pairs(call.headers)}
+        arena.history.add(
+            Ran(
+                arena.moment(),
+                run,
+                call.send_id,
+                self.service,
+                self.instance,
+                self.machine.name,
+                call.caller,
+                call.method,
+                path,
+                digest_of(call.body),
+                headers.get("operation-key", ""),
+            )
+        )
+        visit = arena.visit_of(path)
+        cold = 2.0 if arena.moment() < self.began + COLD_SECONDS else 1.0
+        work = visit.work * self.machine.speed * cold * min(arena.random.lognormvariate(-0.1, 0.5), 5.0)
+        status = 200
+        ending = arena.loop.create_future()
+        self.works[ending] = None
+        try:
+            done, _ = await asyncio.wait({ending}, timeout=max(0.0, min(work, until - arena.moment())))
+        finally:
+            self.works.pop(ending, None)
+        if done or self.ended:
+            arena.history.add(Replied(arena.moment(), run, 0, "", False))
+            return self._missed(serve)
+        for inner in visit.inner:
+            if arena.random.random() < inner.share:
+                answer = await arena.visitors.call_inner(self, inner.route, run, until)
+                if answer.status != 200:
+                    status = 500
+        if arena.moment() >= until:
+            status = 504
+        how = arena.manner_of(self.service)
+        if how == "failure":
+            status = 500
+        body = f"{run} {call.send_id} {path} ".encode() * 3
+        arena.history.add(Replied(arena.moment(), run, status, digest_of(body), how not in ("lost", "cut")))
+        if self.ended or how == "cut":
+            return self._missed(serve)
+        if how == "lost":
+            # Silence until the stall's own bound; the server is long done.
+            await asyncio.sleep(max(0.0, until - arena.moment()))
+            return ServeMissed(serve.number, False, Mishap(MishapKind.BUDGET_SPENT, "No answer came.", "simulated"))
+        sealed = [(SEAL.encode(), run.encode()), (b"Attempt-Id", call.send_id.encode())]
+        return Served(serve.number, status, pack_pairs(sealed), body, False)
