--- a/packages/fairground/src/hoistsaddle/fairground/arcade/arena.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/arena.py
@@ -402,6 +402,8 @@
                     process.kill()
                 for task in arena.tasks:
                     task.cancel()
+                arena.processes.clear()
+                arena.servers.clear()
                 gc.collect()
         for mishap in mishaps:
             arena.fault(f"{mishap.get('message')}: {mishap.get('exception')!r}")
