After a start only the last change of voters is open, so lost disks no longer bar every election

Cause: a restarted replica begins at its checkpoint and took every change of voters above it for uncommitted, asking a majority of each set since. The same bars a core of three whose swapped-in disk and one other are left. Change: a change is logged only once the one before is committed, so only the last two sets count; and the disk keeps how far the log was known to be committed, so that the last one may be known too.

--- a/packages/fairground/src/hoistsaddle/fairground/arcade/checkers.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/checkers.py
@@ -215,7 +215,7 @@
 
 
 def lost(account: Account) -> list[str]:
-    """Around planned stops: requests read whole whose connection closes, or that are answered in their server's place."""
+    """Around planned stops: requests read whole and then broken off, or answered in their working server's place."""
     found = []
     stops = [harm for harm in account.history.of(Harm) if harm.kind == "stop"]
     grace, contact = BOUNDS["grace_s"], BOUNDS["contact_s"]
@@ -382,7 +382,9 @@
             )
             allowed = BOUNDS["budget_ratio"] * most + BOUNDS["budget_margin"]
             if used > allowed:
-                found.append(f"{service}: {used} further arrivals in {window:.0f} s to {end:.2f}, {allowed:.1f} allowed")
+                found.append(
+                    f"{service}: {used} further arrivals in {window:.0f} s to {end:.2f}, {allowed:.1f} allowed"
+                )
     return found
 
 
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/day.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/day.py
@@ -265,7 +265,16 @@
     room = sum(shape.slots * len([s for s in stalls if s.service == shape.name]) for shape in services)
     rate = min(draw.uniform(0.25, 0.6) * room / 0.2, 18.0 if small else 45.0)
     return Site(
-        zones, core, tuple(stalls), services, routes, visits, inner, losses, rate, draw.choice(((0.0003, 0.001), (0.0015, 0.004)))
+        zones,
+        core,
+        tuple(stalls),
+        services,
+        routes,
+        visits,
+        inner,
+        losses,
+        rate,
+        draw.choice(((0.0003, 0.001), (0.0015, 0.004))),
     )
 
 
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/servers.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/servers.py
@@ -68,9 +68,7 @@
         return await self._tell("PUT", body, "decaying" if leaving else "ready")
 
     async def _tell(self, method: str, body: bytes, state: str) -> bool:
-        answer = await self.arena.control(
-            self.machine.name, method, f"/-/instances/{self.instance}", body, within=1.0
-        )
+        answer = await self.arena.control(self.machine.name, method, f"/-/instances/{self.instance}", body, within=1.0)
         if answer is None or answer.status >= 300:
             return False
         self.acknowledged.add(state)
@@ -136,9 +134,7 @@
             return self._missed(serve, unsent=True)
         until = arena.moment() + serve.within.total_seconds()
         astray = bool(call.instance) and call.instance != self.instance
-        arena.history.add(
-            Arrived(arena.moment(), call.send_id, self.service, self.instance, self.machine.name, astray)
-        )
+        arena.history.add(Arrived(arena.moment(), call.send_id, self.service, self.instance, self.machine.name, astray))
         if astray:
             return self._not_run(serve, 421)
         if self.working >= self.slots and len(self.waiting) >= self.queue:
--- a/packages/ledger/src/hoistsaddle/ledger/core.py
+++ b/packages/ledger/src/hoistsaddle/ledger/core.py
@@ -141,6 +141,8 @@
         self.checkpoint = boot.checkpoint
         self.checkpoints: list[tuple[Mark, timedelta]] = [(boot.checkpoint, now)] if boot.checkpoint else []
         self.known_voters = boot.voters
+        # What a former life knew to be committed; this one's high-watermark begins below it.
+        self.committed_before = 0 if boot.catching else boot.committed
         # A log without a checkpoint between its begin and its high-watermark counts as empty.
         self.whole = boot.state is not None and not boot.catching
         if self.whole:
@@ -217,12 +219,17 @@
         return self.log[place].epoch if 0 <= place < len(self.log) else None
 
     def voter_sets(self) -> list[dict[int, str]]:
-        """The voters, and beside them the set each unapplied swap would make: until it commits, both must agree."""
+        """The voters, and beside them the set that an uncommitted change would make: until it commits, both must agree.
+
+        A change is logged only once the one before it is committed, so of several unapplied ones, as a start finds
+        them, only the last is open; and not even that if a former life knew it to be committed. To ask the sets before
+        them as well would ask for disks that may have been lost and replaced since.
+        """
         voters = dict(self.state.voters) if self.whole else dict(self.known_voters)
         sets = [voters]
-        for _, swap in self.swaps:
+        for offset, swap in self.swaps:
             voters = _changed(voters, swap)
-            sets.append(voters)
+            sets = [voters] if offset <= self.committed_before else [sets[-1], voters]
         return sets
 
     @property
@@ -352,6 +359,7 @@
                 clear,
                 truncate_from,
                 records,
+                max(self.committed_before, self.high_watermark),
             )
         )
         self.unsynced.append((self.sequence, self.last.offset, self.now))
@@ -887,7 +895,7 @@
         self.checkpoint = None
         self.checkpoints = []
         self.begin = Mark(answer.checkpoint_offset, answer.checkpoint_epoch)
-        self.high_watermark = 0
+        self.high_watermark = self.committed_before = 0
         self.durable = self.begin.offset
         self.unsynced = [(sequence, self.begin.offset, moment) for sequence, _, moment in self.unsynced]
         self._write(clear=True)
--- a/packages/ledger/src/hoistsaddle/ledger/disk.py
+++ b/packages/ledger/src/hoistsaddle/ledger/disk.py
@@ -117,6 +117,7 @@
             mesh=mesh,
             begin=Mark(*(self._fact("begin") or (0, 0))),
             catching=bool(self._fact("catching")),
+            committed=self._fact("committed") or 0,
         )
         # A catch-up that was under way starts over; the votes are still on this disk, so it stays who it is.
         if not mesh or known.catching:
@@ -194,6 +195,7 @@
                 "mesh": newest.mesh,
                 "begin": newest.begin,
                 "catching": newest.catching,
+                "committed": newest.committed,
             }
             for name, value in facts.items():
                 self._set_fact(name, value)
--- a/packages/ledger/src/hoistsaddle/ledger/events.py
+++ b/packages/ledger/src/hoistsaddle/ledger/events.py
@@ -29,6 +29,8 @@
     records: tuple[Record, ...] = ()
     checkpoint: Mark | None = None
     state: State | None = None
+    # Up to here the log was known to be committed when it was last written.
+    committed: int = 0
 
 
 class CallArrived(NamedTuple):
@@ -110,6 +112,7 @@
     clear: bool
     truncate_from: int
     records: tuple[Record, ...]
+    committed: int = 0
 
 
 class Capture(NamedTuple):
--- /dev/null
+++ b/tests/test_voter_changes.py
@@ -0,0 +1,74 @@
+"""Voters after a start: which sets must agree when the log holds changes that this life hasn't applied yet."""
+
+import random
+import tempfile
+from datetime import timedelta
+from pathlib import Path
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from hoistsaddle.haggle.parcels import Record
+from hoistsaddle.ledger.core import LedgerCore
+from hoistsaddle.ledger.disk import Disk
+from hoistsaddle.ledger.events import Boot, Mark, Pace, Write
+from hoistsaddle.shelf.commands import LEVEL, AddVoter, SwapVoter, pack_command
+from hoistsaddle.shelf.state import found_state
+
+FOUNDERS = {1: "one", 2: "two", 3: "three"}
+GROWN = (pack_command(AddVoter(4, "four")), pack_command(AddVoter(5, "five")))
+
+
+def started(*payloads: bytes, committed: int = 0) -> LedgerCore:
+    state = found_state(mesh="m", voters=FOUNDERS, operators={}, level=LEVEL)
+    records = tuple(Record(place, 1, timedelta(), payload) for place, payload in enumerate(payloads, start=1))
+    boot = Boot(
+        1,
+        "one",
+        epoch=1,
+        voters=tuple(FOUNDERS.items()),
+        mesh="m",
+        checkpoint=Mark(0, 0),
+        state=state,
+        records=records,
+        committed=committed,
+    )
+    return LedgerCore(boot=boot, replicas=(1, 2, 3), pace=Pace(), seed=random.Random(1), now=timedelta(seconds=100))
+
+
+class VotersAfterAStart(TestCase):
+    def test_only_the_last_change_is_open(self) -> None:
+        """Each was logged once the one before it was committed: the sets before those two need no majority any more."""
+        four = {**FOUNDERS, 4: "four"}
+        self.assertThat(started(*GROWN).voter_sets(), Equals([four, {**four, 5: "five"}]))
+
+    def test_five_voters_of_whom_two_lost_their_disks_elect_a_leader(self) -> None:
+        """Of the four between founding and now two are gone, which once kept the rest from ever electing anyone."""
+        core = started(*GROWN, committed=2)
+        self.assertThat(core.voter_sets(), Equals([{**FOUNDERS, 4: "four", 5: "five"}]))
+        self.assertThat(core._majority({(1, "one"), (2, "two"), (5, "five")}), Equals(True))
+        self.assertThat(core._majority({(1, "one"), (2, "two"), (3, "another disk")}), Equals(False))
+
+    def test_a_swap_known_to_be_committed_no_longer_asks_the_former_disk(self) -> None:
+        core = started(pack_command(SwapVoter(2, "two", "two-again")), committed=1)
+        self.assertThat(core._majority({(1, "one"), (2, "two-again")}), Equals(True))
+
+    def test_a_swap_not_known_to_be_committed_asks_both_sets(self) -> None:
+        core = started(pack_command(SwapVoter(2, "two", "two-again")))
+        self.assertThat(core._majority({(1, "one"), (2, "two-again")}), Equals(False))
+        self.assertThat(core._majority({(1, "one"), (3, "three")}), Equals(True))
+
+    def test_what_is_committed_is_kept_on_disk_and_never_taken_back(self) -> None:
+        core = started(*GROWN, committed=2)
+        core._write()
+        # This life's own high-watermark still begins at the checkpoint.
+        self.assertThat((core.high_watermark, core._out[-1].committed), Equals((0, 2)))
+        with tempfile.TemporaryDirectory() as folder:
+            disk = Disk(folder=Path(folder), replica=1)
+            disk.boot()
+            disk.found(mesh="m", voters=FOUNDERS, operators={}, level=LEVEL)
+            disk.write([Write(1, 4, None, (), "m", Mark(0, 0), False, False, -1, (), 7)])
+            disk.close()
+            again = Disk(folder=Path(folder), replica=1)
+            self.assertThat(again.boot().committed, Equals(7))
+            again.close()
