--- a/packages/fairground/src/hoistsaddle/fairground/arcade/arena.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/arena.py
@@ -43,7 +43,7 @@
 from hoistsaddle.fairground.simulation.clockwork import ClockworkLoop
 
 # From the machines' start to the first traffic.
-LEAD_SECONDS = 8.0
+LEAD_SECONDS = 5.0
 AFTER_CLOSING = 5.0
 
 
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/checkers.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/checkers.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from functools import cached_property
 
-from hoistsaddle.fairground.arcade.day import BOUNDS, ONCE_PER_KEY, REPEATABLE, Day, Route
+from hoistsaddle.fairground.arcade.day import BOUNDS, REPEATABLE, Day, Route
 from hoistsaddle.fairground.arcade.history import (
     Arrived,
     Beaten,
@@ -57,6 +57,9 @@
         self.replied = {replied.run: replied for replied in history.of(Replied)}
         self.runs = {ran.run: ran for ran in history.of(Ran)}
         self.kinds = {route.name: route.kind for route in day.site.routes}
+        # Routes that came during the day, too.
+        for ordered in history.of(Ordered):
+            self.kinds.update((name, route.kind) for name, _, route in ordered.routes if route is not None)
 
     @cached_property
     def versions(self) -> dict[str, list[Version]]:
@@ -71,8 +74,6 @@
                 if version is None:
                     version = found[name][revision] = Version(revision=revision, route=route, sent=ordered.at)
                 these.append(version)
-                if route is not None:
-                    self.kinds.setdefault(name, route.kind)
             of_order[ordered.order] = these
         for told in self.history.of(Told):
             if told.status == 200:
@@ -111,7 +112,7 @@
 
 def mixed(account: Account) -> list[str]:
     found = []
-    first_of_key = {}
+    first_of_key: dict[str, str] = {}
     for ran in account.history.of(Ran):
         if ran.key:
             first_of_key.setdefault(ran.key, ran.run)
@@ -439,9 +440,4 @@
 def check(history: History, day: Day) -> dict[str, list[str]]:
     """Every rule with what broke it."""
     account = Account(history=history, day=day)
-    # Known first: several rules ask for the kinds of routes that came during the day.
-    assert account.versions or not history.events
     return {rule: checker(account) for rule, checker in RULES.items()}
-
-
-__all__ = ["ONCE_PER_KEY", "RULES", "check"]
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/day.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/day.py
@@ -238,7 +238,7 @@
     )
     names = _names(draw, 3, "s")
     services = tuple(Shape(name, draw.choice((4, 6, 9)), 24) for name in names)
-    stalls = []
+    stalls: list[StallMachine] = []
     for service in services:
         for _ in range(2 if small else draw.choice((2, 3, 3, 4))):
             place = len(stalls)
--- /dev/null
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/hunt.py
@@ -0,0 +1,87 @@
+"""Random days over the arcade: which rules they break, and the failing day made smaller.
+
+A library for drawn tests would shrink the numbers a day is drawn from, and with them everything else, over hundreds of
+runs of ten seconds each. Here the day is data, and whole happenings are left out one after the other.
+"""
+
+import hashlib
+import os
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from typing import NamedTuple
+
+from hoistsaddle.fairground.arcade.arena import play
+from hoistsaddle.fairground.arcade.checkers import check
+from hoistsaddle.fairground.arcade.day import Day, draw_day
+from hoistsaddle.fairground.arcade.history import Got, Sent
+
+MOST_TRIES = 60
+
+
+class Hunted(NamedTuple):
+    """One day to play: its seed, and which of its happenings to keep; None keeps all."""
+
+    seed: int
+    small: bool = False
+    only: tuple[int, ...] | None = None
+
+
+class Verdict(NamedTuple):
+    hunted: Hunted
+    sent: int
+    served: int
+    # Of the whole history, so that two runs can be told apart in their last detail.
+    digest: str
+    broken: dict[str, list[str]]
+    failed: str = ""
+
+
+def day_of(hunted: Hunted) -> Day:
+    day = draw_day(hunted.seed, small=hunted.small)
+    if hunted.only is None:
+        return day
+    return day._replace(happenings=tuple(day.happenings[place] for place in hunted.only))
+
+
+def carry_out(hunted: Hunted) -> Verdict:
+    day = day_of(hunted)
+    try:
+        history = play(day).history
+    except Exception as problem:
+        # One day that can't go on must not hide what the others found.
+        return Verdict(hunted, 0, 0, "", {}, f"{type(problem).__name__}: {str(problem)[:600]}")
+    broken = {rule: found for rule, found in check(history, day).items() if found}
+    served = sum(got.outcome == "answered" and got.status < 300 for got in history.of(Got))
+    digest = hashlib.sha256(repr(history.events).encode()).hexdigest()
+    return Verdict(hunted, len(history.of(Sent)), served, digest, broken)
+
+
+def hunt(hunts: list[Hunted], *, workers: int | None = None) -> Iterator[Verdict]:
+    with ProcessPoolExecutor(workers or os.cpu_count()) as pool:
+        yield from pool.map(carry_out, hunts)
+
+
+def make_smaller(
+    verdict: Verdict, *, say: Callable[[str], None], run: Callable[[Hunted], Verdict] = carry_out
+) -> Verdict:
+    """Leaves out whatever the broken rule doesn't need: halves first, then one happening after the other."""
+    rules = set(verdict.broken)
+    best = verdict
+    kept = tuple(range(len(day_of(verdict.hunted).happenings))) if verdict.hunted.only is None else verdict.hunted.only
+    tries, size = 0, max(1, len(kept) // 2)
+    while tries < MOST_TRIES:
+        place, shrunk = 0, False
+        while place < len(kept) and tries < MOST_TRIES:
+            fewer = kept[:place] + kept[place + size :]
+            tries += 1
+            tried = run(verdict.hunted._replace(only=fewer))
+            # The same rule: a smaller day that breaks another one is another find.
+            if rules & set(tried.broken):
+                kept, best, shrunk = fewer, tried, True
+                say(f"  {len(kept)} happenings left after {tries} runs")
+            else:
+                place += size
+        if size == 1 and not shrunk:
+            break
+        size = max(1, size // 2)
+    return best
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/machines.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/machines.py
@@ -1,10 +1,14 @@
 """The arcade's machines: the product's own programs under the platform's settings, their doors, and how they end."""
 
 import asyncio
+from datetime import timedelta
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from returns.result import Failure
+
 from hoistsaddle.bourse.market import Market
+from hoistsaddle.bourse.places import number_of_host
 from hoistsaddle.broker.door import Door
 from hoistsaddle.broker.messages import Serve
 from hoistsaddle.broker.node import BrokerNode
@@ -14,8 +18,8 @@
 from hoistsaddle.fairground.arcade.history import Started
 from hoistsaddle.fairground.simulation.clockwork import Life
 from hoistsaddle.fairground.simulation.world import SimulatedDiskWorker, SimulatedRuntime, World, wipe
-from hoistsaddle.haggle.line import Handler
 from hoistsaddle.ledger.disk import Disk
+from hoistsaddle.tally.mishaps import Mishap, MishapKind
 from hoistsaddle.tally.params import check_params
 
 if TYPE_CHECKING:
@@ -24,6 +28,7 @@
 # How long a line with a pulse takes to miss a machine that says nothing.
 PULSE_SECONDS = 0.9
 GRACE_LEFT = 0.15
+_silent = Failure(Mishap(MishapKind.SILENT, "no answer", "simulated"))
 
 
 class ArcadeWorld(World):
@@ -49,13 +54,7 @@
         waiting = self.pending.pop(life, {}) if power else {}
         super().kill(life)
         for future in waiting:
-            self.loop.call_later(PULSE_SECONDS, self._settle, future, _silent_result())
-
-
-def _silent_result() -> Any:
-    from hoistsaddle.fairground.simulation import world
-
-    return world._silent
+            self.loop.call_later(PULSE_SECONDS, self._settle, future, _silent)
 
 
 class Process:
@@ -111,10 +110,11 @@
     def _make(self, settings: Any) -> None:
         doors, papers = adapter("doors"), adapter("papers")
         if isinstance(self.machine, CoreMachine):
-            params = check_params(papers.market_params(settings)).unwrap()
+            params: Any = check_params(papers.market_params(settings)).unwrap()
             self.folder.mkdir(parents=True, exist_ok=True)
-            replica = int.from_bytes(bytes(int(part) for part in params.host.split(".")))
-            disk = Disk(folder=self.folder, replica=replica, token=self.runtime.token, synchronous="OFF")
+            disk = Disk(
+                folder=self.folder, replica=number_of_host(params.host), token=self.runtime.token, synchronous="OFF"
+            )
 
             def make_worker(**needs: Any) -> SimulatedDiskWorker:
                 return SimulatedDiskWorker(world=self.arena.world, life=self.life, **needs)
@@ -148,8 +148,6 @@
             await arena.within(self.life.spawn(self.node.stop()), BOUNDS["grace_s"])
             return
         end = arena.moment() + BOUNDS["grace_s"]
-        from datetime import timedelta
-
         most = timedelta(seconds=BOUNDS["grace_s"]) - CLOSING
         await arena.within(self.life.spawn(self.node.wind_down(quiet=QUIET, most=most)), BOUNDS["grace_s"])
         self.open = False
@@ -179,6 +177,3 @@
             return 0
         core = self.node.warehouse.shell.core
         return core.epoch if core is not None and core.standing == "leader" else 0
-
-
-__all__ = ["ArcadeWorld", "Handler", "Process"]
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/operators.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/operators.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from hoistsaddle.fairground.arcade.customs import adapter
-from hoistsaddle.fairground.arcade.day import ONCE_PER_KEY, REPEATABLE, BadOrder, Change, Route
+from hoistsaddle.fairground.arcade.day import BOUNDS, ONCE_PER_KEY, REPEATABLE, BadOrder, Change, Route
 from hoistsaddle.fairground.arcade.history import Ordered, ReadBack, Told
 
 if TYPE_CHECKING:
@@ -51,10 +51,6 @@
             revision=revision,
         )
 
-    def standing(self, name: str) -> Route | None:
-        versions = self.versions.get(name)
-        return max(versions)[1] if versions else None
-
     def standing_routes(self) -> list[Route]:
         newest = [max(versions, key=lambda each: each[0])[1] for versions in self.versions.values()]
         return [route for route in newest if route is not None]
@@ -130,8 +126,6 @@
         await self._probe(probed)
 
     async def _probe(self, routes: list[Route]) -> None:
-        from hoistsaddle.fairground.arcade.day import BOUNDS
-
         for wait in (0.0, BOUNDS["apply_s"] + 0.05, 1.0):
             await asyncio.sleep(wait)
             for route in routes:
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/visitors.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/visitors.py
@@ -148,12 +148,15 @@
         process.pending[task] = None
         task.add_done_callback(lambda done: process.pending.pop(done, None))
         await asyncio.wait({task, process.ended}, timeout=max(0.0, patience), return_when=asyncio.FIRST_COMPLETED)
-        if task.done() and not task.cancelled():
-            if task.exception() is not None:
-                arena.fault(f"{machine}'s door raised {task.exception()!r}")
-                return "broken"
-            return task.result()
-        return "broken" if process.ended.done() else "given up"
+        if not task.done():
+            return "broken" if process.ended.done() else "given up"
+        if task.cancelled():
+            # The door lets go of the connection.
+            return "broken"
+        if task.exception() is not None:
+            arena.fault(f"{machine}'s door raised {task.exception()!r}")
+            return "broken"
+        return task.result()
 
     def _read(self, attempt: str, answer: Any) -> Got:
         moment = self.arena.moment()
--- a/packages/kiosk/src/hoistsaddle/kiosk/fleet_commands.py
+++ b/packages/kiosk/src/hoistsaddle/kiosk/fleet_commands.py
@@ -143,6 +143,62 @@
     sys.exit(1 if broken else 0)
 
 
+@fleet.command()
+@click.option("--seeds", default="1-5", show_default=True, help="FIRST-LAST.")
+@click.option("--only", help="Keeps these happenings of the day alone, by place: 0,3,4.")
+@click.option("--small", is_flag=True, help="Small sites: quicker days with less on them.")
+@click.option("--no-shrink", is_flag=True, help="Doesn't make a failing day smaller.")
+@click.option("--workers", type=click.IntRange(1, 256), help="Days at once; by default one for each core.")
+def hunt(seeds, only, small, no_shrink, workers) -> None:
+    """Plays random days of the users' platform in simulated time and looks for broken rules."""
+    from hoistsaddle.fairground.arcade import hunt as hunting
+
+    first, _, last = seeds.partition("-")
+    places = None if only is None else [place.strip() for place in only.split(",") if place.strip()]
+    if not first.isdigit() or not (last or first).isdigit() or not all(place.isdigit() for place in places or ()):
+        click.echo(
+            f"refused: params: seeds {seeds!r} or happenings {only!r} can't be read. Remedy: write seeds like 1-20 "
+            "and happenings like 0,3,4.",
+            err=True,
+        )
+        sys.exit(2)
+    kept = None if places is None else tuple(int(place) for place in places)
+    numbers = range(int(first), int(last or first) + 1)
+    most = {number: len(hunting.day_of(hunting.Hunted(number, small)).happenings) for number in numbers}
+    if kept is not None and (beyond := [number for number in numbers if max(kept, default=-1) >= most[number]]):
+        click.echo(
+            f"refused: params: seed {beyond[0]} has {most[beyond[0]]} happenings. Remedy: name places below that.",
+            err=True,
+        )
+        sys.exit(2)
+    days = [hunting.Hunted(number, small, kept) for number in numbers]
+    broken = 0
+    for verdict in hunting.hunt(days, workers=workers):
+        if not verdict.broken and not verdict.failed:
+            click.echo(f"seed {verdict.hunted.seed}: {verdict.served} of {verdict.sent} served, held")
+            continue
+        broken += 1
+        _tell_broken(verdict)
+        if verdict.broken and not no_shrink:
+            smaller = hunting.make_smaller(verdict, say=click.echo)
+            _tell_broken(smaller)
+            for happening in hunting.day_of(smaller.hunted).happenings:
+                click.echo(f"  {happening}")
+    click.echo(f"{len(days)} days, {broken} broken")
+    sys.exit(1 if broken else 0)
+
+
+def _tell_broken(verdict) -> None:
+    hunted = verdict.hunted
+    again = f"hoistsaddle fleet hunt --seeds {hunted.seed}" + (" --small" if hunted.small else "")
+    if hunted.only is not None:
+        again += f" --only {','.join(str(place) for place in hunted.only)}"
+    told = verdict.failed or "; ".join(
+        f"{rule} ({len(found)}): {found[0]}" for rule, found in sorted(verdict.broken.items())
+    )
+    click.echo(f"BROKEN seed {hunted.seed}: {told} (again: {again})")
+
+
 @fleet.command()
 @click.argument(
     "what", type=click.Choice(["commits", "catch-up", "growth", "news", "added-latency", "takeover", "versions"])
--- /dev/null
+++ b/tests/arcade_plants.py
@@ -0,0 +1,289 @@
+"""Faults planted in the product, one or more for each rule of the arcade, and the day on which each must be caught."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+from unittest import mock
+
+from returns.result import Success
+
+from hoistsaddle.bourse import market
+from hoistsaddle.bourse.market import Market
+from hoistsaddle.broker.core import BrokerCore
+from hoistsaddle.broker.door import Door
+from hoistsaddle.broker.entry import EntrySide
+from hoistsaddle.broker.messages import Reply
+from hoistsaddle.broker.node import BrokerNode
+from hoistsaddle.fairground.arcade.customs import adapter
+from hoistsaddle.fairground.arcade.day import (
+    BadOrder,
+    Change,
+    Closing,
+    Day,
+    Happening,
+    Misbehave,
+    Release,
+    Stop,
+    draw_site,
+)
+from hoistsaddle.ledger.events import Pace
+from hoistsaddle.shelf.commands import Outcome
+from hoistsaddle.shelf.state import READY
+from hoistsaddle.stall.further import FurtherSends
+from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.tally.moments import milliseconds
+from hoistsaddle.tariff.items import ItemSetup
+
+
+def small_day(*happenings: Happening, seconds: float = 9.0, seed: int = 1) -> Day:
+    return Day(seed, draw_site(seed, small=True), happenings, seconds)
+
+
+SERVICES = tuple(shape.name for shape in draw_site(1, small=True).services)
+CALM = small_day(seconds=6.0)
+# What is planned: new routes, moves, an invalid order, a server's leaving and a machine's stop.
+PLANNED = small_day(
+    Change(0.5, "add", 1),
+    Change(1.0, "move", 7),
+    BadOrder(1.5, "aim", 3),
+    Release(2.0, "side-00"),
+    Change(3.0, "drop", 2),
+    Stop(4.0, "side-03", 0.3),
+    Release(4.0, "side-02"),
+)
+LOSSES = small_day(Misbehave(0.5, SERVICES[1], 0.6, 6.0, "cut"))
+FAILURES = small_day(Misbehave(0.5, SERVICES[0], 0.8, 9.0, "failure"))
+# Many requests, so that some are under way wherever a machine stops.
+STOPS = Day(
+    1,
+    draw_site(1, small=True)._replace(rate=40.0),
+    tuple(Stop(1.0 + place, f"side-{place:02d}", 0.3) for place in range(4)),
+    5.0,
+)
+ENDED = small_day(Closing(3.0, "kill", 0.5), seconds=3.0)
+DAYS = {"calm": CALM, "planned": PLANNED, "stops": STOPS, "losses": LOSSES, "failures": FAILURES, "ended": ENDED}
+
+
+class Plant(NamedTuple):
+    name: str
+    rule: str
+    day: str
+    patch: Callable[[], object]
+
+
+def _answers_swapped():
+    plain, kept = Door._respond, {}
+
+    def swapped(self: Door, answer: Reply):
+        before = kept.get("answer")
+        if answer.mishap is None:
+            kept["answer"] = answer
+        return plain(self, answer if before is None or answer.mishap else answer._replace(body=before.body))
+
+    return mock.patch.object(Door, "_respond", swapped)
+
+
+def _key_answers_forgotten():
+    """A repeat of a key gets whatever answer its door gave last."""
+    plain, kept = Door._respond, {}
+
+    def other(self: Door, answer: Reply):
+        before = kept.get("answer", answer)
+        if answer.mishap is None:
+            kept["answer"] = answer
+        return plain(self, before if answer.mishap is None else answer)
+
+    return mock.patch.object(Door, "_respond", other)
+
+
+def _callers_untold():
+    plain = BrokerNode._deal_on
+    return mock.patch.object(
+        BrokerNode,
+        "_deal_on",
+        lambda self, command: plain(self, command._replace(call=command.call._replace(caller="somebody"))),
+    )
+
+
+def _paths_changed():
+    plain = BrokerNode._deal_on
+    return mock.patch.object(
+        BrokerNode,
+        "_deal_on",
+        lambda self, command: plain(
+            self, command._replace(call=command.call._replace(path=command.call.path + b"?more"))
+        ),
+    )
+
+
+def _every_claim_granted():
+    return mock.patch(
+        "hoistsaddle.shelf.keys.claim", lambda state, command: (state, Outcome(detail={"phase": "granted"}))
+    )
+
+
+def _uncertain_is_sent_again():
+    def again(self: EntrySide, ticket: int, deal, mishap) -> None:
+        deal.uncertain, deal.why = True, mishap
+        deal.avoid.add(deal.target.stall)
+        self._place(ticket)
+
+    return mock.patch.object(EntrySide, "_uncertain", again)
+
+
+def _unknown_is_called_not_run():
+    def unknown(self: EntrySide, ticket: int) -> None:
+        self._reply(ticket, 503, mishap=Mishap(MishapKind.SILENT, "planted", "planted"), retry_after=milliseconds(50))
+
+    return mock.patch.object(EntrySide, "_unknown", unknown)
+
+
+def _some_entries_unknown():
+    plain, draw = ItemSetup.select_entry, random.Random(1)
+    return mock.patch.object(
+        ItemSetup, "select_entry", lambda self, **needs: None if draw.random() < 0.3 else plain(self, **needs)
+    )
+
+
+def _any_service_will_do():
+    def any_service(self: EntrySide, entry) -> str:
+        return self.random.choice(sorted(self.view.items.services))
+
+    return mock.patch.object(EntrySide, "_select_service", any_service)
+
+
+def _leaving_is_ready():
+    return mock.patch.dict(adapter("doors").STATES, {"decaying": READY})
+
+
+def _stops_answer_for_servers():
+    plain = BrokerNode.wind_down
+
+    async def at_once(self: BrokerNode, **needs) -> None:
+        for ticket in list(self.core.deals):
+            future = self.answers.pop(ticket, None)
+            if future is not None and not future.done():
+                future.set_result(Reply(ticket, 502, b"", b"", Mishap(MishapKind.SILENT, "planted", "planted"), None))
+        await plain(self, **needs)
+
+    return mock.patch.object(BrokerNode, "wind_down", at_once)
+
+
+def _stops_break_off():
+    plain = BrokerNode.wind_down
+
+    async def at_once(self: BrokerNode, **needs) -> None:
+        for future in self.answers.values():
+            future.cancel()
+        await plain(self, **needs)
+
+    return mock.patch.object(BrokerNode, "wind_down", at_once)
+
+
+def _first_items_kept():
+    plain = BrokerCore._setup
+
+    def first(self: BrokerCore, view) -> None:
+        kept = self.view.items
+        plain(self, view if kept is None else view._replace(items=kept))
+
+    return mock.patch.object(BrokerCore, "_setup", first)
+
+
+def _items_waver():
+    """Each second request is judged by the first items that its stall took up."""
+    plain = EntrySide._asked
+
+    def wavering(self: EntrySide, event) -> None:
+        now = self.view
+        self.first_items = getattr(self, "first_items", None) or now.items
+        self.turn = not getattr(self, "turn", False)
+        if self.turn:
+            self.view = now._replace(items=self.first_items)
+        plain(self, event)
+        self.view = now
+
+    return mock.patch.object(EntrySide, "_asked", wavering)
+
+
+def _entries_unchecked():
+    return mock.patch("hoistsaddle.tariff.items._check_entry", lambda entry, where: None)
+
+
+def _patches_unanswered():
+    async def patch(self: Market, patch):
+        import asyncio
+
+        await asyncio.sleep(2.0)
+
+    plain = Market.patch
+
+    async def first_alone(self: Market, patch):
+        # The first setup goes through, so that there is a day.
+        return await plain(self, patch) if len(patch.sets) > 4 else await Market.planted(self, patch)
+
+    return mock.patch.multiple(Market, patch=first_alone, planted=patch, create=True)
+
+
+def _an_item_is_not_read():
+    plain = Market.read_items
+
+    async def short(self: Market, **needs):
+        return (await plain(self, **needs)).bind(lambda items: Success(items[1:]))
+
+    return mock.patch.object(Market, "read_items", short)
+
+
+def _further_sends_unbounded():
+    return mock.patch.object(FurtherSends, "gate", lambda self, service, *, now: "share")
+
+
+def _slow_elections_after_the_first():
+    starts: list[None] = []
+
+    def pace(**needs) -> Pace:
+        starts.append(None)
+        slow = milliseconds(60000) if len(starts) > 3 else milliseconds(500)
+        return Pace(election_least=slow, election_most=slow * 1.5, **needs)
+
+    return mock.patch.object(market, "Pace", pace)
+
+
+def _some_answers_raise():
+    plain, draw = Door._respond, random.Random(1)
+
+    def raising(self: Door, answer: Reply):
+        if draw.random() < 0.05:
+            raise RuntimeError("planted")
+        return plain(self, answer)
+
+    return mock.patch.object(Door, "_respond", raising)
+
+
+def _nobody_is_selected():
+    return mock.patch.object(EntrySide, "_select", lambda self, deal: None)
+
+
+PLANTS = (
+    Plant("answers are swapped", "MIXED", "calm", _answers_swapped),
+    Plant("answers of other keys", "MIXED", "calm", _key_answers_forgotten),
+    Plant("callers go untold", "UNASKED", "calm", _callers_untold),
+    Plant("paths are changed", "UNASKED", "calm", _paths_changed),
+    Plant("every claim is granted", "TWICE", "calm", _every_claim_granted),
+    Plant("uncertain sends are repeated", "TWICE", "losses", _uncertain_is_sent_again),
+    Plant("unknown is called not run", "REFUSED", "losses", _unknown_is_called_not_run),
+    Plant("some entries are unknown", "DENIED", "calm", _some_entries_unknown),
+    Plant("any service will do", "ROUTE", "calm", _any_service_will_do),
+    Plant("leaving is ready", "DRAIN", "planned", _leaving_is_ready),
+    Plant("a stop answers for its servers", "LOST", "stops", _stops_answer_for_servers),
+    Plant("a stop breaks off", "LOST", "stops", _stops_break_off),
+    Plant("the first items are kept", "CONFIG", "planned", _first_items_kept),
+    Plant("items waver", "CONFIG back", "planned", _items_waver),
+    Plant("entries are unchecked", "CONFIG orders", "planned", _entries_unchecked),
+    Plant("patches go unanswered", "CONFIG orders", "planned", _patches_unanswered),
+    Plant("an item is not read", "CONFIG read-back", "calm", _an_item_is_not_read),
+    Plant("further sends are unbounded", "BUDGET", "failures", _further_sends_unbounded),
+    Plant("elections are slow", "RECOVER", "ended", _slow_elections_after_the_first),
+    Plant("some answers raise", "FAULT", "calm", _some_answers_raise),
+    Plant("nobody is selected", "GATE", "calm", _nobody_is_selected),
+)
--- /dev/null
+++ b/tests/test_arcade.py
@@ -0,0 +1,73 @@
+"""The users' platform in simulated time: days that must hold, and for each rule a planted fault that must be caught.
+
+The seeds are fixed here; more of them: `hoistsaddle fleet hunt --seeds 1-40`.
+"""
+
+import sys
+from pathlib import Path
+
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan
+
+from hoistsaddle.fairground.arcade.arena import play
+from hoistsaddle.fairground.arcade.checkers import RULES, check
+from hoistsaddle.fairground.arcade.day import Day, Kill, draw_day
+from hoistsaddle.fairground.arcade.hunt import Hunted, Verdict, carry_out, day_of, make_smaller
+
+sys.path.insert(0, str(Path(__file__).parent))
+from arcade_plants import DAYS, PLANTS  # noqa: E402
+
+SEEDS = (1, 2)
+
+
+def broken(day: Day) -> dict[str, list[str]]:
+    return {rule: found for rule, found in check(play(day).history, day).items() if found}
+
+
+class ArcadeDays(TestCase):
+    def test_days_of_the_plants_hold_without_them(self) -> None:
+        for name, day in DAYS.items():
+            self.assertThat(broken(day), Equals({}), name)
+
+    def test_drawn_days_hold(self) -> None:
+        print("small days of seeds", SEEDS)
+        for seed in SEEDS:
+            verdict = carry_out(Hunted(seed, small=True))
+            self.assertThat((verdict.broken, verdict.failed), Equals(({}, "")), f"seed {seed}")
+            # A day that serves nothing would break few rules.
+            self.assertThat(verdict.served * 2, GreaterThan(verdict.sent), f"seed {seed}")
+
+    def test_a_seed_gives_the_same_day_again(self) -> None:
+        hunted = Hunted(1, small=True, only=(0, 1, 2))
+        self.assertThat(carry_out(hunted), Equals(carry_out(hunted)))
+
+
+class ArcadePlants(TestCase):
+    def test_every_rule_has_a_plant(self) -> None:
+        self.assertThat({plant.rule for plant in PLANTS}, Equals(set(RULES)))
+
+    def test_every_plant_is_caught(self) -> None:
+        caught = {}
+        for plant in PLANTS:
+            with plant.patch():
+                caught[plant.name] = plant.rule in broken(DAYS[plant.day])
+        self.assertThat(caught, Equals({plant.name: True for plant in PLANTS}))
+
+
+class Shrinking(TestCase):
+    def test_a_failing_day_is_left_with_what_it_needs(self) -> None:
+        hunted = next(
+            each
+            for each in (Hunted(seed) for seed in range(1, 100))
+            if sum(isinstance(happening, Kill) for happening in day_of(each).happenings) >= 2
+        )
+        kills = [place for place, each in enumerate(day_of(hunted).happenings) if isinstance(each, Kill)][:2]
+
+        def run(tried: Hunted) -> Verdict:
+            # Only both kills together break the rule.
+            bad = set(kills) <= set(tried.only or ())
+            return Verdict(tried, 0, 0, "", {"TWICE": ["planted"]} if bad else {})
+
+        first = run(hunted._replace(only=tuple(range(len(draw_day(hunted.seed).happenings)))))
+        smaller = make_smaller(first, say=lambda text: None, run=run)
+        self.assertThat(smaller.hunted.only, Equals(tuple(kills)))
