A service named beside a split is checked like the others

Cause: the adapter read the split and passed over the service beside it, so an order naming an unknown one there was acknowledged and came into force. Whether the platform sends both is not said on its pages; nothing changes for orders that name known services.

--- a/packages/fairground/src/hoistsaddle/fairground/arcade/operators.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/operators.py
@@ -186,7 +186,10 @@
         right = first._replace(parts=((draw.choice(services), 1.0),))
         wrong = self._told(second, number)
         match bad.how:
+            case "unknown service" if "split" in wrong and draw.random() < 0.5:
+                wrong["split"][-1]["service"] = "nobody"
             case "unknown service":
+                # Also beside a split.
                 wrong["service"] = "nobody"
             case "below 0":
                 wrong.pop("service", None)
--- a/tests/test_arcade.py
+++ b/tests/test_arcade.py
@@ -13,8 +13,14 @@
 
 from hoistsaddle.fairground.arcade.arena import play
 from hoistsaddle.fairground.arcade.checkers import RULES, check
+from hoistsaddle.fairground.arcade.customs import adapter
 from hoistsaddle.fairground.arcade.day import Day, Kill, draw_day
 from hoistsaddle.fairground.arcade.hunt import Hunted, Verdict, day_of, hunt, make_smaller
+from hoistsaddle.shelf import items
+from hoistsaddle.shelf.commands import LEVEL, Outcome, PatchItems
+from hoistsaddle.shelf.state import State, found_state
+from hoistsaddle.tally.mishaps import MishapKind
+from hoistsaddle.tariff.items import Patch, pack_patch
 
 sys.path.insert(0, str(Path(__file__).parent))
 from arcade_plants import DAYS, PLANTS  # noqa: E402
@@ -60,6 +66,34 @@
         self.assertThat(caught, Equals({plant.name: True for plant in PLANTS}))
 
 
+class OrdersOfThePlatform(TestCase):
+    def test_a_service_named_beside_a_split_is_checked_too(self) -> None:
+        """The arcade's seed 52: such an order was acknowledged, though nobody knew the service."""
+        samples = adapter("samples")
+        told = samples.route(
+            name="r",
+            host="h",
+            prefix="/r/",
+            kind="repeatable",
+            parts=[("known", 2.0), ("other", 1.0)],
+            hold=1.0,
+            aim=0.5,
+            rank=0,
+            sends=1,
+            revision=3,
+        )
+        patch = adapter("goods").read_call(samples.call(routes=[{**told, "service": "nobody"}])).unwrap()
+        state = found_state(mesh="m", voters={}, operators={}, level=LEVEL)
+        services = samples.call(services=[samples.service(name=name, revision=1) for name in ("known", "other")])
+
+        def put(state: State, patch: Patch, offset: int) -> tuple[State, Outcome]:
+            return items.patch(state, PatchItems("request", "desk", "signer", pack_patch(patch)), offset)
+
+        state, first = put(state, adapter("goods").read_call(services).unwrap(), 1)
+        _, second = put(state, patch, 2)
+        self.assertThat((first.mishap, second.mishap), Equals(("", MishapKind.ITEM_BROKEN)))
+
+
 class Shrinking(TestCase):
     def test_a_failing_day_is_left_with_what_it_needs(self) -> None:
         hunted = next(
