Slots simulated for the wait, no patient queue, a stopping stall keeps its server reachable

Change: the wait is read off the slots one by one in the line's own order; what can't be done within its aim is turned back at once, spread over up to a third of its time; a stopping stall says nothing of its server and closes only once its door is quiet; claims carry 24 digits of a key.

--- a/packages/broker/src/hoistsaddle/broker/core.py
+++ b/packages/broker/src/hoistsaddle/broker/core.py
@@ -6,6 +6,7 @@
 from hoistsaddle.broker.entry import EntrySide
 from hoistsaddle.broker.messages import (
     Asked,
+    CloseAsked,
     DealAnswered,
     DealArrived,
     DealMissed,
@@ -61,7 +62,8 @@
                 self._visitor_gone(ticket)
             case StopAsked():
                 self.stopping = True
-                self._report()
+            case CloseAsked():
+                self.closing = True
             case Ticked():
                 self._entry_tick()
                 self._counter_tick()
--- a/packages/broker/src/hoistsaddle/broker/counter.py
+++ b/packages/broker/src/hoistsaddle/broker/counter.py
@@ -1,7 +1,7 @@
 """The target's side: what runs on the server beside this stall, what waits for it, and what is turned away at once.
 
 Nobody else reaches this server, so this side alone decides how much it works on at a time. Waiting work is ordered by
-rank and then by deadline. Work that can't be done in its time is refused the moment that is known.
+rank and then by when it is due. Work that can't be done in its time is refused the moment that is known.
 """
 
 import heapq
@@ -20,7 +20,8 @@
 FIRST_GUESS = milliseconds(50)
 # The newest run's share in what is expected of the next.
 WEIGHT = 0.1
-PATIENT_RANK = 1000
+# What a run over its usual time is taken to need still, as a share of that time.
+OVERTIME = 0.15
 
 
 class _Run:
@@ -34,6 +35,7 @@
 
 class Waiting(NamedTuple):
     rank: int
+    due: timedelta
     deadline: timedelta
     number: int
 
@@ -51,6 +53,8 @@
         self.mean = FIRST_GUESS
         self.drain_span = timedelta(seconds=2)
         self.closed_at: timedelta | None = None
+        # This stall is about to end: its server goes on, but not through it.
+        self.closing = False
 
     # -- the own server ----------------------------------------------------------------------------------------------
 
@@ -67,6 +71,12 @@
             self._announce("server told", service=event.service, instance=event.instance, state=event.state)
             self._report()
 
+    def server_state(self) -> str:
+        """Its own word while that is young. A stall that stops says nothing of its server: it is back in a moment."""
+        if self.server is None or self.now - self.server.heard > self.params.vitals_span:
+            return GONE
+        return self.server.state
+
     def assume_server(self, server: OwnServer) -> None:
         """After a restart: the one the log names here, until its own next word. A wrong guess runs nothing."""
         if self.server is None:
@@ -78,23 +88,21 @@
     def _span_of(self, entry: str) -> timedelta:
         return self.spans.get(entry, self.mean)
 
-    def backlog(self, *, rank: int | None = None) -> timedelta:
-        """How long until a request of this rank that came now would start; of the last rank if none is given."""
-        ahead = ZERO
+    def wait_for(self, *, rank: int, due: timedelta) -> timedelta:
+        """How long until a request of this rank and due time would start, if it came now."""
+        slots = [ZERO] * max(0, self.room - len(self.running))
         for number in self.running:
             run = self.runs[number]
             span = self._span_of(run.call.entry)
             # A run over its usual time is taken to need some more of it.
-            ahead += max(span - (self.now - run.started), span / 5)
-        free = self.room - len(self.running)
-        waiting = 0
-        for rank_there, _, number in self.line:
-            if rank is None or rank_there <= rank:
-                ahead += self._span_of(self.runs[number].call.entry)
-                waiting += 1
-        if free > waiting:
-            return ZERO
-        return ahead / self.room
+            slots.append(max(span - (self.now - run.started), span * OVERTIME))
+        heapq.heapify(slots)
+        for waiting in sorted(self.line):
+            if (waiting.rank, waiting.due) > (rank, due):
+                break
+            # What stands before it takes the slots as they come free.
+            heapq.heapreplace(slots, slots[0] + self._span_of(self.runs[waiting.number].call.entry))
+        return slots[0]
 
     def load(self) -> int:
         return len(self.running) + len(self.line)
@@ -110,12 +118,10 @@
         call = event.call
         if (kind := self._refusal(call)) is not None:
             return self._turn_away(event.ticket, call, kind)
-        # Nobody could serve a patient one within its aim: it stands behind all that still can be.
-        rank = call.rank + (PATIENT_RANK if call.patient else 0)
-        wait = self.backlog(rank=rank)
-        needs = wait + self._span_of(call.entry)
-        late = needs > (call.budget if call.patient else call.aim)
-        if wait > ZERO and late:
+        due = self.now + call.aim
+        wait = self.wait_for(rank=call.rank, due=due)
+        # Whoever comes back later finds it emptier; whoever waits here past the aim keeps others from theirs.
+        if wait > ZERO and wait + self._span_of(call.entry) > call.aim:
             return self._turn_away(event.ticket, call, MishapKind.BACKLOG_FULL)
         if len(self.line) >= self.params.backlog:
             return self._turn_away(event.ticket, call, MishapKind.BACKLOG_FULL)
@@ -123,7 +129,7 @@
         run = self.runs[number] = _Run(ticket=event.ticket, call=call, now=self.now)
         if len(self.running) < self.room:
             return self._start(number, run)
-        heapq.heappush(self.line, Waiting(rank, run.deadline, number))
+        heapq.heappush(self.line, Waiting(call.rank, due, run.deadline, number))
 
     def _refusal(self, call: DealCall) -> MishapKind | None:
         if call.budget <= ZERO:
@@ -131,7 +137,7 @@
         server = self.server
         if server is None or self.server_state() == GONE:
             return MishapKind.NO_SERVER
-        if server.state != READY:
+        if server.state != READY or self.closing:
             return MishapKind.WINDING_DOWN
         if (call.target, call.service_name) != (self.params.name, server.service):
             return MishapKind.WRONG_INSTANCE
--- a/packages/broker/src/hoistsaddle/broker/entry.py
+++ b/packages/broker/src/hoistsaddle/broker/entry.py
@@ -32,14 +32,20 @@
 DEFAULT_BUDGET = timedelta(seconds=30)
 # Stalls that turn a request away cost a hop each: so many are asked, then it is told to come back.
 MOST_ASKED = 4
+# A body this large crosses the links twice at the most.
+LARGE_BODY = 8192
 # A stall that couldn't be reached is left alone for so long, while there are others.
 LEFT_ALONE = timedelta(seconds=1)
 # How fast what others have sent to a stall is taken to be worked off, once it said how much that was.
 FADE = timedelta(seconds=1)
 # What another zone must save to be worth the way: a share of the request's aim.
 ZONE_SHARE = 0.2
+# Hex digits of a key's digest: 96 bits tell keys apart, and the log holds hundreds of them a second.
+SCOPE_LENGTH = 24
 RELEASE_SPAN = timedelta(seconds=10)
 SOON = milliseconds(50)
+# Nobody is sent away for longer: a second is what a takeover of the core or a queue takes to be over.
+MOST_AWAY = timedelta(seconds=1)
 # A claim that got no answer is asked again this soon, for as long as waiting costs the visitor little.
 CLAIM_AGAIN = milliseconds(40)
 WORKING = "working"
@@ -78,7 +84,6 @@
         # Sends that may have reached a server.
         self.sends = 0
         self.uncertain = False
-        self.patient = False
         self.why: Mishap | None = None
         self.best: DealAnswer | None = None
         self.number: int | None = None
@@ -169,7 +174,7 @@
         deal = self.deals[ticket]
         if not deal.claim:
             # One operation is known by its key alone, whichever door it reaches and whatever else it carries.
-            deal.scope = digest_of_parts("operation", deal.event.key)
+            deal.scope = digest_of_parts("operation", deal.event.key)[:SCOPE_LENGTH]
             deal.claim = f"{self.params.name}.{self.params.incarnation}.{self._number()}"
         deal.number = self._number()
         self.by_number[deal.number] = ticket
@@ -180,7 +185,7 @@
             "",
             deal.scope,
             "operation",
-            deal.scope,
+            "",
             deal.entry.name,
             max(1, round(self.key_span.total_seconds())),
             deal.after,
@@ -355,14 +360,10 @@
         deal = self.deals[ticket]
         if self.now >= deal.deadline:
             return self._spent(ticket)
-        if deal.asked >= MOST_ASKED or deal.sends >= max(1, deal.entry.most_sends):
+        most = MOST_ASKED if len(deal.event.body) <= LARGE_BODY else 2
+        if deal.asked >= most or deal.sends >= max(1, deal.entry.most_sends):
             return self._give_up(ticket)
         target = self._select(deal)
-        if target is None and deal.avoid and not deal.patient and not deal.sends:
-            # Nobody can do it within its aim: whoever can within its budget, then.
-            deal.patient = True
-            deal.avoid = set()
-            target = self._select(deal)
         if target is None:
             return self._give_up(ticket)
         self._allot(deal.service)
@@ -398,7 +399,6 @@
             send_id=event.send_id,
             ordinal=deal.sends + 1,
             repeatable=deal.entry.kind == REPEATABLE,
-            patient=deal.patient,
         )
         self._out.append(DealOn(deal.number, self.view.nodes[target.stall].address, call, budget))
 
@@ -511,9 +511,9 @@
         self._reply(ticket, 503, mishap=mishap, retry_after=self._soon(deal))
 
     def _soon(self, deal: _Deal) -> timedelta:
-        """A tenth of what is left, so that a few more tries fit in."""
+        """Spread over up to a third of what is left: those turned back together must not come back together."""
         left = max(ZERO, deal.deadline - self.now)
-        return max(SOON, min(left / 10, timedelta(seconds=1)))
+        return max(SOON, min(left / 3, MOST_AWAY) * (0.4 + 0.6 * self.random.random()))
 
     def _unknown(self, ticket: int) -> None:
         deal = self.deals[ticket]
--- a/packages/broker/src/hoistsaddle/broker/messages.py
+++ b/packages/broker/src/hoistsaddle/broker/messages.py
@@ -85,6 +85,10 @@
     cold: timedelta
 
 
+class CloseAsked(NamedTuple):
+    """Nothing more comes through this stall: what runs is finished, and no more taken."""
+
+
 class Reply(NamedTuple):
     """The final answer at the door; headers are only the server's own."""
 
--- a/packages/broker/src/hoistsaddle/broker/node.py
+++ b/packages/broker/src/hoistsaddle/broker/node.py
@@ -12,6 +12,7 @@
     AnswerDeal,
     AnswerRecall,
     Asked,
+    CloseAsked,
     DealAnswered,
     DealArrived,
     DealMissed,
@@ -56,6 +57,8 @@
     def __init__(self, *, params: BrokerParams, runtime: Runtime, serve: Server) -> None:
         self.serve = serve
         self.broker_params = params
+        # When the door was last called.
+        self.asked_at = runtime.now()
         super().__init__(params=params, runtime=runtime, run_server=serve)
 
     def _make_core(self) -> Any:
@@ -73,6 +76,7 @@
         )
 
     async def request_items(self, make: Callable[[int], Asked]) -> Reply:
+        self.asked_at = self.runtime.now()
         ticket, future = self._ticket()
         self.feed(make(ticket))
         try:
@@ -151,12 +155,13 @@
 
     async def wind_down(self, *, quiet: timedelta, most: timedelta) -> None:
         """Planned stop: says so at once, goes on with all that comes, and ends once nothing has come for a while."""
-        began = self.runtime.now()
+        began = self.asked_at = self.runtime.now()
         self.feed(StopAsked())
-        last = began
-        while self.runtime.now() - began < most:
-            if not self.core.idle():
-                last = self.runtime.now()
-            elif self.runtime.now() - last >= quiet:
-                break
+        # The server beside goes on being reached from everywhere; only the door must fall quiet.
+        while self.runtime.now() - began < most and not (
+            self.runtime.now() - self.asked_at >= quiet and not self.core.deals
+        ):
+            await asyncio.sleep(self.tick.total_seconds())
+        self.feed(CloseAsked())
+        while self.runtime.now() - began < most and not self.core.idle():
             await asyncio.sleep(self.tick.total_seconds())
--- a/packages/broker/src/hoistsaddle/broker/service.py
+++ b/packages/broker/src/hoistsaddle/broker/service.py
@@ -17,8 +17,8 @@
 
 PULSE = Pulse(every=milliseconds(250), span=milliseconds(900))
 CONNECT_SPAN = milliseconds(350)
-# A stopping stall ends once nothing has come for so long: whoever asks for its readiness has seen twice that it stops.
-QUIET = milliseconds(700)
+# A stopping stall ends once nobody has called its door for so long: the platform then sends its visitors elsewhere.
+QUIET = milliseconds(500)
 # What closing the doors needs of the grace.
 CLOSING = milliseconds(900)
 
--- a/packages/haggle/src/hoistsaddle/haggle/parcels.py
+++ b/packages/haggle/src/hoistsaddle/haggle/parcels.py
@@ -325,8 +325,6 @@
     send_id: str
     ordinal: int = 1
     repeatable: bool = False
-    # Nobody could serve it within its aim: any time within its budget will do.
-    patient: bool = False
 
 
 class DealAnswer(NamedTuple):
--- a/packages/shelf/src/hoistsaddle/shelf/keys.py
+++ b/packages/shelf/src/hoistsaddle/shelf/keys.py
@@ -101,7 +101,8 @@
             "Idempotency-Key",
         )
     # The handle hangs on nothing that a bundle, a renewed credential or a new address changes.
-    handle = digest_of("\0".join((command.bucket, command.by, command.who)))
+    # An operation known by its key alone has nobody to be told apart, and its bucket for a handle.
+    handle = digest_of("\0".join((command.bucket, command.by, command.who))) if command.who else command.bucket
     expires = to_microseconds(state.stamp + _span_of(command))
     hold = Hold(
         command.claim,
