--- a/packages/broker/src/hoistsaddle/broker/entry.py
+++ b/packages/broker/src/hoistsaddle/broker/entry.py
@@ -40,6 +40,8 @@
 FADE = timedelta(seconds=1)
 # What another zone must save to be worth the way: a share of the request's aim.
 ZONE_SHARE = 0.2
+# How much of its aim a request waits for its key.
+KEY_SHARE = 0.22
 # Hex digits of a key's digest: 96 bits tell keys apart, and the log holds hundreds of them a second.
 SCOPE_LENGTH = 24
 RELEASE_SPAN = timedelta(seconds=10)
@@ -227,12 +229,18 @@
 
     def _claim_missed(self, ticket: int, deal: _Deal) -> None:
         """Claiming again under the same claim is one claim: the log knows it."""
-        patience = min(deal.aim_at, deal.arrived + (deal.aim_at - deal.arrived) / 4)
-        if self.now < patience:
+        if self.now < self._patience(deal):
             self.claim_again.append((self.now + CLAIM_AGAIN, ticket))
             return
-        # It may be in the log for all we know: should it turn up as granted later, it is given back then.
-        self._let_go(deal)
+        self._key_out_of_reach(ticket, deal)
+
+    @staticmethod
+    def _patience(deal: _Deal) -> timedelta:
+        """Until when a key may be waited for: who is told by then loses little by coming back."""
+        return deal.arrived + (deal.aim_at - deal.arrived) * KEY_SHARE
+
+    def _key_out_of_reach(self, ticket: int, deal: _Deal) -> None:
+        """It may be in the log for all we know: should it turn up as granted later, it is given back then."""
         self._turned_back(ticket, _no_core())
 
     def _ask_holder(self, ticket: int, deal: _Deal, stall: str, claim: str) -> None:
@@ -557,6 +565,14 @@
         for ticket in [ticket for ticket, deal in self.deals.items() if self.now >= deal.deadline]:
             if ticket in self.deals:
                 self._spent(ticket)
+        # A key that doesn't come: the log may answer any time, but the visitor is better told now.
+        keyless = [
+            (ticket, deal)
+            for ticket, deal in self.deals.items()
+            if deal.claim and not deal.claimed and not deal.recalled and self.now >= self._patience(deal)
+        ]
+        for ticket, deal in keyless:
+            self._key_out_of_reach(ticket, deal)
         again, self.claim_again = self.claim_again, []
         for moment, ticket in again:
             if self.now < moment:
--- a/packages/ledger/src/hoistsaddle/ledger/core.py
+++ b/packages/ledger/src/hoistsaddle/ledger/core.py
@@ -26,6 +26,7 @@
     AnswerArrived,
     Boot,
     CallArrived,
+    CallRefused,
     Capture,
     CheckpointLoaded,
     CheckpointMishap,
@@ -261,6 +262,8 @@
                 self._call(ticket, message)
             case AnswerArrived(number=number, replica=replica, message=message):
                 self._answered(number, replica, message)
+            case CallRefused(replica=replica):
+                self._refused(replica)
             case Ticked():
                 self._tick()
             case Synced(sequence=sequence):
@@ -286,6 +289,15 @@
                 self._stop()
         return self._out
 
+    def _refused(self, replica: int) -> None:
+        """The leader's process is gone: no need to wait until its silence has lasted."""
+        if replica != self.leader or self.standing == LEADER:
+            return
+        self.heard_leader = None
+        self.fetch_sent = None
+        # Some spread keeps the followers from standing at once; a leader that is back by then answers the fetches.
+        self.election_at = min(self.election_at, self.now + self._election_span() * 0.2)
+
     def _call(self, ticket: int, message: tuple) -> None:
         match message:
             case FetchCall():
--- a/packages/ledger/src/hoistsaddle/ledger/events.py
+++ b/packages/ledger/src/hoistsaddle/ledger/events.py
@@ -42,6 +42,12 @@
     message: tuple
 
 
+class CallRefused(NamedTuple):
+    """Nobody takes connections where that replica was: its process is gone, unlike one that is only silent."""
+
+    replica: int
+
+
 class Ticked(NamedTuple):
     pass
 
--- a/packages/ledger/src/hoistsaddle/ledger/shell.py
+++ b/packages/ledger/src/hoistsaddle/ledger/shell.py
@@ -16,6 +16,7 @@
     AnswerArrived,
     Boot,
     CallArrived,
+    CallRefused,
     Capture,
     Concluded,
     DropCheckpoints,
@@ -35,6 +36,7 @@
 from hoistsaddle.ledger.jobs import ChunkRead, DiskThread, DiskWorker, Founded, Founding
 from hoistsaddle.shelf.commands import LEVEL
 from hoistsaddle.tally.counters import Counters
+from hoistsaddle.tally.mishaps import MishapKind
 from hoistsaddle.tally.moments import milliseconds
 
 TICK = timedelta(milliseconds=15)
@@ -166,8 +168,10 @@
         match await self.runtime.lines.call(self.addresses[send.replica], send.message, within=CALL_SPAN):
             case Success(message):
                 self.feed(AnswerArrived(send.number, send.replica, message))
-            case _:
+            case result:
                 self.counters.add("sends.mishaps")
+                if result.failure().kind == MishapKind.UNREACHABLE:
+                    self.feed(CallRefused(send.replica))
 
     async def ask(self, make: Callable[[int], tuple]) -> tuple:
         """Feeds the event made for a fresh ticket and waits for what the core has to say to it."""
