--- a/packages/bourse/src/hoistsaddle/bourse/market.py
+++ b/packages/bourse/src/hoistsaddle/bourse/market.py
@@ -144,7 +144,7 @@
             disk=disk or Disk(folder=Path(params.data_folder), replica=self.replica),
             make_worker=make_worker,
             addresses=self.stores,
-            pace=Pace(checkpoint_records=params.checkpoint_records, chunk_bytes=params.chunk_bytes),
+            pace=Pace(checkpoint_records=params.checkpoint_records, chunk_bytes=params.chunk_bytes, boot_share=0.4),
             wanted_voters=2 * params.losses + 1,
         )
         self.bourse = MarketBourse(
--- a/packages/broker/src/hoistsaddle/broker/door.py
+++ b/packages/broker/src/hoistsaddle/broker/door.py
@@ -28,7 +28,8 @@
         keepalive_timeout=idle.total_seconds(),
         lingering_time=0.5,
     )
-    runner = web.ServerRunner(server, handle_signals=False)
+    # What still runs when a door closes had its time before: closing itself is quick.
+    runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.2)
     await runner.setup()
     host, port = split_address(address)
     await web.TCPSite(runner, host, port, backlog=1024, reuse_address=True).start()
--- a/packages/broker/src/hoistsaddle/broker/entry.py
+++ b/packages/broker/src/hoistsaddle/broker/entry.py
@@ -290,18 +290,19 @@
             return RecallAnswer(KEPT, kept.answer.status, kept.answer.headers, kept.answer.body)
         return RecallAnswer(kept.standing)
 
-    def _keep(self, claim: str) -> None:
+    def _keep(self, claim: str) -> _Kept:
         while self.kept and next(iter(self.kept.values())).until <= self.now:
             self.kept.popitem(last=False)
-        self.kept[claim] = _Kept(until=self.now + self.key_span)
+        if claim not in self.kept:
+            self.kept[claim] = _Kept(until=self.now + self.key_span)
+        return self.kept[claim]
 
     def _let_go(self, deal: _Deal) -> None:
         """Gives a claimed key back: nothing ran under it and nothing will."""
         if not deal.claim or deal.uncertain or deal.sends:
             return
-        kept = self.kept.get(deal.claim)
-        if kept is not None:
-            kept.standing = FREE
+        # Also for a claim whose answer never came: it may be in the log, and only this stall knows that it is idle.
+        self._keep(deal.claim).standing = FREE
         self._release(ClaimHold(deal.scope, deal.claim, "", ""))
 
     def _release(self, command: ClaimHold) -> None:
--- a/packages/ledger/src/hoistsaddle/ledger/core.py
+++ b/packages/ledger/src/hoistsaddle/ledger/core.py
@@ -174,7 +174,9 @@
         self.pull_sent: timedelta | None = None
         self.pull_position = 0
         self.loading = False
-        self.election_at = now + self._election_span()
+        # After a start nobody is known to lead. Should somebody, its call comes first, and the voters that hear it
+        # refuse the trial; if nobody does, all were down and every moment counts.
+        self.election_at = now + self._election_span() * pace.boot_share
         # Candidate's side.
         self.trial = False
         self.granted: set[tuple[int, str]] = set()
--- a/packages/ledger/src/hoistsaddle/ledger/events.py
+++ b/packages/ledger/src/hoistsaddle/ledger/events.py
@@ -168,6 +168,8 @@
     fetch_retry: timedelta = timedelta(milliseconds=350)
     election_least: timedelta = timedelta(milliseconds=500)
     election_most: timedelta = timedelta(milliseconds=850)
+    # The part of an election's span that a replica waits for a leader after its own start.
+    boot_share: float = 1.0
     ballot_retry: timedelta = timedelta(milliseconds=250)
     quorum_silence: timedelta = timedelta(milliseconds=1000)
     lead_every: timedelta = timedelta(milliseconds=150)
