--- a/packages/bourse/src/hoistsaddle/bourse/market.py
+++ b/packages/bourse/src/hoistsaddle/bourse/market.py
@@ -176,6 +176,23 @@
         await self.warehouse.stop()
         await self.bourse.stop()
 
+    def revise(self, params: MarketParams) -> None:
+        """Takes up what may change under a running market: whom to turn to, and how many losses are to be borne."""
+        self.counters.happen("params revised", seeds=params.seeds, losses=params.losses)
+        self.params = msgspec.structs.replace(
+            self.params,
+            seeds=params.seeds,
+            losses=params.losses,
+            uptake_seconds=params.uptake_seconds,
+            write_seconds=params.write_seconds,
+        )
+        numbers = [number_of_host(seed) for seed in params.seeds]
+        for number in numbers:
+            self.stores.learn(number)
+            self.peers.learn(number)
+        self.warehouse.shell.revise(wanted_voters=2 * params.losses + 1, seeds=tuple(numbers))
+        self.bourse.member.seeds = [self.peers[number] for number in numbers if number != self.replica]
+
     async def _found(self) -> None:
         duty = Founding(
             replica=self.replica,
--- a/packages/broker/src/hoistsaddle/broker/counter.py
+++ b/packages/broker/src/hoistsaddle/broker/counter.py
@@ -14,12 +14,14 @@
 from hoistsaddle.stall.messages import ANSWERED, NOT_RUN, UNKNOWN
 from hoistsaddle.stall.standing import OwnServer, Standing
 from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tally.moments import ZERO, milliseconds
+from hoistsaddle.tally.moments import ZERO
 
-# What a server of unknown pace is taken to need for one request.
-FIRST_GUESS = milliseconds(50)
-# The newest run's share in what is expected of the next.
+# What a server of unknown pace is taken to need for one request, as a share of the request's aim.
+FIRST_GUESS = 0.33
+# The newest run's share in what is expected of the next, once there were a few.
 WEIGHT = 0.1
+# By how many of its usual deviations a run may outlast its usual time and still be in time.
+MARGIN = 2.0
 # What a run over its usual time is taken to need still, as a share of that time.
 OVERTIME = 0.15
 
@@ -33,6 +35,25 @@
         self.started: timedelta | None = None
 
 
+class Pace:
+    """How long runs of one entry take here: their mean, and how far they lie from it."""
+
+    def __init__(self) -> None:
+        self.mean = ZERO
+        self.deviation = ZERO
+        self.count = 0
+
+    def learn(self, took: timedelta) -> None:
+        self.count += 1
+        if self.count == 1:
+            self.mean, self.deviation = took, took / 3
+            return
+        # The first few count alike: a mean that begins with one odd run would stay odd for long.
+        weight = max(WEIGHT, 1 / self.count)
+        self.deviation += (abs(took - self.mean) - self.deviation) * weight
+        self.mean += (took - self.mean) * weight
+
+
 class Waiting(NamedTuple):
     rank: int
     due: timedelta
@@ -48,9 +69,7 @@
         self.running: set[int] = set()
         self.line: list[Waiting] = []
         # Entry to the time its runs take here.
-        self.spans: dict[str, timedelta] = {}
-        # The mean over all entries, for one not met yet.
-        self.mean = FIRST_GUESS
+        self.paces: dict[str, Pace] = {}
         self.drain_span = timedelta(seconds=2)
         self.closed_at: timedelta | None = None
         # This stall is about to end: its server goes on, but not through it.
@@ -85,15 +104,21 @@
 
     # -- what is expected --------------------------------------------------------------------------------------------
 
-    def _span_of(self, entry: str) -> timedelta:
-        return self.spans.get(entry, self.mean)
+    def _span_of(self, call: DealCall) -> timedelta:
+        pace = self.paces.get(call.entry)
+        return call.aim * FIRST_GUESS if pace is None else pace.mean
+
+    def _safe_span_of(self, call: DealCall) -> timedelta:
+        """A time that most of its runs keep within: admitted by the mean alone, half of a full line would be late."""
+        pace = self.paces.get(call.entry)
+        return call.aim * FIRST_GUESS * 1.5 if pace is None else pace.mean + pace.deviation * MARGIN
 
     def wait_for(self, *, rank: int, due: timedelta) -> timedelta:
         """How long until a request of this rank and due time would start, if it came now."""
         slots = [ZERO] * max(0, self.room - len(self.running))
         for number in self.running:
             run = self.runs[number]
-            span = self._span_of(run.call.entry)
+            span = self._span_of(run.call)
             # A run over its usual time is taken to need some more of it.
             slots.append(max(span - (self.now - run.started), span * OVERTIME))
         heapq.heapify(slots)
@@ -101,16 +126,14 @@
             if (waiting.rank, waiting.due) > (rank, due):
                 break
             # What stands before it takes the slots as they come free.
-            heapq.heapreplace(slots, slots[0] + self._span_of(self.runs[waiting.number].call.entry))
+            heapq.heapreplace(slots, slots[0] + self._span_of(self.runs[waiting.number].call))
         return slots[0]
 
     def load(self) -> int:
         return len(self.running) + len(self.line)
 
     def _learn(self, run: _Run, took: timedelta) -> None:
-        known = self.spans.get(run.call.entry)
-        self.spans[run.call.entry] = took if known is None else known + (took - known) * WEIGHT
-        self.mean += (took - self.mean) * WEIGHT
+        self.paces.setdefault(run.call.entry, Pace()).learn(took)
 
     # -- deals -------------------------------------------------------------------------------------------------------
 
@@ -121,7 +144,7 @@
         due = self.now + call.aim
         wait = self.wait_for(rank=call.rank, due=due)
         # Whoever comes back later finds it emptier; whoever waits here past the aim keeps others from theirs.
-        if wait > ZERO and wait + self._span_of(call.entry) > call.aim:
+        if wait > ZERO and wait + self._safe_span_of(call) > call.aim:
             return self._turn_away(event.ticket, call, MishapKind.BACKLOG_FULL)
         if len(self.line) >= self.params.backlog:
             return self._turn_away(event.ticket, call, MishapKind.BACKLOG_FULL)
@@ -163,7 +186,7 @@
             # What was promised to a server that leaves ends before its last moment; what can't be in time, now.
             leaving = self.closed_at is not None and self.now - self.closed_at > self.drain_span * 0.7
             gone = self.server is None or self.server.instance != run.call.instance or self.server_state() == GONE
-            if leaving or gone or self.now + self._span_of(run.call.entry) / 2 > run.deadline:
+            if leaving or gone or self.now + self._span_of(run.call) / 2 > run.deadline:
                 del self.runs[number]
                 kind = MishapKind.WINDING_DOWN if leaving or gone else MishapKind.BUDGET_SPENT
                 self._turn_away(run.ticket, run.call, kind)
@@ -212,11 +235,7 @@
         if self.server is not None and self.server.state != GONE and self.server_state() == GONE:
             self._silence()
         # What can no longer be done in its time is told so now, not when a slot comes free.
-        late = [
-            each
-            for each in self.line
-            if self.now + self._span_of(self.runs[each.number].call.entry) / 2 > each.deadline
-        ]
+        late = [each for each in self.line if self.now + self._span_of(self.runs[each.number].call) / 2 > each.deadline]
         if late or (self.closed_at is not None and self.line):
             for each in late:
                 self.line.remove(each)
--- a/packages/broker/src/hoistsaddle/broker/entry.py
+++ b/packages/broker/src/hoistsaddle/broker/entry.py
@@ -38,8 +38,11 @@
 LEFT_ALONE = timedelta(seconds=1)
 # How fast what others have sent to a stall is taken to be worked off, once it said how much that was.
 FADE = timedelta(seconds=1)
-# What another zone must save to be worth the way: a share of the request's aim.
-ZONE_SHARE = 0.2
+# What another zone must save to be worth the way, as a share of the request's aim: something for any request, and more
+# the more bytes would cross. Of all that a mesh spends, bytes between zones are the dearest.
+ZONE_SHARE = 0.1
+ZONE_BYTES = 20000
+MOST_ZONE_SHARE = 1.5
 # How much of its aim a request waits for its key.
 KEY_SHARE = 0.22
 # Hex digits of a key's digest: 96 bits tell keys apart, and the log holds hundreds of them a second.
@@ -118,8 +121,7 @@
     ) -> None:
         super().__init__(**needs)
         self.service_here = service
-        self.further_percent = further_percent
-        self.further_margin = further_margin
+        self.set_further(percent=further_percent, margin=further_margin)
         self.key_span = key_span
         self.further = FurtherSends(wait=self.params.lease_span * 1.05)
         self.deals: dict[int, _Deal] = {}
@@ -133,9 +135,17 @@
         # Sends whose requests were answered before they came back, to the claims they ran under.
         self.late: dict[int, str] = {}
         self.seen: dict[str, Seen] = {}
+        # Entry to the usual size of its answers.
+        self.answer_bytes: dict[str, float] = {}
         # Since when the core gives no answer about keys.
         self.silent_since: timedelta | None = None
 
+    def set_further(self, *, percent: int, margin: int) -> None:
+        # A quarter of the share is kept back: where a run repeats, the calls it makes count as repeats as well, at
+        # services that this side never sees.
+        self.further_percent = percent * 3 // 4
+        self.further_margin = margin
+
     # -- admitting ---------------------------------------------------------------------------------------------------
 
     def _asked(self, event: Asked) -> None:
@@ -337,7 +347,9 @@
         busy = min(1.0, load / seen.room)
         score = span.total_seconds() * (1 + wait + busy * 0.25)
         if server.zone != self.params.zone:
-            score += (deal.aim_at - deal.arrived).total_seconds() * ZONE_SHARE
+            crossing = len(deal.event.body) + self.answer_bytes.get(deal.entry.name, 0.0)
+            share = min(MOST_ZONE_SHARE, ZONE_SHARE + crossing / ZONE_BYTES)
+            score += (deal.aim_at - deal.arrived).total_seconds() * share
         return score
 
     def _select(self, deal: _Deal) -> ServerEntry | None:
@@ -438,6 +450,8 @@
                 ticket, deal, mishap_of(MishapKind.SILENT, "The server gave no whole answer.", "Ask what became of it.")
             )
         if answer.status < 500:
+            usual = self.answer_bytes.get(deal.entry.name, float(len(answer.body)))
+            self.answer_bytes[deal.entry.name] = usual + (len(answer.body) - usual) * 0.1
             known = seen.spans.get(deal.entry.name)
             seen.spans[deal.entry.name] = answer.took if known is None else known + (answer.took - known) * 0.15
         elif deal.entry.kind == REPEATABLE:
--- a/packages/broker/src/hoistsaddle/broker/node.py
+++ b/packages/broker/src/hoistsaddle/broker/node.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Any
 
+import msgspec
 from returns.result import Success
 
 from hoistsaddle.broker.core import BrokerCore
@@ -153,6 +154,25 @@
         parents += [address for _, address in roots if address not in parents]
         return parents + [seed for seed in self.params.seeds if seed not in parents]
 
+    def revise(self, params: BrokerParams) -> None:
+        """Takes up what may change under a running stall: whom to turn to, and the figures it keeps."""
+        self.counters.happen("params revised", seeds=params.seeds)
+        # Its own addresses are where its doors stand open: those stay until the next start.
+        self.params = self.broker_params = msgspec.structs.replace(
+            self.broker_params,
+            seeds=params.seeds,
+            further_percent=params.further_percent,
+            further_margin=params.further_margin,
+            key_seconds=params.key_seconds,
+            grace_seconds=params.grace_seconds,
+            drain_seconds=params.drain_seconds,
+        )
+        self.member.seeds = params.seeds
+        core = self.core
+        core.set_further(percent=params.further_percent, margin=params.further_margin)
+        core.key_span = timedelta(seconds=params.key_seconds)
+        core.drain_span = timedelta(seconds=params.drain_seconds)
+
     async def wind_down(self, *, quiet: timedelta, most: timedelta) -> None:
         """Planned stop: says so at once, goes on with all that comes, and ends once nothing has come for a while."""
         began = self.asked_at = self.runtime.now()
--- a/packages/ledger/src/hoistsaddle/ledger/shell.py
+++ b/packages/ledger/src/hoistsaddle/ledger/shell.py
@@ -98,6 +98,12 @@
             wanted_voters=self.wanted_voters,
         )
 
+    def revise(self, *, wanted_voters: int, seeds: tuple[int, ...]) -> None:
+        self.wanted_voters = wanted_voters
+        if self.core is not None:
+            self.core.wanted_voters = wanted_voters
+            self.core.seeds = tuple(dict.fromkeys((*seeds, *self.core.seeds)))
+
     async def found(self, *, mesh: str, voters: dict[int, str], operators: dict[str, str], level: int = 1) -> bool:
         """Called while nothing is founded: the core starts over from what founding wrote."""
         # Until the disk thread is done, nothing the unfounded core does may be written over the founding.
