A core machine's state counts as fresh only once its leader's epoch has committed something

A stall served a setup older than one acknowledged. Change: a replica says how fresh its state is only after it applied a record of the present epoch. Test: tests/test_market.py, seen to fail without the check. Ruled out: the relay's own rule against older revisions, which a restarted stall with no copy can't apply.

--- a/packages/bourse/src/hoistsaddle/bourse/market.py
+++ b/packages/bourse/src/hoistsaddle/bourse/market.py
@@ -62,6 +62,10 @@
         core = self.warehouse.shell.core
         if not core.whole or core.halted:
             return None
+        if core.state.epoch != core.epoch:
+            # A record of the present epoch must have been applied: before that a leader may not know itself how much
+            # of its log is committed, and its state may be as old as its checkpoint.
+            return None
         if core.standing == LEADER:
             recent = [
                 progress.heard for (replica, _), progress in core.progress.items() if replica in core.state.voters
