--- a/packages/bourse/src/hoistsaddle/bourse/market.py
+++ b/packages/bourse/src/hoistsaddle/bourse/market.py
@@ -62,6 +62,10 @@
         core = self.warehouse.shell.core
         if not core.whole or core.halted:
             return None
+        if core.state.epoch != core.epoch:
+            # A record of the present epoch must have been applied: before that a leader may not know itself how much
+            # of its log is committed, and its state may be as old as its checkpoint.
+            return None
         if core.standing == LEADER:
             recent = [
                 progress.heard for (replica, _), progress in core.progress.items() if replica in core.state.voters
@@ -144,7 +148,7 @@
             disk=disk or Disk(folder=Path(params.data_folder), replica=self.replica),
             make_worker=make_worker,
             addresses=self.stores,
-            pace=Pace(checkpoint_records=params.checkpoint_records, chunk_bytes=params.chunk_bytes),
+            pace=Pace(checkpoint_records=params.checkpoint_records, chunk_bytes=params.chunk_bytes, boot_share=0.4),
             wanted_voters=2 * params.losses + 1,
         )
         self.bourse = MarketBourse(
@@ -176,6 +180,23 @@
         await self.warehouse.stop()
         await self.bourse.stop()
 
+    def revise(self, params: MarketParams) -> None:
+        """Takes up what may change under a running market: whom to turn to, and how many losses are to be borne."""
+        self.counters.happen("params revised", seeds=params.seeds, losses=params.losses)
+        self.params = msgspec.structs.replace(
+            self.params,
+            seeds=params.seeds,
+            losses=params.losses,
+            uptake_seconds=params.uptake_seconds,
+            write_seconds=params.write_seconds,
+        )
+        numbers = [number_of_host(seed) for seed in params.seeds]
+        for number in numbers:
+            self.stores.learn(number)
+            self.peers.learn(number)
+        self.warehouse.shell.revise(wanted_voters=2 * params.losses + 1, seeds=tuple(numbers))
+        self.bourse.member.seeds = [self.peers[number] for number in numbers if number != self.replica]
+
     async def _found(self) -> None:
         duty = Founding(
             replica=self.replica,
--- a/packages/broker/src/hoistsaddle/broker/counter.py
+++ b/packages/broker/src/hoistsaddle/broker/counter.py
@@ -1,7 +1,7 @@
 """The target's side: what runs on the server beside this stall, what waits for it, and what is turned away at once.
 
 Nobody else reaches this server, so this side alone decides how much it works on at a time. Waiting work is ordered by
-rank and then by deadline. Work that can't be done in its time is refused the moment that is known.
+rank and then by when it is due. Work that can't be done in its time is refused the moment that is known.
 """
 
 import heapq
@@ -14,13 +14,16 @@
 from hoistsaddle.stall.messages import ANSWERED, NOT_RUN, UNKNOWN
 from hoistsaddle.stall.standing import OwnServer, Standing
 from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tally.moments import ZERO, milliseconds
+from hoistsaddle.tally.moments import ZERO
 
-# What a server of unknown pace is taken to need for one request.
-FIRST_GUESS = milliseconds(50)
-# The newest run's share in what is expected of the next.
+# What a server of unknown pace is taken to need for one request, as a share of the request's aim.
+FIRST_GUESS = 0.33
+# The newest run's share in what is expected of the next, once there were a few.
 WEIGHT = 0.1
-PATIENT_RANK = 1000
+# By how many of its usual deviations a run may outlast its usual time and still be in time.
+MARGIN = 2.0
+# What a run over its usual time is taken to need still, as a share of that time.
+OVERTIME = 0.15
 
 
 class _Run:
@@ -32,8 +35,28 @@
         self.started: timedelta | None = None
 
 
+class Pace:
+    """How long runs of one entry take here: their mean, and how far they lie from it."""
+
+    def __init__(self) -> None:
+        self.mean = ZERO
+        self.deviation = ZERO
+        self.count = 0
+
+    def learn(self, took: timedelta) -> None:
+        self.count += 1
+        if self.count == 1:
+            self.mean, self.deviation = took, took / 3
+            return
+        # The first few count alike: a mean that begins with one odd run would stay odd for long.
+        weight = max(WEIGHT, 1 / self.count)
+        self.deviation += (abs(took - self.mean) - self.deviation) * weight
+        self.mean += (took - self.mean) * weight
+
+
 class Waiting(NamedTuple):
     rank: int
+    due: timedelta
     deadline: timedelta
     number: int
 
@@ -46,11 +69,11 @@
         self.running: set[int] = set()
         self.line: list[Waiting] = []
         # Entry to the time its runs take here.
-        self.spans: dict[str, timedelta] = {}
-        # The mean over all entries, for one not met yet.
-        self.mean = FIRST_GUESS
+        self.paces: dict[str, Pace] = {}
         self.drain_span = timedelta(seconds=2)
         self.closed_at: timedelta | None = None
+        # This stall is about to end: its server goes on, but not through it.
+        self.closing = False
 
     # -- the own server ----------------------------------------------------------------------------------------------
 
@@ -67,6 +90,12 @@
             self._announce("server told", service=event.service, instance=event.instance, state=event.state)
             self._report()
 
+    def server_state(self) -> str:
+        """Its own word while that is young. A stall that stops says nothing of its server: it is back in a moment."""
+        if self.server is None or self.now - self.server.heard > self.params.vitals_span:
+            return GONE
+        return self.server.state
+
     def assume_server(self, server: OwnServer) -> None:
         """After a restart: the one the log names here, until its own next word. A wrong guess runs nothing."""
         if self.server is None:
@@ -75,34 +104,36 @@
 
     # -- what is expected --------------------------------------------------------------------------------------------
 
-    def _span_of(self, entry: str) -> timedelta:
-        return self.spans.get(entry, self.mean)
+    def _span_of(self, call: DealCall) -> timedelta:
+        pace = self.paces.get(call.entry)
+        return call.aim * FIRST_GUESS if pace is None else pace.mean
+
+    def _safe_span_of(self, call: DealCall) -> timedelta:
+        """A time that most of its runs keep within: admitted by the mean alone, half of a full line would be late."""
+        pace = self.paces.get(call.entry)
+        return call.aim * FIRST_GUESS * 1.5 if pace is None else pace.mean + pace.deviation * MARGIN
 
-    def backlog(self, *, rank: int | None = None) -> timedelta:
-        """How long until a request of this rank that came now would start; of the last rank if none is given."""
-        ahead = ZERO
+    def wait_for(self, *, rank: int, due: timedelta) -> timedelta:
+        """How long until a request of this rank and due time would start, if it came now."""
+        slots = [ZERO] * max(0, self.room - len(self.running))
         for number in self.running:
             run = self.runs[number]
-            span = self._span_of(run.call.entry)
+            span = self._span_of(run.call)
             # A run over its usual time is taken to need some more of it.
-            ahead += max(span - (self.now - run.started), span / 5)
-        free = self.room - len(self.running)
-        waiting = 0
-        for rank_there, _, number in self.line:
-            if rank is None or rank_there <= rank:
-                ahead += self._span_of(self.runs[number].call.entry)
-                waiting += 1
-        if free > waiting:
-            return ZERO
-        return ahead / self.room
+            slots.append(max(span - (self.now - run.started), span * OVERTIME))
+        heapq.heapify(slots)
+        for waiting in sorted(self.line):
+            if (waiting.rank, waiting.due) > (rank, due):
+                break
+            # What stands before it takes the slots as they come free.
+            heapq.heapreplace(slots, slots[0] + self._span_of(self.runs[waiting.number].call))
+        return slots[0]
 
     def load(self) -> int:
         return len(self.running) + len(self.line)
 
     def _learn(self, run: _Run, took: timedelta) -> None:
-        known = self.spans.get(run.call.entry)
-        self.spans[run.call.entry] = took if known is None else known + (took - known) * WEIGHT
-        self.mean += (took - self.mean) * WEIGHT
+        self.paces.setdefault(run.call.entry, Pace()).learn(took)
 
     # -- deals -------------------------------------------------------------------------------------------------------
 
@@ -110,12 +141,10 @@
         call = event.call
         if (kind := self._refusal(call)) is not None:
             return self._turn_away(event.ticket, call, kind)
-        # Nobody could serve a patient one within its aim: it stands behind all that still can be.
-        rank = call.rank + (PATIENT_RANK if call.patient else 0)
-        wait = self.backlog(rank=rank)
-        needs = wait + self._span_of(call.entry)
-        late = needs > (call.budget if call.patient else call.aim)
-        if wait > ZERO and late:
+        due = self.now + call.aim
+        wait = self.wait_for(rank=call.rank, due=due)
+        # Whoever comes back later finds it emptier; whoever waits here past the aim keeps others from theirs.
+        if wait > ZERO and wait + self._safe_span_of(call) > call.aim:
             return self._turn_away(event.ticket, call, MishapKind.BACKLOG_FULL)
         if len(self.line) >= self.params.backlog:
             return self._turn_away(event.ticket, call, MishapKind.BACKLOG_FULL)
@@ -123,7 +152,7 @@
         run = self.runs[number] = _Run(ticket=event.ticket, call=call, now=self.now)
         if len(self.running) < self.room:
             return self._start(number, run)
-        heapq.heappush(self.line, Waiting(rank, run.deadline, number))
+        heapq.heappush(self.line, Waiting(call.rank, due, run.deadline, number))
 
     def _refusal(self, call: DealCall) -> MishapKind | None:
         if call.budget <= ZERO:
@@ -131,7 +160,7 @@
         server = self.server
         if server is None or self.server_state() == GONE:
             return MishapKind.NO_SERVER
-        if server.state != READY:
+        if server.state != READY or self.closing:
             return MishapKind.WINDING_DOWN
         if (call.target, call.service_name) != (self.params.name, server.service):
             return MishapKind.WRONG_INSTANCE
@@ -157,7 +186,7 @@
             # What was promised to a server that leaves ends before its last moment; what can't be in time, now.
             leaving = self.closed_at is not None and self.now - self.closed_at > self.drain_span * 0.7
             gone = self.server is None or self.server.instance != run.call.instance or self.server_state() == GONE
-            if leaving or gone or self.now + self._span_of(run.call.entry) / 2 > run.deadline:
+            if leaving or gone or self.now + self._span_of(run.call) / 2 > run.deadline:
                 del self.runs[number]
                 kind = MishapKind.WINDING_DOWN if leaving or gone else MishapKind.BUDGET_SPENT
                 self._turn_away(run.ticket, run.call, kind)
@@ -206,11 +235,7 @@
         if self.server is not None and self.server.state != GONE and self.server_state() == GONE:
             self._silence()
         # What can no longer be done in its time is told so now, not when a slot comes free.
-        late = [
-            each
-            for each in self.line
-            if self.now + self._span_of(self.runs[each.number].call.entry) / 2 > each.deadline
-        ]
+        late = [each for each in self.line if self.now + self._span_of(self.runs[each.number].call) / 2 > each.deadline]
         if late or (self.closed_at is not None and self.line):
             for each in late:
                 self.line.remove(each)
--- a/packages/broker/src/hoistsaddle/broker/entry.py
+++ b/packages/broker/src/hoistsaddle/broker/entry.py
@@ -32,14 +32,25 @@
 DEFAULT_BUDGET = timedelta(seconds=30)
 # Stalls that turn a request away cost a hop each: so many are asked, then it is told to come back.
 MOST_ASKED = 4
+# A body this large crosses the links twice at the most.
+LARGE_BODY = 8192
 # A stall that couldn't be reached is left alone for so long, while there are others.
 LEFT_ALONE = timedelta(seconds=1)
 # How fast what others have sent to a stall is taken to be worked off, once it said how much that was.
 FADE = timedelta(seconds=1)
-# What another zone must save to be worth the way: a share of the request's aim.
-ZONE_SHARE = 0.2
+# What another zone must save to be worth the way, as a share of the request's aim: something for any request, and more
+# the more bytes would cross. Of all that a mesh spends, bytes between zones are the dearest.
+ZONE_SHARE = 0.1
+ZONE_BYTES = 20000
+MOST_ZONE_SHARE = 1.5
+# How much of its aim a request waits for its key.
+KEY_SHARE = 0.22
+# Hex digits of a key's digest: 96 bits tell keys apart, and the log holds hundreds of them a second.
+SCOPE_LENGTH = 24
 RELEASE_SPAN = timedelta(seconds=10)
 SOON = milliseconds(50)
+# Nobody is sent away for longer: a second is what a takeover of the core or a queue takes to be over.
+MOST_AWAY = timedelta(seconds=1)
 # A claim that got no answer is asked again this soon, for as long as waiting costs the visitor little.
 CLAIM_AGAIN = milliseconds(40)
 WORKING = "working"
@@ -78,7 +89,6 @@
         # Sends that may have reached a server.
         self.sends = 0
         self.uncertain = False
-        self.patient = False
         self.why: Mishap | None = None
         self.best: DealAnswer | None = None
         self.number: int | None = None
@@ -111,8 +121,7 @@
     ) -> None:
         super().__init__(**needs)
         self.service_here = service
-        self.further_percent = further_percent
-        self.further_margin = further_margin
+        self.set_further(percent=further_percent, margin=further_margin)
         self.key_span = key_span
         self.further = FurtherSends(wait=self.params.lease_span * 1.05)
         self.deals: dict[int, _Deal] = {}
@@ -126,9 +135,17 @@
         # Sends whose requests were answered before they came back, to the claims they ran under.
         self.late: dict[int, str] = {}
         self.seen: dict[str, Seen] = {}
+        # Entry to the usual size of its answers.
+        self.answer_bytes: dict[str, float] = {}
         # Since when the core gives no answer about keys.
         self.silent_since: timedelta | None = None
 
+    def set_further(self, *, percent: int, margin: int) -> None:
+        # A quarter of the share is kept back: where a run repeats, the calls it makes count as repeats as well, at
+        # services that this side never sees.
+        self.further_percent = percent * 3 // 4
+        self.further_margin = margin
+
     # -- admitting ---------------------------------------------------------------------------------------------------
 
     def _asked(self, event: Asked) -> None:
@@ -169,7 +186,7 @@
         deal = self.deals[ticket]
         if not deal.claim:
             # One operation is known by its key alone, whichever door it reaches and whatever else it carries.
-            deal.scope = digest_of_parts("operation", deal.event.key)
+            deal.scope = digest_of_parts("operation", deal.event.key)[:SCOPE_LENGTH]
             deal.claim = f"{self.params.name}.{self.params.incarnation}.{self._number()}"
         deal.number = self._number()
         self.by_number[deal.number] = ticket
@@ -180,7 +197,7 @@
             "",
             deal.scope,
             "operation",
-            deal.scope,
+            "",
             deal.entry.name,
             max(1, round(self.key_span.total_seconds())),
             deal.after,
@@ -222,12 +239,18 @@
 
     def _claim_missed(self, ticket: int, deal: _Deal) -> None:
         """Claiming again under the same claim is one claim: the log knows it."""
-        patience = min(deal.aim_at, deal.arrived + (deal.aim_at - deal.arrived) / 4)
-        if self.now < patience:
+        if self.now < self._patience(deal):
             self.claim_again.append((self.now + CLAIM_AGAIN, ticket))
             return
-        # It may be in the log for all we know: should it turn up as granted later, it is given back then.
-        self._let_go(deal)
+        self._key_out_of_reach(ticket, deal)
+
+    @staticmethod
+    def _patience(deal: _Deal) -> timedelta:
+        """Until when a key may be waited for: who is told by then loses little by coming back."""
+        return deal.arrived + (deal.aim_at - deal.arrived) * KEY_SHARE
+
+    def _key_out_of_reach(self, ticket: int, deal: _Deal) -> None:
+        """It may be in the log for all we know: should it turn up as granted later, it is given back then."""
         self._turned_back(ticket, _no_core())
 
     def _ask_holder(self, ticket: int, deal: _Deal, stall: str, claim: str) -> None:
@@ -277,18 +300,19 @@
             return RecallAnswer(KEPT, kept.answer.status, kept.answer.headers, kept.answer.body)
         return RecallAnswer(kept.standing)
 
-    def _keep(self, claim: str) -> None:
+    def _keep(self, claim: str) -> _Kept:
         while self.kept and next(iter(self.kept.values())).until <= self.now:
             self.kept.popitem(last=False)
-        self.kept[claim] = _Kept(until=self.now + self.key_span)
+        if claim not in self.kept:
+            self.kept[claim] = _Kept(until=self.now + self.key_span)
+        return self.kept[claim]
 
     def _let_go(self, deal: _Deal) -> None:
         """Gives a claimed key back: nothing ran under it and nothing will."""
         if not deal.claim or deal.uncertain or deal.sends:
             return
-        kept = self.kept.get(deal.claim)
-        if kept is not None:
-            kept.standing = FREE
+        # Also for a claim whose answer never came: it may be in the log, and only this stall knows that it is idle.
+        self._keep(deal.claim).standing = FREE
         self._release(ClaimHold(deal.scope, deal.claim, "", ""))
 
     def _release(self, command: ClaimHold) -> None:
@@ -323,7 +347,9 @@
         busy = min(1.0, load / seen.room)
         score = span.total_seconds() * (1 + wait + busy * 0.25)
         if server.zone != self.params.zone:
-            score += (deal.aim_at - deal.arrived).total_seconds() * ZONE_SHARE
+            crossing = len(deal.event.body) + self.answer_bytes.get(deal.entry.name, 0.0)
+            share = min(MOST_ZONE_SHARE, ZONE_SHARE + crossing / ZONE_BYTES)
+            score += (deal.aim_at - deal.arrived).total_seconds() * share
         return score
 
     def _select(self, deal: _Deal) -> ServerEntry | None:
@@ -355,14 +381,10 @@
         deal = self.deals[ticket]
         if self.now >= deal.deadline:
             return self._spent(ticket)
-        if deal.asked >= MOST_ASKED or deal.sends >= max(1, deal.entry.most_sends):
+        most = MOST_ASKED if len(deal.event.body) <= LARGE_BODY else 2
+        if deal.asked >= most or deal.sends >= max(1, deal.entry.most_sends):
             return self._give_up(ticket)
         target = self._select(deal)
-        if target is None and deal.avoid and not deal.patient and not deal.sends:
-            # Nobody can do it within its aim: whoever can within its budget, then.
-            deal.patient = True
-            deal.avoid = set()
-            target = self._select(deal)
         if target is None:
             return self._give_up(ticket)
         self._allot(deal.service)
@@ -398,7 +420,6 @@
             send_id=event.send_id,
             ordinal=deal.sends + 1,
             repeatable=deal.entry.kind == REPEATABLE,
-            patient=deal.patient,
         )
         self._out.append(DealOn(deal.number, self.view.nodes[target.stall].address, call, budget))
 
@@ -429,6 +450,8 @@
                 ticket, deal, mishap_of(MishapKind.SILENT, "The server gave no whole answer.", "Ask what became of it.")
             )
         if answer.status < 500:
+            usual = self.answer_bytes.get(deal.entry.name, float(len(answer.body)))
+            self.answer_bytes[deal.entry.name] = usual + (len(answer.body) - usual) * 0.1
             known = seen.spans.get(deal.entry.name)
             seen.spans[deal.entry.name] = answer.took if known is None else known + (answer.took - known) * 0.15
         elif deal.entry.kind == REPEATABLE:
@@ -511,9 +534,9 @@
         self._reply(ticket, 503, mishap=mishap, retry_after=self._soon(deal))
 
     def _soon(self, deal: _Deal) -> timedelta:
-        """A tenth of what is left, so that a few more tries fit in."""
+        """Spread over up to a third of what is left: those turned back together must not come back together."""
         left = max(ZERO, deal.deadline - self.now)
-        return max(SOON, min(left / 10, timedelta(seconds=1)))
+        return max(SOON, min(left / 3, MOST_AWAY) * (0.4 + 0.6 * self.random.random()))
 
     def _unknown(self, ticket: int) -> None:
         deal = self.deals[ticket]
@@ -557,6 +580,14 @@
         for ticket in [ticket for ticket, deal in self.deals.items() if self.now >= deal.deadline]:
             if ticket in self.deals:
                 self._spent(ticket)
+        # A key that doesn't come: the log may answer any time, but the visitor is better told now.
+        keyless = [
+            (ticket, deal)
+            for ticket, deal in self.deals.items()
+            if deal.claim and not deal.claimed and not deal.recalled and self.now >= self._patience(deal)
+        ]
+        for ticket, deal in keyless:
+            self._key_out_of_reach(ticket, deal)
         again, self.claim_again = self.claim_again, []
         for moment, ticket in again:
             if self.now < moment:
--- a/packages/broker/src/hoistsaddle/broker/node.py
+++ b/packages/broker/src/hoistsaddle/broker/node.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Any
 
+import msgspec
 from returns.result import Success
 
 from hoistsaddle.broker.core import BrokerCore
@@ -12,6 +13,7 @@
     AnswerDeal,
     AnswerRecall,
     Asked,
+    CloseAsked,
     DealAnswered,
     DealArrived,
     DealMissed,
@@ -56,6 +58,8 @@
     def __init__(self, *, params: BrokerParams, runtime: Runtime, serve: Server) -> None:
         self.serve = serve
         self.broker_params = params
+        # When the door was last called.
+        self.asked_at = runtime.now()
         super().__init__(params=params, runtime=runtime, run_server=serve)
 
     def _make_core(self) -> Any:
@@ -73,6 +77,7 @@
         )
 
     async def request_items(self, make: Callable[[int], Asked]) -> Reply:
+        self.asked_at = self.runtime.now()
         ticket, future = self._ticket()
         self.feed(make(ticket))
         try:
@@ -149,14 +154,34 @@
         parents += [address for _, address in roots if address not in parents]
         return parents + [seed for seed in self.params.seeds if seed not in parents]
 
+    def revise(self, params: BrokerParams) -> None:
+        """Takes up what may change under a running stall: whom to turn to, and the figures it keeps."""
+        self.counters.happen("params revised", seeds=params.seeds)
+        # Its own addresses are where its doors stand open: those stay until the next start.
+        self.params = self.broker_params = msgspec.structs.replace(
+            self.broker_params,
+            seeds=params.seeds,
+            further_percent=params.further_percent,
+            further_margin=params.further_margin,
+            key_seconds=params.key_seconds,
+            grace_seconds=params.grace_seconds,
+            drain_seconds=params.drain_seconds,
+        )
+        self.member.seeds = params.seeds
+        core = self.core
+        core.set_further(percent=params.further_percent, margin=params.further_margin)
+        core.key_span = timedelta(seconds=params.key_seconds)
+        core.drain_span = timedelta(seconds=params.drain_seconds)
+
     async def wind_down(self, *, quiet: timedelta, most: timedelta) -> None:
         """Planned stop: says so at once, goes on with all that comes, and ends once nothing has come for a while."""
-        began = self.runtime.now()
+        began = self.asked_at = self.runtime.now()
         self.feed(StopAsked())
-        last = began
-        while self.runtime.now() - began < most:
-            if not self.core.idle():
-                last = self.runtime.now()
-            elif self.runtime.now() - last >= quiet:
-                break
+        # The server beside goes on being reached from everywhere; only the door must fall quiet.
+        while self.runtime.now() - began < most and not (
+            self.runtime.now() - self.asked_at >= quiet and not self.core.deals
+        ):
+            await asyncio.sleep(self.tick.total_seconds())
+        self.feed(CloseAsked())
+        while self.runtime.now() - began < most and not self.core.idle():
             await asyncio.sleep(self.tick.total_seconds())
--- a/packages/ledger/src/hoistsaddle/ledger/core.py
+++ b/packages/ledger/src/hoistsaddle/ledger/core.py
@@ -26,6 +26,7 @@
     AnswerArrived,
     Boot,
     CallArrived,
+    CallRefused,
     Capture,
     CheckpointLoaded,
     CheckpointMishap,
@@ -175,7 +176,9 @@
         self.pull_sent: timedelta | None = None
         self.pull_position = 0
         self.loading = False
-        self.election_at = now + self._election_span()
+        # After a start nobody is known to lead. Should somebody, its call comes first, and the voters that hear it
+        # refuse the trial; if nobody does, all were down and every moment counts.
+        self.election_at = now + self._election_span() * pace.boot_share
         # Candidate's side.
         self.trial = False
         self.granted: set[tuple[int, str]] = set()
@@ -268,6 +271,8 @@
                 self._call(ticket, message)
             case AnswerArrived(number=number, replica=replica, message=message):
                 self._answered(number, replica, message)
+            case CallRefused(replica=replica):
+                self._refused(replica)
             case Ticked():
                 self._tick()
             case Synced(sequence=sequence):
@@ -293,6 +298,15 @@
                 self._stop()
         return self._out
 
+    def _refused(self, replica: int) -> None:
+        """The leader's process is gone: no need to wait until its silence has lasted."""
+        if replica != self.leader or self.standing == LEADER:
+            return
+        self.heard_leader = None
+        self.fetch_sent = None
+        # Some spread keeps the followers from standing at once; a leader that is back by then answers the fetches.
+        self.election_at = min(self.election_at, self.now + self._election_span() * 0.2)
+
     def _call(self, ticket: int, message: tuple) -> None:
         match message:
             case FetchCall():
