--- a/packages/fairground/src/hoistsaddle/fairground/arcade/machines.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/machines.py
@@ -27,7 +27,9 @@
 
 # How long a line with a pulse takes to miss a machine that says nothing.
 PULSE_SECONDS = 0.9
+# What a closing door waits before it lets go of its connections, and then for what still runs on them.
 GRACE_LEFT = 0.15
+DOOR_SPAN = 0.2
 _silent = Failure(Mishap(MishapKind.SILENT, "no answer", "simulated"))
 
 
@@ -152,6 +154,7 @@
         await arena.within(self.life.spawn(self.node.wind_down(quiet=QUIET, most=most)), BOUNDS["grace_s"])
         self.open = False
         await asyncio.sleep(GRACE_LEFT)
+        end = min(end, arena.moment() + DOOR_SPAN)
         while self.pending and arena.moment() < end and not self.life.dead:
             await asyncio.sleep(0.02)
 
