--- a/packages/fairground/src/hoistsaddle/fairground/arcade/arena.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/arena.py
@@ -30,6 +30,7 @@
     Misbehave,
     Release,
     Replace,
+    Rewrite,
     Route,
     StallMachine,
     Stop,
@@ -281,6 +282,9 @@
                 await self.operators.change(happening)
             case BadOrder():
                 await self.operators.bad_order(happening)
+            case Rewrite():
+                for process in list(self.processes.values()):
+                    process.rewrite()
             case AfterWord():
                 self.after_word.append(happening)
 
@@ -383,6 +387,7 @@
                 ]
         await asyncio.gather(*(self.keep(each) for each in work))
         self.history.add(Closed(struck, self.moment()))
+        self.visitors.send_keys_again(seconds=BOUNDS["recovery_s"])
 
 
 class Played(NamedTuple):
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/day.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/day.py
@@ -179,6 +179,12 @@
     pick: int
 
 
+class Rewrite(NamedTuple):
+    """The settings files change under the running programs."""
+
+    at: float
+
+
 class AfterWord(NamedTuple):
     """The core machine that acknowledges the next order is harmed right after."""
 
@@ -210,6 +216,7 @@
     | Crash
     | Change
     | BadOrder
+    | Rewrite
     | AfterWord
     | Closing
 )
@@ -365,6 +372,10 @@
                 how = draw.choice(("torn", "unknown service", "below 0", "no hold", "aim", "kind", "old"))
                 found.append(BadOrder(at, how, draw.randrange(1000)))
         at += draw.uniform(0.8, 4)
+    # Drawn apart: what came later leaves the days of former seeds as they were.
+    more = random.Random(f"more {seed}")
+    if more.random() < 0.3:
+        found.append(Rewrite(more.uniform(1, seconds - 4)))
     if closing:
         found.append(Closing(seconds, closing, draw.uniform(0.5, 1.5)))
     return Day(seed, site, tuple(sorted(found, key=lambda each: each.at)), seconds)
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/machines.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/machines.py
@@ -130,6 +130,14 @@
             self.control = doors.BeatDoor(node=self.node)
         self.arena.listen(self.node.counters)
 
+    def rewrite(self) -> None:
+        """The settings file is another one, and the program takes it up as it runs."""
+        if self.life.dead or self.life.frozen or not self.open:
+            return
+        settings, papers = self.settings(cold=False), adapter("papers")
+        read = papers.market_params if isinstance(self.machine, CoreMachine) else papers.broker_params
+        self.life.context.run(self.node.revise, check_params(read(settings)).unwrap())
+
     async def _boot(self) -> None:
         await self.node.start()
         self.open = True
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/visitors.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/visitors.py
@@ -1,6 +1,7 @@
 """Visitors and servers' own calls: what is asked at a machine's door, and asked again as the platform's page says."""
 
 import asyncio
+from collections import deque
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
@@ -40,7 +41,8 @@
     def __init__(self, *, arena: "Arena") -> None:
         self.arena = arena
         self.random = arena.random
-        self.calm = True
+        # Keys of good answers, to be sent again after the day's last fault.
+        self.answered: deque[tuple[Visit, Route, str, str]] = deque(maxlen=25)
 
     async def load(self, *, until: float) -> None:
         arena = self.arena
@@ -69,6 +71,8 @@
             await asyncio.sleep(max(0.0, wait))
             if arena.moment() >= until:
                 return
+        if key and got.outcome == "answered" and got.status == 200:
+            self.answered.append((visit, route, path, key))
         if key and visit.again and got.status == 200 and self.random.random() < visit.again:
             await asyncio.sleep(self.random.uniform(0.05, 8.0))
             elsewhere = arena.open_machine(self.random.choice(arena.day.site.zones))
@@ -83,6 +87,20 @@
             return True
         return got.outcome == "unreached" or got.status in PROMISES
 
+    def send_keys_again(self, *, seconds: float) -> None:
+        """Each key that was answered shortly before the last fault is sent again, some of them more than once."""
+
+        async def send(visit: Visit, route: Route, path: str, key: str) -> None:
+            for _ in range(self.random.choice((1, 1, 2))):
+                await asyncio.sleep(self.random.uniform(0.0, seconds / 2))
+                machine = self.arena.open_machine(self.random.choice(self.arena.day.site.zones))
+                if machine:
+                    until = self.arena.moment() + visit.deadline
+                    await self._try(visit, route, machine, path, key, until)
+
+        for visit, route, path, key in self.answered:
+            self.arena.keep(send(visit, route, path, key))
+
     async def probe(self, route: Route, machine: str) -> None:
         """A request straight at a node, on a route that was just added or dropped."""
         path = f"{route.prefix}{next(self.arena.counter)}"
