--- a/packages/fairground/src/hoistsaddle/fairground/arcade/arena.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/arena.py
@@ -409,6 +409,9 @@
                 task.cancel()
             loop.close()
         for mishap in mishaps:
+            if isinstance(mishap.get("exception"), asyncio.CancelledError):
+                # A stopping program's task was killed before it could see that it was cancelled.
+                continue
             arena.fault(f"{mishap.get('message')}: {mishap.get('exception')!r}")
         return Played(arena.history, arena.happenings)
 
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/checkers.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/checkers.py
@@ -309,7 +309,8 @@
             found.append(f"{told.order} is valid, and {told.machine} refused it with {told.status}")
     for ordered in proper.values():
         end = ordered.at + BOUNDS["ack_s"]
-        calm = account.touch.settled_over(ordered.at, end) and not account.touch.unplanned(ordered.at, end)
+        # A machine's other troubles, also a leader's disk, are no excuse.
+        calm = account.touch.settled_over(ordered.at, end) and not account.touch.cut(ordered.at, end)
         over = account.history.events[-1].at >= end
         if ordered.proper and calm and over and first.get(ordered.order, 1e9) > end:
             found.append(f"{ordered.order} sent at {ordered.at:.2f} had no acknowledgement after {BOUNDS['ack_s']} s")
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/touch.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/touch.py
@@ -44,6 +44,10 @@
         """Whether any trouble that nobody planned touches this span, wherever."""
         return any(not span.planned and span.start <= end and span.end >= start for span in self.spans)
 
+    def cut(self, start: float, end: float) -> bool:
+        """Whether any link was in trouble within this span."""
+        return any(span.kind == "cut" and span.start <= end and span.end >= start for span in self.spans)
+
     def settled(self, moment: float) -> bool:
         """More than half of the core runs and is connected, and nothing happened to it lately."""
         place = bisect.bisect_left(self.core_moments, moment - self.contact)
