Items: tests, and three faults they found mended

Cause: nothing tested items; a state read back held lists where the live one holds tuples, an endless hold or weight passed the checks and broke every request under it, limits below 0 passed.

--- a/install.sh
+++ b/install.sh
@@ -6,5 +6,5 @@
 .venv/bin/pip install --quiet -r requirements.txt
 # One install call for the whole workspace; build isolation is off because setuptools is pinned above.
 workspace=()
-for package in packages/*/; do workspace+=(-e "$package"); done
+for package in packages/*/ platform/; do workspace+=(-e "$package"); done
 .venv/bin/pip install --quiet --no-build-isolation --no-deps "${workspace[@]}"
--- a/packages/shelf/src/hoistsaddle/shelf/state.py
+++ b/packages/shelf/src/hoistsaddle/shelf/state.py
@@ -186,6 +186,11 @@
         plain[name] = Map({key: kind(*value[: len(kind._fields)]) if kind else value for key, value in plain[name]})
     if "buckets" in plain:
         plain["buckets"] = Map({bucket: tuple(scopes) for bucket, scopes in plain["buckets"].items()})
+    if "patches" in plain:
+        # A list in one state and a tuple in the other would be two states.
+        plain["patches"] = Map(
+            {number: entry._replace(changed=tuple(entry.changed)) for number, entry in plain["patches"].items()}
+        )
     return State(**plain)
 
 
--- a/packages/tariff/src/hoistsaddle/tariff/items.py
+++ b/packages/tariff/src/hoistsaddle/tariff/items.py
@@ -23,6 +23,10 @@
 # An aim may lie above the longest hold by less than this: further off, one of the two is a slip of the pen.
 AIM_ABOVE_HOLD = 60.0
 LARGEST_REVISION = 2**62
+# Far above any that is meant; their sum stays a number.
+LARGEST_WEIGHT = 1e12
+# A longer hold or aim than a day counts as a day: clocks and schedules end somewhere.
+LONGEST = 86400.0
 
 
 class Part(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -122,9 +126,9 @@
         ),
         (not entry.parts, "parts", "No service is named.", "Name at least one."),
         (
-            any(not part.weight >= 0 for part in entry.parts),
+            any(not 0 <= part.weight <= LARGEST_WEIGHT for part in entry.parts),
             "parts",
-            "A weight is below 0.",
+            "A weight is below 0 or too large.",
             "Give 0 or more for each service.",
         ),
         (
@@ -172,6 +176,8 @@
             return Failure(found)
         if isinstance(item, LimitsItem) and min(item.header_bytes, item.body_bytes) <= 0:
             return Failure(_broken(f"{where}.body_bytes", "A limit is 0.", "Give above 0."))
+        if isinstance(item, LimitsItem) and not (item.header_seconds >= 0 and item.idle_seconds >= 0):
+            return Failure(_broken(f"{where}.idle_seconds", "A limit is below 0.", "Give 0 seconds or more."))
         sets.append((setting, item))
     for place, dropping in enumerate(patch.drops):
         if not dropping.name or not 0 <= dropping.revision <= LARGEST_REVISION:
@@ -214,8 +220,8 @@
 
 
 def hold_of(entry: EntryItem) -> timedelta:
-    return timedelta(seconds=entry.hold_seconds)
+    return timedelta(seconds=min(entry.hold_seconds, LONGEST))
 
 
 def aim_of(entry: EntryItem) -> timedelta:
-    return timedelta(seconds=entry.aim_seconds)
+    return timedelta(seconds=min(entry.aim_seconds, LONGEST))
--- /dev/null
+++ b/tests/test_items.py
@@ -0,0 +1,357 @@
+"""Items: what a patch may say, and what the log makes of it."""
+
+import random
+from datetime import timedelta
+from typing import Any
+
+from returns.result import Failure, Success
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, Is
+
+from hoistsaddle.shelf.apply import apply
+from hoistsaddle.shelf.commands import ClaimHold, Outcome, PatchItems, RaiseLevel, pack_command
+from hoistsaddle.shelf.state import BUNDLES_KEPT, State, found_state, news_of, pack_state, unpack_state
+from hoistsaddle.shelf.view import View, read_view
+from hoistsaddle.tally.mishaps import MishapKind
+from hoistsaddle.tariff.items import (
+    ENTRY,
+    LARGEST_REVISION,
+    LIMITS,
+    SERVICE,
+    Dropping,
+    EntryItem,
+    ItemSetup,
+    LimitsItem,
+    Part,
+    Patch,
+    ServiceItem,
+    Setting,
+    aim_of,
+    check_patch,
+    hold_of,
+    pack_patch,
+    read_patch,
+)
+
+
+def entry(name: str = "pay", *, revision: int = 1, **changes: Any) -> Setting:
+    item: dict[str, Any] = {
+        "name": name,
+        "host": "shop.example",
+        "prefix": f"/{name}/",
+        "kind": "repeatable",
+        "parts": [{"service": "ledger", "weight": 1.0}],
+        "hold_seconds": 2.0,
+        "aim_seconds": 0.5,
+        "rank": 1,
+        "most_sends": 2,
+    }
+    item.update(changes)
+    return Setting(ENTRY, revision, item, f"{name} as said at {revision}".encode())
+
+
+def service(name: str = "ledger", *, revision: int = 1, **changes: Any) -> Setting:
+    return Setting(SERVICE, revision, {"name": name, **changes}, f"{name} as said at {revision}".encode())
+
+
+def limits(*, revision: int = 1, **changes: Any) -> Setting:
+    return Setting(LIMITS, revision, changes, b"limits as said")
+
+
+class Checks(TestCase):
+    def refusal(self, patch: Patch) -> tuple[str, str]:
+        match check_patch(patch):
+            case Failure(mishap):
+                self.assertThat((mishap.kind, mishap.remedy != ""), Equals((MishapKind.ITEM_BROKEN, True)))
+                return mishap.field, mishap.remedy
+            case Success(_):
+                self.fail(f"taken: {patch}")
+
+    def test_a_whole_patch_is_taken(self) -> None:
+        patch = Patch([service(), entry(), limits(body_bytes=5)], [Dropping(ENTRY, 4, "old")])
+        checked = check_patch(patch).unwrap()
+        self.assertThat([type(item) for _, item in checked.sets], Equals([ServiceItem, EntryItem, LimitsItem]))
+        self.assertThat(checked.drops, Equals([Dropping(ENTRY, 4, "old")]))
+        self.assertThat(read_patch(pack_patch(patch)).unwrap(), Equals(checked))
+
+    def test_each_refusal_names_the_field_and_a_remedy(self) -> None:
+        nan = float("nan")
+        for changes, field, remedy in (
+            ({"host": ""}, "host", "Name the host"),
+            ({"prefix": "pay/"}, "prefix", "slash"),
+            ({"prefix": "/pay"}, "prefix", "slash"),
+            ({"prefix": ""}, "prefix", "slash"),
+            ({"parts": []}, "parts", "at least one"),
+            ({"parts": [{"service": "ledger", "weight": -1.0}]}, "parts", "0 or more"),
+            ({"parts": [{"service": "ledger", "weight": nan}]}, "parts", "0 or more"),
+            ({"parts": [{"service": "ledger", "weight": float("inf")}]}, "parts", "0 or more"),
+            ({"parts": [{"service": "ledger", "weight": 0.0}]}, "parts", "above 0"),
+            ({"hold_seconds": 0}, "hold_seconds", "above 0"),
+            ({"hold_seconds": -1}, "hold_seconds", "above 0"),
+            ({"hold_seconds": nan}, "hold_seconds", "above 0"),
+            ({"aim_seconds": -0.1}, "aim_seconds", "0 seconds or more"),
+            ({"aim_seconds": nan}, "aim_seconds", "0 seconds or more"),
+            ({"aim_seconds": 62.0}, "aim_seconds", "Lower the aim"),
+            ({"most_sends": 0}, "most_sends", "1 or more"),
+            ({"kind": "sometimes"}, "kind", "Mend"),
+            ({"parts": [{"service": "ledger", "share": 1}]}, "parts[0]", "Mend"),
+            ({"colour": "red"}, "colour", "Mend"),
+            ({"rank": "first"}, "rank", "Mend"),
+        ):
+            told, said = self.refusal(Patch([service(), entry(**changes)]))
+            self.assertThat((told, said), Equals((f"sets[1].{field}", said)), str(changes))
+            self.assertThat(said, Contains(remedy), str(changes))
+
+    def test_an_aim_less_than_a_minute_above_the_hold_is_taken(self) -> None:
+        self.assertThat(isinstance(check_patch(Patch([entry(aim_seconds=61.9)])), Success), Equals(True))
+
+    def test_a_hold_of_any_length_can_be_counted_with(self) -> None:
+        for seconds in (1e300, float("inf")):
+            _, item = check_patch(Patch([entry(hold_seconds=seconds, aim_seconds=1e200)])).unwrap().sets[0]
+            self.assertThat((hold_of(item), aim_of(item)), Equals((timedelta(days=1),) * 2))
+
+    def test_names_revisions_limits_and_drops_are_checked_too(self) -> None:
+        for patch, field in (
+            (Patch([entry(name="", prefix="/x/")]), "sets[0].name"),
+            (Patch([service(name="")]), "sets[0].name"),
+            (Patch([service(revision=-1)]), "sets[0].revision"),
+            (Patch([service(revision=LARGEST_REVISION + 1)]), "sets[0].revision"),
+            (Patch([limits(header_bytes=0)]), "sets[0].body_bytes"),
+            (Patch([limits(body_bytes=-5)]), "sets[0].body_bytes"),
+            (Patch([limits(idle_seconds=-1.0)]), "sets[0].idle_seconds"),
+            (Patch([limits(header_seconds=float("nan"))]), "sets[0].idle_seconds"),
+            (Patch(drops=[Dropping(ENTRY, 1, "")]), "drops[0]"),
+            (Patch(drops=[Dropping(ENTRY, 1, "fine"), Dropping(SERVICE, -1, "old")]), "drops[1]"),
+        ):
+            self.assertThat(self.refusal(patch)[0], Equals(field), str(patch))
+
+    def test_what_is_no_patch_is_refused(self) -> None:
+        for data in (b"", b"\xc1", b"nonsense", pack_patch(Patch([entry()]))[:-3], b"\x81\xa4more\x01"):
+            self.assertThat(isinstance(read_patch(data), Failure), Equals(True), repr(data))
+
+
+class LookUps(TestCase):
+    def setup_of(self, *entries: EntryItem) -> ItemSetup:
+        return ItemSetup(items={f"entry:{each.name}": each for each in entries})
+
+    def item(self, name: str, *, host: str = "a.example", prefix: str = "/") -> EntryItem:
+        return EntryItem(name, host, prefix, "repeatable", [Part("ledger")], 1.0, 0.5)
+
+    def name_at(self, setup: ItemSetup, path: str, *, host: str = "a.example") -> str | None:
+        found = setup.select_entry(host=host, path=path)
+        return found.name if found else None
+
+    def test_the_longest_prefix_of_the_host_is_taken(self) -> None:
+        named = [self.item("all"), self.item("deep", prefix="/a/b/"), self.item("mid", prefix="/a/")]
+        for shuffle in range(6):
+            random.Random(shuffle).shuffle(named)
+            setup = self.setup_of(*named, self.item("other", host="b.example", prefix="/a/b/c/"))
+            for path, name in (("/a/b/c/d", "deep"), ("/a/b", "mid"), ("/a", "all"), ("/", "all"), ("/ab/", "all")):
+                self.assertThat(self.name_at(setup, path), Equals(name), path)
+
+    def test_another_hosts_entries_and_unknown_hosts_are_not_taken(self) -> None:
+        setup = self.setup_of(self.item("a", prefix="/a/"), self.item("b", host="b.example"))
+        self.assertThat(self.name_at(setup, "/a/x", host="c.example"), Is(None))
+        self.assertThat(self.name_at(setup, "/a/x", host="b.example"), Equals("b"))
+        self.assertThat(self.name_at(setup, "/b/x"), Is(None))
+        self.assertThat(self.name_at(setup, ""), Is(None))
+
+    def test_names_settle_ties_the_same_everywhere(self) -> None:
+        one, two = self.item("one", prefix="/a/"), self.item("two", prefix="/a/")
+        self.assertThat(
+            [self.name_at(self.setup_of(*order), "/a/") for order in ((one, two), (two, one))], Equals(["one"] * 2)
+        )
+
+
+class Log(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.state: State = found_state(mesh="m", voters={1: "one"}, operators={}, level=3)
+        self.requests = 0
+
+    def apply(self, command: Any) -> Outcome:
+        offset = self.state.offset + 1
+        self.state, outcome = apply(
+            self.state, offset=offset, epoch=1, stamp=timedelta(seconds=offset), payload=pack_command(command)
+        )
+        return outcome
+
+    def patch(self, *sets: Setting, drops: tuple[Dropping, ...] = (), desk: str = "desk-1") -> Outcome:
+        self.requests += 1
+        patch = pack_patch(Patch(list(sets), list(drops)))
+        return self.apply(PatchItems(f"request-{self.requests}", desk, "standing", patch))
+
+    def stands(self) -> dict[str, int]:
+        return {key: item.revision for key, item in self.state.items.items() if not item.dropped}
+
+    def test_the_highest_revision_prevails_set_or_dropped(self) -> None:
+        outcome = self.patch(service(), entry(revision=5))
+        self.assertThat(outcome.detail["changed"], Equals(["entry:pay", "service:ledger"]))
+        self.patch(entry(revision=9, hold_seconds=3.0))
+        self.assertThat(self.stands(), Equals({"service:ledger": 1, "entry:pay": 9}))
+        self.patch(drops=(Dropping(ENTRY, 12, "pay"),))
+        self.assertThat(self.stands(), Equals({"service:ledger": 1}))
+        self.patch(entry(revision=13))
+        self.assertThat(self.stands()["entry:pay"], Equals(13))
+
+    def test_lower_or_equal_changes_nothing(self) -> None:
+        self.patch(service(), entry(revision=5))
+        before = self.state
+        for outcome in (
+            self.patch(entry(revision=5, hold_seconds=9.0)),
+            self.patch(entry(revision=4, hold_seconds=9.0)),
+            self.patch(drops=(Dropping(ENTRY, 5, "pay"),)),
+            self.patch(drops=(Dropping(ENTRY, 2, "pay"),)),
+        ):
+            self.assertThat(
+                (outcome.mishap, outcome.detail),
+                Equals(("", {"number": 0, "changed": [], "offset": before.news})),
+            )
+        self.assertThat(
+            (self.state.items, self.state.patches, self.state.news),
+            Equals((before.items, before.patches, before.news)),
+        )
+
+    def test_a_dropped_name_keeps_its_revision(self) -> None:
+        self.patch(service(), entry(revision=5))
+        self.patch(drops=(Dropping(ENTRY, 8, "pay"), Dropping(ENTRY, 30, "never-there")))
+        self.patch(entry(revision=7), entry("never-there", revision=29))
+        self.assertThat(self.stands(), Equals({"service:ledger": 1}))
+        self.assertThat(self.state.items["entry:pay"][:3], Equals((8, 2, True)))
+
+    def test_within_one_patch_the_highest_prevails_too(self) -> None:
+        self.patch(service(), entry(revision=3, rank=3), entry(revision=7, rank=7), entry(revision=5, rank=5))
+        self.assertThat(self.view().items.select_entry(host="shop.example", path="/pay/").rank, Equals(7))
+        self.patch(entry(revision=9), drops=(Dropping(ENTRY, 8, "pay"),))
+        self.assertThat(self.stands()["entry:pay"], Equals(9))
+        self.patch(entry(revision=10), drops=(Dropping(ENTRY, 11, "pay"),))
+        self.assertThat(self.stands(), Equals({"service:ledger": 1}))
+
+    def test_no_part_of_a_broken_patch_counts(self) -> None:
+        self.patch(service(), entry())
+        before = self.state._replace(offset=0, stamp=timedelta())
+        broken = (
+            ((entry(revision=5, rank=9), entry("other", hold_seconds=0)), ()),
+            ((service("new"), entry("other", kind="sometimes")), ()),
+            ((entry(revision=5),), (Dropping(ENTRY, -1, "pay"),)),
+            ((service("new"), entry("other", parts=[{"service": "nobody"}])), (Dropping(ENTRY, 6, "pay"),)),
+        )
+        for sets, drops in broken:
+            outcome = self.patch(*sets, drops=drops)
+            self.assertThat((outcome.mishap, outcome.remedy != ""), Equals((str(MishapKind.ITEM_BROKEN), True)))
+            self.assertThat(self.state._replace(offset=0, stamp=timedelta(), swept=before.swept), Equals(before))
+
+    def test_an_unknown_service_is_refused_against_the_result(self) -> None:
+        outcome = self.patch(entry())
+        self.assertThat((outcome.mishap, outcome.field), Equals((str(MishapKind.ITEM_BROKEN), "sets[0].parts")))
+        self.patch(service(), service("second"), drops=(Dropping(SERVICE, 3, "gone"),))
+        # With its service in the same patch, in any order; and beside one that stands.
+        self.assertThat(
+            self.patch(entry(parts=[{"service": "third"}, {"service": "ledger"}]), service("third")).mishap, Equals("")
+        )
+        # A dropped one is no declared one.
+        self.assertThat(self.patch(entry(revision=2, parts=[{"service": "gone"}])).field, Equals("sets[0].parts"))
+        # An entry that an older revision of its own overtakes changes nothing, so its service doesn't matter.
+        self.assertThat(self.patch(entry(revision=0, parts=[{"service": "nobody"}])).mishap, Equals(""))
+
+    def test_two_desks_racing_end_alike_in_either_order(self) -> None:
+        ours = (entry(revision=7, rank=7), entry("ours", revision=7))
+        theirs = (entry(revision=9, rank=9), entry("theirs", revision=9))
+        ends = []
+        for order in ((ours, theirs), (theirs, ours)):
+            self.state = found_state(mesh="m", voters={1: "one"}, operators={}, level=3)
+            self.patch(service())
+            for place, sets in enumerate(order):
+                self.patch(*sets, desk=f"desk-{place}")
+            ends.append({key: (item.revision, item.said) for key, item in self.state.items.items()})
+        self.assertThat(ends[0], Equals(ends[1]))
+        self.assertThat(ends[0]["entry:pay"], Equals((9, b"pay as said at 9")))
+        self.assertThat(sorted(ends[0]), Equals(["entry:ours", "entry:pay", "entry:theirs", "service:ledger"]))
+
+    def test_a_patch_repeated_through_another_desk_is_one(self) -> None:
+        first = self.patch(service(), entry())
+        again = self.patch(service(), entry(), desk="desk-2")
+        self.assertThat((first.detail["number"], again.detail["number"]), Equals((1, 0)))
+        # Whoever waits for it waits for what stands, not for nothing.
+        self.assertThat(again.detail["offset"], Equals(first.detail["offset"]))
+        self.assertThat(len(self.state.patches), Equals(1))
+
+    def test_each_is_a_numbered_bundle_on_the_time_line_under_the_standing_sign_off(self) -> None:
+        self.patch(service(), entry())
+        self.patch(entry(revision=2), desk="desk-2")
+        told = [
+            (each.number, each.author, each.signer, each.offset, each.changed)
+            for _, each in sorted(self.state.patches.items())
+        ]
+        self.assertThat(
+            told,
+            Equals(
+                [
+                    (1, "desk-1", "standing", 1, ("entry:pay", "service:ledger")),
+                    (2, "desk-2", "standing", 2, ("entry:pay",)),
+                ]
+            ),
+        )
+        self.assertThat(self.state.patches[1].digest == self.state.patches[2].digest, Equals(False))
+
+    def test_only_the_newest_bundles_are_kept_and_numbers_go_on(self) -> None:
+        self.patch(service())
+        for revision in range(1, BUNDLES_KEPT + 5):
+            self.patch(entry(revision=revision))
+        self.assertThat(
+            (min(self.state.patches), max(self.state.patches), len(self.state.patches)),
+            Equals((6, BUNDLES_KEPT + 5, BUNDLES_KEPT)),
+        )
+
+    def test_state_packs_to_equal_bytes_and_comes_back(self) -> None:
+        self.patch(service(), entry(), limits())
+        self.patch(entry("more"), drops=(Dropping(ENTRY, 4, "pay"),))
+        packed = pack_state(self.state)
+        back = unpack_state(packed)
+        self.assertThat(back, Equals(self.state))
+        self.assertThat(pack_state(back), Equals(packed))
+        # Built in another order, the maps are the same bytes.
+        shuffled = self.state._replace(items=type(self.state.items)(sorted(self.state.items.items(), reverse=True)))
+        self.assertThat(pack_state(shuffled), Equals(packed))
+
+    def view(self) -> View:
+        items = news_of(self.state)
+        return read_view(revision=self.state.news, items=items, node="stall-1", zone="a", before=View())
+
+    def test_the_news_holds_what_stands_and_no_word_of_what_was_dropped(self) -> None:
+        self.patch(service(), entry(), entry("more"))
+        self.patch(drops=(Dropping(ENTRY, 4, "pay"),))
+        view = self.view()
+        self.assertThat(view.item_marks, Equals({"service:ledger": 1, "entry:more": 1}))
+        self.assertThat(view.items.select_entry(host="shop.example", path="/pay/x"), Is(None))
+        self.assertThat(view.items.select_entry(host="shop.example", path="/more/x").name, Equals("more"))
+        self.assertThat(view.items.limits, Equals(LimitsItem()))
+
+    def test_below_level_3_nothing_of_it_exists(self) -> None:
+        for level in (1, 2):
+            self.state = found_state(mesh="m", voters={1: "one"}, operators={}, level=level)
+            empty = pack_state(self.state)
+            outcome = self.patch(service(), entry())
+            self.assertThat(outcome.mishap, Equals(str(MishapKind.RELEASE_LEVEL)))
+            self.assertThat((len(self.state.items), len(self.state.patches), self.state.news), Equals((0, 0, 0)))
+            for part in (b"items", b"patches"):
+                self.assertThat(part in empty, Equals(False))
+            self.assertThat(unpack_state(pack_state(self.state)), Equals(self.state))
+        self.apply(RaiseLevel(3))
+        self.assertThat(self.patch(service(), entry()).detail["number"], Equals(1))
+
+    def test_a_claim_held_for_its_span_and_taken_over_after_a_free_one(self) -> None:
+        def claim(name: str, *, after: str = "") -> Outcome:
+            return self.apply(
+                ClaimHold("scope", name, f"stall-{name}", "", "scope", "operation", "scope", "pay", 10, after)
+            )
+
+        self.assertThat(claim("one").detail["phase"], Equals("granted"))
+        met = claim("two").detail
+        self.assertThat((met["phase"], met["claim"], met["stall"]), Equals(("claimed", "one", "stall-one")))
+        # Only the claim that its holder gave up is taken over, and only once.
+        self.assertThat(claim("two", after="other").detail["claim"], Equals("one"))
+        self.assertThat(claim("two", after="one").detail["phase"], Equals("granted"))
+        self.assertThat(claim("three", after="one").detail["claim"], Equals("two"))
+        self.state = self.state._replace(stamp=self.state.stamp + timedelta(seconds=11))
+        self.assertThat(claim("three").detail["phase"], Equals("granted"))
