--- a/packages/ledger/src/hoistsaddle/ledger/core.py
+++ b/packages/ledger/src/hoistsaddle/ledger/core.py
@@ -127,6 +127,8 @@
         self.seeds = replicas
         self.sought = 0
         self.sought_at = now
+        # When a leader was last known here.
+        self.led_at = now
         self.pace = pace
         self.level = min(level, LEVEL)
         # Why this replica can't go on; empty while it can.
@@ -968,7 +970,11 @@
                 and (self.pull_sent is None or self.now - self.pull_sent > self.pace.fetch_retry * 2)
             ):
                 self._pull()
-        if self.leader == UNSET and not self.is_voter() and self.now - self.sought_at >= self.pace.seek_every:
+        if self.leader != UNSET:
+            self.led_at = self.now
+        # A voter without a leader for long may have been dropped while it was away: then nobody calls it either.
+        unknown = not self.is_voter() or self.now - self.led_at >= self.pace.alive_span
+        if self.leader == UNSET and unknown and self.now - self.sought_at >= self.pace.seek_every:
             self._seek()
         if self.now >= self.election_at:
             if self._can_stand():
