Founding without a person: tests

Cause: nothing tested who may found, and when. Change: tests/test_founding.py over the pure core; the test of a drop's majorities has its ballots.

--- /dev/null
+++ b/tests/test_founding.py
@@ -0,0 +1,169 @@
+"""Founding without a person: who may, when, and what a seed that is down or a founder that dies leaves behind."""
+
+from datetime import timedelta
+
+from testtools import TestCase
+from testtools.matchers import Equals, Is
+
+from hoistsaddle.bourse.founding import ASK_EVERY, WAIT_FOR_ALL, Found, Founding, Look
+from hoistsaddle.haggle.parcels import FoundCall, LookAnswer
+from hoistsaddle.shelf.commands import LEVEL
+
+SEEDS = (11, 12, 13)
+
+
+def blank(replica: int) -> LookAnswer:
+    return founded(replica, mesh="")
+
+
+def founded(replica: int, *, mesh: str = "other") -> LookAnswer:
+    return LookAnswer(mesh, replica, f"life-{replica}", 0, 0, "follower", 0, 0, 1, b"", b"")
+
+
+class Bench:
+    """A core that boots: what each replica would answer is given, and the duty is asked on and on."""
+
+    def __init__(
+        self,
+        *,
+        replica: int = 11,
+        seeds: tuple[int, ...] = SEEDS,
+        cold: bool = True,
+        losses: int = 1,
+        disks: dict[int, LookAnswer] | None = None,
+    ) -> None:
+        self.moment = timedelta(seconds=5)
+        self.duty = Founding(replica=replica, seeds=seeds, may_found=cold, losses=losses, mesh="mesh", now=self.moment)
+        self.disks = {seed: blank(seed) for seed in seeds} if disks is None else disks
+        self.commands: list[tuple] = []
+        # Those that hear what they are told, and what they were told.
+        self.hears = set(seeds)
+        self.calls: dict[int, FoundCall] = {}
+
+    def go_on(self, *, span: float, own: bool = True) -> "Bench":
+        until = self.moment + timedelta(seconds=span)
+        while self.moment < until:
+            self.moment += timedelta(milliseconds=50)
+            for command in self.duty.handle(founded=own and self.duty.replica in self.calls, now=self.moment):
+                self.commands.append(command)
+                match command:
+                    case Look(replicas=replicas):
+                        for replica in replicas:
+                            if replica in self.disks:
+                                self.duty.looked(self.disks[replica])
+                    case Found(replicas=replicas, call=call):
+                        for replica in replicas:
+                            if replica in self.hears:
+                                self.calls[replica] = call
+                                self.duty.told.add(replica)
+        return self
+
+    def founds(self) -> list[Found]:
+        return [command for command in self.commands if isinstance(command, Found)]
+
+
+class WhoMayFound(TestCase):
+    def test_the_first_seed_of_a_cold_start_does(self) -> None:
+        bench = Bench().go_on(span=2)
+        call = FoundCall("mesh", {seed: f"life-{seed}" for seed in SEEDS}, {}, LEVEL)
+        self.assertThat(bench.calls, Equals(dict.fromkeys(SEEDS, call)))
+        self.assertThat((len(bench.founds()), bench.duty.duty), Equals((1, False)))
+
+    def test_nobody_else_does(self) -> None:
+        for bench in (Bench(replica=12), Bench(replica=13), Bench(replica=99), Bench(cold=False), Bench(seeds=())):
+            bench.go_on(span=10)
+            self.assertThat((bench.commands, bench.duty.duty), Equals(([], False)))
+
+    def test_a_blank_disk_after_the_cold_start_never_founds(self) -> None:
+        # The very first seed, its disk wiped, and nobody else in sight.
+        bench = Bench(cold=False, disks={11: blank(11)}).go_on(span=30)
+        self.assertThat(bench.commands, Equals([]))
+
+    def test_nothing_is_founded_beside_a_mesh(self) -> None:
+        for where in SEEDS:
+            disks = {seed: founded(seed) if seed == where else blank(seed) for seed in SEEDS}
+            bench = Bench(disks=disks).go_on(span=10)
+            self.assertThat((bench.founds(), bench.duty.duty), Equals(([], False)), str(where))
+
+    def test_a_founded_disk_of_ones_own_ends_the_duty(self) -> None:
+        bench = Bench()
+        self.assertThat(bench.duty.handle(founded=True, now=bench.moment), Equals([]))
+        self.assertThat(bench.duty.duty, Is(False))
+
+
+class HowItFounds(TestCase):
+    def test_as_many_voters_as_the_losses_ask_for_of_the_seeds_there_are(self) -> None:
+        for losses, voters in ((0, {11}), (1, {11, 12, 13}), (2, {11, 12, 13})):
+            bench = Bench(losses=losses).go_on(span=2)
+            self.assertThat(set(bench.founds()[0].call.voters), Equals(voters))
+        bench = Bench(seeds=(11,), losses=1).go_on(span=2)
+        self.assertThat(set(bench.founds()[0].call.voters), Equals({11}))
+
+    def test_a_seed_that_is_down_is_waited_for_and_then_left_out(self) -> None:
+        bench = Bench(disks={11: blank(11), 13: blank(13)})
+        bench.go_on(span=WAIT_FOR_ALL.total_seconds() - 0.1)
+        self.assertThat(bench.founds(), Equals([]))
+        # Only the silent one is asked again.
+        self.assertThat(bench.commands[-1], Equals(Look((12,))))
+        bench.go_on(span=1)
+        self.assertThat(bench.founds()[0].call.voters, Equals({11: "life-11", 13: "life-13"}))
+
+    def test_nothing_is_founded_before_its_own_disk_is_known(self) -> None:
+        bench = Bench(disks={12: blank(12), 13: blank(13)}).go_on(span=20)
+        self.assertThat(bench.founds(), Equals([]))
+
+    def test_others_are_asked_no_more_often_than_that(self) -> None:
+        bench = Bench(disks={}).go_on(span=3)
+        self.assertThat(len(bench.commands) <= timedelta(seconds=3) / ASK_EVERY, Equals(True))
+
+    def test_whoever_did_not_hear_is_told_again_and_the_same(self) -> None:
+        bench = Bench()
+        bench.hears = {11, 13}
+        bench.go_on(span=1)
+        founds = bench.founds()
+        self.assertThat(founds[0].replicas, Equals(SEEDS))
+        self.assertThat({each.replicas for each in founds[1:]}, Equals({(12,)}))
+        self.assertThat(len({each.call.mesh for each in founds}), Equals(1))
+        bench.hears = set(SEEDS)
+        bench.go_on(span=1)
+        self.assertThat((bench.calls[12], bench.duty.duty), Equals((founds[0].call, False)))
+
+    def test_one_that_never_hears_is_left_to_the_leader(self) -> None:
+        bench = Bench()
+        bench.hears = {11, 13}
+        bench.go_on(span=WAIT_FOR_ALL.total_seconds() * 3 + 1)
+        self.assertThat(bench.duty.duty, Is(False))
+
+    def test_an_answer_of_its_own_founding_does_not_end_the_telling(self) -> None:
+        bench = Bench()
+        bench.hears = {11}
+        bench.go_on(span=1)
+        bench.duty.looked(founded(11, mesh="mesh"))
+        self.assertThat(bench.duty.duty, Is(True))
+        bench.duty.looked(founded(12, mesh="other"))
+        self.assertThat(bench.duty.duty, Is(False))
+
+
+class FounderThatDies(TestCase):
+    """It told its own disk first: whatever it told others is known from that."""
+
+    def test_before_it_told_anyone_it_founds_anew_on_blank_disks(self) -> None:
+        again = Bench().go_on(span=2)
+        self.assertThat(set(again.calls), Equals(set(SEEDS)))
+
+    def test_after_it_told_itself_alone_the_next_life_founds_nothing_new(self) -> None:
+        first = Bench()
+        first.hears = {11}
+        first.go_on(span=0.5)
+        # Its next life is told of a cold start no more, and even if it were: its own disk is founded.
+        disks = {11: founded(11, mesh="mesh"), 12: blank(12), 13: blank(13)}
+        for cold in (True, False):
+            again = Bench(cold=cold, disks=disks)
+            again.duty.handle(founded=True, now=again.moment)
+            again.go_on(span=10)
+            self.assertThat(again.founds(), Equals([]))
+
+    def test_after_it_told_another_one_a_blank_next_life_founds_nothing(self) -> None:
+        # Its own disk is gone with it, and a second cold start is claimed: the other disk still says so.
+        again = Bench(disks={11: blank(11), 12: founded(12, mesh="mesh"), 13: blank(13)}).go_on(span=10)
+        self.assertThat(again.founds(), Equals([]))
--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -3,7 +3,6 @@
 import random
 from datetime import timedelta
 
-from test_kip_630 import PACE, Bench, claim
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
@@ -14,6 +13,7 @@
 from hoistsaddle.shelf.commands import AddVoter, DropVoter, pack_command
 from hoistsaddle.shelf.state import State, found_state
 from hoistsaddle.tally.mishaps import MishapKind
+from test_kip_630 import PACE, Bench, claim
 
 STEP = timedelta(milliseconds=200)
 TWO = {1: "one", 2: "two"}
@@ -160,7 +160,10 @@
         self.assertThat((bench.core.high_watermark, sorted(bench.voters())), Equals((before + 1, [1, 2, 3, 4])))
 
     def test_a_drop_too_needs_the_voters_of_old(self) -> None:
-        bench = Growing({**TWO, 3: "three", 4: "four"}).lead()
+        bench = Growing({**TWO, 3: "three", 4: "four"}, wanted=4)
+        bench.core.standing = CANDIDATE
+        bench.core.trial, bench.core.granted = False, {(1, "one"), (2, "two"), (3, "three")}
+        bench.core._count_ballots()
         bench.feed(ProposalArrived(77, (pack_command(DropVoter(4, "four")),)))
         # Two of the three that are left, but only half of the four.
         bench.fetch_from(2)
