A founder that told only itself tells the others in its next life

Cause: killed after its own disk was founded and before a second one was, the founder came back founded and left it at that; the others were blank, and blank disks don't vote, so nobody ever led. Change: a disk with a founding and nothing after it tells the founding's voters again; they take it only under the life it names. Measured: tests/test_founding.py, the new test fails without the change; safe by disk.py, where a disk that loses its mesh gets a new incarnation.

--- a/packages/bourse/src/hoistsaddle/bourse/founding.py
+++ b/packages/bourse/src/hoistsaddle/bourse/founding.py
@@ -31,19 +31,28 @@
 
 class Founding:
     def __init__(
-        self, *, replica: int, seeds: tuple[int, ...], may_found: bool, losses: int, mesh: str, now: timedelta
+        self,
+        *,
+        replica: int,
+        seeds: tuple[int, ...],
+        may_found: bool,
+        losses: int,
+        mesh: str,
+        now: timedelta,
+        begun: FoundCall | None = None,
     ) -> None:
         self.replica = replica
         self.seeds = seeds
         # The first of the agreed order, and only at a cold start: two founders would be two meshes.
-        self.duty = may_found and bool(seeds) and seeds[0] == replica
+        # A disk that holds a founding and nothing since may be all that heard of it: its next life tells the others.
+        self.duty = begun is not None or (may_found and bool(seeds) and seeds[0] == replica)
         self.losses = losses
         self.mesh = mesh
         self.began = now
         self.asked_at: timedelta | None = None
         self.blank: dict[int, str] = {}
-        self.call: FoundCall | None = None
-        self.told: set[int] = set()
+        self.call: FoundCall | None = begun
+        self.told: set[int] = set() if begun is None else {replica}
 
     def looked(self, answer: LookAnswer) -> None:
         if answer.mesh:
--- a/packages/bourse/src/hoistsaddle/bourse/market.py
+++ b/packages/bourse/src/hoistsaddle/bourse/market.py
@@ -16,7 +16,7 @@
 from hoistsaddle.bourse.places import Places, number_of_host
 from hoistsaddle.bourse.service import Bourse
 from hoistsaddle.crier.member import MemberPace
-from hoistsaddle.haggle.parcels import FoundAnswer, LookAnswer, LookCall, ReadAnswer
+from hoistsaddle.haggle.parcels import FoundAnswer, FoundCall, LookAnswer, LookCall, ReadAnswer
 from hoistsaddle.haggle.runtime import Runtime
 from hoistsaddle.ledger.core import LEADER
 from hoistsaddle.ledger.disk import Disk
@@ -184,6 +184,7 @@
             losses=self.params.losses,
             mesh=self.runtime.token(8),
             now=self.runtime.now(),
+            begun=self._begun(),
         )
         while duty.duty:
             for command in duty.handle(founded=bool(self.warehouse.shell.core.mesh), now=self.runtime.now()):
@@ -198,6 +199,16 @@
                                     duty.told.add(replica)
             await asyncio.sleep(milliseconds(50).total_seconds())
 
+    def _begun(self) -> FoundCall | None:
+        """The founding on this disk, if nothing came after it: a founder that died may have told nobody else.
+
+        Telling it again is safe: a voter takes it only under the life that it names and with nothing on its disk.
+        """
+        core = self.warehouse.shell.core
+        if not core.mesh or not core.whole or core.last.offset:
+            return None
+        return FoundCall(core.mesh, dict(core.state.voters), dict(core.state.operators), core.state.level)
+
     async def _look(self, duty: Founding, replica: int) -> None:
         match await self.runtime.lines.call(self.stores[replica], LookCall(self.bourse.node), within=milliseconds(500)):
             case Success(LookAnswer() as answer):
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -31,6 +31,7 @@
         cold: bool = True,
         losses: int = 1,
         disks: dict[int, LookAnswer] | None = None,
+        begun: FoundCall | None = None,
     ) -> None:
         self.moment = timedelta(seconds=5)
         self.duty = Founding(replica=replica, seeds=seeds, may_found=cold, losses=losses, mesh="mesh", now=self.moment)
@@ -163,6 +164,16 @@
             again.go_on(span=10)
             self.assertThat(again.founds(), Equals([]))
 
+    def test_after_it_told_itself_alone_the_next_life_tells_the_others_the_same(self) -> None:
+        # Else the others, blank, would never vote, and a founded mesh would never have a leader.
+        first = Bench()
+        first.hears = {11}
+        first.go_on(span=0.5)
+        # Whatever its seeds are by now, and though nobody tells it of a cold start any more.
+        again = Bench(cold=False, seeds=(12, 13, 14), begun=first.calls[11]).go_on(span=1)
+        self.assertThat(again.calls, Equals(dict.fromkeys((12, 13), first.calls[11])))
+        self.assertThat(again.duty.duty, Is(False))
+
     def test_after_it_told_another_one_a_blank_next_life_founds_nothing(self) -> None:
         # Its own disk is gone with it, and a second cold start is claimed: the other disk still says so.
         again = Bench(disks={11: blank(11), 12: founded(12, mesh="mesh"), 13: blank(13)}).go_on(span=10)
