--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -34,7 +34,9 @@
         begun: FoundCall | None = None,
     ) -> None:
         self.moment = timedelta(seconds=5)
-        self.duty = Founding(replica=replica, seeds=seeds, may_found=cold, losses=losses, mesh="mesh", now=self.moment)
+        self.duty = Founding(
+            replica=replica, seeds=seeds, may_found=cold, losses=losses, mesh="mesh", now=self.moment, begun=begun
+        )
         self.disks = {seed: blank(seed) for seed in seeds} if disks is None else disks
         self.commands: list[tuple] = []
         # Those that hear what they are told, and what they were told.
