Counter's side: tests, and its line is looked at with each word of the server

Cause: what waits for a server was looked at only when a slot came free or time had passed: more room told by the server stayed unused, and work waiting for a former life or a server that had left was refused late.

--- a/packages/broker/src/hoistsaddle/broker/counter.py
+++ b/packages/broker/src/hoistsaddle/broker/counter.py
@@ -66,6 +66,8 @@
         if before is None or before[:4] != self.server[:4] or was != self.server_state():
             self._announce("server told", service=event.service, instance=event.instance, state=event.state)
             self._report()
+        # More room may have come, or those that wait may wait for a life that is over.
+        self._sift()
 
     def assume_server(self, server: OwnServer) -> None:
         """After a restart: the one the log names here, until its own next word. A wrong guess runs nothing."""
@@ -150,20 +152,34 @@
         within = run.deadline - self.now
         self._out.append(Serve(number, self.server.address, run.call, within))
 
+    def _in_vain(self, run: _Run) -> MishapKind | None:
+        """Why a waiting run won't start any more."""
+        # What was promised to a server that leaves ends before its last moment; what can't be in time, now.
+        leaving = self.closed_at is not None and self.now - self.closed_at > self.drain_span * 0.7
+        if leaving or self.server is None or self.server.instance != run.call.instance or self.server_state() == GONE:
+            return MishapKind.WINDING_DOWN
+        return MishapKind.BUDGET_SPENT if self.now + self._span_of(run.call.entry) / 2 > run.deadline else None
+
     def _next(self) -> None:
         while self.line and len(self.running) < self.room:
             number = heapq.heappop(self.line).number
             run = self.runs[number]
-            # What was promised to a server that leaves ends before its last moment; what can't be in time, now.
-            leaving = self.closed_at is not None and self.now - self.closed_at > self.drain_span * 0.7
-            gone = self.server is None or self.server.instance != run.call.instance or self.server_state() == GONE
-            if leaving or gone or self.now + self._span_of(run.call.entry) / 2 > run.deadline:
+            if (kind := self._in_vain(run)) is not None:
                 del self.runs[number]
-                kind = MishapKind.WINDING_DOWN if leaving or gone else MishapKind.BUDGET_SPENT
                 self._turn_away(run.ticket, run.call, kind)
                 continue
             self._start(number, run)
 
+    def _sift(self) -> None:
+        """What can no longer be done is told so now, not when a slot comes free; then the rest goes on."""
+        for each, kind in [(each, self._in_vain(self.runs[each.number])) for each in self.line]:
+            if kind is not None:
+                self.line.remove(each)
+                run = self.runs.pop(each.number)
+                self._turn_away(run.ticket, run.call, kind)
+        heapq.heapify(self.line)
+        self._next()
+
     def _served(self, event: Served) -> None:
         run = self.runs.pop(event.number, None)
         if run is None:
@@ -205,16 +221,5 @@
     def _counter_tick(self) -> None:
         if self.server is not None and self.server.state != GONE and self.server_state() == GONE:
             self._silence()
-        # What can no longer be done in its time is told so now, not when a slot comes free.
-        late = [
-            each
-            for each in self.line
-            if self.now + self._span_of(self.runs[each.number].call.entry) / 2 > each.deadline
-        ]
-        if late or (self.closed_at is not None and self.line):
-            for each in late:
-                self.line.remove(each)
-                run = self.runs.pop(each.number)
-                self._turn_away(run.ticket, run.call, MishapKind.BUDGET_SPENT)
-            heapq.heapify(self.line)
-            self._next()
+        if self.line:
+            self._sift()
--- /dev/null
+++ b/tests/brokers.py
@@ -0,0 +1,232 @@
+"""Brokers' cores on one bench: their lines, log and servers are played, and every command is kept for the checks."""
+
+import random
+from datetime import timedelta
+from typing import Any
+
+from hoistsaddle.broker.core import BrokerCore
+from hoistsaddle.broker.messages import (
+    AnswerDeal,
+    AnswerRecall,
+    Asked,
+    DealAnswered,
+    DealArrived,
+    DealMissed,
+    DealOn,
+    Recall,
+    RecallAnswered,
+    RecallArrived,
+    Reply,
+    Serve,
+    Served,
+    ServeMissed,
+    Vitals,
+)
+from hoistsaddle.shelf.apply import apply
+from hoistsaddle.shelf.commands import pack_command
+from hoistsaddle.shelf.state import READY, NodeEntry, ServerEntry, State, found_state
+from hoistsaddle.shelf.view import View
+from hoistsaddle.stall.messages import AskHold, HoldAnswered, SetupChanged, Ticked
+from hoistsaddle.stall.standing import StallParamsView
+from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.tariff.items import EntryItem, ItemSetup, LimitsItem, Part, ServiceItem
+
+HOST = "shop.example"
+KINDS = {"read": "repeatable", "post": "once per send", "pay": "once per key", "pack": "upload"}
+
+
+def entry(name: str, **changes: Any) -> EntryItem:
+    values: dict[str, Any] = {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": KINDS[name],
+        "parts": [Part("ledger")],
+        "hold_seconds": 4.0,
+        "aim_seconds": 1.0,
+        "rank": 1,
+        "most_sends": 3,
+    }
+    return EntryItem(**{**values, **changes})
+
+
+def server_of(name: str) -> ServerEntry:
+    return ServerEntry(name, "ledger", f"i-{name}", f"plant-{name}", "a", READY, 1, "life", "", 1)
+
+
+class Brokers:
+    """Some stalls, each with a server of one service, over one log."""
+
+    def __init__(
+        self,
+        *names: str,
+        entries: tuple[EntryItem, ...] = (),
+        limits: LimitsItem | None = None,
+        room: int = 2,
+        margin: int = 0,
+        seed: int = 1,
+    ) -> None:
+        names = names or ("s-1", "s-2", "s-3")
+        self.moment = timedelta(seconds=100)
+        self.log: State = found_state(mesh="m", voters={1: "one"}, operators={}, level=3)
+        # Whether the core answers about keys.
+        self.core_up = True
+        # Stalls that give no answer at all, and those whose ports refuse.
+        self.silent: set[str] = set()
+        self.refusing: set[str] = set()
+        self.commands: list[tuple[str, tuple]] = []
+        self.replies: dict[int, Reply] = {}
+        self.answers: dict[int, Any] = {}
+        # What runs on servers now.
+        self.serves: dict[tuple[str, int], Serve] = {}
+        self._deals: dict[tuple[str, int], tuple[str, int]] = {}
+        self._recalls: dict[tuple[str, int], tuple[str, int]] = {}
+        self.tickets = 0
+        items: dict[str, Any] = {f"entry:{each.name}": each for each in entries or tuple(entry(name) for name in KINDS)}
+        items["service:ledger"] = ServiceItem("ledger")
+        if limits is not None:
+            items["limits:limits"] = limits
+        self.view = View(
+            revision=5,
+            items=ItemSetup(items=items),
+            item_marks=dict.fromkeys(items, 1),
+            servers={name: server_of(name) for name in names},
+            nodes={name: NodeEntry(name, "stall", f"at-{name}", "a", "life", "alive", 1) for name in names},
+        )
+        self.cores = {name: self.make(name, margin=margin, seed=seed) for name in names}
+        self.show(self.view)
+        for name in names:
+            self.vitals(name, room=room)
+
+    def make(self, name: str, *, margin: int, seed: int) -> BrokerCore:
+        return BrokerCore(
+            params=StallParamsView(
+                name, "a", f"life-{self.moment}", timedelta(seconds=1.5), timedelta(seconds=5), 50, 50
+            ),
+            seed=random.Random(seed),
+            now=self.moment,
+            server=f"plant-{name}",
+            drain_span=timedelta(seconds=2),
+            further_percent=20,
+            further_margin=margin,
+            key_span=timedelta(seconds=75),
+            service="ledger",
+        )
+
+    def show(self, view: View) -> None:
+        self.view = view
+        for name in self.cores:
+            self.feed(name, SetupChanged(view))
+
+    def vitals(self, name: str, *, state: str = READY, room: int = 2, instance: str = "") -> None:
+        self.feed(
+            name,
+            Vitals("ledger", instance or f"i-{name}", f"plant-{name}", state, room, timedelta()),
+        )
+
+    def pass_time(self, seconds: float, *, step: float = 0.02, beats: bool = True) -> None:
+        until = self.moment + timedelta(seconds=seconds)
+        while self.moment < until:
+            self.moment += timedelta(seconds=step)
+            for name, core in self.cores.items():
+                if beats and core.server is not None and core.server.state == READY:
+                    core.server = core.server._replace(heard=self.moment)
+                self.feed(name, Ticked())
+
+    # -- what is asked -----------------------------------------------------------------------------------------------
+
+    def ask(
+        self,
+        path: str = "/read/x",
+        *,
+        door: str = "s-1",
+        key: str = "",
+        budget: float | None = 3.0,
+        body: bytes = b"",
+        host: str = HOST,
+        header_bytes: int = 100,
+    ) -> int:
+        self.tickets += 1
+        budget_span = None if budget is None else timedelta(seconds=budget)
+        self.feed(
+            door,
+            Asked(self.tickets, "POST", host, path, b"", header_bytes, body, budget_span, key, f"try-{self.tickets}"),
+        )
+        return self.tickets
+
+    def arrive(self, name: str, call: Any) -> int:
+        """A deal straight to a stall, its answer kept under the ticket."""
+        self.tickets += 1
+        self.feed(name, DealArrived(self.tickets, call))
+        return self.tickets
+
+    # -- what the servers do -----------------------------------------------------------------------------------------
+
+    def finish(self, *, status: int = 200, body: bytes = b"done", not_run: bool = False, at: str = "") -> Serve:
+        """The oldest run, or the oldest at this stall, ends."""
+        name, number = next(key for key in self.serves if not at or key[0] == at)
+        serve = self.serves.pop((name, number))
+        self.feed(name, Served(number, status, b"", body, not_run))
+        return serve
+
+    def lose(self, *, unsent: bool = False, at: str = "") -> Serve:
+        name, number = next(key for key in self.serves if not at or key[0] == at)
+        serve = self.serves.pop((name, number))
+        kind = MishapKind.UNREACHABLE if unsent else MishapKind.SILENT
+        self.feed(name, ServeMissed(number, unsent, Mishap(kind, "no answer", "ask")))
+        return serve
+
+    # -- carrying out ------------------------------------------------------------------------------------------------
+
+    def feed(self, name: str, event: tuple) -> None:
+        for command in self.cores[name].handle(event, now=self.moment):
+            self.commands.append((name, command))
+            self._carry_out(name, command)
+
+    def _carry_out(self, name: str, command: tuple) -> None:
+        match command:
+            case Reply(ticket=ticket):
+                assert ticket not in self.replies, "two final answers"
+                self.replies[ticket] = command
+            case DealOn(number=number, address=address, call=call):
+                target = address.removeprefix("at-")
+                if target in self.refusing:
+                    self.feed(name, DealMissed(number, True))
+                elif target not in self.silent:
+                    self.tickets += 1
+                    self._deals[target, self.tickets] = (name, number)
+                    self.feed(target, DealArrived(self.tickets, call))
+            case AnswerDeal(ticket=ticket, answer=answer):
+                assert ticket not in self.answers, "two answers to one deal"
+                self.answers[ticket] = answer
+                if (name, ticket) in self._deals:
+                    source, number = self._deals.pop((name, ticket))
+                    self.feed(source, DealAnswered(number, answer))
+            case Serve(number=number):
+                self.serves[name, number] = command
+            case AskHold(number=number, command=record):
+                self.feed(name, HoldAnswered(number, self.write(record) if self.core_up else None))
+            case Recall(number=number, address=address, call=call):
+                holder = address.removeprefix("at-")
+                if holder in self.silent or holder in self.refusing:
+                    self.feed(name, RecallAnswered(number, None))
+                else:
+                    self.tickets += 1
+                    self._recalls[holder, self.tickets] = (name, number)
+                    self.feed(holder, RecallArrived(self.tickets, call))
+            case AnswerRecall(ticket=ticket, answer=answer):
+                source, number = self._recalls.pop((name, ticket))
+                self.feed(source, RecallAnswered(number, answer))
+
+    def write(self, record: Any) -> Any:
+        self.log, outcome = apply(
+            self.log,
+            offset=self.log.offset + 1,
+            epoch=1,
+            stamp=self.moment,
+            payload=pack_command(record),
+        )
+        return outcome
+
+    def sent(self, kind: type = DealOn) -> list[Any]:
+        return [command for _, command in self.commands if isinstance(command, kind)]
