Entry's side: tests, and two faults of given-up keys mended

Cause: a key given back was released under its scope, which isn't the handle the log holds it under, so no release ever took effect; and a claim that reached the log while its answer was lost had no standing at its holder, so every repeat of a key refused in a gap of the core was told 'unknown' for the whole key window. Change: releases name the log's handle (keys.handle_of); a claim that is given up is kept as free at its holder.

--- a/packages/broker/src/hoistsaddle/broker/entry.py
+++ b/packages/broker/src/hoistsaddle/broker/entry.py
@@ -20,6 +20,7 @@
 )
 from hoistsaddle.haggle.parcels import DealAnswer, DealCall, RecallAnswer, RecallCall
 from hoistsaddle.shelf.commands import ClaimHold, Outcome, ReleaseHold
+from hoistsaddle.shelf.keys import handle_of
 from hoistsaddle.shelf.state import GONE, ServerEntry
 from hoistsaddle.stall.further import FurtherSends, part_of
 from hoistsaddle.stall.messages import ANSWERED, NOT_RUN, AskHold
@@ -173,7 +174,11 @@
             deal.claim = f"{self.params.name}.{self.params.incarnation}.{self._number()}"
         deal.number = self._number()
         self.by_number[deal.number] = ticket
-        command = self.claims[deal.number] = ClaimHold(
+        command = self.claims[deal.number] = self._claim_of(deal)
+        self._out.append(AskHold(deal.number, command))
+
+    def _claim_of(self, deal: _Deal) -> ClaimHold:
+        return ClaimHold(
             deal.scope,
             deal.claim,
             self.params.name,
@@ -185,7 +190,6 @@
             max(1, round(self.key_span.total_seconds())),
             deal.after,
         )
-        self._out.append(AskHold(deal.number, command))
 
     def _hold_answered(self, number: int, outcome: Outcome | None) -> None:
         if outcome is not None:
@@ -277,22 +281,21 @@
             return RecallAnswer(KEPT, kept.answer.status, kept.answer.headers, kept.answer.body)
         return RecallAnswer(kept.standing)
 
-    def _keep(self, claim: str) -> None:
+    def _keep(self, claim: str) -> _Kept:
         while self.kept and next(iter(self.kept.values())).until <= self.now:
             self.kept.popitem(last=False)
-        self.kept[claim] = _Kept(until=self.now + self.key_span)
+        return self.kept.setdefault(claim, _Kept(until=self.now + self.key_span))
 
     def _let_go(self, deal: _Deal) -> None:
         """Gives a claimed key back: nothing ran under it and nothing will."""
         if not deal.claim or deal.uncertain or deal.sends:
             return
-        kept = self.kept.get(deal.claim)
-        if kept is not None:
-            kept.standing = FREE
-        self._release(ClaimHold(deal.scope, deal.claim, "", ""))
+        # Also a claim that was never answered: should it be in the log, a repeat that meets it may take it over.
+        self._keep(deal.claim).standing = FREE
+        self._release(self._claim_of(deal))
 
     def _release(self, command: ClaimHold) -> None:
-        self._ask_release(ReleaseHold(command.scope, command.claim), self.now + RELEASE_SPAN)
+        self._ask_release(ReleaseHold(handle_of(command), command.claim), self.now + RELEASE_SPAN)
 
     def _ask_release(self, command: ReleaseHold, until: timedelta) -> None:
         number = self._number()
--- a/packages/shelf/src/hoistsaddle/shelf/keys.py
+++ b/packages/shelf/src/hoistsaddle/shelf/keys.py
@@ -62,6 +62,11 @@
     return hold.by == command.by != BY_CREDENTIALS and hold.who != command.who
 
 
+def handle_of(command: ClaimHold) -> str:
+    """Under what the log holds it: it hangs on nothing that a bundle, a renewed credential or a new address changes."""
+    return digest_of("\0".join((command.bucket, command.by, command.who)))
+
+
 def claim(state: State, command: ClaimHold) -> tuple[State, Outcome]:
     if state.level < 2:
         return _claim_by_scope(state, command)
@@ -100,8 +105,7 @@
             " a bundle may declare by what visitors are known.",
             "Idempotency-Key",
         )
-    # The handle hangs on nothing that a bundle, a renewed credential or a new address changes.
-    handle = digest_of("\0".join((command.bucket, command.by, command.who)))
+    handle = handle_of(command)
     expires = to_microseconds(state.stamp + _span_of(command))
     hold = Hold(
         command.claim,
--- a/tests/brokers.py
+++ b/tests/brokers.py
@@ -147,18 +147,20 @@
         header_bytes: int = 100,
     ) -> int:
         self.tickets += 1
+        ticket = self.tickets
         budget_span = None if budget is None else timedelta(seconds=budget)
         self.feed(
             door,
-            Asked(self.tickets, "POST", host, path, b"", header_bytes, body, budget_span, key, f"try-{self.tickets}"),
+            Asked(ticket, "POST", host, path, b"", header_bytes, body, budget_span, key, f"try-{ticket}"),
         )
-        return self.tickets
+        return ticket
 
     def arrive(self, name: str, call: Any) -> int:
         """A deal straight to a stall, its answer kept under the ticket."""
         self.tickets += 1
-        self.feed(name, DealArrived(self.tickets, call))
-        return self.tickets
+        ticket = self.tickets
+        self.feed(name, DealArrived(ticket, call))
+        return ticket
 
     # -- what the servers do -----------------------------------------------------------------------------------------
 
