Server line: tests against a raw server, and five faults mended

Cause: a time-out was taken for a broken answer (TimeoutError is an OSError); garbage in the same bytes as a whole answer made the parser forget the answer; a body broken off by garbage was waited for until the deadline; a repeatable request was written once more though its answer had begun; the begun head of a surplus answer stayed unseen and spoilt the next request on that connection. Change: heads are fed to the parser on their own, cut bodies end at once, the bytes after an answer's head are counted.

--- a/packages/broker/src/hoistsaddle/broker/serverline.py
+++ b/packages/broker/src/hoistsaddle/broker/serverline.py
@@ -26,6 +26,9 @@
 # Where it says nothing.
 KEPT_SECONDS = 4.0
 MOST_KEPT = 64
+HEAD_END = b"\r\n\r\n"
+# An answer, and words before it.
+MOST_HEADS = 4
 # They concern one connection only, or are written anew.
 HOP_BY_HOP = frozenset(
     {
@@ -55,7 +58,12 @@
 
 
 class _Broken(Exception):
-    """What came is no whole answer to the request. began: whether the server had been heard of at all."""
+    """What came is no whole answer to the request."""
+
+
+def _heads_apart(data: bytes) -> list[bytes]:
+    parts = data.split(HEAD_END, MOST_HEADS)
+    return [part + HEAD_END for part in parts[:-1]] + ([parts[-1]] if parts[-1] else [])
 
 
 class _Connection(BaseProtocol):
@@ -63,6 +71,13 @@
         super().__init__(loop)
         self.parser: HttpResponseParser | None = None
         self.messages: deque = deque()
+        # The bodies of this request's answers, and whether anything came at all.
+        self.payloads: list = []
+        self.heard = False
+        self.with_body = True
+        # Bytes after the newest answer's head, where that is known, and the newest bytes of all.
+        self.beyond: int | None = None
+        self.tail = b""
         self.arrived: asyncio.Future | None = None
         # Not to be used again; and nothing more can be read from it.
         self.dirty = False
@@ -84,6 +99,9 @@
             auto_decompress=False,
         )
         self.messages.clear()
+        self.with_body = with_body
+        self.payloads = []
+        self.heard = False
         self.uses += 1
 
     def data_received(self, data: bytes) -> None:
@@ -92,47 +110,63 @@
             self.dirty = True
             self.abort()
             return
-        try:
-            messages, upgraded, tail = self.parser.feed_data(data)
-        except Exception:
-            # The parser's many ways to say that these bytes are no answer.
-            self.dirty = True
-            self.abort()
-            return
-        if upgraded or tail:
-            self.dirty = True
-        self.messages.extend(messages)
+        self.heard = True
+        # A parser that meets garbage forgets the answers before it in the same bytes: heads are fed on their own.
+        for part in _heads_apart(data):
+            try:
+                messages, upgraded, tail = self.parser.feed_data(part)
+            except Exception:
+                # The parser's many ways to say that these bytes are no answer.
+                self.dirty = True
+                self.abort()
+                return
+            if upgraded or tail:
+                self.dirty = True
+            self.messages.extend(messages)
+            self.payloads += [payload for _, payload in messages]
+            if messages:
+                self.beyond = 0 if part.endswith(HEAD_END) else None
+            elif self.beyond is not None:
+                self.beyond += len(part)
+            self.tail = part[-2:]
         self._wake()
 
-    def _wake(self) -> None:
-        if self.arrived is not None and not self.arrived.done():
-            self.arrived.set_result(None)
+    def ends_with(self, message) -> bool:
+        """Whether the bytes so far end where this answer ends: the parser keeps a begun surplus answer to itself."""
+        if message.chunked:
+            return self.tail == b"\r\n"
+        told = message.headers.get("Content-Length", "0") if self.with_body and message.code not in (204, 304) else "0"
+        return self.beyond is None or self.beyond == int(told)
 
-    def eof_received(self) -> bool:
-        self.dirty = self.lost = True
+    def _end(self) -> None:
+        """Nothing more will come: a body that isn't whole by now never is."""
+        self.lost = self.dirty = True
         if self.parser is not None:
             try:
                 self.parser.feed_eof()
             except Exception:
                 pass
+        for payload in self.payloads:
+            if not payload.is_eof() and payload.exception() is None:
+                payload.set_exception(aiohttp.ClientPayloadError("cut short"))
         self._wake()
+
+    def _wake(self) -> None:
+        if self.arrived is not None and not self.arrived.done():
+            self.arrived.set_result(None)
+
+    def eof_received(self) -> bool:
+        self._end()
         return False
 
     def connection_lost(self, exception: BaseException | None) -> None:
         super().connection_lost(exception)
-        self.lost = self.dirty = True
-        if self.parser is not None:
-            try:
-                self.parser.feed_eof()
-            except Exception:
-                pass
-        self._wake()
+        self._end()
 
     def abort(self) -> None:
-        self.dirty = self.lost = True
+        self._end()
         if self.transport is not None:
             self.transport.abort()
-        self._wake()
 
     async def next_message(self):
         while not self.messages:
@@ -228,18 +262,18 @@
                 async with asyncio.timeout_at(deadline):
                     connection.transport.write(self._request(serve, left))
                     message, body = await self._answer(connection, call.send_id)
+            except TimeoutError:
+                # Before the next clause: it is an OSError too.
+                connection.abort()
+                return self._missed(serve, MishapKind.BUDGET_SPENT)
             except (_Broken, aiohttp.ClientError, OSError, ValueError):
-                heard = bool(connection.messages)
                 connection.abort()
-                if call.repeatable and not fresh and not heard and loop.time() < deadline:
+                if call.repeatable and not fresh and not connection.heard and loop.time() < deadline:
                     # A kept connection that the server closed as it was used: once more, on a new one.
                     self.counters.add("server.stale_connections")
                     self.close()
                     continue
                 return self._missed(serve, MishapKind.ANSWER_BROKEN)
-            except TimeoutError:
-                connection.abort()
-                return self._missed(serve, MishapKind.BUDGET_SPENT)
             except asyncio.CancelledError:
                 connection.abort()
                 raise
@@ -288,8 +322,9 @@
                     key, _, told = part.strip().partition(b"=")
                     if key.lower() == b"timeout" and told.strip().isdigit():
                         connection.keeps = max(0.1, int(told) * KEPT_SHARE)
-        if connection.dirty or connection.lost or connection.messages or closes or len(self.kept) >= MOST_KEPT:
-            if connection.messages:
+        surplus = bool(connection.messages) or not connection.ends_with(message)
+        if connection.dirty or connection.lost or surplus or closes or len(self.kept) >= MOST_KEPT:
+            if surplus:
                 self.counters.add("server.surplus_answers")
             connection.abort()
             return
--- a/tests/test_broker_entry.py
+++ b/tests/test_broker_entry.py
@@ -401,6 +401,20 @@
         fleet.pass_time(1.0)
         self.assertThat((len(fleet.log.holds), fleet.sent(DealOn)), Equals((0, [])))
 
+    def test_a_claim_that_overtakes_its_own_release_is_given_back_once_more(self) -> None:
+        fleet = Brokers()
+        fleet.core_up = False
+        self.after(fleet, self.pay(fleet), 0.5)
+        first = fleet.sent(AskHold)[0]
+        fleet.core_up = True
+        # The release comes through while the claim still is on its way.
+        fleet.pass_time(1.0)
+        granted = fleet.write(first.command)
+        self.assertThat(len(fleet.log.holds), Equals(1))
+        fleet.cores["s-1"].claims[first.number] = first.command
+        fleet.feed("s-1", HoldAnswered(first.number, granted))
+        self.assertThat((len(fleet.log.holds), fleet.sent(DealOn)), Equals((0, [])))
+
     def test_a_refusal_of_the_log_is_no_run(self) -> None:
         fleet = Brokers()
         fleet.write = lambda record: Outcome("release-level", "too low", "raise it")  # type: ignore
--- /dev/null
+++ b/tests/test_serverline.py
@@ -0,0 +1,450 @@
+"""Kept connections to a server, against a small raw one that does everything a server shouldn't."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from datetime import timedelta
+from typing import Any
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, IsInstance
+
+from hoistsaddle.broker import serverline
+from hoistsaddle.broker.messages import Serve, Served, ServeMissed
+from hoistsaddle.broker.serverline import ServerLine, pack_pairs, unpack_pairs
+from hoistsaddle.broker.wording import Wording
+from hoistsaddle.haggle.parcels import DealCall
+from hoistsaddle.tally.counters import Counters
+from hoistsaddle.tally.mishaps import MishapKind
+
+ID = "X-Hoistsaddle-Send"
+
+
+def answer(send: str, body: bytes = b"ok", *more: str, status: str = "200 OK", length: bool = True) -> bytes:
+    lines = [f"HTTP/1.1 {status}", f"{ID}: {send}", *more]
+    if length:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class Raw:
+    """A TCP server that reads whole requests and does with each connection as the test says."""
+
+    def __init__(self, behave: Callable[["Asked"], Awaitable[None]]) -> None:
+        self.behave = behave
+        self.asked: list[Asked] = []
+        self.connections = 0
+
+    async def __aenter__(self) -> "Raw":
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        connection = self.connections
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                lines = head.decode().split("\r\n")
+                headers = dict(line.split(": ", 1) for line in lines[1:] if line)
+                body = await reader.readexactly(int(headers.get("Content-Length", 0)))
+                asked = Asked(connection, lines[0], headers, body, writer)
+                self.asked.append(asked)
+                await self.behave(asked)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        except asyncio.CancelledError:
+            # The test is over.
+            pass
+        finally:
+            writer.close()
+
+
+class Asked:
+    def __init__(
+        self, connection: int, line: str, headers: dict[str, str], body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connection = connection
+        self.line = line
+        self.headers = headers
+        self.body = body
+        self.writer = writer
+        self.send = headers.get(ID, "")
+
+    def say(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    def cut(self) -> None:
+        self.writer.transport.abort()
+
+
+async def plain(asked: Asked) -> None:
+    asked.say(answer(asked.send, f"to {asked.send}".encode()))
+
+
+class Case(TestCase):
+    def line(self) -> ServerLine:
+        return ServerLine(wording=Wording(), counters=Counters(owner="test"))
+
+    def run_with(
+        self, behave: Callable[[Asked], Awaitable[None]], work: Callable[[ServerLine, Raw], Coroutine[Any, Any, None]]
+    ) -> Raw:
+        async def run() -> Raw:
+            line = self.line()
+            async with Raw(behave) as raw:
+                try:
+                    await asyncio.wait_for(work(line, raw), 10)
+                finally:
+                    line.close()
+            return raw
+
+        return asyncio.run(run())
+
+    async def send(self, line: ServerLine, raw: Raw, send: str = "s1", *, within: float = 2.0, **changes: Any) -> tuple:
+        call = DealCall(
+            send="mesh-send",
+            service_name="ledger",
+            target="s-1",
+            instance="i-1",
+            budget=timedelta(seconds=within),
+            aim=timedelta(seconds=1),
+            rank=0,
+            entry="read",
+            method="GET",
+            path=b"/read/x?a=b",
+            headers=b"",
+            body=b"",
+            caller="portal",
+            send_id=send,
+        )
+        serve = Serve(7, f"127.0.0.1:{raw.port}", call._replace(**changes), timedelta(seconds=within))
+        return await line.serve(serve)
+
+    def assertServed(self, told: tuple, body: bytes, *, status: int = 200) -> None:
+        self.assertThat(told, IsInstance(Served), str(told))
+        self.assertThat((told.status, told.body, told.number), Equals((status, body, 7)))
+
+    def assertMissed(self, told: tuple, kind: MishapKind, *, unsent: bool = False) -> None:
+        self.assertThat(told, IsInstance(ServeMissed), str(told))
+        self.assertThat((told.mishap.kind, told.unsent), Equals((kind, unsent)))
+
+
+class Requests(Case):
+    def test_the_request_goes_as_it_came_but_for_what_concerns_one_connection(self) -> None:
+        pairs = [
+            (b"Host", b"shop.example"),
+            (b"Connection", b"close"),
+            (b"X-Own", b"kept"),
+            (b"x-own", b"twice"),
+            (b"X-Hoistsaddle-Caller", b"liar"),
+            (b"X-Hoistsaddle-Send", b"other"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"Expect", b"100-continue"),
+        ]
+
+        async def work(line: ServerLine, raw: Raw) -> None:
+            told = await self.send(line, raw, method="POST", body=b"the body", headers=pack_pairs(pairs))
+            self.assertServed(told, b"to s1")
+            await self.send(line, raw, "s2")
+
+        raw = self.run_with(plain, work)
+        first, second = raw.asked
+        self.assertThat((first.line, first.body), Equals(("POST /read/x?a=b HTTP/1.1", b"the body")))
+        self.assertThat(
+            {name: value for name, value in first.headers.items() if name != "X-Hoistsaddle-Budget"},
+            Equals(
+                {
+                    "Host": "shop.example",
+                    "X-Own": "kept",
+                    "x-own": "twice",
+                    ID: "s1",
+                    "X-Hoistsaddle-Caller": "portal",
+                    "X-Hoistsaddle-Instance": "i-1",
+                    "Content-Length": "8",
+                }
+            ),
+        )
+        self.assertThat(0 < int(first.headers["X-Hoistsaddle-Budget"]) <= 2000, Equals(True))
+        self.assertThat("Content-Length" in second.headers, Equals(False))
+
+    def test_a_body_of_nothing_has_its_length_too(self) -> None:
+        async def work(line: ServerLine, raw: Raw) -> None:
+            await self.send(line, raw, method="POST")
+
+        self.assertThat(self.run_with(plain, work).asked[0].headers["Content-Length"], Equals("0"))
+
+
+class Answers(Case):
+    def one(self, behave: Callable[[Asked], Awaitable[None]], **changes: Any) -> tuple:
+        told: list[tuple] = []
+
+        async def work(line: ServerLine, raw: Raw) -> None:
+            told.append(await self.send(line, raw, **changes))
+
+        self.run_with(behave, work)
+        return told[0]
+
+    def saying(self, *parts: bytes, cut: bool = False) -> Callable[[Asked], Awaitable[None]]:
+        async def behave(asked: Asked) -> None:
+            for part in parts:
+                asked.say(part)
+                await asked.writer.drain()
+            if cut:
+                await asyncio.sleep(0.02)
+                asked.cut()
+
+        return behave
+
+    def test_status_body_and_headers_come_back_as_they_are(self) -> None:
+        told = self.one(self.saying(answer("s1", b"\x00\xff", "X-Seal: a", "X-Seal: b", status="418 Teapot")))
+        self.assertServed(told, b"\x00\xff", status=418)
+        seals = [value for name, value in unpack_pairs(told.headers) if name == b"X-Seal"]
+        self.assertThat((seals, told.not_run), Equals(([b"a", b"b"], False)))
+
+    def test_chunks_make_one_body(self) -> None:
+        body = b"3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n"
+        head = answer("s1", b"", "Transfer-Encoding: chunked", length=False)
+        self.assertServed(self.one(self.saying(head, body[:6], body[6:])), b"abcdefg")
+
+    def test_chunks_that_break_off_are_no_answer(self) -> None:
+        head = answer("s1", b"", "Transfer-Encoding: chunked", length=False)
+        self.assertMissed(self.one(self.saying(head, b"3\r\nabc\r\n", cut=True)), MishapKind.ANSWER_BROKEN)
+
+    def test_a_head_only_answer_has_no_body(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\n" + f"{ID}: s1\r\nContent-Length: 900\r\n\r\n".encode()
+        self.assertServed(self.one(self.saying(head), method="HEAD"), b"")
+
+    def test_answers_without_a_body_by_their_status(self) -> None:
+        for status in ("204 No Content", "304 Not Modified"):
+            head = f"HTTP/1.1 {status}\r\n{ID}: s1\r\n\r\n".encode()
+            self.assertServed(self.one(self.saying(head)), b"", status=int(status[:3]))
+
+    def test_words_before_the_answer_are_passed_over(self) -> None:
+        early = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+        self.assertServed(self.one(self.saying(early, answer("s1", b"real"))), b"real")
+
+    def test_a_cut_answer_is_no_answer_wherever_it_is_cut(self) -> None:
+        whole = answer("s1", b"0123456789")
+        for length in (0, 5, 20, len(whole) - 12, len(whole) - 10, len(whole) - 1):
+            self.assertMissed(self.one(self.saying(whole[:length], cut=True)), MishapKind.ANSWER_BROKEN)
+
+    def test_an_answer_that_ends_where_its_connection_ends_may_end_anywhere(self) -> None:
+        head = answer("s1", b"", "Connection: close", length=False)
+        self.assertMissed(self.one(self.saying(head, b"some", cut=True)), MishapKind.ANSWER_BROKEN)
+
+    def test_garbage_is_no_answer(self) -> None:
+        for garbage in (
+            b"\x00\x01\x02\x03\r\n\r\n",
+            b"HTTP/1.1 abc\r\n\r\n",
+            b"SSH-2.0-x\r\n",
+            b"HTTP/1.1 200 OK\r\n:\r\n\r\n",
+        ):
+            self.assertMissed(self.one(self.saying(garbage, cut=True)), MishapKind.ANSWER_BROKEN)
+
+    def test_an_encoded_answer_is_not_the_servers_body(self) -> None:
+        told = self.one(self.saying(answer("s1", b"\x1f\x8b\x08", "Content-Encoding: gzip")))
+        self.assertMissed(told, MishapKind.ANSWER_BROKEN)
+
+    def test_an_answer_without_the_id_or_with_two_is_nobodys(self) -> None:
+        for head in ("X-Other: s1", f"{ID}: s2", f"{ID}: s1\r\n{ID}: s1"):
+            data = f"HTTP/1.1 200 OK\r\n{head}\r\nContent-Length: 2\r\n\r\nno".encode()
+            self.assertMissed(self.one(self.saying(data, cut=True)), MishapKind.ANSWER_BROKEN)
+
+    def test_silence_ends_with_the_budget(self) -> None:
+        async def silent(asked: Asked) -> None:
+            await asyncio.sleep(5)
+
+        self.assertMissed(self.one(silent, within=0.1), MishapKind.BUDGET_SPENT)
+
+    def test_only_the_servers_own_word_says_that_it_did_not_run(self) -> None:
+        for more, status, not_run in (
+            (("X-Hoistsaddle-Not-Run: 1",), "503 Full", True),
+            (("x-hoistsaddle-not-run: true",), "429 Many", True),
+            ((), "503 Full", False),
+            ((), "500 Own", False),
+            ((), "421 Other", True),
+        ):
+            told = self.one(self.saying(answer("s1", b"", *more, status=status)))
+            self.assertThat((told.status, told.not_run), Equals((int(status[:3]), not_run)), status)
+
+    def test_nobody_listens(self) -> None:
+        async def run() -> tuple:
+            async with Raw(plain) as raw:
+                pass
+            return await self.send(self.line(), raw)
+
+        self.assertMissed(asyncio.run(run()), MishapKind.UNREACHABLE, unsent=True)
+
+
+class Connections(Case):
+    def bodies(self, behave: Callable[[Asked], Awaitable[None]], count: int = 3, **changes: Any) -> tuple[Raw, list]:
+        told: list[tuple] = []
+
+        async def work(line: ServerLine, raw: Raw) -> None:
+            for number in range(count):
+                told.append(await self.send(line, raw, f"s{number}", **changes))
+                await asyncio.sleep(0.03)
+
+        raw = self.run_with(behave, work)
+        return raw, [each.body if isinstance(each, Served) else each.mishap.kind for each in told]
+
+    def test_one_connection_carries_many_requests_one_after_the_other(self) -> None:
+        raw, bodies = self.bodies(plain, 5)
+        self.assertThat((raw.connections, bodies), Equals((1, [f"to s{number}".encode() for number in range(5)])))
+
+    def test_two_at_a_time_take_two(self) -> None:
+        async def slow(asked: Asked) -> None:
+            await asyncio.sleep(0.05)
+            await plain(asked)
+
+        async def work(line: ServerLine, raw: Raw) -> None:
+            told = await asyncio.gather(*(self.send(line, raw, f"s{number}") for number in range(2)))
+            self.assertThat([each.body for each in told], Equals([b"to s0", b"to s1"]))
+
+        self.assertThat(self.run_with(slow, work).connections, Equals(2))
+
+    def test_not_after_connection_close(self) -> None:
+        async def closing(asked: Asked) -> None:
+            asked.say(answer(asked.send, b"ok", "Connection: close"))
+
+        raw, bodies = self.bodies(closing)
+        self.assertThat((raw.connections, bodies), Equals((3, [b"ok"] * 3)))
+
+    def test_not_after_http_1_0(self) -> None:
+        async def old(asked: Asked) -> None:
+            asked.say(answer(asked.send).replace(b"HTTP/1.1", b"HTTP/1.0"))
+
+        self.assertThat(self.bodies(old)[0].connections, Equals(3))
+
+    def test_not_beyond_what_the_server_keeps_it(self) -> None:
+        async def brief(asked: Asked) -> None:
+            asked.say(answer(asked.send, b"ok", "Keep-Alive: timeout=1, max=100"))
+
+        async def work(line: ServerLine, raw: Raw) -> None:
+            await self.send(line, raw, "s1")
+            kept = line.kept[0]
+            self.assertThat(kept.keeps, Equals(0.6))
+            # As if it had been idle for that long.
+            kept.idle_since -= 0.61
+            await self.send(line, raw, "s2")
+            self.assertThat(raw.connections, Equals(2))
+            line.kept[0].idle_since -= 0.3
+            await self.send(line, raw, "s3")
+            self.assertThat(raw.connections, Equals(2))
+
+        self.run_with(brief, work)
+
+    def test_not_beyond_the_houses_own_span_where_the_server_says_nothing(self) -> None:
+        async def work(line: ServerLine, raw: Raw) -> None:
+            await self.send(line, raw, "s1")
+            line.kept[0].idle_since -= serverline.KEPT_SECONDS
+            await self.send(line, raw, "s2")
+            self.assertThat(raw.connections, Equals(2))
+
+        self.run_with(plain, work)
+
+    def test_surplus_after_a_whole_answer_is_nobodys(self) -> None:
+        for surplus in (answer("s0", b"again"), answer("s1", b"early"), b"\x00garbage", b"HTTP/1.1 200"):
+
+            async def more(asked: Asked, surplus: bytes = surplus) -> None:
+                asked.say(answer(asked.send, f"to {asked.send}".encode()) + surplus)
+
+            raw, bodies = self.bodies(more, 3)
+            self.assertThat((raw.connections, bodies), Equals((3, [b"to s0", b"to s1", b"to s2"])), repr(surplus))
+
+    def test_surplus_that_comes_while_nobody_asks_is_nobodys(self) -> None:
+        async def later(asked: Asked) -> None:
+            await plain(asked)
+            await asyncio.sleep(0.01)
+            asked.say(answer(f"s{int(asked.send[1:]) + 1}", b"not yours"))
+
+        raw, bodies = self.bodies(later, 3)
+        self.assertThat((raw.connections, bodies), Equals((3, [b"to s0", b"to s1", b"to s2"])))
+
+    def test_a_late_answer_in_the_place_of_the_next_is_passed_over_and_its_connection_left(self) -> None:
+        async def behind(asked: Asked) -> None:
+            if asked.send == "s1":
+                asked.say(answer("s0", b"late"))
+            await plain(asked)
+
+        raw, bodies = self.bodies(behind, 3)
+        self.assertThat(bodies, Equals([b"to s0", b"to s1", b"to s2"]))
+        self.assertThat([each.connection for each in raw.asked], Equals([1, 1, 2]))
+
+    def test_one_given_up_never_answers_the_next(self) -> None:
+        async def slow(asked: Asked) -> None:
+            if asked.send == "s0":
+                await asyncio.sleep(0.1)
+            await plain(asked)
+
+        raw, bodies = self.bodies(slow, 2, within=0.07)
+        self.assertThat((raw.connections, bodies), Equals((2, [MishapKind.BUDGET_SPENT, b"to s1"])))
+
+    def test_an_idle_connection_that_the_server_closed_is_seen_and_left(self) -> None:
+        async def once(asked: Asked) -> None:
+            await plain(asked)
+            await asked.writer.drain()
+            asked.writer.close()
+
+        raw, bodies = self.bodies(once)
+        self.assertThat((raw.connections, bodies), Equals((3, [b"to s0", b"to s1", b"to s2"])))
+
+    def stale(self, **changes: Any) -> tuple[Raw, list]:
+        """The server closes a kept connection the moment a second request comes on it."""
+
+        async def behave(asked: Asked) -> None:
+            if sum(each.connection == asked.connection for each in raw_of[0].asked) > 1:
+                asked.cut()
+            else:
+                await plain(asked)
+
+        raw_of: list[Raw] = []
+        told: list[tuple] = []
+
+        async def work(line: ServerLine, raw: Raw) -> None:
+            raw_of.append(raw)
+            for number in range(2):
+                told.append(await self.send(line, raw, f"s{number}", **changes))
+
+        raw = self.run_with(behave, work)
+        return raw, [each.body if isinstance(each, Served) else each.mishap.kind for each in told]
+
+    def test_a_repeatable_request_that_met_a_closing_connection_goes_once_more_on_a_new_one(self) -> None:
+        raw, bodies = self.stale(repeatable=True)
+        self.assertThat((bodies, len(raw.asked)), Equals(([b"to s0", b"to s1"], 3)))
+
+    def test_nor_one_whose_answer_had_begun(self) -> None:
+        async def short(asked: Asked) -> None:
+            asked.say(answer(asked.send, b"ok") if asked.send == "s0" else answer(asked.send, b"0123456789")[:-4])
+            if asked.send != "s0":
+                await asyncio.sleep(0.02)
+                asked.cut()
+
+        raw, bodies = self.bodies(short, 2, repeatable=True)
+        self.assertThat((bodies, len(raw.asked)), Equals(([b"ok", MishapKind.ANSWER_BROKEN], 2)))
+
+    def test_any_other_is_never_written_twice(self) -> None:
+        raw, bodies = self.stale()
+        self.assertThat((bodies, len(raw.asked)), Equals(([b"to s0", MishapKind.ANSWER_BROKEN], 2)))
+
+    def test_another_life_of_the_server_gets_connections_of_its_own(self) -> None:
+        async def work(line: ServerLine, raw: Raw) -> None:
+            await self.send(line, raw, "s1")
+            await self.send(line, raw, "s2", instance="i-2")
+            self.assertThat([each.connection for each in raw.asked], Equals([1, 2]))
+
+        self.run_with(plain, work)
+
+    def test_what_happened_is_counted(self) -> None:
+        async def more(asked: Asked) -> None:
+            asked.say(answer("other", b"x") + answer(asked.send))
+
+        async def work(line: ServerLine, raw: Raw) -> None:
+            await self.send(line, raw)
+            counted = line.counters.read()["counts"]
+            self.assertThat(counted["server.strange_answers"], Equals(1))
+            self.assertThat(counted, Contains("server.connections"))
+
+        self.run_with(more, work)
