--- a/tests/test_crier.py
+++ b/tests/test_crier.py
@@ -128,8 +128,10 @@
     def member(self, name: str, *, count: int = 0, state: str = ALIVE) -> Rumour:
         return Rumour(name, "stall", f"at-{name}", "a", f"life-{name}", count, state)
 
-    def membership(self) -> Membership:
-        core = Membership(me=self.member("me"), seed=random.Random(1), period=at(0.25), suspicion=at(1.2))
+    def membership(self, *, spread: int | None = None) -> Membership:
+        core = Membership(
+            me=self.member("me"), seed=random.Random(1), period=at(0.25), suspicion=at(1.2), spread=spread
+        )
         core.handle(RumoursArrived(tuple(self.member(name) for name in ("one", "two", "three"))), now=at(0))
         return core
 
@@ -170,3 +172,59 @@
         other.handle(ProbeAnswered("one", (self.member("one", count=1),)), now=at(1.5))
         other.handle(Ticked(), now=at(4))
         self.assertThat("one" in [member.node for member in other.alive(kind="stall")], Equals(True))
+
+    def told(self, core: Membership, turns: int) -> list[list[str]]:
+        return [[rumour.node for rumour in core.rumours()] for _ in range(turns)]
+
+    def test_a_rumour_is_passed_on_so_often_and_then_counts_as_known(self) -> None:
+        told = self.told(self.membership(spread=2), 5)
+        self.assertThat([sorted(each) for each in told[:2]], Equals([["me", "one", "three", "two"]] * 2))
+        # Oneself is always told of: whoever is probed must be able to answer back.
+        self.assertThat(told[2:], Equals([["me"]] * 3))
+
+    def test_without_a_bound_everything_is_passed_on_for_ever(self) -> None:
+        self.assertThat([len(each) for each in self.told(self.membership(), 9)], Equals([4] * 9))
+
+    def test_what_changed_is_told_anew(self) -> None:
+        core = self.membership(spread=2)
+        self.told(core, 3)
+        core.handle(RumoursArrived((self.member("two", count=1),)), now=at(1))
+        self.assertThat(self.told(core, 3), Equals([["me", "two"], ["me", "two"], ["me"]]))
+        core.handle(OpinionsIn("one", False), now=at(1))
+        self.assertThat(self.told(core, 1), Equals([["me", "one"]]))
+
+    def test_one_just_met_hears_of_everybody(self) -> None:
+        core = self.membership(spread=2)
+        self.told(core, 5)
+        self.assertThat(
+            sorted(rumour.node for rumour in core.rumours(whole=True)), Equals(["me", "one", "three", "two"])
+        )
+        self.assertThat((core.knows("one"), core.knows("stranger")), Equals((True, False)))
+
+    def test_everyone_hears_of_a_newcomer_though_rumours_end(self) -> None:
+        """A fleet of forty on its own schedule: the last to join is known everywhere after some turns."""
+        dice = random.Random(3)
+        names = [f"n{number}" for number in range(40)]
+        cores = {
+            name: Membership(me=self.member(name), seed=random.Random(name), period=at(1), suspicion=at(2), spread=6)
+            for name in names
+        }
+        everyone = tuple(self.member(name) for name in names[:-1])
+        for name in names[:-1]:
+            cores[name].handle(RumoursArrived(everyone), now=at(0))
+            for _ in range(10):
+                cores[name].rumours()
+        # It knows one node, and that one knows it from its first probe.
+        cores["n39"].handle(RumoursArrived((self.member("n0"),)), now=at(0))
+        moment = 0.0
+        while not all(core.knows("n39") for core in cores.values()):
+            moment += 0.5
+            self.assertThat(moment < 30, Equals(True))
+            for core in dice.sample(list(cores.values()), len(cores)):
+                for command in core.handle(Ticked(), now=at(moment)):
+                    if isinstance(command, Probe):
+                        other = cores[command.node]
+                        whole = not other.knows(core.me.node)
+                        other.handle(RumoursArrived(command.rumours), now=at(moment))
+                        core.handle(ProbeAnswered(command.node, other.rumours(whole=whole)), now=at(moment))
+        self.assertThat(len(cores["n39"].members), Equals(40))
