--- a/tests/test_serverline.py
+++ b/tests/test_serverline.py
@@ -51,6 +51,7 @@
                 headers = dict(line.split(": ", 1) for line in lines[1:] if line)
                 body = await reader.readexactly(int(headers.get("Content-Length", 0)))
                 asked = Asked(connection, lines[0], headers, body, writer)
+                asked.names = [line.split(": ", 1)[0] for line in lines[1:] if line]
                 self.asked.append(asked)
                 await self.behave(asked)
         except (OSError, asyncio.IncompleteReadError):
@@ -71,6 +72,7 @@
         self.headers = headers
         self.body = body
         self.writer = writer
+        self.names: list[str] = []
         self.send = headers.get(ID, "")
 
     def say(self, data: bytes) -> None:
@@ -122,6 +124,17 @@
         serve = Serve(7, f"127.0.0.1:{raw.port}", call._replace(**changes), timedelta(seconds=within))
         return await line.serve(serve)
 
+    def bodies(self, behave: Callable[[Asked], Awaitable[None]], count: int = 3, **changes: Any) -> tuple[Raw, list]:
+        told: list[tuple] = []
+
+        async def work(line: ServerLine, raw: Raw) -> None:
+            for number in range(count):
+                told.append(await self.send(line, raw, f"s{number}", **changes))
+                await asyncio.sleep(0.03)
+
+        raw = self.run_with(behave, work)
+        return raw, [each.body if isinstance(each, Served) else each.mishap.kind for each in told]
+
     def assertServed(self, told: tuple, body: bytes, *, status: int = 200) -> None:
         self.assertThat(told, IsInstance(Served), str(told))
         self.assertThat((told.status, told.body, told.number), Equals((status, body, 7)))
@@ -166,6 +179,7 @@
                 }
             ),
         )
+        self.assertThat(sorted(first.names), Equals(sorted(first.headers)))
         self.assertThat(0 < int(first.headers["X-Hoistsaddle-Budget"]) <= 2000, Equals(True))
         self.assertThat("Content-Length" in second.headers, Equals(False))
 
@@ -222,8 +236,13 @@
             self.assertServed(self.one(self.saying(head)), b"", status=int(status[:3]))
 
     def test_words_before_the_answer_are_passed_over(self) -> None:
-        early = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
-        self.assertServed(self.one(self.saying(early, answer("s1", b"real"))), b"real")
+        hints = f"HTTP/1.1 103 Early Hints\r\n{ID}: s0\r\n\r\n".encode()
+
+        async def early(asked: Asked) -> None:
+            asked.say(b"HTTP/1.1 100 Continue\r\n\r\n" + hints + answer(asked.send, b"real"))
+
+        raw, bodies = self.bodies(early, 2)
+        self.assertThat((raw.connections, bodies), Equals((1, [b"real", b"real"])))
 
     def test_a_cut_answer_is_no_answer_wherever_it_is_cut(self) -> None:
         whole = answer("s1", b"0123456789")
@@ -275,17 +294,6 @@
 
 
 class Connections(Case):
-    def bodies(self, behave: Callable[[Asked], Awaitable[None]], count: int = 3, **changes: Any) -> tuple[Raw, list]:
-        told: list[tuple] = []
-
-        async def work(line: ServerLine, raw: Raw) -> None:
-            for number in range(count):
-                told.append(await self.send(line, raw, f"s{number}", **changes))
-                await asyncio.sleep(0.03)
-
-        raw = self.run_with(behave, work)
-        return raw, [each.body if isinstance(each, Served) else each.mishap.kind for each in told]
-
     def test_one_connection_carries_many_requests_one_after_the_other(self) -> None:
         raw, bodies = self.bodies(plain, 5)
         self.assertThat((raw.connections, bodies), Equals((1, [f"to s{number}".encode() for number in range(5)])))
