Items through the product's own interface: daemons, doors and commands

Cause: items could be used through platform/ alone. Change: hoistsaddle market and broker with checked settings, a stall's own side doors, the market's operators' door (PUT and GET /items, core, counters, happenings, holds, ready), hoistsaddle items check, submit, list, status; patches in TOML or JSON in the product's words, refusals named by table and field; numbers over 64 bits are refused before the log would choke on them. Measured: tests/test_market.py, 8 tests; its last one runs three markets and two stalls as processes on loopback: founding, two patches, a key, the founder killed and back.

--- a/packages/bourse/src/hoistsaddle/bourse/operators.py
+++ b/packages/bourse/src/hoistsaddle/bourse/operators.py
@@ -25,6 +25,7 @@
     MishapKind.OPERATOR_UNKNOWN: 401,
     MishapKind.REQUEST_BROKEN: 400,
     MishapKind.BUNDLE_BROKEN: 422,
+    MishapKind.ITEM_BROKEN: 422,
     MishapKind.NO_LEADER: 503,
     MishapKind.NOT_FOUNDED: 503,
     MishapKind.UNREACHABLE: 503,
@@ -34,7 +35,7 @@
 }
 
 
-def _refuse(mishap: Mishap) -> web.Response:
+def refuse_call(mishap: Mishap) -> web.Response:
     status = _statuses.get(mishap.kind, 409)
     # Whoever is told to come back is told when.
     headers = {"Retry-After": "1"} if status == 503 else {}
@@ -131,7 +132,7 @@
         try:
             return await handler(request)
         except (msgspec.DecodeError, msgspec.ValidationError, ValueError, RecursionError) as problem:
-            return _refuse(
+            return refuse_call(
                 Mishap(
                     MishapKind.REQUEST_BROKEN,
                     f"The request can't be read: {problem}.",
@@ -140,7 +141,7 @@
                 )
             )
         except web.HTTPRequestEntityTooLarge:
-            return _refuse(
+            return refuse_call(
                 Mishap(MishapKind.REQUEST_BROKEN, "The body is too large.", "Keep a bundle under 4 MiB.", "body")
             )
         except web.HTTPException as problem:
@@ -158,16 +159,16 @@
         given = plain_name(request.headers.get("X-Request-Id") or secrets.token_hex(12), field="X-Request-Id")
         for part in (given, *read):
             if isinstance(part, Failure):
-                return _refuse(part.failure())
+                return refuse_call(part.failure())
         scheme, _, token = request.headers.get("Authorization", "").partition(" ")
         match await self.desk.operator_of(token if scheme == "Bearer" else ""):
             case Failure(mishap):
-                return _refuse(mishap)
+                return refuse_call(mishap)
             case Success(operator):
                 pass
         match await work(operator, given.unwrap(), *(part.unwrap() for part in read)):
             case Failure(mishap):
-                return _refuse(mishap)
+                return refuse_call(mishap)
             case Success(answer):
                 return web.json_response(answer, status=409 if "refused" in answer else 200)
 
@@ -193,7 +194,7 @@
 
     async def show(self, request: web.Request) -> web.Response:
         if isinstance(read := self._number(request), Failure):
-            return _refuse(read.failure())
+            return refuse_call(read.failure())
         number = read.unwrap()
         match await self.bourse.read_setup():
             case Success(answer):
@@ -207,11 +208,11 @@
                             if node["kind"] == "stall" and node["state"] != "gone"
                         }
                         return web.json_response({**bundle, "machines": machines})
-                return _refuse(
+                return refuse_call(
                     Mishap(MishapKind.BUNDLE_UNKNOWN, f"There is no bundle {number}.", "Submit it first.", "number")
                 )
             case Failure(mishap):
-                return _refuse(mishap)
+                return refuse_call(mishap)
 
     @staticmethod
     def _machine(uptake, number: int) -> str:
@@ -306,7 +307,7 @@
             case Success(answer):
                 return web.Response(body=answer.content, content_type="application/json")
             case Failure(mishap):
-                return _refuse(mishap)
+                return refuse_call(mishap)
 
     async def setup(self, request: web.Request) -> web.Response:
         return await self._show("setup")
@@ -339,7 +340,7 @@
         asked = whole_number(request.query.get("warehouse", "0"), field="warehouse")
         for part in (read, asked):
             if isinstance(part, Failure):
-                return _refuse(part.failure())
+                return refuse_call(part.failure())
         after, replica = read.unwrap(), asked.unwrap()
         if replica:
             look = (await self._look_all(after=after)).get(replica)
@@ -407,11 +408,11 @@
     async def found(self, request: web.Request) -> web.Response:
         """Founding is explicit: all core machines must be reachable and blank, or hold this very founding."""
         if isinstance(read := await self._body(request, _Found), Failure):
-            return _refuse(read.failure())
+            return refuse_call(read.failure())
         operators = read.unwrap().operators
         named = all(operator_name(name) and digest_like(digest) for name, digest in operators.items())
         if len(operators) < 2 or not named or len(set(operators.values())) < len(operators):
-            return _refuse(
+            return refuse_call(
                 Mishap(
                     MishapKind.REQUEST_BROKEN,
                     "Founding needs at least two operators, each with a token digest of its own.",
@@ -422,7 +423,7 @@
         looks = await self._look_all()
         missing = sorted(replica for replica, look in looks.items() if look is None)
         if missing:
-            return _refuse(
+            return refuse_call(
                 Mishap(
                     MishapKind.UNREACHABLE,
                     f"Warehouses {missing} give no answer.",
@@ -432,7 +433,7 @@
             )
         meshes = {look.mesh for look in looks.values() if look.mesh}
         if meshes:
-            return _refuse(
+            return refuse_call(
                 Mishap(
                     MishapKind.ALREADY_FOUNDED,
                     f"Mesh {sorted(meshes)} is founded on these machines.",
@@ -458,7 +459,7 @@
             if isinstance(answer, Success) and isinstance(answer.unwrap(), FoundAnswer) and not answer.unwrap().mishap
         ]
         if len(done) * 2 <= len(voters):
-            return _refuse(
+            return refuse_call(
                 Mishap(
                     MishapKind.NOT_FOUNDED,
                     f"Only {len(done)} of {len(voters)} warehouses took the founding.",
--- a/packages/broker/src/hoistsaddle/broker/service.py
+++ b/packages/broker/src/hoistsaddle/broker/service.py
@@ -8,6 +8,7 @@
 from hoistsaddle.broker.door import Door, close_door, open_door
 from hoistsaddle.broker.node import BrokerNode
 from hoistsaddle.broker.serverline import ServerLine
+from hoistsaddle.broker.sidedoors import SideDoors
 from hoistsaddle.broker.wording import Wording
 from hoistsaddle.haggle.line import Pulse
 from hoistsaddle.haggle.runtime import RealRuntime
@@ -42,9 +43,9 @@
         self.side_doors = await self.open_side_doors()
         self.start_event.set()
 
-    async def open_side_doors(self) -> list[web.ServerRunner]:
-        """Where readiness is asked and vitals are told: in whose words, the deployment says."""
-        return []
+    async def open_side_doors(self) -> list[web.BaseRunner]:
+        """Where readiness is asked and vitals are told: in the product's words, unless a platform has its own."""
+        return [*await SideDoors(node=self.node, params=self.broker_params).open()]
 
     async def stop(self, exception: Exception | None = None) -> None:
         grace = timedelta(seconds=self.broker_params.grace_seconds)
--- a/packages/kiosk/src/hoistsaddle/kiosk/caller.py
+++ b/packages/kiosk/src/hoistsaddle/kiosk/caller.py
@@ -10,12 +10,21 @@
 
 
 async def call_doors(
-    *, doors: tuple[str, ...], method: str, path: str, token: str = "", body: bytes = b"", seconds: float = 15
+    *,
+    doors: tuple[str, ...],
+    method: str,
+    path: str,
+    token: str = "",
+    body: bytes = b"",
+    seconds: float = 15,
+    kind: str = "",
 ) -> tuple[int, dict]:
     """The same request id goes to each door in turn, so a call repeated elsewhere is still one call."""
     headers = {"X-Request-Id": secrets.token_hex(12)}
     if token:
         headers["Authorization"] = f"Bearer {token}"
+    if kind:
+        headers["Content-Type"] = kind
     refused = {
         "kind": "unreachable",
         "message": f"No bourse answers at {', '.join(doors)}.",
@@ -44,11 +53,11 @@
     return status, answer
 
 
-def say(*, doors: tuple[str, ...], method: str, path: str, token: str = "", body: bytes = b"") -> dict:
+def say(*, doors: tuple[str, ...], method: str, path: str, token: str = "", body: bytes = b"", kind: str = "") -> dict:
     if not doors:
         click.echo("refused: no door given. Remedy: give --door IP:PORT or set HOISTSADDLE_DOORS.", err=True)
         sys.exit(2)
-    status, answer = asyncio.run(call_doors(doors=doors, method=method, path=path, token=token, body=body))
+    status, answer = asyncio.run(call_doors(doors=doors, method=method, path=path, token=token, body=body, kind=kind))
     refused = answer.get("refused")
     if status != 200 and refused:
         place = f" (field {refused['field']})" if refused.get("field") else ""
--- a/packages/kiosk/src/hoistsaddle/kiosk/commands.py
+++ b/packages/kiosk/src/hoistsaddle/kiosk/commands.py
@@ -10,9 +10,10 @@
 from returns.result import Failure, Success
 
 from hoistsaddle.kiosk.fleet_commands import fleet
+from hoistsaddle.kiosk.item_commands import items
 from hoistsaddle.kiosk.operator_commands import OPERATOR_COMMANDS
 from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.params import BourseParams, StallParams, WarehouseParams, read_params
+from hoistsaddle.tally.params import BourseParams, BrokerParams, MarketParams, StallParams, WarehouseParams, read_params
 
 
 def _not_a_visitors_fault(record: logging.LogRecord) -> bool:
@@ -118,6 +119,54 @@
     _run(kind=StallParams, service=StallService, params_file=params_file, flags={**flags, "seeds": list(seeds)})
 
 
+@main.command()
+@click.argument("settings", required=False, type=str)
+@_settings
+@click.option("--host", help="This machine's IP number.")
+@click.option("--zone")
+@click.option("--data-folder")
+@click.option("--seed", "seeds", multiple=True, help="A core machine's IP number; one to three, alike everywhere.")
+@click.option(
+    "--cold-start/--no-cold-start", default=None, help="True once: at the first start of all, on blank disks."
+)
+@click.option("--losses", type=int, help="How many core machines may be lost at once.")
+def market(settings, params_file, seeds, **flags) -> None:
+    """Runs both core programs in one process, for items. SETTINGS is a TOML file; flags win over it."""
+    from hoistsaddle.bourse.marketdoor import MarketService
+
+    _run(
+        kind=MarketParams,
+        service=MarketService,
+        params_file=settings or params_file,
+        flags={**flags, "seeds": list(seeds)},
+    )
+
+
+@main.command()
+@click.argument("settings", required=False, type=str)
+@_settings
+@click.option("--name")
+@click.option("--zone")
+@click.option("--listen", help="Mesh address, IP:PORT.")
+@click.option("--door", help="HTTP address for visitors and the own server, IP:PORT.")
+@click.option("--vitals-door", help="HTTP address where the own server tells its vitals, IP:PORT.")
+@click.option("--ready-door", help="HTTP address where readiness is asked, IP:PORT.")
+@click.option("--service", help="The service of the server beside it.")
+@click.option("--server", help="That server's address, IP:PORT.")
+@click.option("--seed", "seeds", multiple=True, help="A market's bourse address, IP:PORT; one to three.")
+def broker(settings, params_file, seeds, **flags) -> None:
+    """Runs a stall that serves items. SETTINGS is a TOML file; flags win over it."""
+    from hoistsaddle.broker.service import BrokerService
+
+    _run(
+        kind=BrokerParams,
+        service=BrokerService,
+        params_file=settings or params_file,
+        flags={**flags, "seeds": list(seeds)},
+    )
+
+
 main.add_command(fleet)
+main.add_command(items)
 for command in OPERATOR_COMMANDS:
     main.add_command(command)
--- a/packages/shelf/src/hoistsaddle/shelf/readback.py
+++ b/packages/shelf/src/hoistsaddle/shelf/readback.py
@@ -2,9 +2,12 @@
 
 from datetime import timedelta
 
+import msgspec
+
 from hoistsaddle.shelf.commands import GONE_KEPT
 from hoistsaddle.shelf.state import GONE, IN_FORCE, READY, ROLLING, State, bundle_of
 from hoistsaddle.tally.moments import to_microseconds
+from hoistsaddle.tariff.items import unpack_item
 
 # A stall that hasn't heard of a mark holds a lease no longer than this; the daemons' params may set another span.
 LEASE = timedelta(seconds=1.5)
@@ -50,6 +53,28 @@
     }
 
 
+PATCHES_SHOWN = 10
+
+
+def items_of(state: State) -> dict:
+    """The items that stand, in the product's own words, and the newest patches with who answers for them."""
+    patches = [state.patches[number] for number in sorted(state.patches, reverse=True)[:PATCHES_SHOWN]]
+    return {
+        "offset": state.offset,
+        "items": [
+            {
+                "kind": key.partition(":")[0],
+                "revision": entry.revision,
+                "item": msgspec.to_builtins(unpack_item(key.partition(":")[0], entry.body)),
+            }
+            for key, entry in sorted(state.items.items())
+            if not entry.dropped
+        ],
+        "dropped": {key: entry.revision for key, entry in sorted(state.items.items()) if entry.dropped},
+        "patches": [{**patch._asdict(), "changed": list(patch.changed)} for patch in patches],
+    }
+
+
 def _left(since: int, span: timedelta, now: int) -> float | None:
     return max(0.0, round((since + to_microseconds(span) - now) / 1e6, 1)) if since else None
 
--- a/packages/tally/src/hoistsaddle/tally/params.py
+++ b/packages/tally/src/hoistsaddle/tally/params.py
@@ -133,6 +133,9 @@
     "outstanding": (1, 10**6),
     "release_level": (0, 1000),
     "losses": (0, 10),
+    "bourse_port": (1, 65535),
+    "warehouse_port": (1, 65535),
+    "operators_port": (1, 65535),
     "uptake_seconds": (0, 60),
     "write_seconds": (0.05, 60),
     "further_percent": (0, 100),
@@ -176,7 +179,7 @@
                 f"Leave it out for the default, or give {least:g} to {most:g}.",
                 field,
             )
-    for field in ("name", "zone"):
+    for field in ("name", "zone", "service", "desk", "standing_sign_off"):
         if hasattr(params, field) and not _plain.match(getattr(params, field)):
             return Mishap(
                 MishapKind.PARAMS, "That is no plain name.", "Use letters, digits, . _ and -, 64 at most.", field
@@ -204,6 +207,13 @@
                 if found := check_address(field=f"seeds[{place}]", address=seed):
                     return found
         case MarketParams() as market:
+            if len({market.bourse_port, market.warehouse_port, market.operators_port}) < 3:
+                return Mishap(MishapKind.PARAMS, "Two ports are the same.", "Give each its own.", "bourse_port")
+            if market.desk == market.standing_sign_off:
+                # Whoever sends a patch must not be the one who answers for what counts at once.
+                return Mishap(
+                    MishapKind.PARAMS, "The desk signs its own patches.", "Name another person.", "standing_sign_off"
+                )
             if not 1 <= len(market.seeds) <= 3:
                 return Mishap(MishapKind.PARAMS, f"{len(market.seeds)} seeds given.", "Give one to three.", "seeds")
             for field, host in (
--- a/packages/tariff/src/hoistsaddle/tariff/items.py
+++ b/packages/tariff/src/hoistsaddle/tariff/items.py
@@ -153,6 +153,11 @@
     return None
 
 
+def _too_wide(value: object) -> bool:
+    """Numbers go through the log and to every stall as 64 bits."""
+    return isinstance(value, int) and not -LARGEST_REVISION <= value <= LARGEST_REVISION
+
+
 class Checked(NamedTuple):
     """A patch that is right in itself."""
 
@@ -168,6 +173,8 @@
             item: Item = msgspec.convert(setting.item, KINDS[setting.kind])
         except msgspec.ValidationError as problem:
             return Failure(_broken(f"{where}.{field_in(problem)}", f"{problem}.", "Mend the field."))
+        if wide := [name for name in item.__struct_fields__ if _too_wide(getattr(item, name))]:
+            return Failure(_broken(f"{where}.{wide[0]}", "The number is out of range.", "Give a smaller one."))
         if not item.name:
             return Failure(_broken(f"{where}.name", "An item needs a name.", "Give one."))
         if not 0 <= setting.revision <= LARGEST_REVISION:
--- a/packages/warehouse/src/hoistsaddle/warehouse/service.py
+++ b/packages/warehouse/src/hoistsaddle/warehouse/service.py
@@ -32,7 +32,7 @@
 from hoistsaddle.ledger.shell import LedgerShell
 from hoistsaddle.shelf.commands import LEVEL, pack_outcome
 from hoistsaddle.shelf.digests import digests_of
-from hoistsaddle.shelf.readback import holds_of, people_of, read_back
+from hoistsaddle.shelf.readback import holds_of, items_of, people_of, read_back
 from hoistsaddle.shelf.state import State, news_of
 from hoistsaddle.tally.counters import Counters
 from hoistsaddle.tally.mishaps import MishapKind
@@ -137,6 +137,8 @@
             content = msgspec.json.encode(dict(state.operators))
         elif part == "changes":
             content = msgspec.json.encode(people_of(state))
+        elif part == "standing":
+            content = msgspec.json.encode(items_of(state))
         elif part == "items":
             content = msgspec.msgpack.encode(
                 [
--- /dev/null
+++ b/tests/test_market.py
@@ -0,0 +1,442 @@
+"""Items through the product's own interface: texts, settings, commands, and real processes that found themselves."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from click.testing import CliRunner
+from returns.result import Failure, Success
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, IsInstance
+
+from hoistsaddle.kiosk.commands import main
+from hoistsaddle.tally.params import BrokerParams, MarketParams, read_params
+from hoistsaddle.tariff.items import ENTRY, LIMITS, SERVICE, Dropping
+from hoistsaddle.tariff.itemtext import read_text
+
+FIRST = """
+[service.ledger]
+revision = 1
+connections = 50
+
+[entry.read]
+revision = 1
+host = "shop.example"
+prefix = "/read/"
+kind = "repeatable"
+parts = [{service = "ledger"}]
+hold_seconds = 3.0
+aim_seconds = 1.0
+
+[entry.pay]
+revision = 1
+host = "shop.example"
+prefix = "/pay/"
+kind = "once per key"
+parts = [{service = "ledger"}]
+hold_seconds = 3.0
+aim_seconds = 1.0
+most_sends = 2
+
+[limits]
+revision = 1
+body_bytes = 1000
+"""
+SECOND = """
+[entry.more]
+revision = 2
+host = "shop.example"
+prefix = "/more/"
+kind = "once per send"
+parts = [{service = "ledger"}]
+hold_seconds = 3
+aim_seconds = 1
+
+[[drop]]
+kind = "entry"
+name = "read"
+revision = 2
+"""
+
+
+class Texts(TestCase):
+    def test_tables_become_items_with_revisions(self) -> None:
+        patch = read_text(FIRST + SECOND).unwrap()
+        self.assertThat(
+            [(each.kind, each.item["name"], each.revision) for each in patch.sets],
+            Equals(
+                [(SERVICE, "ledger", 1), (ENTRY, "read", 1), (ENTRY, "pay", 1), (ENTRY, "more", 2), (LIMITS, LIMITS, 1)]
+            ),
+        )
+        self.assertThat(patch.drops, Equals([Dropping(ENTRY, 2, "read")]))
+
+    def test_json_says_the_same_with_the_same_tables(self) -> None:
+        told = {"service": {"ledger": {"revision": 1, "connections": 50}}, "drop": []}
+        self.assertThat(
+            read_text(json.dumps(told), json=True).unwrap(),
+            Equals(read_text("[service.ledger]\nrevision = 1\nconnections = 50\n").unwrap()),
+        )
+
+    def test_each_refusal_names_its_table_and_field(self) -> None:
+        for text, field in (
+            (FIRST.replace("revision = 1\nconnections", "connections"), "service.ledger"),
+            (FIRST.replace("revision = 1\nconnections", "revision = true\nconnections"), "service.ledger"),
+            (FIRST.replace("revision = 1\nconnections", "revision = -1\nconnections"), "service.ledger.revision"),
+            (FIRST.replace("connections = 50", 'name = "x"'), "service.ledger.name"),
+            (FIRST.replace("connections = 50", "connectoins = 50"), "service.ledger.connectoins"),
+            (FIRST.replace("connections = 50", f"connections = {2**70}"), "service.ledger.connections"),
+            (FIRST.replace('prefix = "/pay/"', 'prefix = "/pay"'), "entry.pay.prefix"),
+            (FIRST.replace("most_sends = 2", "most_sends = 0"), "entry.pay.most_sends"),
+            (FIRST.replace("body_bytes = 1000", "body_bytes = 0"), "limits.body_bytes"),
+            (FIRST + "[entrys.x]\nrevision = 1\n", "entrys"),
+            ('[[drop]]\nkind = "thing"\nname = "a"\nrevision = 1\n', "drop[0].kind"),
+            ('[[drop]]\nkind = "entry"\nname = ""\nrevision = 1\n', "drops[0]"),
+            ("", ""),
+            ("not toml", ""),
+        ):
+            told = read_text(text)
+            self.assertThat(told, IsInstance(Failure), text)
+            mishap = told.failure()
+            self.assertThat((mishap.field, mishap.remedy != ""), Equals((field, True)), text)
+        for text in ("{", "[]", '{"entry": 1}', "[" * 100000):
+            self.assertThat(read_text(text, json=True), IsInstance(Failure))
+
+
+MARKET: dict[str, Any] = {
+    "host": "127.0.0.1",
+    "zone": "a",
+    "data_folder": "/tmp/x",
+    "seeds": ["127.0.0.1"],
+    "cold_start": True,
+}
+BROKER: dict[str, Any] = {
+    "name": "stall-1",
+    "zone": "a",
+    "listen": "127.0.0.1:7200",
+    "door": "127.0.0.1:7201",
+    "vitals_door": "127.0.0.1:7202",
+    "ready_door": "127.0.0.1:7203",
+    "seeds": ["127.0.0.1:7100"],
+    "service": "ledger",
+    "server": "127.0.0.1:9000",
+}
+
+
+class Settings(TestCase):
+    def refused(self, kind: type, values: dict[str, Any]) -> str:
+        told = read_params(kind=kind, path=None, flags=values)
+        self.assertThat(told, IsInstance(Failure), str(values))
+        self.assertThat(told.failure().remedy != "", Equals(True))
+        return told.failure().field
+
+    def test_whole_ones_are_taken(self) -> None:
+        self.assertThat(read_params(kind=MarketParams, path=None, flags=MARKET), IsInstance(Success))
+        self.assertThat(read_params(kind=BrokerParams, path=None, flags=BROKER), IsInstance(Success))
+
+    def test_each_field_has_its_range(self) -> None:
+        for field, value in (
+            ("host", "localhost"),
+            ("zone", "a b"),
+            ("seeds", ["one"]),
+            ("losses", 11),
+            ("losses", -1),
+            ("bourse_port", 0),
+            ("warehouse_port", 70000),
+            ("operators_port", 7100),
+            ("desk", "two words"),
+            ("standing_sign_off", "desk"),
+            ("uptake_seconds", -1.0),
+            ("write_seconds", float("nan")),
+            ("checkpoint_records", 0),
+            ("lease_seconds", 0.0),
+        ):
+            told = self.refused(MarketParams, {**MARKET, field: value})
+            self.assertThat(
+                told.partition("[")[0], Equals("bourse_port" if value == 7100 else field), f"{field} {value}"
+            )
+        self.assertThat(self.refused(MarketParams, {**MARKET, "seeds": ["127.0.0.1"] * 4}), Equals("seeds"))
+        self.assertThat(self.refused(MarketParams, {**MARKET, "colour": 1}), Equals("colour"))
+        for field, value in (
+            ("name", "a b"),
+            ("service", "a/b"),
+            ("door", "127.0.0.1"),
+            ("vitals_door", "here:1"),
+            ("ready_door", "127.0.0.1:0"),
+            ("server", "x:1"),
+            ("seeds", ["127.0.0.1"]),
+            ("further_percent", 101),
+            ("further_margin", -1),
+            ("key_seconds", 0.0),
+            ("grace_seconds", 0.1),
+            ("drain_seconds", 0.0),
+            ("backlog", 0),
+        ):
+            told = self.refused(BrokerParams, {**BROKER, field: value})
+            self.assertThat(told.partition("[")[0], Equals(field), f"{field} {value}")
+
+    def test_daemons_refuse_before_they_start(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.toml"
+            path.write_text('host = "127.0.0.1"\nzone = "a"\nseeds = ["127.0.0.1"]\ncold_start = false\nlosses = 99\n')
+            told = CliRunner().invoke(main, ["market", str(path), "--data-folder", folder])
+            self.assertThat((told.exit_code, "field losses" in told.output), Equals((2, True)), told.output)
+            # A flag wins over the file.
+            told = CliRunner().invoke(main, ["market", str(path), "--data-folder", folder, "--losses", "98"])
+            self.assertThat(told.output, Contains("98 is out of range"))
+            told = CliRunner().invoke(main, ["broker", str(path)])
+            self.assertThat((told.exit_code, "refused: params" in told.output), Equals((2, True)), told.output)
+
+
+class Commands(TestCase):
+    def test_check_says_what_a_file_would_change_or_why_not(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "patch.toml"
+            path.write_text(SECOND)
+            told = CliRunner().invoke(main, ["items", "check", str(path)])
+            self.assertThat(json.loads(told.output), Equals({"sets": {"entry.more": 2}, "drops": {"entry.read": 2}}))
+            path.write_text(SECOND.replace("hold_seconds = 3", "hold_seconds = 0"))
+            told = CliRunner().invoke(main, ["items", "check", str(path)])
+            self.assertThat((told.exit_code, "entry.more.hold_seconds" in told.output), Equals((1, True)), told.output)
+            path.write_bytes(b"\xff")
+            self.assertThat(CliRunner().invoke(main, ["items", "check", str(path)]).output, Contains("UTF-8"))
+
+
+def free_ports(count: int, *, host: str = "127.0.0.1") -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((host, 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Deployment:
+    """Three markets on loopback addresses of their own, two brokers, each with a server in this process."""
+
+    hosts = ("127.0.77.1", "127.0.77.2", "127.0.77.3")
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.ports = free_ports(3)
+        self.runs: list[str] = []
+
+    async def launch(self, name: str, kind: str, settings: dict[str, Any]) -> None:
+        path = self.folder / f"{name}.toml"
+        path.write_text("".join(f"{key} = {json.dumps(value)}\n" for key, value in settings.items()))
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "hoistsaddle.kiosk", kind, str(path), stdout=log, stderr=log
+            )
+
+    async def market(self, place: int, *, cold: bool) -> None:
+        bourse, warehouse, operators = self.ports
+        await self.launch(
+            f"market-{place}",
+            "market",
+            {
+                "host": self.hosts[place],
+                "zone": "a",
+                "data_folder": str(self.folder / f"data-{place}"),
+                "seeds": list(self.hosts),
+                "cold_start": cold,
+                "bourse_port": bourse,
+                "warehouse_port": warehouse,
+                "operators_port": operators,
+                "standing_sign_off": "ben",
+            },
+        )
+
+    async def broker(self, number: int) -> tuple[str, str, str]:
+        listen, door, side, server = (f"127.0.0.1:{port}" for port in free_ports(4))
+        await self.launch(
+            f"stall-{number}",
+            "broker",
+            {
+                "name": f"stall-{number}",
+                "zone": "a",
+                "listen": listen,
+                "door": door,
+                "vitals_door": side,
+                "ready_door": side,
+                "seeds": [f"{host}:{self.ports[0]}" for host in self.hosts],
+                "service": "ledger",
+                "server": server,
+                "grace_seconds": 3,
+            },
+        )
+        return door, side, server
+
+    def doors(self) -> list[str]:
+        return [f"{host}:{self.ports[2]}" for host in self.hosts]
+
+    async def command(self, *arguments: str) -> tuple[int, str]:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "hoistsaddle.kiosk", *arguments,
+            env={**os.environ, "HOISTSADDLE_DOORS": " ".join(self.doors())},
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT,
+        )  # fmt: skip
+        said, _ = await process.communicate()
+        return process.returncode or 0, said.decode()
+
+    async def serve(self, address: str) -> web.ServerRunner:
+        """A server in the wording of the mesh: it gives each answer back under the request's own id."""
+
+        async def handle(request: web.BaseRequest) -> web.Response:
+            self.runs.append(f"{request.method} {request.path}")
+            name = "X-Hoistsaddle-Send"
+            return web.Response(text=f"run {len(self.runs)}", headers={name: request.headers.get(name, "")})
+
+        runner = web.ServerRunner(web.Server(handle, access_log=None), handle_signals=False)
+        await runner.setup()
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(runner, host, int(port)).start()
+        return runner
+
+    async def stop(self) -> dict[str, int]:
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.send_signal(signal.SIGTERM)
+        codes = {}
+        for name, process in self.processes.items():
+            try:
+                codes[name] = await asyncio.wait_for(process.wait(), 15)
+            except TimeoutError:
+                process.kill()
+                codes[name] = await process.wait()
+        return codes
+
+
+async def until(work: Any, *, seconds: float = 30) -> Any:
+    """Asks again until it holds: a process gives no event to wait on."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + seconds
+    while True:
+        told = await work()
+        if told:
+            return told
+        if loop.time() > deadline:
+            raise AssertionError(f"still not after {seconds} s")
+        await asyncio.sleep(0.1)
+
+
+class Processes(TestCase):
+    def test_a_core_founds_itself_takes_patches_and_serves_them(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(self.walk(Path(folder)))
+
+    async def walk(self, folder: Path) -> None:
+        fleet = Deployment(folder)
+        runners = []
+        try:
+            for place in range(3):
+                await fleet.market(place, cold=True)
+
+            async def ready() -> bool:
+                return (await fleet.command("ready"))[0] == 0
+
+            await until(ready)
+            (folder / "first.toml").write_text(FIRST)
+            (folder / "second.toml").write_text(SECOND)
+            code, said = await fleet.command("items", "submit", str(folder / "first.toml"))
+            self.assertThat((code, json.loads(said)["number"], json.loads(said)["signer"]), Equals((0, 1, "ben")), said)
+            # The same again changes nothing.
+            code, said = await fleet.command("items", "submit", str(folder / "first.toml"))
+            self.assertThat((code, json.loads(said)["changed"]), Equals((0, [])), said)
+            stalls = [await fleet.broker(number) for number in (1, 2)]
+            async with aiohttp.ClientSession() as session:
+
+                async def heard() -> bool:
+                    try:
+                        for number, (_, side, server) in enumerate(stalls, start=1):
+                            vitals = {
+                                "service": "ledger",
+                                "instance": f"i-{number}",
+                                "address": server,
+                                "state": "ready",
+                                "room": 4,
+                            }
+                            async with session.post(f"http://{side}/hoistsaddle/vitals", json=vitals) as told:
+                                if told.status != 200:
+                                    return False
+                            async with session.get(f"http://{side}/hoistsaddle/ready") as told:
+                                if told.status != 200:
+                                    return False
+                    except aiohttp.ClientError:
+                        return False
+                    return True
+
+                async def ask(door: str, path: str, *, key: str = "") -> tuple[int, str]:
+                    headers = {"Host": "shop.example", "X-Hoistsaddle-Send": "try"}
+                    if key:
+                        headers["Idempotency-Key"] = key
+                    async with session.post(f"http://{door}{path}", headers=headers, data=b"body") as told:
+                        return told.status, await told.text()
+
+                for _, _, server in stalls:
+                    runners.append(await fleet.serve(server))
+                await until(heard)
+
+                async def served() -> bool:
+                    return (await ask(stalls[0][0], "/read/x"))[0] == 200
+
+                await until(served)
+                first = await ask(stalls[0][0], "/pay/x", key="k1")
+                count = len(fleet.runs)
+                self.assertThat(first[0], Equals(200), str(first))
+                self.assertThat([await ask(door, "/pay/x", key="k1") for door, _, _ in stalls], Equals([first] * 2))
+                self.assertThat(len(fleet.runs), Equals(count))
+                self.assertThat((await ask(stalls[0][0], "/nothing/"))[0], Equals(404))
+                # One core machine dies at once, with the founder's disk; the other two go on.
+                fleet.processes["market-0"].kill()
+                await fleet.processes["market-0"].wait()
+
+                async def second() -> bool:
+                    return (await fleet.command("items", "submit", str(folder / "second.toml")))[0] == 0
+
+                await until(second)
+
+                async def moved() -> bool:
+                    await heard()
+                    return [(await ask(stalls[1][0], path))[0] for path in ("/read/x", "/more/x")] == [404, 200]
+
+                await until(moved)
+                code, said = await fleet.command("items", "list")
+                names = [f"{each['kind']}.{each['item']['name']}" for each in json.loads(said)["items"]]
+                self.assertThat(
+                    (code, names), Equals((0, ["entry.more", "entry.pay", "limits.limits", "service.ledger"])), said
+                )
+                self.assertThat(json.loads(said)["dropped"], Equals({"entry:read": 2}))
+                code, said = await fleet.command("items", "status")
+                told = json.loads(said)
+                self.assertThat(
+                    (code, told["standing_sign_off"], [each["number"] for each in told["patches"]]),
+                    Equals((0, "ben", [2, 1])),
+                )
+                (folder / "broken.toml").write_text(SECOND.replace('"ledger"', '"nobody"').replace("= 2", "= 3"))
+                code, said = await fleet.command("items", "submit", str(folder / "broken.toml"))
+                self.assertThat((code, "item-broken" in said), Equals((1, True)), said)
+                code, said = await fleet.command("core")
+                self.assertThat((code, "leader" in said), Equals((0, True)), said)
+                # Its disk is kept, and it comes back: nobody founds beside the mesh.
+                await fleet.market(0, cold=False)
+                await until(ready)
+                for place in ("holds", "counters", "happenings?after=0"):
+                    async with session.get(f"http://{stalls[0][1]}/hoistsaddle/{place}") as answer:
+                        self.assertThat((answer.status, len(await answer.json()) > 0), Equals((200, True)))
+                async with session.post(f"http://{stalls[0][1]}/hoistsaddle/vitals", json={"service": "x"}) as answer:
+                    self.assertThat(answer.status, Equals(400))
+        finally:
+            codes = await fleet.stop()
+            for runner in runners:
+                await runner.cleanup()
+        self.assertThat(set(codes.values()), Equals({0}), str(codes))
