--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -151,6 +151,7 @@
             ("bourse_port", 0),
             ("warehouse_port", 70000),
             ("operators_port", 7100),
+            ("operators_port", 65536),
             ("desk", "two words"),
             ("standing_sign_off", "desk"),
             ("uptake_seconds", -1.0),
