--- /dev/null
+++ b/tests/markets.py
@@ -0,0 +1,132 @@
+"""Markets and brokers as processes on loopback, each with a server in the test's own process."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+from aiohttp import web
+
+
+def free_ports(count: int, *, host: str = "127.0.0.1") -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((host, 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Deployment:
+    """Three markets on loopback addresses of their own, two brokers, each with a server in this process."""
+
+    hosts = ("127.0.77.1", "127.0.77.2", "127.0.77.3")
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.ports = free_ports(3)
+        self.runs: list[str] = []
+
+    async def launch(self, name: str, kind: str, settings: dict[str, Any]) -> None:
+        path = self.folder / f"{name}.toml"
+        path.write_text("".join(f"{key} = {json.dumps(value)}\n" for key, value in settings.items()))
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "hoistsaddle.kiosk", kind, str(path), stdout=log, stderr=log
+            )
+
+    async def market(self, place: int, *, cold: bool) -> None:
+        bourse, warehouse, operators = self.ports
+        await self.launch(
+            f"market-{place}",
+            "market",
+            {
+                "host": self.hosts[place],
+                "zone": "a",
+                "data_folder": str(self.folder / f"data-{place}"),
+                "seeds": list(self.hosts),
+                "cold_start": cold,
+                "bourse_port": bourse,
+                "warehouse_port": warehouse,
+                "operators_port": operators,
+                "standing_sign_off": "ben",
+            },
+        )
+
+    async def broker(self, number: int) -> tuple[str, str, str]:
+        listen, door, side, server = (f"127.0.0.1:{port}" for port in free_ports(4))
+        await self.launch(
+            f"stall-{number}",
+            "broker",
+            {
+                "name": f"stall-{number}",
+                "zone": "a",
+                "listen": listen,
+                "door": door,
+                "vitals_door": side,
+                "ready_door": side,
+                "seeds": [f"{host}:{self.ports[0]}" for host in self.hosts],
+                "service": "ledger",
+                "server": server,
+                "grace_seconds": 3,
+            },
+        )
+        return door, side, server
+
+    def doors(self) -> list[str]:
+        return [f"{host}:{self.ports[2]}" for host in self.hosts]
+
+    async def command(self, *arguments: str) -> tuple[int, str]:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "hoistsaddle.kiosk", *arguments,
+            env={**os.environ, "HOISTSADDLE_DOORS": " ".join(self.doors())},
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT,
+        )  # fmt: skip
+        said, _ = await process.communicate()
+        return process.returncode or 0, said.decode()
+
+    async def serve(self, address: str) -> web.ServerRunner:
+        """A server in the wording of the mesh: it gives each answer back under the request's own id."""
+
+        async def handle(request: web.BaseRequest) -> web.Response:
+            self.runs.append(f"{request.method} {request.path}")
+            name = "X-Hoistsaddle-Send"
+            return web.Response(text=f"run {len(self.runs)}", headers={name: request.headers.get(name, "")})
+
+        runner = web.ServerRunner(web.Server(handle, access_log=None), handle_signals=False)
+        await runner.setup()
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(runner, host, int(port)).start()
+        return runner
+
+    async def stop(self) -> dict[str, int]:
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.send_signal(signal.SIGTERM)
+        codes = {}
+        for name, process in self.processes.items():
+            try:
+                codes[name] = await asyncio.wait_for(process.wait(), 15)
+            except TimeoutError:
+                process.kill()
+                codes[name] = await process.wait()
+        return codes
+
+
+async def until(work: Any, *, seconds: float = 30) -> Any:
+    """Asks again until it holds: a process gives no event to wait on."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + seconds
+    while True:
+        told = await work()
+        if told:
+            return told
+        if loop.time() > deadline:
+            raise AssertionError(f"still not after {seconds} s")
+        await asyncio.sleep(0.1)
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -5,6 +5,8 @@
 import re
 import sys
 import tempfile
+import textwrap
+from collections.abc import Sequence
 from pathlib import Path
 
 from testtools import TestCase
@@ -12,26 +14,35 @@
 
 from hoistsaddle.fairground.deployments import DEPLOYMENTS
 from hoistsaddle.fairground.fleet import AUTHOR, SIGNER, Fleet
+from markets import Deployment, until
 
 ROOT = Path(__file__).parent.parent
 THIMBLE = DEPLOYMENTS["thimble"]
 PAGES = ("bundles", "draining", "planning", "people", "watching", "replacing-core-machines", "releases")
+# Run against markets, which found themselves.
+MARKET_PAGES = ("items", "market")
 # One that goes on until it is interrupted, as a person would.
 ENDLESS = re.compile(r"hoistsaddle watch(?!.*--seconds)")
-COMMAND = re.compile(r"^(?: {4}| {7})((?:[A-Z_]+=\S+ )?(?:hoistsaddle|curl|sed|set --) .*)$")
+COMMAND = re.compile(r"^(?: {4}| {7})((?:[A-Z_]+=\S+ )?(?:hoistsaddle|curl|sed|printf|set --) .*)$")
 
 
 def commands_of(page: Path) -> list[str]:
     """The indented lines that are commands; fleets are the test's own affair, and so are daemons."""
     found = [match[1] for line in page.read_text().splitlines() if (match := COMMAND.match(line))]
-    return [line for line in found if not re.match(r"(?:\S+=\S+ )?hoistsaddle (fleet|stall|bourse|warehouse) ", line)]
+    return [
+        line
+        for line in found
+        if not re.match(r"(?:\S+=\S+ )?hoistsaddle (fleet|stall|bourse|warehouse|market|broker) ", line)
+    ]
 
 
 class Shell:
     """One shell for a whole page, so that what a line sets the next ones find."""
 
-    def __init__(self, *, fleet: Fleet) -> None:
-        self.fleet = fleet
+    def __init__(self, *, folder: Path, doors: Sequence[str], stalls: Sequence[str]) -> None:
+        self.folder = folder
+        self.doors = doors
+        self.stalls = stalls
         self.failed: list[str] = []
         self.ran = 0
 
@@ -46,15 +57,15 @@
         environment = {
             **os.environ,
             "PATH": f"{Path(sys.executable).parent}:{os.environ['PATH']}",
-            "HOISTSADDLE_DOORS": " ".join(self.fleet.doors),
-            "HOISTSADDLE_STALLS": " ".join(self.fleet.visitor_doors()),
+            "HOISTSADDLE_DOORS": " ".join(self.doors),
+            "HOISTSADDLE_STALLS": " ".join(self.stalls),
             "ADA": AUTHOR[1],
             "BEN": SIGNER[1],
             "EVE": "token-of-eve",
             "EVE2": "second-token-of-eve",
         }
         process = await asyncio.create_subprocess_exec(
-            "bash", "-c", "\n".join(script), cwd=self.fleet.folder, env=environment,
+            "bash", "-c", "\n".join(script), cwd=self.folder, env=environment,
             stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
         )  # fmt: skip
         _, said = await process.communicate()
@@ -76,7 +87,7 @@
     def test_every_command_of_every_page_runs(self) -> None:
         async def run(folder: Path) -> tuple[list[str], int]:
             async with Fleet(deployment=THIMBLE, folder=folder, seed=2) as fleet:
-                shell = Shell(fleet=fleet)
+                shell = Shell(folder=fleet.folder, doors=fleet.doors, stalls=fleet.visitor_doors())
                 await asyncio.gather(*(fleet.launch(name) for name in fleet.kinds))
 
                 async def up() -> bool:
@@ -111,14 +122,41 @@
         self.assertThat(ran, GreaterThan(35))
         there = {path.stem for path in (ROOT / "docs" / "operators").glob("*.md")}
         # The list of calls has no commands; tests/test_fleet_hardships.py sends each of its calls.
-        self.assertThat(there - set(PAGES) - {"founding", "api"}, Equals(set()))
+        self.assertThat(there - set(PAGES) - {"founding", "api"}, Equals(set(MARKET_PAGES)))
+
+    def test_every_command_of_the_pages_on_markets_runs(self) -> None:
+        async def run(folder: Path) -> tuple[list[str], int]:
+            markets = Deployment(folder)
+            try:
+                for place in range(3):
+                    await markets.market(place, cold=True)
+
+                async def ready() -> bool:
+                    return (await markets.command("ready"))[0] == 0
+
+                await until(ready)
+                shell = Shell(folder=folder, doors=markets.doors(), stalls=[])
+                for page in MARKET_PAGES:
+                    path = ROOT / "docs" / "operators" / f"{page}.md"
+                    # The first patch stands on the page as the file it would be in git.
+                    if (text := re.search(r"<<'TOML'\n(.*?)\n    TOML\n", path.read_text(), re.DOTALL)) is not None:
+                        (folder / "items.toml").write_text(textwrap.dedent(text[1]))
+                    await shell.run(commands_of(path))
+            finally:
+                await markets.stop()
+            return shell.failed, shell.ran
+
+        with tempfile.TemporaryDirectory() as folder:
+            failed, ran = asyncio.run(run(Path(folder)))
+        self.assertThat(failed, Equals([]))
+        self.assertThat(ran, GreaterThan(8))
 
     def test_the_walk_of_the_readme_runs(self) -> None:
         async def run(folder: Path) -> tuple[list[str], int]:
             async with Fleet(deployment=THIMBLE, folder=folder, seed=2) as fleet:
                 await fleet.start()
                 lines = commands_of(ROOT / "README.md")
-                shell = Shell(fleet=fleet)
+                shell = Shell(folder=fleet.folder, doors=fleet.doors, stalls=fleet.visitor_doors())
                 # The walk names the bundle by its place in the repository.
                 await shell.run([line.replace(" packages/", f" {ROOT}/packages/") for line in lines])
             return shell.failed, shell.ran
