--- a/packages/bourse/src/hoistsaddle/bourse/market.py
+++ b/packages/bourse/src/hoistsaddle/bourse/market.py
@@ -232,7 +232,11 @@
                 pass
         if outcome.detail["number"]:
             bourse.counters.happen(
-                "bundle patched", number=outcome.detail["number"], items=len(outcome.detail["changed"])
+                "bundle patched",
+                number=outcome.detail["number"],
+                items=len(outcome.detail["changed"]),
+                author=self.params.desk,
+                signer=self.params.standing_sign_off,
             )
         waits = await self._await_uptake(outcome.detail["offset"])
         return Success({**outcome.detail, "waits_for": waits})
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -13,6 +13,7 @@
 from testtools.matchers import Contains, Equals, IsInstance
 
 from hoistsaddle.kiosk.commands import main
+from hoistsaddle.kiosk.watch import line_of
 from hoistsaddle.tally.params import BrokerParams, MarketParams, read_params
 from hoistsaddle.tariff.items import ENTRY, LIMITS, SERVICE, Dropping
 from hoistsaddle.tariff.itemtext import read_text
@@ -206,6 +207,20 @@
             self.assertThat(CliRunner().invoke(main, ["items", "check", str(path)]).output, Contains("UTF-8"))
 
 
+class Watching(TestCase):
+    def test_the_new_happenings_are_told_in_words(self) -> None:
+        for kind, detail, words in (
+            ("bundle patched", {"number": 4, "items": 2, "author": "desk", "signer": "ben"}, "signed by ben"),
+            ("patch refused", {"mishap": "item-broken", "field": "sets[0].parts"}, "is refused: item-broken"),
+            ("items taken up", {"revision": 9, "items": 3}, "takes up 3 items at revision 9"),
+            ("voter added", {"replica": 1, "epoch": 1, "voter": 5, "voters": 3}, "replica 5 votes from now on, of 3"),
+            ("voter dropped", {"replica": 1, "epoch": 1, "voter": 5, "voters": 2}, "replica 5 votes no more"),
+            ("founded", {"mesh": "abc"}, "founded as mesh abc"),
+        ):
+            happening = {"moment": "2026-12-02T03:00:00.000+00:00", "owner": "x", "kind": kind, "detail": detail}
+            self.assertThat(line_of(happening), Contains(words))
+
+
 class Processes(TestCase):
     def test_a_core_founds_itself_takes_patches_and_serves_them(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
