--- a/packages/bourse/src/hoistsaddle/bourse/market.py
+++ b/packages/bourse/src/hoistsaddle/bourse/market.py
@@ -16,7 +16,7 @@
 from hoistsaddle.bourse.places import Places, number_of_host
 from hoistsaddle.bourse.service import Bourse
 from hoistsaddle.crier.member import MemberPace
-from hoistsaddle.haggle.parcels import FoundAnswer, LookAnswer, LookCall, ReadAnswer
+from hoistsaddle.haggle.parcels import FoundAnswer, FoundCall, LookAnswer, LookCall, ReadAnswer
 from hoistsaddle.haggle.runtime import Runtime
 from hoistsaddle.ledger.core import LEADER
 from hoistsaddle.ledger.disk import Disk
@@ -205,6 +205,7 @@
             losses=self.params.losses,
             mesh=self.runtime.token(8),
             now=self.runtime.now(),
+            begun=self._begun(),
         )
         while duty.duty:
             for command in duty.handle(founded=bool(self.warehouse.shell.core.mesh), now=self.runtime.now()):
@@ -219,6 +220,16 @@
                                     duty.told.add(replica)
             await asyncio.sleep(milliseconds(50).total_seconds())
 
+    def _begun(self) -> FoundCall | None:
+        """The founding on this disk, if nothing came after it: a founder that died may have told nobody else.
+
+        Telling it again is safe: a voter takes it only under the life that it names and with nothing on its disk.
+        """
+        core = self.warehouse.shell.core
+        if not core.mesh or not core.whole or core.last.offset:
+            return None
+        return FoundCall(core.mesh, dict(core.state.voters), dict(core.state.operators), core.state.level)
+
     async def _look(self, duty: Founding, replica: int) -> None:
         match await self.runtime.lines.call(self.stores[replica], LookCall(self.bourse.node), within=milliseconds(500)):
             case Success(LookAnswer() as answer):
@@ -242,7 +253,11 @@
                 pass
         if outcome.detail["number"]:
             bourse.counters.happen(
-                "bundle patched", number=outcome.detail["number"], items=len(outcome.detail["changed"])
+                "bundle patched",
+                number=outcome.detail["number"],
+                items=len(outcome.detail["changed"]),
+                author=self.params.desk,
+                signer=self.params.standing_sign_off,
             )
         waits = await self._await_uptake(outcome.detail["offset"])
         return Success({**outcome.detail, "waits_for": waits})
