--- /dev/null
+++ b/packages/fairground/src/hoistsaddle/fairground/scale/part.py
@@ -0,0 +1,438 @@
+"""One process of a scale run: many hollow stalls, one whole stall, or one core machine. Told what to do line by line.
+
+A hollow stall is a stall's node over real lines at an address of its own, with the core, membership, tree, uptake,
+vitals and claims of any other; only the server beside it is a function that answers at once, and it has no door.
+"""
+
+import asyncio
+import contextlib
+import gc
+import resource
+import sys
+import time
+from collections import Counter
+from collections.abc import Awaitable
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from loguru import logger
+from returns.result import Success
+
+from hoistsaddle.bourse.market import Market
+from hoistsaddle.broker.door import Door, close_door, open_door
+from hoistsaddle.broker.messages import Asked, Reply, Serve, Served, Vitals
+from hoistsaddle.broker.node import BrokerNode
+from hoistsaddle.broker.serverline import ServerLine, pack_pairs
+from hoistsaddle.broker.wording import Wording
+from hoistsaddle.crier.membership import DEAD
+from hoistsaddle.fairground.scale.clock import ScaleRuntime, make_loop, mesh_seconds
+from hoistsaddle.fairground.scale.sizes import (
+    HOST,
+    Size,
+    prefix_of,
+    route_setting,
+    service_name,
+    settings_of,
+    stall_name,
+    zone_name,
+)
+from hoistsaddle.ledger.core import LEADER
+from hoistsaddle.shelf.commands import LEVEL, NoteNode, NoteServer
+from hoistsaddle.shelf.state import GONE, READY
+from hoistsaddle.tally.moments import ZERO, milliseconds
+from hoistsaddle.tally.params import BrokerParams, MarketParams
+from hoistsaddle.tariff.items import Patch
+
+LOOK_EVERY = milliseconds(20)
+BEAT_EVERY = timedelta(seconds=1)
+ROOM = 64
+
+
+class Job(msgspec.Struct, frozen=True):
+    """What the process is, told in its first line."""
+
+    kind: str
+    seed: int
+    stretch: float
+    # The second number of all addresses of the run.
+    block: int
+    size: Size
+    core: list[str]
+    numbers: list[int] = []
+    host: str = ""
+    zone: str = ""
+    folder: str = ""
+
+
+def address_of(number: int, job: Job, *, port: int = 7100) -> str:
+    return f"127.{job.block}.{number // 200}.{number % 200 + 1}:{port}"
+
+
+def incarnation_of(number: int, job: Job) -> str:
+    return _runtime(job, stall_name(number)).token(6)
+
+
+def _runtime(job: Job, name: str) -> ScaleRuntime:
+    return ScaleRuntime(stretch=job.stretch, seed=f"{job.seed} {name}")
+
+
+def _instance(number: int, size: Size) -> str:
+    return f"{service_name(number % size.services)}-{number}-1"
+
+
+async def _serve_hollow(command: Serve) -> tuple:
+    return Served(command.number, 200, b"", b"served", False)
+
+
+class Stalls:
+    """The stalls of this process; a whole one differs by its door and the server behind a connection."""
+
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.nodes: dict[int, BrokerNode] = {}
+        self.beating: asyncio.Task | None = None
+        self.asked = 0
+        self.closing: list[Awaitable] = []
+
+    async def start(self, *, spread_seconds: float) -> dict:
+        job = self.job
+        for number in job.numbers:
+            node = self.nodes[number] = await self._make(number)
+            await node.start()
+            self._beat(number, node)
+            # Not all in one moment: a fleet that starts together is another measurement.
+            await asyncio.sleep(spread_seconds / len(job.numbers))
+        self.beating = asyncio.ensure_future(self._beats())
+        return {"started": len(self.nodes)}
+
+    async def _make(self, number: int) -> BrokerNode:
+        job = self.job
+        params = BrokerParams(
+            name=stall_name(number),
+            zone=zone_name(number, job.size),
+            listen=address_of(number, job),
+            door=address_of(number, job, port=7110),
+            vitals_door=address_of(number, job, port=7111),
+            ready_door=address_of(number, job, port=7112),
+            seeds=[f"{host}:7100" for host in job.core[:3]],
+            service=service_name(number % job.size.services),
+            server=address_of(number, job, port=9000),
+        )
+        runtime = _runtime(job, params.name)
+        if job.kind == "hollow":
+            return BrokerNode(params=params, runtime=runtime, serve=_serve_hollow)
+        wording = Wording()
+        line = ServerLine(wording=wording, counters=None)
+        node = BrokerNode(params=params, runtime=runtime, serve=line.serve)
+        line.counters = node.counters
+        door = await open_door(address=params.door, handler=Door(node=node, wording=wording).handle)
+        server = await open_door(address=params.server, handler=_answer_whole)
+        self.closing += [close_door(door, wait=ZERO), server.cleanup()]
+        return node
+
+    def _beat(self, number: int, node: BrokerNode) -> None:
+        params = node.broker_params
+        node.feed(
+            Vitals(params.service, _instance(number, self.job.size), params.server, READY, ROOM, ZERO)
+        )
+
+    async def _beats(self) -> None:
+        while True:
+            await asyncio.sleep(BEAT_EVERY.total_seconds())
+            for number, node in list(self.nodes.items()):
+                self._beat(number, node)
+
+    # -- what is asked of it -----------------------------------------------------------------------------------------
+
+    def settled(self, *, items: int, nodes: int) -> dict:
+        """How many here have the whole setup, a fresh lease and vitals that the warden took."""
+        well = 0
+        for node in self.nodes.values():
+            view = node.core.view
+            alive = sum(each.state != GONE for each in view.nodes.values() if each.kind == "stall")
+            if len(view.item_marks) >= items and alive >= nodes and node.core.fresh() and node.vitals_told[1] == READY:
+                well += 1
+        return {"settled": well, "of": len(self.nodes)}
+
+    async def watch_item(self, *, key: str, revision: int, within: float) -> dict:
+        """When each stall here had the item in force."""
+        seen: dict[int, float] = {}
+        deadline = mesh_seconds(self.job.stretch) + within
+        while len(seen) < len(self.nodes) and mesh_seconds(self.job.stretch) < deadline:
+            for number, node in self.nodes.items():
+                if number not in seen and node.core.view.item_marks.get(key, -1) >= revision:
+                    seen[number] = mesh_seconds(self.job.stretch)
+            await asyncio.sleep(LOOK_EVERY.total_seconds())
+        return {"seen": sorted(seen.values()), "missing": len(self.nodes) - len(seen)}
+
+    async def watch_gone(self, *, numbers: list[int], within: float) -> dict:
+        """When each stall here knew all of them gone: from the log, and from its own membership."""
+        names = [stall_name(number) for number in numbers]
+        logged: dict[int, float] = {}
+        rumoured: dict[int, float] = {}
+        deadline = mesh_seconds(self.job.stretch) + within
+        while min(len(logged), len(rumoured)) < len(self.nodes) and mesh_seconds(self.job.stretch) < deadline:
+            now = mesh_seconds(self.job.stretch)
+            for number, node in self.nodes.items():
+                known = node.core.view.nodes
+                if number not in logged and all(name not in known or known[name].state == GONE for name in names):
+                    logged[number] = now
+                members = node.member.core.members
+                if number not in rumoured and all(
+                    name not in members or members[name].state == DEAD for name in names
+                ):
+                    rumoured[number] = now
+            await asyncio.sleep(LOOK_EVERY.total_seconds())
+        return {
+            "logged": sorted(logged.values()),
+            "rumoured": sorted(rumoured.values()),
+            "missing": len(self.nodes) - len(logged),
+            "unrumoured": len(self.nodes) - len(rumoured),
+        }
+
+    async def lose(self, *, numbers: list[int]) -> dict:
+        """As a machine loses power, but for the reset of its connections: nothing is said."""
+        moment = mesh_seconds(self.job.stretch)
+        for number in numbers:
+            node = self.nodes.pop(number, None)
+            if node is not None:
+                for task in [*node.tasks, *node.work]:
+                    task.cancel()
+                await node.stop()
+        return {"moment": moment}
+
+    async def load(self, *, seconds: float, calls: float, keyed: float) -> dict:
+        """So many plain and keyed calls a second, evenly, from the stalls here in turn."""
+        outcomes: Counter[str] = Counter()
+        tasks: set[asyncio.Task] = set()
+        numbers = list(self.nodes)
+        total = calls + keyed
+        began = mesh_seconds(self.job.stretch)
+        sent = 0
+        due_keyed = 0.0
+        while total and (passed := mesh_seconds(self.job.stretch) - began) < seconds:
+            while sent < passed * total:
+                due_keyed += keyed / total
+                with_key = due_keyed >= 1
+                due_keyed -= with_key
+                node = self.nodes[numbers[sent % len(numbers)]]
+                task = asyncio.ensure_future(self._ask(node, with_key=with_key, outcomes=outcomes))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+                sent += 1
+            await asyncio.sleep(0.01)
+        if tasks:
+            await asyncio.wait(tasks, timeout=10)
+        return {"outcomes": dict(outcomes), "sent": sent}
+
+    async def _ask(self, node: BrokerNode, *, with_key: bool, outcomes: Counter) -> None:
+        self.asked += 1
+        number = self.asked
+        routes = [route for route in range(self.job.size.routes) if (route % 4 == 3) == with_key] or [0]
+        path = f"{prefix_of(routes[number % len(routes)])}thing"
+        key = f"{node.params.name}-{number}" if with_key else ""
+        if self.job.kind == "hollow":
+            reply = await node.request_items(
+                lambda ticket: Asked(ticket, "POST", HOST, path, pack_pairs([]), 80, b"", None, key, f"send-{number}")
+            )
+            outcomes[_told(reply, keyed=with_key)] += 1
+
+    def happened(self) -> dict:
+        counts: Counter[str] = Counter()
+        for node in self.nodes.values():
+            counts.update({name: int(value) for name, value in node.counters.read()["counts"].items()})
+        return dict(counts)
+
+    def traffic(self) -> tuple[Counter, Counter]:
+        return _sum_traffic([node.runtime.lines for node in self.nodes.values()])
+
+    async def stop(self) -> None:
+        if self.beating is not None:
+            self.beating.cancel()
+        for work in self.closing:
+            await work
+        await self.lose(numbers=list(self.nodes))
+
+
+def _told(reply: Reply, *, keyed: bool) -> str:
+    return f"{'keyed' if keyed else 'plain'} {reply.mishap.kind if reply.mishap else reply.status}"
+
+
+async def _answer_whole(request: web.BaseRequest) -> web.StreamResponse:
+    await request.read()
+    carried = request.headers.get(Wording().send_id, "")
+    return web.Response(body=b"served", headers={Wording().send_id: carried, "Keep-Alive": "timeout=60"})
+
+
+def _sum_traffic(lines: list[Any]) -> tuple[Counter, Counter]:
+    frames: Counter[str] = Counter()
+    octets: Counter[str] = Counter()
+    for each in lines:
+        frames.update({" ".join(passed): count for passed, count in each.traffic.frames.items()})
+        octets.update({" ".join(passed): count for passed, count in each.traffic.octets.items()})
+    return frames, octets
+
+
+class CoreMachine:
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        Path(job.folder).mkdir(parents=True, exist_ok=True)
+        self.market = Market(
+            params=MarketParams(
+                host=job.host,
+                zone=job.zone,
+                data_folder=job.folder,
+                seeds=job.core[:3],
+                cold_start=True,
+                losses=(len(job.core) - 1) // 2,
+            ),
+            runtime=_runtime(job, job.host),
+        )
+
+    async def start(self) -> dict:
+        await self.market.start()
+        return {}
+
+    def look(self) -> dict:
+        core = self.market.warehouse.shell.core
+        return {
+            "leads": core.standing == LEADER,
+            "mesh": core.mesh,
+            "voters": len(core.state.voters),
+            "alive": sum(node.state != GONE and node.kind == "stall" for node in core.state.nodes.values()),
+            "items": len(core.state.items),
+            "offset": core.state.offset,
+        }
+
+    async def preload(self) -> dict:
+        """Every stall and item into the log before any stall starts: joining is another measurement."""
+        job, writer = self.job, self.market.bourse.writer
+        span = timedelta(seconds=5)
+        commands: list[Any] = []
+        for number in range(job.size.nodes):
+            name, zone = stall_name(number), zone_name(number, job.size)
+            life = incarnation_of(number, job)
+            commands.append(NoteNode(name, "stall", address_of(number, job), zone, life, "alive", seen=0, level=LEVEL))
+        for place in range(0, len(commands), 64):
+            await asyncio.gather(*(writer.write(command, within=span) for command in commands[place : place + 64]))
+        servers = [
+            NoteServer(
+                stall_name(number),
+                service_name(number % job.size.services),
+                _instance(number, job.size),
+                address_of(number, job, port=9000),
+                zone_name(number, job.size),
+                READY,
+                1,
+                incarnation_of(number, job),
+                seen=0,
+            )
+            for number in range(job.size.nodes)
+        ]
+        for place in range(0, len(servers), 64):
+            await asyncio.gather(*(writer.write(command, within=span) for command in servers[place : place + 64]))
+        return {"noted": len(commands)}
+
+    async def patch(self, *, revision: int, whole: bool = False) -> dict:
+        settings = settings_of(self.job.size) if whole else [route_setting(0, self.job.size, revision=revision)]
+        began = mesh_seconds(self.job.stretch)
+        result = await self.market.patch(Patch(settings))
+        return {
+            "taken": isinstance(result, Success),
+            "moment": began,
+            "acknowledged": mesh_seconds(self.job.stretch) - began,
+        }
+
+    def happened(self) -> dict:
+        counts: Counter[str] = Counter()
+        for counters in (self.market.counters, self.market.warehouse.counters):
+            counts.update({name: int(value) for name, value in counters.read()["counts"].items()})
+        return dict(counts)
+
+    def gauges(self) -> dict:
+        return self.market.warehouse.counters.read()["gauges"]
+
+    def traffic(self) -> tuple[Counter, Counter]:
+        return _sum_traffic([self.market.runtime.lines])
+
+    async def stop(self) -> None:
+        await self.market.stop()
+
+
+def _resident() -> int:
+    for line in Path("/proc/self/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) * 1024
+    return 0
+
+
+class Part:
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.body: Any = CoreMachine(job) if job.kind == "core" else Stalls(job)
+
+    def snapshot(self) -> dict:
+        frames, octets = self.body.traffic()
+        return {
+            "moment": mesh_seconds(self.job.stretch),
+            "processor": time.process_time(),
+            "resident": _resident(),
+            "connections": len(list(Path("/proc/self/fd").iterdir())),
+            "frames": dict(frames),
+            "octets": dict(octets),
+            "counts": self.body.happened(),
+        }
+
+    async def do(self, command: dict) -> dict:
+        match command:
+            case {"do": "snapshot"}:
+                return self.snapshot()
+            case {"do": "stop"}:
+                await self.body.stop()
+                return {}
+            case {"do": what, **needs}:
+                result = getattr(self.body, what)(**needs)
+                return await result if asyncio.iscoroutine(result) else result
+        raise ValueError(f"{command} is no command")
+
+
+async def _run() -> None:
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit=2**22)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    part = Part(msgspec.json.decode(await reader.readline(), type=Job))
+    _say({"up": True})
+    while line := await reader.readline():
+        command = msgspec.json.decode(line)
+        try:
+            _say(await part.do(command))
+        except Exception as problem:  # noqa: BLE001
+            # Whatever it is, whoever runs the whole must hear of it and not wait.
+            _say({"problem": f"{type(problem).__name__}: {problem}"})
+        if command["do"] == "stop":
+            break
+
+
+def _say(told: dict) -> None:
+    sys.stdout.buffer.write(msgspec.json.encode(told) + b"\n")
+    sys.stdout.buffer.flush()
+
+
+def main() -> None:
+    logger.remove()
+    logger.add(sys.stderr, level="WARNING")
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+    gc.freeze()
+    loop = make_loop(stretch=float(sys.argv[1]))
+    asyncio.set_event_loop(loop)
+    with contextlib.suppress(KeyboardInterrupt):
+        loop.run_until_complete(_run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/fairground/src/hoistsaddle/fairground/scale/sizes.py
@@ -0,0 +1,145 @@
+"""Sizes to measure at, and a setup of each size: names, addresses and items as long as real ones."""
+
+from typing import NamedTuple
+
+from immutables import Map
+
+from hoistsaddle.shelf.commands import LEVEL
+from hoistsaddle.shelf.state import (
+    CLAIMED,
+    READY,
+    WARDEN,
+    DutyEntry,
+    Hold,
+    ItemEntry,
+    NodeEntry,
+    ServerEntry,
+    State,
+    found_state,
+)
+from hoistsaddle.stall.visitors import digest_of_parts
+from hoistsaddle.tariff.items import ENTRY, SERVICE, Checked, Patch, Setting, check_patch, key_of, pack_item
+
+HOST = "scale.internal"
+
+
+class Size(NamedTuple):
+    nodes: int
+    services: int
+    routes: int
+    holds: int = 0
+    zones: int = 7
+
+
+# Where this is going. Routes aren't told there: two for each service are taken.
+GOAL = Size(760, 150, 300)
+
+
+def sized(nodes: int) -> Size:
+    """Services and routes in the goal's proportion to the nodes."""
+    services = max(1, round(GOAL.services * nodes / GOAL.nodes))
+    return Size(nodes, services, max(1, round(GOAL.routes * nodes / GOAL.nodes)))
+
+
+def service_name(number: int) -> str:
+    return f"service-{number:03d}"
+
+
+def stall_name(number: int) -> str:
+    return f"stall-{number:04d}"
+
+
+def zone_name(number: int, size: Size) -> str:
+    return f"zone-{number % size.zones + 1}"
+
+
+def prefix_of(route: int) -> str:
+    return f"/route-{route:04d}/"
+
+
+def route_setting(route: int, size: Size, *, revision: int) -> Setting:
+    item = {
+        "name": f"route-{route:04d}",
+        "host": HOST,
+        "prefix": prefix_of(route),
+        # One in four is keyed, the others may be repeated.
+        "kind": "once per key" if route % 4 == 3 else "repeatable",
+        "parts": [{"service": service_name(route % size.services), "weight": 1.0}],
+        "hold_seconds": 10.0,
+        "aim_seconds": 0.5,
+        "rank": route % 3,
+        "most_sends": 3,
+    }
+    # An operator's own text of an item is about as long again.
+    return Setting(ENTRY, revision, item, str(item).encode())
+
+
+def settings_of(size: Size) -> list[Setting]:
+    services = [
+        Setting(SERVICE, 1, {"name": service_name(number)}, b'{"name": "%s"}' % service_name(number).encode())
+        for number in range(size.services)
+    ]
+    return services + [route_setting(number, size, revision=1) for number in range(size.routes)]
+
+
+def checked_settings(size: Size) -> Checked:
+    return check_patch(Patch(settings_of(size))).unwrap()
+
+
+def node_entry(number: int, size: Size, *, address: str = "", incarnation: str = "", offset: int = 1) -> NodeEntry:
+    address = address or f"127.10.{number // 200}.{number % 200 + 1}:7100"
+    return NodeEntry(
+        stall_name(number),
+        "stall",
+        address,
+        zone_name(number, size),
+        incarnation or f"{number:012x}",
+        "alive",
+        offset,
+        10**12 + number,
+    )
+
+
+def server_entry(number: int, size: Size, *, offset: int = 1) -> ServerEntry:
+    node = node_entry(number, size)
+    service = service_name(number % size.services)
+    return ServerEntry(
+        node.node,
+        service,
+        f"{service}-{number}-1",
+        node.address.replace(":7100", ":9000"),
+        node.zone,
+        READY,
+        1,
+        node.incarnation,
+        "",
+        offset,
+        10**12 + number,
+    )
+
+
+def hold_of_number(number: int, *, expires: int = 10**15) -> tuple[str, Hold]:
+    scope = digest_of_parts("operation", f"key-{number}")
+    stall = stall_name(number % 760)
+    claim = f"{stall}.{number % 760:012x}.{number}"
+    return scope, Hold(claim, stall, "", CLAIMED, expires, 0, {}, b"", False, scope, "operation", scope, "route-0003")
+
+
+def make_state(size: Size) -> State:
+    state = found_state(mesh="0123456789abcdef", voters={1: "a" * 12, 2: "b" * 12, 3: "c" * 12}, operators={}, level=3)
+    items = {
+        key_of(setting.kind, item.name): ItemEntry(1, 1, False, pack_item(item), setting.said)
+        for setting, item in checked_settings(size).sets
+    }
+    holds = dict(hold_of_number(number) for number in range(size.holds))
+    return state._replace(
+        news=1,
+        offset=1,
+        level=LEVEL,
+        nodes=Map({stall_name(number): node_entry(number, size) for number in range(size.nodes)}),
+        servers=Map({stall_name(number): server_entry(number, size) for number in range(size.nodes)}),
+        duties=Map({WARDEN: DutyEntry(WARDEN, "bourse-1", 1, 1)}),
+        items=Map(items),
+        holds=Map(holds),
+        buckets=Map({scope: (scope,) for scope in holds}),
+    )
--- /dev/null
+++ b/packages/fairground/src/hoistsaddle/fairground/scale/slopes.py
@@ -0,0 +1,532 @@
+"""Slopes of the control mechanisms without sockets: the cores called directly, counted, and timed by the processor.
+
+Each slope turns one size and leaves the others as they are. Counts and bytes come out the same each time; processor
+time is taken over several rounds and told as the least of them (what the work itself needs) with the spread.
+"""
+
+import itertools
+import random
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Callable
+from datetime import timedelta
+from itertools import pairwise
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from hoistsaddle.broker.core import BrokerCore
+from hoistsaddle.broker.messages import Asked, DealAnswered, DealArrived, Served
+from hoistsaddle.crier.member import MemberPace
+from hoistsaddle.crier.membership import ALIVE, Membership, Probe, ProbeAnswered, RumoursArrived
+from hoistsaddle.crier.membership import Ticked as MemberTicked
+from hoistsaddle.crier.relay import Relay, SetupCopy, select_parents
+from hoistsaddle.fairground.scale.sizes import (
+    GOAL,
+    HOST,
+    Size,
+    hold_of_number,
+    make_state,
+    node_entry,
+    prefix_of,
+    route_setting,
+    server_entry,
+    stall_name,
+    zone_name,
+)
+from hoistsaddle.haggle.parcels import ProbeAnswer, ProbeCall, Record, Rumour, Uptake, WriteCall, pack, unpack
+from hoistsaddle.ledger.disk import Disk
+from hoistsaddle.ledger.events import Mark, Write
+from hoistsaddle.shelf.apply import apply
+from hoistsaddle.shelf.commands import ClaimHold, NoteNode, NoteServer, PatchItems, Tick, pack_command
+from hoistsaddle.shelf.digests import digests_of
+from hoistsaddle.shelf.state import GONE, READY, State, news_of, pack_state, unpack_state
+from hoistsaddle.shelf.view import View, read_view
+from hoistsaddle.stall.messages import SetupChanged
+from hoistsaddle.stall.standing import StallParamsView
+from hoistsaddle.tally.moments import ZERO
+from hoistsaddle.tariff.items import Patch, pack_patch
+
+FAN_OUT = 8
+MESH = "0123456789abcdef"
+Items = dict[str, tuple[int, bytes]]
+
+
+class Measured(NamedTuple):
+    """One figure at one point of one slope."""
+
+    slope: str
+    point: float
+    what: str
+    unit: str
+    value: float
+    # The largest of the rounds; the same as the value where it is a count.
+    most: float
+
+
+class Meter:
+    def __init__(self, *, slope: str, rounds: int) -> None:
+        self.slope = slope
+        self.rounds = rounds
+        self.found: list[Measured] = []
+
+    def count(self, point: float, what: str, unit: str, value: float) -> None:
+        self.found.append(Measured(self.slope, point, what, unit, value, value))
+
+    def spend(
+        self,
+        point: float,
+        what: str,
+        work: Callable[..., Any],
+        *,
+        times: int = 1,
+        prepare: Callable[[], Any] | None = None,
+    ) -> Any:
+        """Processor time of this process for one piece of work, in milliseconds; what is prepared first isn't timed."""
+        spans = []
+        for _ in range(self.rounds):
+            needs = () if prepare is None else (prepare(),)
+            began = time.process_time()
+            for _ in range(times):
+                result = work(*needs)
+            spans.append((time.process_time() - began) * 1000 / times)
+        self.found.append(Measured(self.slope, point, what, "ms", min(spans), max(spans)))
+        return result
+
+
+def _view(items: Items, *, before: View = View()) -> View:  # noqa: B008
+    return read_view(revision=2, items=items, node=stall_name(0), zone="zone-1", before=before)
+
+
+def _uptake(number: int) -> Uptake:
+    return Uptake(stall_name(number), 10**6, 0, "", f"{number:012x}", 0)
+
+
+def _relay(items: Items, *, node: int = 0, revision: int = 1) -> Relay:
+    relay = Relay(node=stall_name(node), incarnation=f"{node:012x}", lease_span=timedelta(seconds=1.5))
+    relay.confirmed(asked=ZERO, mesh=MESH, revision=revision, items=items, vouched=digests_of(items))
+    return relay
+
+
+def _memory_of(make: Callable[[], Any]) -> int:
+    tracemalloc.start()
+    kept = make()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def _setup_costs(meter: Meter, point: float, size: Size) -> None:
+    """What a copy of the setup of this size costs each stall and bourse that holds it."""
+    state = make_state(size)
+    items = news_of(state)
+    meter.count(point, "keys of the setup", "", len(items))
+    meter.count(point, "bytes of the setup", "bytes", sum(len(key) + len(value) for key, (_, value) in items.items()))
+    meter.spend(point, "pack the news after a change (each core machine)", lambda: news_of(state))
+    copy = SetupCopy()
+    copy.replace(mesh=MESH, revision=1, items=items)
+    meter.spend(point, "take all digests anew", copy.audit)
+    view = meter.spend(point, "read the view of a first copy", lambda: _view(items))
+    meter.spend(point, "read the view after a change", lambda: _view(items, before=view))
+    meter.count(point, "copy and view in memory", "bytes", _memory_of(lambda: (news_of(state), _view(items))))
+    parent, child = _relay(items), _relay(items, node=1)
+    call = child.poll(own=_uptake(1), now=ZERO)
+    meter.spend(point, "ask a poll", lambda: child.poll(own=_uptake(1), now=ZERO))
+    meter.spend(point, "answer a poll", lambda: parent.answer(call, now=ZERO))
+    meter.spend(
+        point, "take a poll's answer without news", lambda: child.polled(parent.answer(call, now=ZERO), sent=ZERO)
+    )
+    meter.count(
+        point, "a poll without news, both ways", "bytes", _size_of(call) + _size_of(parent.answer(call, now=ZERO))
+    )
+    changed = {**items, f"server:{stall_name(0)}": (2, items[f"server:{stall_name(0)}"][1])}
+    newer = _relay(changed, revision=2)
+    answer = newer.answer(call, now=ZERO)
+    meter.count(point, "a poll's answer with one change", "bytes", _size_of(answer))
+    meter.spend(point, "pack and unpack that answer", lambda: unpack(pack(number=1, answer=True, message=answer)))
+
+
+def _pass(message: tuple, *, answer: bool) -> Any:
+    """Over a line: packed there, unpacked here."""
+    return unpack(pack(number=1, answer=answer, message=message))[2]
+
+
+def _size_of(message: tuple) -> int:
+    return len(pack(number=1, answer=True, message=message)) + 4
+
+
+# -- one request -----------------------------------------------------------------------------------------------------
+
+
+def _core(view: View, *, number: int) -> BrokerCore:
+    node = stall_name(number)
+    server = view.servers[node]
+    core = BrokerCore(
+        params=StallParamsView(
+            node, server.zone, server.incarnation, timedelta(seconds=1.5), timedelta(seconds=5), 400, 400
+        ),
+        seed=random.Random(number),
+        now=ZERO,
+        server=server.address,
+        drain_span=timedelta(seconds=2),
+        further_percent=20,
+        further_margin=10,
+        key_span=timedelta(seconds=75),
+        service=server.service,
+    )
+    core.handle(SetupChanged(view), now=ZERO)
+    return core
+
+
+class _Call:
+    """One request through the cores of an entry and a target, in its pieces."""
+
+    def __init__(self, size: Size) -> None:
+        self.view = _view(news_of(make_state(size)))
+        self.entry, self.target = _core(self.view, number=0), _core(self.view, number=size.services % size.nodes)
+        self.path = f"{prefix_of(0)}thing?number=1"
+        self.ticket = 0
+        self.body = b"x" * 200
+
+    def ask(self) -> Any:
+        self.ticket += 1
+        asked = Asked(self.ticket, "GET", HOST, self.path, b"\x90", 120, b"", None, "", f"send-{self.ticket}")
+        return self.entry.handle(asked, now=ZERO)[-1]
+
+    def arrive(self, call) -> Any:
+        # Whichever server was selected, this core stands for it.
+        server = self.target.server
+        call = call._replace(target=self.target.params.name, instance=server.instance, service_name=server.service)
+        self.ticket += 1
+        return self.target.handle(DealArrived(self.ticket, call), now=ZERO)[-1]
+
+    def whole(self) -> int:
+        deal: Any = self.ask()
+        frame = pack(number=1, answer=False, message=deal.call)
+        call: Any = unpack(frame)[2]
+        serve = self.arrive(call)
+        done: Any = self.target.handle(Served(serve.number, 200, b"\x90", self.body, False), now=ZERO)[-1]
+        answer = done.answer
+        back = pack(number=1, answer=True, message=answer._replace(send=deal.call.send))
+        told: Any = unpack(back)[2]
+        self.entry.handle(DealAnswered(deal.number, told), now=ZERO)
+        return len(frame) + len(back) + 8
+
+
+def _request_costs(meter: Meter, point: float, size: Size, *, times: int) -> None:
+    call = _Call(size)
+    # Every server met once first: a never met one costs more.
+    for _ in range(3 * size.nodes // size.services + 3):
+        call.whole()
+    meter.spend(point, "one call through both cores and the line's packing", call.whole, times=times)
+    deals = []
+    meter.spend(
+        point, "of it: the entry's core until a server is selected", lambda: deals.append(call.ask()), times=times
+    )
+    sent = deals[-1].call
+    meter.spend(
+        point,
+        "of it: pack and unpack of the call",
+        lambda: unpack(pack(number=1, answer=False, message=sent)),
+        times=times,
+    )
+    call.entry.deals.clear()
+    call.entry.by_number.clear()
+
+
+# -- membership ------------------------------------------------------------------------------------------------------
+
+
+def _membership_costs(meter: Meter, point: float, size: Size) -> None:
+    pace = MemberPace(period=timedelta(seconds=1), suspicion=timedelta(seconds=2), spread=6)
+    rumours = [
+        Rumour(entry.node, "stall", entry.address, entry.zone, entry.incarnation, 0, ALIVE)
+        for entry in (node_entry(number, size) for number in range(size.nodes))
+    ]
+    member = Membership(
+        me=rumours[0], seed=random.Random(1), period=pace.period, suspicion=pace.suspicion, spread=pace.spread
+    )
+    member.handle(RumoursArrived(tuple(rumours)), now=ZERO)
+    for _ in range(size.nodes):
+        member.rumours()
+    now = ZERO
+
+    def second() -> int:
+        nonlocal now
+        now += pace.period
+        (probe,) = [each for each in member.handle(MemberTicked(), now=now) if isinstance(each, Probe)]
+        member.handle(ProbeAnswered(probe.node, (rumours[1],)), now=now)
+        member.handle(RumoursArrived((rumours[2],)), now=now)
+        answer = ProbeAnswer(rumours[0].node, member.rumours())
+        return 2 * (_size_of(ProbeCall(rumours[0].node, probe.rumours)) + _size_of(answer))
+
+    sent = meter.spend(point, "a second of membership while nothing changes", second, times=20)
+    meter.count(point, "bytes of it, both ways", "bytes", sent)
+    met = member.rumours(whole=True)
+    meter.count(point, "all members told to one just met", "bytes", _size_of(ProbeAnswer(rumours[0].node, met)))
+
+
+def tree_of(size: Size, *, roots: int, fan_out: int = FAN_OUT) -> dict[str, int]:
+    """Depth of every stall below its root, by the rule that the stalls themselves use, zone by zone."""
+    addresses: dict[str, str] = {}
+    depths: dict[str, int] = {}
+    core = [(f"bourse-{number + 1}", f"root-{number}", zone_name(number, size)) for number in range(roots)]
+    entries = [node_entry(number, size) for number in range(size.nodes)]
+    for entry in entries:
+        near = [(name, address) for name, address, zone in core if zone == entry.zone]
+        stalls = [(each.node, each.address) for each in entries if not near or each.zone == entry.zone]
+        tops = near or [(name, address) for name, address, _ in core]
+        addresses[entry.node] = select_parents(node=entry.node, stalls=stalls, roots=tops, fan_out=fan_out)[0]
+    by_address = {entry.address: entry.node for entry in entries}
+
+    def depth(node: str) -> int:
+        if node not in depths:
+            parent = by_address.get(addresses[node])
+            depths[node] = 1 if parent is None else 1 + depth(parent)
+        return depths[node]
+
+    for entry in entries:
+        depth(entry.node)
+    return depths
+
+
+# -- slopes ----------------------------------------------------------------------------------------------------------
+
+
+def nodes(meter: Meter, points: list[int]) -> None:
+    for point in points:
+        size = GOAL._replace(nodes=point)
+        _setup_costs(meter, point, size)
+        _membership_costs(meter, point, size)
+        _request_costs(meter, point, size._replace(services=min(GOAL.services, point)), times=50)
+        for roots in (3, 7):
+            depths = tree_of(size, roots=roots)
+            meter.count(point, f"levels of the tree under {roots} roots", "", max(depths.values()))
+
+
+def services(meter: Meter, points: list[int]) -> None:
+    for point in points:
+        size = GOAL._replace(services=point)
+        _setup_costs(meter, point, size)
+        _request_costs(meter, point, size, times=50)
+
+
+def routes(meter: Meter, points: list[int]) -> None:
+    for point in points:
+        size = GOAL._replace(routes=point)
+        _setup_costs(meter, point, size)
+        view = _view(news_of(make_state(size)))
+        path = prefix_of(point - 1)
+        meter.spend(point, "look up the last route", lambda: view.items.select_entry(host=HOST, path=path), times=200)
+
+
+def _claim(number: int) -> ClaimHold:
+    scope, hold = hold_of_number(number)
+    return ClaimHold(scope, hold.claim, hold.stall, "", scope, "operation", scope, hold.entry, 75, "")
+
+
+def keyed_claims(meter: Meter, points: list[int]) -> None:
+    """So many a second; each stays for 75 s of mesh time, and one second of them is applied."""
+    for rate in points:
+        state = make_state(GOAL._replace(holds=rate * 75))
+        payloads = [pack_command(_claim(10**6 + number)) for number in range(rate)]
+        base = state._replace(stamp=timedelta(seconds=100), swept=timedelta(seconds=100))
+
+        def second() -> State:
+            after = base
+            for place, payload in enumerate(payloads):
+                after, _ = apply(after, offset=2 + place, epoch=1, stamp=timedelta(seconds=100), payload=payload)
+            return after
+
+        meter.spend(rate, "apply a second of claims (each core machine)", second)
+        tick = pack_command(Tick(1))
+        meter.spend(
+            rate,
+            "the sweep that comes every 5 s",
+            lambda: apply(base, offset=2, epoch=1, stamp=timedelta(seconds=106), payload=tick),
+        )
+        batches = [tuple(payloads[place : place + 128]) for place in range(0, len(payloads), 128)]
+        meter.spend(
+            rate,
+            "pack and unpack a second of claims on one line",
+            lambda: [unpack(pack(number=1, answer=False, message=WriteCall("bourse-1", batch))) for batch in batches],
+        )
+        meter.count(
+            rate,
+            "claims on one line in a second",
+            "bytes",
+            sum(_size_of(WriteCall("bourse-1", batch)) for batch in batches),
+        )
+
+
+def changes(meter: Meter, points: list[int]) -> None:
+    """So many changes of one route each, an hour's worth, one after the other."""
+    size = GOAL
+    for rate in points:
+        states = _states(make_state(size), [_patch_of(size, place + 2) for place in range(rate)])
+        news = [news_of(state) for state in (make_state(size), *states)]
+        answers = []
+        for place, (before, after) in enumerate(pairwise(news)):
+            call = _relay(before, node=1, revision=place + 1).poll(own=_uptake(1), now=ZERO)
+            answers.append(_relay(after, revision=place + 2).answer(call, now=ZERO))
+        meter.spend(
+            rate,
+            "news packed and vouched for at one core machine",
+            lambda states=states: [digests_of(news_of(state)) for state in states],
+        )
+        # A copy that took the changes once can't take them again: each round begins with a new one.
+        meter.spend(
+            rate,
+            "copies mended and views read at one stall",
+            lambda child, answers=answers: _take_all(child, answers),
+            prepare=lambda first=news[0]: _relay(first, node=1),
+        )
+        meter.count(rate, "answers to one stall", "bytes", sum(_size_of(answer) for answer in answers))
+
+
+def _take_all(child: Relay, answers: list) -> None:
+    view = _view(child.copy.items)
+    for answer in answers:
+        if not child.polled(_pass(answer, answer=True), sent=ZERO):
+            raise AssertionError("a change was not taken")
+        view = _view(child.copy.items, before=view)
+
+
+def _patch_of(size: Size, revision: int) -> bytes:
+    setting = route_setting(revision % size.routes, size, revision=revision)
+    return pack_command(PatchItems(f"request-{revision}", "desk", "standing", pack_patch(Patch([setting]))))
+
+
+def _states(state: State, payloads: list[bytes]) -> list[State]:
+    found = []
+    for place, payload in enumerate(payloads):
+        state, _ = apply(state, offset=2 + place, epoch=1, stamp=timedelta(seconds=place), payload=payload)
+        found.append(state)
+    return found
+
+
+def _restart_payloads(number: int, size: Size) -> list[bytes]:
+    """Server and node called gone, then back with a new life: four records."""
+    node, server = node_entry(number, size), server_entry(number, size)
+    life = f"{number + 4096:012x}"
+    told = (server.stall, server.service, server.instance, server.address, server.zone)
+    placed = (node.node, node.kind, node.address, node.zone)
+    return [
+        pack_command(NoteServer(*told, GONE, server.serial, server.incarnation, 1)),
+        pack_command(NoteNode(*placed, node.incarnation, GONE, 1)),
+        pack_command(NoteNode(*placed, life, "alive", seen=10**6, level=3)),
+        pack_command(NoteServer(*told[:2], server.instance + "b", *told[3:], READY, 1, life, seen=10**6)),
+    ]
+
+
+def restarts(meter: Meter, points: list[int]) -> None:
+    size, base = GOAL, make_state(GOAL)
+    for rate in points:
+        payloads = [payload for number in range(rate) for payload in _restart_payloads(number, size)]
+        states = _states(base, payloads)
+        meter.count(rate, "changes of the news", "", len({state.news for state in states}))
+        meter.spend(rate, "records of an hour's restarts applied", lambda: _states(base, payloads))
+        meter.spend(
+            rate,
+            "news packed and vouched for at one core machine",
+            lambda: [digests_of(news_of(state)) for state in states],
+        )
+        news = [news_of(state) for state in states]
+        meter.spend(rate, "views read at one stall", lambda: [_view(items) for items in news])
+
+
+def checkpoint(meter: Meter, points: list[int]) -> None:
+    for point in points:
+        state = make_state(GOAL._replace(holds=point))
+        data = meter.spend(point, "pack the state", lambda: pack_state(state))
+        meter.spend(point, "unpack the state", lambda: unpack_state(data))
+        meter.count(point, "checkpoint", "bytes", len(data))
+        meter.count(point, "state in memory", "bytes", _memory_of(lambda: unpack_state(data)))
+
+
+def depth(meter: Meter, points: list[int]) -> None:
+    """One change handed down a chain of stalls: what all of them spend until the last has it."""
+    items = news_of(make_state(GOAL))
+    changed = {**items, f"server:{stall_name(0)}": (2, items[f"server:{stall_name(0)}"][1])}
+    view = _view(items)
+
+    def hand_down(chain: list[Relay]) -> None:
+        for parent, child in pairwise(chain):
+            call = _pass(child.poll(own=_uptake(1), now=ZERO), answer=False)
+            answer = _pass(parent.answer(call, now=ZERO), answer=True)
+            if not child.polled(answer, sent=ZERO):
+                raise AssertionError("a change was not handed down")
+            _view(child.copy.items, before=view)
+
+    for point in points:
+        meter.spend(
+            point,
+            "one change through so many levels",
+            hand_down,
+            prepare=lambda point=point: [
+                _relay(changed, revision=2),
+                *(_relay(items, node=place + 1) for place in range(point)),
+            ],
+        )
+
+
+def calls(meter: Meter, points: list[int]) -> None:
+    """So many calls in a second at one stall, as entry and as target: processor time of cores and packing."""
+    call = _Call(GOAL)
+    for _ in range(30):
+        call.whole()
+    for point in points:
+        meter.spend(
+            point,
+            "a second of calls through the cores and the line's packing",
+            lambda: [call.whole() for _ in range(point)],
+        )
+
+
+def records(meter: Meter, points: list[int]) -> None:
+    """Claims written with one sync: processor time of the disk's thread, and bytes on disk."""
+    for point in points:
+        with tempfile.TemporaryDirectory(prefix="hoistsaddle-") as folder:
+            store = Disk(folder=Path(folder), replica=1)
+            store.boot()
+            store.found(mesh=MESH, voters={1: "a"}, operators={}, level=3)
+            payloads = [pack_command(_claim(number)) for number in range(point)]
+            before = sum(path.stat().st_size for path in Path(folder).iterdir())
+            offsets = itertools.count(1)
+
+            def write(payloads=payloads, store=store, offsets=offsets) -> None:
+                first = next(offsets) * point
+                told = tuple(Record(first + place, 1, ZERO, payload) for place, payload in enumerate(payloads))
+                store.write([Write(1, 1, None, ((1, "a"),), MESH, Mark(0, 0), False, False, first, told)])
+
+            meter.spend(point, "written with one sync", write)
+            after = sum(path.stat().st_size for path in Path(folder).iterdir())
+            meter.count(point, "grown on disk for each sync", "bytes", (after - before) / meter.rounds)
+            store.close()
+
+
+SLOPES: dict[str, tuple[Callable[[Meter, list[int]], None], list[int], list[int]]] = {
+    # Name to work, its points, and the points of a small run.
+    "nodes": (nodes, [100, 250, 500, 760, 1500], [8, 16, 24, 32]),
+    "services": (services, [25, 75, 150, 300], [4, 8, 12, 16]),
+    "routes": (routes, [75, 150, 300, 600, 1200], [4, 8, 12, 16]),
+    "keyed claims a second": (keyed_claims, [100, 300, 1000, 3000], [1, 2, 3, 4]),
+    "changes an hour": (changes, [5, 10, 20, 40], [1, 2, 3, 4]),
+    "restarts an hour": (restarts, [1, 3, 6, 12], [1, 2, 3, 4]),
+    "holds at a checkpoint": (checkpoint, [1000, 5000, 20000, 75000], [10, 20, 30, 40]),
+    "depth of the tree": (depth, [1, 2, 3, 4, 6], [1, 2, 3, 4]),
+    "records in a sync": (records, [1, 8, 32, 128], [1, 2, 3, 4]),
+    "calls a second": (calls, [50, 100, 224, 400], [1, 2, 3, 4]),
+}
+
+
+def take(names: list[str], *, small: bool, rounds: int, say: Callable[[str], Any]) -> list[Measured]:
+    found: list[Measured] = []
+    for name in names:
+        work, points, few = SLOPES[name]
+        meter = Meter(slope=name, rounds=rounds)
+        work(meter, few if small else points)
+        say(f"{name}: {len(meter.found)} figures")
+        found += meter.found
+    return found
--- a/packages/haggle/src/hoistsaddle/haggle/line.py
+++ b/packages/haggle/src/hoistsaddle/haggle/line.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import struct
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from pathlib import Path
@@ -20,19 +21,40 @@
 # A peer that is there takes a connection within milliseconds. Waiting longer spends a budget on one that isn't.
 CONNECT_SPAN = timedelta(seconds=1)
 LARGEST_FRAME = 64 * 1024 * 1024
+IN = "in"
+OUT = "out"
 _length = struct.Struct("!I")
 
 
-async def _read_frame(reader: asyncio.StreamReader) -> tuple[int, bool, tuple | None]:
+class Traffic:
+    """Frames and bytes that passed this process's lines, by way and kind of message: what control costs the network.
+
+    Plain additions on the loop's one thread: a frame costs two look-ups and no lock.
+    """
+
+    def __init__(self) -> None:
+        self.frames: defaultdict[tuple[str, str], int] = defaultdict(int)
+        self.octets: defaultdict[tuple[str, str], int] = defaultdict(int)
+
+    def count(self, way: str, message: tuple | None, size: int) -> None:
+        passed = (way, type(message).__name__)
+        self.frames[passed] += 1
+        self.octets[passed] += size
+
+
+async def _read_frame(reader: asyncio.StreamReader, traffic: Traffic) -> tuple[int, bool, tuple | None]:
     (length,) = _length.unpack(await reader.readexactly(4))
     # A frame over the limit is garbage from something that isn't a hoistsaddle process.
     if length > LARGEST_FRAME:
         raise ValueError(f"frame of {length} bytes")
-    return unpack(await reader.readexactly(length))
+    number, answer, message = unpack(await reader.readexactly(length))
+    traffic.count(IN, message, length + _length.size)
+    return number, answer, message
 
 
-def _write_frame(writer: asyncio.StreamWriter, *, number: int, answer: bool, message: tuple) -> None:
+def _write_frame(writer: asyncio.StreamWriter, traffic: Traffic, *, number: int, answer: bool, message: tuple) -> None:
     data = pack(number=number, answer=answer, message=message)
+    traffic.count(OUT, message, len(data) + _length.size)
     writer.write(_length.pack(len(data)) + data)
 
 
@@ -48,9 +70,15 @@
 
 class _Connection:
     def __init__(
-        self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, pulse: Pulse | None = None
+        self,
+        *,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        traffic: Traffic,
+        pulse: Pulse | None = None,
     ) -> None:
         self.writer = writer
+        self.traffic = traffic
         self.pulse = pulse
         self.heard = 0.0
         self.felt: asyncio.TimerHandle | None = None
@@ -61,7 +89,7 @@
     async def _listen(self, reader: asyncio.StreamReader) -> None:
         try:
             while True:
-                number, _, message = await _read_frame(reader)
+                number, _, message = await _read_frame(reader, self.traffic)
                 self.heard = asyncio.get_running_loop().time()
                 future = self.pending.pop(number, None)
                 if future is not None and not future.done():
@@ -93,7 +121,7 @@
         if silence >= self.pulse.every.total_seconds() * 0.9:
             try:
                 # Number 0 is no call's: its answer only shows that somebody is there.
-                _write_frame(self.writer, number=0, answer=False, message=PulseCall(""))
+                _write_frame(self.writer, self.traffic, number=0, answer=False, message=PulseCall(""))
             except OSError:
                 return self.close()
         self._feel_later()
@@ -161,6 +189,7 @@
     ) -> None:
         self.pulse = pulse
         self.connect_span = connect_span
+        self.traffic = Traffic()
         # Addresses that this very process serves: a call to one of them is a call of a function.
         self.home: dict[str, Handler] = {}
         self._connections: dict[str, _Connection] = {}
@@ -175,7 +204,9 @@
             if connection is None or connection.closed:
                 host, port = split_address(address)
                 reader, writer = await asyncio.open_connection(host, port)
-                connection = self._connections[address] = _Connection(reader=reader, writer=writer, pulse=self.pulse)
+                connection = self._connections[address] = _Connection(
+                    reader=reader, writer=writer, traffic=self.traffic, pulse=self.pulse
+                )
         return connection
 
     async def call(
@@ -218,7 +249,7 @@
         future = connection.pending[number] = loop.create_future()
         silent = Failure(silent_at(address))
         try:
-            _write_frame(connection.writer, number=number, answer=False, message=message)
+            _write_frame(connection.writer, self.traffic, number=number, answer=False, message=message)
             connection.feel()
             async with asyncio.timeout_at(deadline):
                 answer = await future
@@ -240,9 +271,10 @@
 
 
 class LineServer:
-    def __init__(self, *, address: str, handler: Handler) -> None:
+    def __init__(self, *, address: str, handler: Handler, traffic: Traffic | None = None) -> None:
         self.address = address
         self.handler = handler
+        self.traffic = traffic or Traffic()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
@@ -255,9 +287,9 @@
         self._writers.add(writer)
         try:
             while True:
-                number, _, message = await _read_frame(reader)
+                number, _, message = await _read_frame(reader, self.traffic)
                 if isinstance(message, PulseCall):
-                    _write_frame(writer, number=number, answer=True, message=PulseAnswer(""))
+                    _write_frame(writer, self.traffic, number=number, answer=True, message=PulseAnswer(""))
                     continue
                 if message is None:
                     # A newer release's call: unanswered, so its sender knows that it isn't understood here.
@@ -277,7 +309,7 @@
         answer = await self.handler(message)
         # None stands for "no answer": the caller's own deadline speaks for us.
         if answer is not None and not writer.is_closing():
-            _write_frame(writer, number=number, answer=True, message=answer)
+            _write_frame(writer, self.traffic, number=number, answer=True, message=answer)
 
     async def stop(self) -> None:
         if self._server is not None:
--- a/packages/haggle/src/hoistsaddle/haggle/runtime.py
+++ b/packages/haggle/src/hoistsaddle/haggle/runtime.py
@@ -61,7 +61,7 @@
         return secrets.token_hex(size)
 
     async def serve(self, address: str, handler: Handler) -> LineServer:
-        server = LineServer(address=address, handler=handler)
+        server = LineServer(address=address, handler=handler, traffic=self.lines.traffic)
         await server.start()
         if self.home:
             self.lines.home[address] = handler
