--- a/packages/fairground/src/hoistsaddle/fairground/scale/part.py
+++ b/packages/fairground/src/hoistsaddle/fairground/scale/part.py
@@ -11,12 +11,11 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
-import aiohttp
 import msgspec
 from aiohttp import web
 from loguru import logger
@@ -50,6 +49,7 @@
 LOOK_EVERY = milliseconds(20)
 BEAT_EVERY = timedelta(seconds=1)
 ROOM = 64
+_headers = pack_pairs([(b"Host", HOST.encode())])
 
 
 class Job(msgspec.Struct, frozen=True):
@@ -94,14 +94,17 @@
     def __init__(self, job: Job) -> None:
         self.job = job
         self.nodes: dict[int, BrokerNode] = {}
+        # Also of those lost since: what was counted stays counted.
+        self.ever: list[BrokerNode] = []
         self.beating: asyncio.Task | None = None
         self.asked = 0
-        self.closing: list[Awaitable] = []
+        self.closing: list[Callable[[], Awaitable]] = []
 
     async def start(self, *, spread_seconds: float) -> dict:
         job = self.job
         for number in job.numbers:
             node = self.nodes[number] = await self._make(number)
+            self.ever.append(node)
             await node.start()
             self._beat(number, node)
             # Not all in one moment: a fleet that starts together is another measurement.
@@ -131,14 +134,12 @@
         line.counters = node.counters
         door = await open_door(address=params.door, handler=Door(node=node, wording=wording).handle)
         server = await open_door(address=params.server, handler=_answer_whole)
-        self.closing += [close_door(door, wait=ZERO), server.cleanup()]
+        self.closing += [lambda: close_door(door, wait=ZERO), server.cleanup]
         return node
 
     def _beat(self, number: int, node: BrokerNode) -> None:
         params = node.broker_params
-        node.feed(
-            Vitals(params.service, _instance(number, self.job.size), params.server, READY, ROOM, ZERO)
-        )
+        node.feed(Vitals(params.service, _instance(number, self.job.size), params.server, READY, ROOM, ZERO))
 
     async def _beats(self) -> None:
         while True:
@@ -182,9 +183,7 @@
                 if number not in logged and all(name not in known or known[name].state == GONE for name in names):
                     logged[number] = now
                 members = node.member.core.members
-                if number not in rumoured and all(
-                    name not in members or members[name].state == DEAD for name in names
-                ):
+                if number not in rumoured and all(name not in members or members[name].state == DEAD for name in names):
                     rumoured[number] = now
             await asyncio.sleep(LOOK_EVERY.total_seconds())
         return {
@@ -237,24 +236,24 @@
         key = f"{node.params.name}-{number}" if with_key else ""
         if self.job.kind == "hollow":
             reply = await node.request_items(
-                lambda ticket: Asked(ticket, "POST", HOST, path, pack_pairs([]), 80, b"", None, key, f"send-{number}")
+                lambda ticket: Asked(ticket, "POST", HOST, path, _headers, 80, b"", None, key, f"send-{number}")
             )
             outcomes[_told(reply, keyed=with_key)] += 1
 
     def happened(self) -> dict:
         counts: Counter[str] = Counter()
-        for node in self.nodes.values():
+        for node in self.ever:
             counts.update({name: int(value) for name, value in node.counters.read()["counts"].items()})
         return dict(counts)
 
     def traffic(self) -> tuple[Counter, Counter]:
-        return _sum_traffic([node.runtime.lines for node in self.nodes.values()])
+        return _sum_traffic([node.runtime.lines for node in self.ever])
 
     async def stop(self) -> None:
         if self.beating is not None:
             self.beating.cancel()
-        for work in self.closing:
-            await work
+        for close in self.closing:
+            await close()
         await self.lose(numbers=list(self.nodes))
 
 
