What a request asks of the setup is worked out once for each view

Cause: for each request an entry's core went through all servers of the setup and hashed every stall's name to know its part of the further sends. That grows with the fleet: at 760 stalls it was most of the call.

--- a/packages/broker/src/hoistsaddle/broker/entry.py
+++ b/packages/broker/src/hoistsaddle/broker/entry.py
@@ -21,6 +21,7 @@
 from hoistsaddle.haggle.parcels import DealAnswer, DealCall, RecallAnswer, RecallCall
 from hoistsaddle.shelf.commands import ClaimHold, Outcome, ReleaseHold
 from hoistsaddle.shelf.state import GONE, ServerEntry
+from hoistsaddle.shelf.view import View
 from hoistsaddle.stall.further import FurtherSends, part_of
 from hoistsaddle.stall.messages import ANSWERED, NOT_RUN, AskHold
 from hoistsaddle.stall.standing import SETTLE_AGAIN, Standing, mishap_of
@@ -133,6 +134,10 @@
         # Sends whose requests were answered before they came back, to the claims they ran under.
         self.late: dict[int, str] = {}
         self.seen: dict[str, Seen] = {}
+        # The view that was read in: service to its open servers, and to this stall's part of the further sends.
+        self.read_in: View | None = None
+        self.servers: dict[str, list[ServerEntry]] = {}
+        self.parts: dict[str, int] = {}
         # Since when the core gives no answer about keys.
         self.silent_since: timedelta | None = None
 
@@ -342,11 +347,8 @@
     def _select(self, deal: _Deal) -> ServerEntry | None:
         open_servers = [
             server
-            for server in self.view.open_servers()
-            if server.service == deal.service
-            and server.stall not in deal.avoid
-            and self.view.nodes[server.stall].state != GONE
-            and (server.stall != self.params.name or self.server_state() == "ready")
+            for server in self._servers_of(deal.service)
+            if server.stall not in deal.avoid and (server.stall != self.params.name or self.server_state() == "ready")
         ]
         rested = [server for server in open_servers if self.seen_of(server.stall).alone_until <= self.now]
         candidates = rested or open_servers
@@ -358,9 +360,28 @@
         near = [server for score, server in scored if score <= least * 1.05]
         return near[0] if len(near) == 1 else self.random.choice(near)
 
+    def _read_in(self) -> None:
+        """What each request asks of the setup, worked out once a view: setups change seldom, requests don't stop."""
+        if self.read_in is self.view:
+            return
+        self.read_in = self.view
+        self.parts = {}
+        self.servers = {}
+        for server in self.view.open_servers():
+            if self.view.nodes[server.stall].state != GONE:
+                self.servers.setdefault(server.service, []).append(server)
+
+    def _servers_of(self, service: str) -> list[ServerEntry]:
+        self._read_in()
+        return self.servers.get(service, [])
+
     def _allot(self, service: str) -> None:
-        stalls = [stall.node for stall in self.view.live_stalls()]
-        part = part_of(service=service, stall=self.params.name, stalls=stalls, margin=self.further_margin)
+        self._read_in()
+        part = self.parts.get(service)
+        if part is None:
+            stalls = [stall.node for stall in self.view.live_stalls()]
+            part = part_of(service=service, stall=self.params.name, stalls=stalls, margin=self.further_margin)
+            self.parts[service] = part
         self.further.allot(service, part=part, percent=self.further_percent, now=self.now)
 
     def _place(self, ticket: int) -> None:
