--- a/packages/fairground/src/hoistsaddle/fairground/scale/run.py
+++ b/packages/fairground/src/hoistsaddle/fairground/scale/run.py
@@ -247,6 +247,7 @@
         leader = await self._leader()
         if leader is None:
             raise Broke(f"{name}: nobody leads")
+        self.say(f"{self.plan.nodes} nodes, {name}: {time.monotonic() - self.began:.0f} s here")
         before = await self._all(self.processes, "snapshot")
         if work is None:
             await self._pause(seconds)
--- a/packages/fairground/src/hoistsaddle/fairground/scale/slopes.py
+++ b/packages/fairground/src/hoistsaddle/fairground/scale/slopes.py
@@ -21,6 +21,7 @@
 from hoistsaddle.crier.membership import ALIVE, Membership, Probe, ProbeAnswered, RumoursArrived
 from hoistsaddle.crier.membership import Ticked as MemberTicked
 from hoistsaddle.crier.relay import Relay, SetupCopy, select_parents
+from hoistsaddle.fairground.scale.path import spend
 from hoistsaddle.fairground.scale.sizes import (
     GOAL,
     HOST,
@@ -506,6 +507,32 @@
             store.close()
 
 
+def below(meter: Meter, points: list[int]) -> None:
+    """A poll that carries the uptakes of so many stalls below its sender, as every poll does."""
+    items = news_of(make_state(GOAL))
+    for point in points:
+        child, parent = _relay(items, node=1), _relay(items)
+        child.heard(tuple(_uptake(number + 2) for number in range(point)), now=ZERO)
+        call = child.poll(own=_uptake(1), now=ZERO)
+        meter.count(point, "a poll", "bytes", _size_of(call))
+
+        def heard(child=child, parent=parent) -> None:
+            told = _pass(child.poll(own=_uptake(1), now=ZERO), answer=False)
+            parent.heard(told.uptakes, now=ZERO)
+
+        meter.spend(point, "a poll asked, passed and heard", heard, times=20)
+
+
+def call_depth(meter: Meter, points: list[int]) -> None:
+    """One call so many deep through real doors, lines and servers: processor time that the mesh adds."""
+    for point in points:
+        spent = spend(GOAL, depth=point, times=40, rounds=meter.rounds)
+        for way, spans in spent.items():
+            meter.found.append(Measured(meter.slope, point, f"a call {way}", "ms", min(spans), max(spans)))
+        added = [meshed - straight for meshed, straight in zip(*spent.values(), strict=True)]
+        meter.found.append(Measured(meter.slope, point, "added by the mesh", "ms", min(added), max(added)))
+
+
 SLOPES: dict[str, tuple[Callable[[Meter, list[int]], None], list[int], list[int]]] = {
     # Name to work, its points, and the points of a small run.
     "nodes": (nodes, [100, 250, 500, 760, 1500], [8, 16, 24, 32]),
@@ -517,6 +544,8 @@
     "holds at a checkpoint": (checkpoint, [1000, 5000, 20000, 75000], [10, 20, 30, 40]),
     "depth of the tree": (depth, [1, 2, 3, 4, 6], [1, 2, 3, 4]),
     "records in a sync": (records, [1, 8, 32, 128], [1, 2, 3, 4]),
+    "stalls below in the tree": (below, [1, 8, 32, 108], [1, 2, 3, 4]),
+    "depth of a call": (call_depth, [1, 3, 5, 7], [1, 2, 3, 4]),
     "calls a second": (calls, [50, 100, 224, 400], [1, 2, 3, 4]),
 }
 
