--- a/packages/fairground/src/hoistsaddle/fairground/scale/run.py
+++ b/packages/fairground/src/hoistsaddle/fairground/scale/run.py
@@ -284,8 +284,11 @@
         found["processor of the leader"] = spent([leader])
         if followers:
             found["processor of a follower"] = spent(followers) / len(followers)
+        found["processor of the busiest core machine"] = max(spent([each]) for each in self.core)
         if self.whole:
+            # The first names of their zones: each feeds as many children as a stall ever does.
             found["processor of a whole stall"] = spent(self.whole) / len(self.whole)
+            found["control bytes of a whole stall, both ways"] = control(passed(self.whole, "octets")) / len(self.whole)
         frames, octets = passed(self.hollow, "frames"), passed(self.hollow, "octets")
         found["control messages of a stall, both ways"] = control(frames) / hollow
         found["control bytes of a stall, both ways"] = control(octets) / hollow
@@ -390,7 +393,7 @@
             async def work(chosen=chosen, name=name) -> None:
                 self.lost |= set(chosen)
                 moments = [each["moment"] for each in await self._all(self.hollow, "lose", numbers=chosen)]
-                told = await self._all(self.stalls, "watch_gone", numbers=chosen, within=25.0)
+                told = await self._all(self.stalls, "watch_gone", numbers=chosen, within=12.0)
                 for where, missing in (("logged", "missing"), ("rumoured", "unrumoured")):
                     seen = sorted(moment - min(moments) for each in told for moment in each[where])
                     known = "the log" if where == "logged" else "their own membership"
