--- a/tests/test_broker_counter.py
+++ b/tests/test_broker_counter.py
@@ -7,7 +7,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan
 
-from brokers import Brokers
+from brokers import Brokers, pace_of
+from hoistsaddle.broker.counter import Pace
 from hoistsaddle.broker.messages import AnswerDeal, Serve
 from hoistsaddle.haggle.parcels import DealAnswer, DealCall
 from hoistsaddle.shelf.state import GONE, READY, WINDING_DOWN
@@ -58,13 +59,14 @@
             self.deal()
             self.fleet.pass_time(seconds)
             self.fleet.finish()
-        self.core.spans["read"] = timedelta(seconds=seconds)
+        self.core.paces["read"] = pace_of(seconds)
         self.fleet.commands.clear()
 
     def started(self) -> list[str]:
         return [serve.call.send for serve in self.fleet.sent(Serve)]
 
     def test_the_server_works_on_so_many_at_a_time(self) -> None:
+        self.core.paces["read"] = pace_of(0.05)
         tickets = [self.deal() for _ in range(5)]
         self.assertThat(len(self.fleet.serves), Equals(2))
         for left in (2, 2, 2, 1, 0):
@@ -83,6 +85,7 @@
         self.assertThat(len(self.fleet.serves), Equals(3))
 
     def test_what_waits_goes_by_rank_and_then_by_when_it_is_due(self) -> None:
+        self.core.paces["read"] = pace_of(0.05)
         self.deal()
         self.deal()
         for rank, aim in ((2, 2.0), (0, 3.0), (1, 1.5), (0, 2.5), (1, 1.0)):
@@ -122,7 +125,31 @@
         self.fleet.finish()
         self.assertThat(len(self.started()), Equals(2))
 
+    def test_what_most_runs_keep_within_must_fit(self) -> None:
+        """Admitted by the mean alone, half of a full line would be late."""
+        self.core.paces["read"] = pace_of(0.4, deviation=0.15)
+        self.deal()
+        self.deal()
+        # Starts in 0.4 s and is done after 0.3 s more than the usual 0.4 in nearly every case.
+        self.assertThat(self.refused(self.deal(aim=1.05)), Equals(MishapKind.BACKLOG_FULL))
+        self.assertThat(self.told(self.deal(aim=1.15)), Equals(None))
+
+    def test_an_unknown_pace_is_taken_from_the_aim(self) -> None:
+        self.assertThat([self.told(self.deal(aim=1.0)) for _ in range(4)], Equals([None] * 4))
+        self.assertThat(self.refused(self.deal(aim=1.0)), Equals(MishapKind.BACKLOG_FULL))
+
+    def test_a_pace_is_learnt_from_few_runs_and_then_slowly(self) -> None:
+        pace = Pace()
+        for seconds in (0.1, 0.3):
+            pace.learn(timedelta(seconds=seconds))
+        self.assertThat(pace.mean, Equals(timedelta(seconds=0.2)))
+        for _ in range(18):
+            pace.learn(timedelta(seconds=0.2))
+        pace.learn(timedelta(seconds=1.2))
+        self.assertThat(pace.mean, Equals(timedelta(seconds=0.3)))
+
     def test_the_line_is_bounded(self) -> None:
+        self.core.paces["read"] = pace_of(0.05)
         tickets = [self.deal(budget=900, aim=900) for _ in range(60)]
         self.assertThat(self.core.load(), Equals(52))
         self.assertThat(self.refused(tickets[-1]), Equals(MishapKind.BACKLOG_FULL))
@@ -229,7 +256,7 @@
         for status, not_run in ((500, False), (503, True)):
             self.deal()
             self.fleet.finish(status=status, not_run=not_run)
-        self.assertThat(self.core.spans["read"], Equals(timedelta(seconds=0.4)))
+        self.assertThat(self.core.paces["read"].mean, Equals(timedelta(seconds=0.4)))
 
     def test_any_history_keeps_the_promises(self) -> None:
         """Whatever comes, in whatever order: capacity, one answer each, and nothing run after "not run"."""
