--- a/packages/broker/src/hoistsaddle/broker/entry.py
+++ b/packages/broker/src/hoistsaddle/broker/entry.py
@@ -20,7 +20,9 @@
 )
 from hoistsaddle.haggle.parcels import DealAnswer, DealCall, RecallAnswer, RecallCall
 from hoistsaddle.shelf.commands import ClaimHold, Outcome, ReleaseHold
+from hoistsaddle.shelf.keys import handle_of
 from hoistsaddle.shelf.state import GONE, ServerEntry
+from hoistsaddle.shelf.view import View
 from hoistsaddle.stall.further import FurtherSends, part_of
 from hoistsaddle.stall.messages import ANSWERED, NOT_RUN, AskHold
 from hoistsaddle.stall.standing import SETTLE_AGAIN, Standing, mishap_of
@@ -137,6 +139,10 @@
         self.seen: dict[str, Seen] = {}
         # Entry to the usual size of its answers.
         self.answer_bytes: dict[str, float] = {}
+        # The view that was read in: service to its open servers, and to this stall's part of the further sends.
+        self.read_in: View | None = None
+        self.servers: dict[str, list[ServerEntry]] = {}
+        self.parts: dict[str, int] = {}
         # Since when the core gives no answer about keys.
         self.silent_since: timedelta | None = None
 
@@ -190,7 +196,11 @@
             deal.claim = f"{self.params.name}.{self.params.incarnation}.{self._number()}"
         deal.number = self._number()
         self.by_number[deal.number] = ticket
-        command = self.claims[deal.number] = ClaimHold(
+        command = self.claims[deal.number] = self._claim_of(deal)
+        self._out.append(AskHold(deal.number, command))
+
+    def _claim_of(self, deal: _Deal) -> ClaimHold:
+        return ClaimHold(
             deal.scope,
             deal.claim,
             self.params.name,
@@ -202,7 +212,6 @@
             max(1, round(self.key_span.total_seconds())),
             deal.after,
         )
-        self._out.append(AskHold(deal.number, command))
 
     def _hold_answered(self, number: int, outcome: Outcome | None) -> None:
         if outcome is not None:
@@ -303,20 +312,18 @@
     def _keep(self, claim: str) -> _Kept:
         while self.kept and next(iter(self.kept.values())).until <= self.now:
             self.kept.popitem(last=False)
-        if claim not in self.kept:
-            self.kept[claim] = _Kept(until=self.now + self.key_span)
-        return self.kept[claim]
+        return self.kept.setdefault(claim, _Kept(until=self.now + self.key_span))
 
     def _let_go(self, deal: _Deal) -> None:
         """Gives a claimed key back: nothing ran under it and nothing will."""
         if not deal.claim or deal.uncertain or deal.sends:
             return
-        # Also for a claim whose answer never came: it may be in the log, and only this stall knows that it is idle.
+        # Also a claim that was never answered: should it be in the log, a repeat that meets it may take it over.
         self._keep(deal.claim).standing = FREE
-        self._release(ClaimHold(deal.scope, deal.claim, "", ""))
+        self._release(self._claim_of(deal))
 
     def _release(self, command: ClaimHold) -> None:
-        self._ask_release(ReleaseHold(command.scope, command.claim), self.now + RELEASE_SPAN)
+        self._ask_release(ReleaseHold(handle_of(command), command.claim), self.now + RELEASE_SPAN)
 
     def _ask_release(self, command: ReleaseHold, until: timedelta) -> None:
         number = self._number()
@@ -355,11 +362,8 @@
     def _select(self, deal: _Deal) -> ServerEntry | None:
         open_servers = [
             server
-            for server in self.view.open_servers()
-            if server.service == deal.service
-            and server.stall not in deal.avoid
-            and self.view.nodes[server.stall].state != GONE
-            and (server.stall != self.params.name or self.server_state() == "ready")
+            for server in self._servers_of(deal.service)
+            if server.stall not in deal.avoid and (server.stall != self.params.name or self.server_state() == "ready")
         ]
         rested = [server for server in open_servers if self.seen_of(server.stall).alone_until <= self.now]
         candidates = rested or open_servers
@@ -371,9 +375,28 @@
         near = [server for score, server in scored if score <= least * 1.05]
         return near[0] if len(near) == 1 else self.random.choice(near)
 
+    def _read_in(self) -> None:
+        """What each request asks of the setup, worked out once a view: setups change seldom, requests don't stop."""
+        if self.read_in is self.view:
+            return
+        self.read_in = self.view
+        self.parts = {}
+        self.servers = {}
+        for server in self.view.open_servers():
+            if self.view.nodes[server.stall].state != GONE:
+                self.servers.setdefault(server.service, []).append(server)
+
+    def _servers_of(self, service: str) -> list[ServerEntry]:
+        self._read_in()
+        return self.servers.get(service, [])
+
     def _allot(self, service: str) -> None:
-        stalls = [stall.node for stall in self.view.live_stalls()]
-        part = part_of(service=service, stall=self.params.name, stalls=stalls, margin=self.further_margin)
+        self._read_in()
+        part = self.parts.get(service)
+        if part is None:
+            stalls = [stall.node for stall in self.view.live_stalls()]
+            part = part_of(service=service, stall=self.params.name, stalls=stalls, margin=self.further_margin)
+            self.parts[service] = part
         self.further.allot(service, part=part, percent=self.further_percent, now=self.now)
 
     def _place(self, ticket: int) -> None:
--- a/tests/test_crier.py
+++ b/tests/test_crier.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
+from hoistsaddle.crier import relay as relays
 from hoistsaddle.crier.membership import (
     ALIVE,
     DEAD,
@@ -20,8 +21,9 @@
     RumoursArrived,
     Ticked,
 )
-from hoistsaddle.crier.relay import Relay, select_parents
+from hoistsaddle.crier.relay import Relay, SetupCopy, select_parents
 from hoistsaddle.haggle.parcels import Rumour, Uptake
+from hoistsaddle.shelf.digests import RANGES, digests_of, range_of
 
 SPAN = timedelta(seconds=1.5)
 OWN = Uptake("child", 0, 0, "", "life", 0)
@@ -91,6 +93,29 @@
         child.polled(answer, sent=at(1))
         self.assertThat(child.copy.items, Equals(root.copy.items))
 
+    def test_damage_in_place_shows_at_once_and_a_sound_copy_is_not_digested_again(self) -> None:
+        taken = []
+
+        def digests(items):
+            taken.append(len(items))
+            return digests_of(items)
+
+        copy = SetupCopy()
+        copy.replace(mesh="m", revision=5, items=items(50))
+        self.patch(relays, "digests_of", digests)
+        sound = copy.audit()
+        self.assertThat(([copy.audit() for _ in range(5)], taken), Equals(([sound] * 5, [50])))
+        for damage in ({"server:stall-7": (1, b"damage")}, {"server:stall-7": (9, copy.items["server:stall-7"][1])}):
+            before = dict(copy.items)
+            copy.items.update(damage)
+            differing = [place for place in range(RANGES) if copy.audit()[place] != sound[place]]
+            self.assertThat(differing, Equals([range_of("server:stall-7")]))
+            copy.items.clear()
+            copy.items.update(before)
+            self.assertThat(copy.audit(), Equals(sound))
+        del copy.items["server:stall-8"]
+        self.assertThat(copy.audit() == sound, Equals(False))
+
     def test_what_was_removed_goes_from_every_copy(self) -> None:
         root, child = relay("root"), relay("child")
         root.confirmed(asked=at(1), mesh="m", revision=5, items=items(10))
@@ -128,8 +153,10 @@
     def member(self, name: str, *, count: int = 0, state: str = ALIVE) -> Rumour:
         return Rumour(name, "stall", f"at-{name}", "a", f"life-{name}", count, state)
 
-    def membership(self) -> Membership:
-        core = Membership(me=self.member("me"), seed=random.Random(1), period=at(0.25), suspicion=at(1.2))
+    def membership(self, *, spread: int | None = None) -> Membership:
+        core = Membership(
+            me=self.member("me"), seed=random.Random(1), period=at(0.25), suspicion=at(1.2), spread=spread
+        )
         core.handle(RumoursArrived(tuple(self.member(name) for name in ("one", "two", "three"))), now=at(0))
         return core
 
@@ -170,3 +197,59 @@
         other.handle(ProbeAnswered("one", (self.member("one", count=1),)), now=at(1.5))
         other.handle(Ticked(), now=at(4))
         self.assertThat("one" in [member.node for member in other.alive(kind="stall")], Equals(True))
+
+    def told(self, core: Membership, turns: int) -> list[list[str]]:
+        return [[rumour.node for rumour in core.rumours()] for _ in range(turns)]
+
+    def test_a_rumour_is_passed_on_so_often_and_then_counts_as_known(self) -> None:
+        told = self.told(self.membership(spread=2), 5)
+        self.assertThat([sorted(each) for each in told[:2]], Equals([["me", "one", "three", "two"]] * 2))
+        # Oneself is always told of: whoever is probed must be able to answer back.
+        self.assertThat(told[2:], Equals([["me"]] * 3))
+
+    def test_without_a_bound_everything_is_passed_on_for_ever(self) -> None:
+        self.assertThat([len(each) for each in self.told(self.membership(), 9)], Equals([4] * 9))
+
+    def test_what_changed_is_told_anew(self) -> None:
+        core = self.membership(spread=2)
+        self.told(core, 3)
+        core.handle(RumoursArrived((self.member("two", count=1),)), now=at(1))
+        self.assertThat(self.told(core, 3), Equals([["me", "two"], ["me", "two"], ["me"]]))
+        core.handle(OpinionsIn("one", False), now=at(1))
+        self.assertThat(self.told(core, 1), Equals([["me", "one"]]))
+
+    def test_one_just_met_hears_of_everybody(self) -> None:
+        core = self.membership(spread=2)
+        self.told(core, 5)
+        self.assertThat(
+            sorted(rumour.node for rumour in core.rumours(whole=True)), Equals(["me", "one", "three", "two"])
+        )
+        self.assertThat((core.knows("one"), core.knows("stranger")), Equals((True, False)))
+
+    def test_everyone_hears_of_a_newcomer_though_rumours_end(self) -> None:
+        """A fleet of forty on its own schedule: the last to join is known everywhere after some turns."""
+        dice = random.Random(3)
+        names = [f"n{number}" for number in range(40)]
+        cores = {
+            name: Membership(me=self.member(name), seed=random.Random(name), period=at(1), suspicion=at(2), spread=6)
+            for name in names
+        }
+        everyone = tuple(self.member(name) for name in names[:-1])
+        for name in names[:-1]:
+            cores[name].handle(RumoursArrived(everyone), now=at(0))
+            for _ in range(10):
+                cores[name].rumours()
+        # It knows one node, and that one knows it from its first probe.
+        cores["n39"].handle(RumoursArrived((self.member("n0"),)), now=at(0))
+        moment = 0.0
+        while not all(core.knows("n39") for core in cores.values()):
+            moment += 0.5
+            self.assertThat(moment < 30, Equals(True))
+            for core in dice.sample(list(cores.values()), len(cores)):
+                for command in core.handle(Ticked(), now=at(moment)):
+                    if isinstance(command, Probe):
+                        other = cores[command.node]
+                        whole = not other.knows(core.me.node)
+                        other.handle(RumoursArrived(command.rumours), now=at(moment))
+                        core.handle(ProbeAnswered(command.node, other.rumours(whole=whole)), now=at(moment))
+        self.assertThat(len(cores["n39"].members), Equals(40))
