--- a/packages/fairground/src/hoistsaddle/fairground/arcade/arena.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/arena.py
@@ -268,8 +268,8 @@
                     await asyncio.sleep(0.4)
                     if name in self.machines:
                         self._new_server(self.machines[name])
-            case Replace(machine=name, service=service):
-                await self._replace(name, service)
+            case Replace(machine=name, service=service, crash=crash):
+                await self._replace(name, service, crash=crash)
             case Crash(machine=name, seconds=seconds):
                 if name in self.machines and not self.servers[name].leaving:
                     server = self.servers[name]
@@ -342,13 +342,21 @@
             self.start(name)
         self.heal(number)
 
-    async def _replace(self, name: str, service: str) -> None:
+    async def _replace(self, name: str, service: str, *, crash: bool) -> None:
         if name not in self.machines or self.servers[name].leaving or name in self.busy:
             return
         machine = self.machines[name]
         if len([each for each in self.machines.values() if each.service == machine.service]) < 2:
             return
-        await self.servers[name].leave()
+        if crash:
+            self.servers[name].leaving = True
+            self.servers[name].end()
+        else:
+            await self.servers[name].leave()
+        if name in self.busy or self.processes[name].life.dead:
+            # Something else befell the machine meanwhile; its server comes back with it.
+            self._new_server(machine)
+            return
         number = self.harm(name, "stop", planned=True)
         self.busy.add(name)
         process = self.processes[name]
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/day.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/day.py
@@ -149,11 +149,12 @@
 
 
 class Replace(NamedTuple):
-    """A server leaves in order, its machine is stopped, and its address goes to a server of another service."""
+    """A server leaves in order or crashes, its machine is stopped, and its address goes to another service's server."""
 
     at: float
     machine: str
     service: str
+    crash: bool = False
 
 
 class Crash(NamedTuple):
@@ -376,6 +377,8 @@
     more = random.Random(f"more {seed}")
     if more.random() < 0.3:
         found.append(Rewrite(more.uniform(1, seconds - 4)))
+    if more.random() < 0.5:
+        found.append(Replace(more.uniform(2, seconds - 6), more.choice(stalls), more.choice(services), crash=True))
     if closing:
         found.append(Closing(seconds, closing, draw.uniform(0.5, 1.5)))
     return Day(seed, site, tuple(sorted(found, key=lambda each: each.at)), seconds)
