A short wait turns nobody away, and short runs may use their budget

Change: one deviation; a wait below a quarter of the run is always taken; runs under half of the server's usual one may use 0.8 of their budget.

--- a/packages/broker/src/hoistsaddle/broker/counter.py
+++ b/packages/broker/src/hoistsaddle/broker/counter.py
@@ -21,7 +21,14 @@
 # The newest run's share in what is expected of the next, once there were a few.
 WEIGHT = 0.1
 # By how many of its usual deviations a run may outlast its usual time and still be in time.
-MARGIN = 2.0
+MARGIN = 1.0
+# A wait this short, as a share of the run itself, is no reason to turn anybody away: a slow server whose line is
+# always empty stands idle between two arrivals.
+SHORT_WAIT = 0.25
+# Runs this much shorter than the usual one here are the calls of other servers, whose own work is lost with them.
+# They hardly keep anybody, so they may use their whole budget.
+SHORT_RUN = 0.5
+BUDGET_SHARE = 0.8
 # What a run over its usual time is taken to need still, as a share of that time.
 OVERTIME = 0.15
 
@@ -70,6 +77,8 @@
         self.line: list[Waiting] = []
         # Entry to the time its runs take here.
         self.paces: dict[str, Pace] = {}
+        # The same over all entries.
+        self.usual = Pace()
         self.drain_span = timedelta(seconds=2)
         self.closed_at: timedelta | None = None
         # This stall is about to end: its server goes on, but not through it.
@@ -134,7 +143,14 @@
     def load(self) -> int:
         return len(self.running) + len(self.line)
 
+    def _limit_of(self, call: DealCall) -> timedelta:
+        """Within which time it must be likely to be done to be taken."""
+        pace = self.paces.get(call.entry)
+        short = pace is not None and pace.mean <= self.usual.mean * SHORT_RUN
+        return max(call.aim, call.budget * BUDGET_SHARE) if short else call.aim
+
     def _learn(self, run: _Run, took: timedelta) -> None:
+        self.usual.learn(took)
         self.paces.setdefault(run.call.entry, Pace()).learn(took)
 
     # -- deals -------------------------------------------------------------------------------------------------------
@@ -146,7 +162,7 @@
         due = self.now + call.aim
         wait = self.wait_for(rank=call.rank, due=due)
         # Whoever comes back later finds it emptier; whoever waits here past the aim keeps others from theirs.
-        if wait > ZERO and wait + self._safe_span_of(call) > call.aim:
+        if wait > self._span_of(call) * SHORT_WAIT and wait + self._safe_span_of(call) > self._limit_of(call):
             return self._turn_away(event.ticket, call, MishapKind.BACKLOG_FULL)
         if len(self.line) >= self.params.backlog:
             return self._turn_away(event.ticket, call, MishapKind.BACKLOG_FULL)
