--- a/packages/fairground/src/hoistsaddle/fairground/arcade/day.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/day.py
@@ -149,11 +149,12 @@
 
 
 class Replace(NamedTuple):
-    """A server leaves in order, its machine is stopped, and its address goes to a server of another service."""
+    """A server leaves in order or crashes, its machine is stopped, and its address goes to another service's server."""
 
     at: float
     machine: str
     service: str
+    crash: bool = False
 
 
 class Crash(NamedTuple):
@@ -179,6 +180,12 @@
     pick: int
 
 
+class Rewrite(NamedTuple):
+    """The settings files change under the running programs."""
+
+    at: float
+
+
 class AfterWord(NamedTuple):
     """The core machine that acknowledges the next order is harmed right after."""
 
@@ -210,6 +217,7 @@
     | Crash
     | Change
     | BadOrder
+    | Rewrite
     | AfterWord
     | Closing
 )
@@ -365,6 +373,12 @@
                 how = draw.choice(("torn", "unknown service", "below 0", "no hold", "aim", "kind", "old"))
                 found.append(BadOrder(at, how, draw.randrange(1000)))
         at += draw.uniform(0.8, 4)
+    # Drawn apart: what came later leaves the days of former seeds as they were.
+    more = random.Random(f"more {seed}")
+    if more.random() < 0.3:
+        found.append(Rewrite(more.uniform(1, seconds - 4)))
+    if more.random() < 0.5:
+        found.append(Replace(more.uniform(2, seconds - 6), more.choice(stalls), more.choice(services), crash=True))
     if closing:
         found.append(Closing(seconds, closing, draw.uniform(0.5, 1.5)))
     return Day(seed, site, tuple(sorted(found, key=lambda each: each.at)), seconds)
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/machines.py
+++ b/packages/fairground/src/hoistsaddle/fairground/arcade/machines.py
@@ -27,7 +27,9 @@
 
 # How long a line with a pulse takes to miss a machine that says nothing.
 PULSE_SECONDS = 0.9
+# What a closing door waits before it lets go of its connections, and then for what still runs on them.
 GRACE_LEFT = 0.15
+DOOR_SPAN = 0.2
 _silent = Failure(Mishap(MishapKind.SILENT, "no answer", "simulated"))
 
 
@@ -128,6 +130,14 @@
             self.control = doors.BeatDoor(node=self.node)
         self.arena.listen(self.node.counters)
 
+    def rewrite(self) -> None:
+        """The settings file is another one, and the program takes it up as it runs."""
+        if self.life.dead or self.life.frozen or not self.open:
+            return
+        settings, papers = self.settings(cold=False), adapter("papers")
+        read = papers.market_params if isinstance(self.machine, CoreMachine) else papers.broker_params
+        self.life.context.run(self.node.revise, check_params(read(settings)).unwrap())
+
     async def _boot(self) -> None:
         await self.node.start()
         self.open = True
@@ -152,6 +162,7 @@
         await arena.within(self.life.spawn(self.node.wind_down(quiet=QUIET, most=most)), BOUNDS["grace_s"])
         self.open = False
         await asyncio.sleep(GRACE_LEFT)
+        end = min(end, arena.moment() + DOOR_SPAN)
         while self.pending and arena.moment() < end and not self.life.dead:
             await asyncio.sleep(0.02)
 
