A parent is left only after two answers that renew nothing; places in the tree once a view

Cause: a child's held poll and its parent's beat against each other, so about every other answer renewed nothing and the next poll went to a root. Change: the first such answer asks the same parent again; the second in a row, or no answer, moves on. The list of parents is worked out once for each view.

--- a/packages/broker/src/hoistsaddle/broker/node.py
+++ b/packages/broker/src/hoistsaddle/broker/node.py
@@ -29,6 +29,7 @@
 from hoistsaddle.haggle.parcels import DealAnswer, DealCall, RecallAnswer, RecallCall
 from hoistsaddle.haggle.runtime import Runtime
 from hoistsaddle.shelf.state import GONE
+from hoistsaddle.shelf.view import View
 from hoistsaddle.stall.messages import Announce, AskHold, ReportVitals, StopAsked
 from hoistsaddle.stall.node import StallNode
 from hoistsaddle.tally.mishaps import MishapKind
@@ -57,6 +58,9 @@
     def __init__(self, *, params: BrokerParams, runtime: Runtime, serve: Server) -> None:
         self.serve = serve
         self.broker_params = params
+        # The tree's places follow from the view alone: looked up anew with each view, not with each poll.
+        self.parents_of: View | None = None
+        self.parents: list[str] = []
         # When the door was last called.
         self.asked_at = runtime.now()
         super().__init__(params=params, runtime=runtime, run_server=serve)
@@ -141,6 +145,8 @@
     def _parents(self) -> list[str]:
         """The own zone's part of the tree first: news then crosses between zones once for each zone's root."""
         view = self.core.view
+        if self.parents_of is view:
+            return self.parents
         nodes = [node for node in view.nodes.values() if node.state != GONE]
         roots = [(node.node, node.address) for node in nodes if node.kind == "bourse"]
         near = [(node.node, node.address) for node in nodes if node.kind == "bourse" and node.zone == self.params.zone]
@@ -151,7 +157,9 @@
         ]
         parents = select_parents(node=self.params.name, stalls=stalls, roots=near or roots, fan_out=FAN_OUT)
         parents += [address for _, address in roots if address not in parents]
-        return parents + [seed for seed in self.params.seeds if seed not in parents]
+        self.parents_of = view
+        self.parents = parents + [seed for seed in self.params.seeds if seed not in parents]
+        return self.parents
 
     async def wind_down(self, *, quiet: timedelta, most: timedelta) -> None:
         """Planned stop: says so at once, goes on with all that comes, and ends once nothing has come for a while."""
--- a/packages/fairground/src/hoistsaddle/fairground/scale/run.py
+++ b/packages/fairground/src/hoistsaddle/fairground/scale/run.py
@@ -295,6 +295,8 @@
         if work is None:
             for kind, rate in sorted(octets.items()):
                 found[f"bytes of a stall: {kind}"] = rate / hollow
+            for kind, rate in sorted(passed([leader], "frames").items()):
+                found[f"messages of the leader: {kind}"] = rate
         found["control messages of the leader, both ways"] = control(passed([leader], "frames"))
         found["control bytes of the leader, both ways"] = control(passed([leader], "octets"))
         if followers:
--- a/packages/stall/src/hoistsaddle/stall/node.py
+++ b/packages/stall/src/hoistsaddle/stall/node.py
@@ -65,6 +65,10 @@
 # One bourse gets this long; the same command is then tried at the next, which may not be frozen.
 HOLD_TRY = milliseconds(500)
 STOP_SPAN = timedelta(seconds=20)
+# What a poll came to.
+RENEWED = "renewed"
+SAME = "same"
+MISSED = "missed"
 
 # Runs a request on the server beside the stall (a RunServer, or a broker's Serve) and gives what came of it.
 Runner = Callable[[Any], Awaitable[tuple]]
@@ -287,8 +291,8 @@
         parents = select_parents(node=self.params.name, stalls=stalls, roots=roots)
         return parents + [seed for seed in self.params.seeds if seed not in parents]
 
-    async def _poll_once(self, address: str) -> bool:
-        """Asks one parent; true if that renewed the lease."""
+    async def _poll_once(self, address: str) -> str:
+        """Asks one parent: whether that renewed the lease, brought nothing newer, or failed."""
         sent = self.runtime.now()
         match await self.runtime.lines.call(
             address, self.relay.poll(own=self._uptake(), now=sent), within=self.poll_span
@@ -297,7 +301,7 @@
                 pass
             case _:
                 self.counters.add("news.polls_missed")
-                return False
+                return MISSED
         before = self.relay.lease_start
         if self.relay.polled(answer, sent=sent):
             view = read_view(
@@ -320,18 +324,24 @@
             )
         async with self.news:
             self.news.notify_all()
-        return self.relay.lease_start != before
+        return RENEWED if self.relay.lease_start != before else SAME
 
     async def _poll(self) -> None:
-        turn = 0
+        turn, same = 0, 0
         while True:
             parents = self._parents()
-            # The tree's parent first; each failure, or an answer that renews nothing, moves on towards the roots.
+            # The tree's parent first; each failure, or a second answer that renews nothing, moves on towards the roots.
             self.parent = parents[turn % len(parents)]
-            if await self._poll_once(self.parent):
-                turn = 0
+            outcome = await self._poll_once(self.parent)
+            if outcome == RENEWED:
+                turn, same = 0, 0
+                continue
+            if outcome == SAME and not same:
+                # Once is the beat of two held polls, the parent's and this one. Moving on then brought half of all
+                # polls of a deep tree to its roots.
+                same = 1
                 continue
-            turn += 1
+            turn, same = turn + 1, 0
             await asyncio.sleep(milliseconds(30).total_seconds())
 
     async def _tell_vitals(self) -> None:
--- /dev/null
+++ b/tests/test_polling.py
@@ -0,0 +1,84 @@
+"""How a stall goes on from one parent to the next: on a script of answers, without lines."""
+
+import asyncio
+import random
+from datetime import timedelta
+
+from returns.result import Failure, Success
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from hoistsaddle.broker.node import BrokerNode
+from hoistsaddle.haggle.line import silent_at
+from hoistsaddle.haggle.parcels import PollAnswer
+from hoistsaddle.tally.params import BrokerParams
+
+FIRST, SECOND, THIRD = SEEDS = ["127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"]
+
+
+class Script:
+    """A runtime whose lines answer polls from a list of lease starts; None is no answer."""
+
+    def __init__(self, starts: list[float | None]) -> None:
+        self.starts = list(starts)
+        self.asked: list[str] = []
+        self.random = random.Random(1)
+        self.moment = 100.0
+        self.lines = self
+
+    def now(self) -> timedelta:
+        return timedelta(seconds=self.moment)
+
+    def token(self, size: int) -> str:
+        return "life"
+
+    async def call(self, address, message, *, within, still=lambda: True):
+        self.asked.append(address)
+        if not self.starts:
+            raise asyncio.CancelledError
+        start = self.starts.pop(0)
+        self.moment += 0.3
+        if start is None:
+            return Failure(silent_at(address))
+        # The age counts from when the poll was sent.
+        return Success(PollAnswer("", "m", 1, timedelta(seconds=self.moment - 0.3 - start)))
+
+
+def asked(*starts: float | None) -> list[str]:
+    script = Script(list(starts))
+    params = BrokerParams(
+        name="stall-1",
+        zone="a",
+        listen="127.0.0.9:1",
+        door="127.0.0.9:2",
+        vitals_door="127.0.0.9:3",
+        ready_door="127.0.0.9:4",
+        seeds=SEEDS,
+        service="one",
+        server="127.0.0.9:5",
+    )
+
+    async def scenario() -> None:
+        node = BrokerNode(params=params, runtime=script, serve=None)
+        try:
+            await node._poll()
+        except asyncio.CancelledError:
+            pass
+
+    asyncio.run(scenario())
+    return script.asked
+
+
+class Parents(TestCase):
+    def test_one_answer_that_renews_nothing_is_the_beat_of_two_polls(self) -> None:
+        self.assertThat(asked(99.9, 99.9, 100.4, 100.4, 101), Equals([FIRST] * 6))
+
+    def test_a_second_one_in_a_row_moves_on_and_a_renewal_brings_back(self) -> None:
+        self.assertThat(asked(99.9, 99.9, 99.9, 100.8, 101), Equals([FIRST, FIRST, FIRST, SECOND, FIRST, FIRST]))
+
+    def test_a_ring_that_only_grows_older_is_left_for_every_other_parent_in_turn(self) -> None:
+        stuck = [99.9] * 7
+        self.assertThat(asked(*stuck), Equals([FIRST, FIRST, FIRST, SECOND, SECOND, THIRD, THIRD, FIRST]))
+
+    def test_no_answer_moves_on_at_once(self) -> None:
+        self.assertThat(asked(99.9, None, None, 101), Equals([FIRST, FIRST, SECOND, THIRD, FIRST]))
