--- a/tests/test_broker_counter.py
+++ b/tests/test_broker_counter.py
@@ -8,6 +8,7 @@
 from testtools.matchers import Equals, GreaterThan
 
 from brokers import Brokers
+from hoistsaddle.broker.counter import Pace
 from hoistsaddle.broker.messages import AnswerDeal, Serve
 from hoistsaddle.haggle.parcels import DealAnswer, DealCall
 from hoistsaddle.shelf.state import GONE, READY, WINDING_DOWN
@@ -23,6 +24,12 @@
         self.fleet = Brokers(NAME, room=2)
         self.core = self.fleet.cores[NAME]
         self.count = 0
+        self.pace(0.05)
+
+    def pace(self, seconds: float) -> None:
+        """Runs of the entry take this long here, each the same."""
+        pace = self.core.paces["read"] = Pace()
+        pace.mean, pace.count = timedelta(seconds=seconds), 10
 
     def deal(self, *, budget: float = 3.0, aim: float = 3.0, rank: int = 1, **changes: Any) -> int:
         self.count += 1
@@ -58,7 +65,7 @@
             self.deal()
             self.fleet.pass_time(seconds)
             self.fleet.finish()
-        self.core.spans["read"] = timedelta(seconds=seconds)
+        self.pace(seconds)
         self.fleet.commands.clear()
 
     def started(self) -> list[str]:
@@ -104,6 +111,22 @@
         self.assertThat(self.refused(self.deal(aim=1.0)), Equals(MishapKind.BACKLOG_FULL))
         self.assertThat(self.told(self.deal(aim=0.9, rank=0)), Equals(None))
 
+    def test_where_runs_differ_what_most_keep_within_decides(self) -> None:
+        self.learn(0.4)
+        self.core.paces["read"].deviation = timedelta(seconds=0.2)
+        self.deal()
+        self.deal()
+        self.assertThat(self.refused(self.deal(aim=1.1)), Equals(MishapKind.BACKLOG_FULL))
+        self.assertThat(self.told(self.deal(aim=1.25)), Equals(None))
+
+    def test_one_of_an_entry_never_met_is_guessed_by_its_aim(self) -> None:
+        del self.core.paces["read"]
+        self.deal(aim=1.0)
+        self.deal(aim=1.0)
+        # Two runs of a third of the aim, and one and a half such for its own.
+        self.assertThat(self.told(self.deal(aim=1.0)), Equals(None))
+        self.assertThat(self.refused(self.deal(aim=0.3)), Equals(MishapKind.BACKLOG_FULL))
+
     def test_a_free_server_is_tried_even_if_it_is_usually_late(self) -> None:
         self.learn(2.0)
         self.assertThat(self.told(self.deal(aim=0.2, budget=3.0)), Equals(None))
@@ -229,7 +252,7 @@
         for status, not_run in ((500, False), (503, True)):
             self.deal()
             self.fleet.finish(status=status, not_run=not_run)
-        self.assertThat(self.core.spans["read"], Equals(timedelta(seconds=0.4)))
+        self.assertThat(self.core.paces["read"].mean, Equals(timedelta(seconds=0.4)))
 
     def test_any_history_keeps_the_promises(self) -> None:
         """Whatever comes, in whatever order: capacity, one answer each, and nothing run after "not run"."""
--- a/tests/test_broker_entry.py
+++ b/tests/test_broker_entry.py
@@ -8,6 +8,7 @@
 from testtools.matchers import Equals, Is, Not
 
 from brokers import KINDS, Brokers, entry
+from hoistsaddle.broker.counter import Pace
 from hoistsaddle.broker.messages import DealAnswered, DealOn, Gone, Recall, Reply, Serve
 from hoistsaddle.haggle.parcels import DealAnswer
 from hoistsaddle.shelf.commands import ClaimHold, Outcome, ReleaseHold
@@ -111,7 +112,8 @@
         fleet = Brokers(room=1)
         for name, core in fleet.cores.items():
             # Each runs one that takes long.
-            core.spans["read"] = timedelta(seconds=3.5)
+            core.paces["read"] = Pace()
+            core.paces["read"].mean = timedelta(seconds=3.5)
             fleet.ask(door=name, budget=4.0)
         moment = fleet.moment
         ticket = fleet.ask(budget=3.0)
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -1,334 +1,66 @@
-"""Items through the product's own interface: texts, settings, commands, and real processes that found themselves."""
+"""The market: how old its replica's state may be said to be."""
 
-import asyncio
-import json
-import tempfile
-from pathlib import Path
-from typing import Any
+import random
+from datetime import timedelta
+from types import SimpleNamespace
 
-import aiohttp
-from click.testing import CliRunner
-from returns.result import Failure, Success
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, IsInstance
+from testtools.matchers import Equals, Is
 
-from hoistsaddle.kiosk.commands import main
-from hoistsaddle.kiosk.watch import line_of
-from hoistsaddle.tally.params import BrokerParams, MarketParams, read_params
-from hoistsaddle.tariff.items import ENTRY, LIMITS, SERVICE, Dropping
-from hoistsaddle.tariff.itemtext import read_text
-from markets import Deployment, until
+from hoistsaddle.bourse.market import MarketBourse
+from hoistsaddle.haggle.parcels import FetchCall
+from hoistsaddle.ledger.core import LEADER, LedgerCore
+from hoistsaddle.ledger.events import Boot, CallArrived, Mark, Pace, Synced, Ticked
+from hoistsaddle.shelf.commands import LEVEL
+from hoistsaddle.shelf.state import found_state
 
-FIRST = """
-[service.ledger]
-revision = 1
-connections = 50
 
-[entry.read]
-revision = 1
-host = "shop.example"
-prefix = "/read/"
-kind = "repeatable"
-parts = [{service = "ledger"}]
-hold_seconds = 3.0
-aim_seconds = 1.0
+def seconds(amount: float) -> timedelta:
+    return timedelta(seconds=amount)
 
-[entry.pay]
-revision = 1
-host = "shop.example"
-prefix = "/pay/"
-kind = "once per key"
-parts = [{service = "ledger"}]
-hold_seconds = 3.0
-aim_seconds = 1.0
-most_sends = 2
 
-[limits]
-revision = 1
-body_bytes = 1000
-"""
-SECOND = """
-[entry.more]
-revision = 2
-host = "shop.example"
-prefix = "/more/"
-kind = "once per send"
-parts = [{service = "ledger"}]
-hold_seconds = 3
-aim_seconds = 1
+class Freshness(TestCase):
+    """After a power loss of the whole core a leader's state is its checkpoint's until it has committed something."""
 
-[[drop]]
-kind = "entry"
-name = "read"
-revision = 2
-"""
-
-
-class Texts(TestCase):
-    def test_tables_become_items_with_revisions(self) -> None:
-        patch = read_text(FIRST + SECOND).unwrap()
-        self.assertThat(
-            [(each.kind, each.item["name"], each.revision) for each in patch.sets],
-            Equals(
-                [(SERVICE, "ledger", 1), (ENTRY, "read", 1), (ENTRY, "pay", 1), (ENTRY, "more", 2), (LIMITS, LIMITS, 1)]
-            ),
+    def heard(self, core: LedgerCore, now: timedelta) -> timedelta | None:
+        bourse = SimpleNamespace(
+            warehouse=SimpleNamespace(shell=SimpleNamespace(core=core)), runtime=SimpleNamespace(now=lambda: now)
         )
-        self.assertThat(patch.drops, Equals([Dropping(ENTRY, 2, "read")]))
-
-    def test_json_says_the_same_with_the_same_tables(self) -> None:
-        told = {"service": {"ledger": {"revision": 1, "connections": 50}}, "drop": []}
-        self.assertThat(
-            read_text(json.dumps(told), json=True).unwrap(),
-            Equals(read_text("[service.ledger]\nrevision = 1\nconnections = 50\n").unwrap()),
+        return MarketBourse._heard_leader(bourse)
+
+    def leader(self) -> LedgerCore:
+        voters = {1: "a", 2: "b", 3: "c"}
+        state = found_state(mesh="m", voters=voters, operators={}, level=LEVEL)
+        core = LedgerCore(
+            boot=Boot(1, "a", 4, None, tuple(voters.items()), "m", checkpoint=Mark(0, 0), state=state),
+            replicas=(1, 2, 3),
+            pace=Pace(),
+            seed=random.Random(1),
+            now=seconds(0),
         )
-
-    def test_each_refusal_names_its_table_and_field(self) -> None:
-        for text, field in (
-            (FIRST.replace("revision = 1\nconnections", "connections"), "service.ledger"),
-            (FIRST.replace("revision = 1\nconnections", "revision = true\nconnections"), "service.ledger"),
-            (FIRST.replace("revision = 1\nconnections", "revision = -1\nconnections"), "service.ledger.revision"),
-            (FIRST.replace("connections = 50", 'name = "x"'), "service.ledger.name"),
-            (FIRST.replace("connections = 50", "connectoins = 50"), "service.ledger.connectoins"),
-            (FIRST.replace("connections = 50", f"connections = {2**70}"), "service.ledger.connections"),
-            (FIRST.replace('prefix = "/pay/"', 'prefix = "/pay"'), "entry.pay.prefix"),
-            (FIRST.replace("most_sends = 2", "most_sends = 0"), "entry.pay.most_sends"),
-            (FIRST.replace("body_bytes = 1000", "body_bytes = 0"), "limits.body_bytes"),
-            (FIRST + "[entrys.x]\nrevision = 1\n", "entrys"),
-            ('[[drop]]\nkind = "thing"\nname = "a"\nrevision = 1\n', "drop[0].kind"),
-            ('[[drop]]\nkind = "entry"\nname = ""\nrevision = 1\n', "drops[0]"),
-            ("", ""),
-            ("not toml", ""),
-        ):
-            told = read_text(text)
-            self.assertThat(told, IsInstance(Failure), text)
-            mishap = told.failure()
-            self.assertThat((mishap.field, mishap.remedy != ""), Equals((field, True)), text)
-        for text in ("{", "[]", '{"entry": 1}', "[" * 100000):
-            self.assertThat(read_text(text, json=True), IsInstance(Failure))
-
-
-MARKET: dict[str, Any] = {
-    "host": "127.0.0.1",
-    "zone": "a",
-    "data_folder": "/tmp/x",
-    "seeds": ["127.0.0.1"],
-    "cold_start": True,
-}
-BROKER: dict[str, Any] = {
-    "name": "stall-1",
-    "zone": "a",
-    "listen": "127.0.0.1:7200",
-    "door": "127.0.0.1:7201",
-    "vitals_door": "127.0.0.1:7202",
-    "ready_door": "127.0.0.1:7203",
-    "seeds": ["127.0.0.1:7100"],
-    "service": "ledger",
-    "server": "127.0.0.1:9000",
-}
-
-
-class Settings(TestCase):
-    def refused(self, kind: type, values: dict[str, Any]) -> str:
-        told = read_params(kind=kind, path=None, flags=values)
-        self.assertThat(told, IsInstance(Failure), str(values))
-        self.assertThat(told.failure().remedy != "", Equals(True))
-        return told.failure().field
-
-    def test_whole_ones_are_taken(self) -> None:
-        self.assertThat(read_params(kind=MarketParams, path=None, flags=MARKET), IsInstance(Success))
-        self.assertThat(read_params(kind=BrokerParams, path=None, flags=BROKER), IsInstance(Success))
-
-    def test_each_field_has_its_range(self) -> None:
-        for field, value in (
-            ("host", "localhost"),
-            ("zone", "a b"),
-            ("seeds", ["one"]),
-            ("losses", 11),
-            ("losses", -1),
-            ("bourse_port", 0),
-            ("warehouse_port", 70000),
-            ("operators_port", 7100),
-            ("operators_port", 65536),
-            ("desk", "two words"),
-            ("standing_sign_off", "desk"),
-            ("uptake_seconds", -1.0),
-            ("write_seconds", float("nan")),
-            ("checkpoint_records", 0),
-            ("lease_seconds", 0.0),
-        ):
-            told = self.refused(MarketParams, {**MARKET, field: value})
-            self.assertThat(
-                told.partition("[")[0], Equals("bourse_port" if value == 7100 else field), f"{field} {value}"
-            )
-        self.assertThat(self.refused(MarketParams, {**MARKET, "seeds": ["127.0.0.1"] * 4}), Equals("seeds"))
-        self.assertThat(self.refused(MarketParams, {**MARKET, "colour": 1}), Equals("colour"))
-        for field, value in (
-            ("name", "a b"),
-            ("service", "a/b"),
-            ("door", "127.0.0.1"),
-            ("vitals_door", "here:1"),
-            ("ready_door", "127.0.0.1:0"),
-            ("server", "x:1"),
-            ("seeds", ["127.0.0.1"]),
-            ("further_percent", 101),
-            ("further_margin", -1),
-            ("key_seconds", 0.0),
-            ("grace_seconds", 0.1),
-            ("drain_seconds", 0.0),
-            ("backlog", 0),
-        ):
-            told = self.refused(BrokerParams, {**BROKER, field: value})
-            self.assertThat(told.partition("[")[0], Equals(field), f"{field} {value}")
-
-    def test_daemons_refuse_before_they_start(self) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / "settings.toml"
-            path.write_text('host = "127.0.0.1"\nzone = "a"\nseeds = ["127.0.0.1"]\ncold_start = false\nlosses = 99\n')
-            told = CliRunner().invoke(main, ["market", str(path), "--data-folder", folder])
-            self.assertThat((told.exit_code, "field losses" in told.output), Equals((2, True)), told.output)
-            # A flag wins over the file.
-            told = CliRunner().invoke(main, ["market", str(path), "--data-folder", folder, "--losses", "98"])
-            self.assertThat(told.output, Contains("98 is out of range"))
-            told = CliRunner().invoke(main, ["broker", str(path)])
-            self.assertThat((told.exit_code, "refused: params" in told.output), Equals((2, True)), told.output)
-
-
-class Commands(TestCase):
-    def test_check_says_what_a_file_would_change_or_why_not(self) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / "patch.toml"
-            path.write_text(SECOND)
-            told = CliRunner().invoke(main, ["items", "check", str(path)])
-            self.assertThat(json.loads(told.output), Equals({"sets": {"entry.more": 2}, "drops": {"entry.read": 2}}))
-            path.write_text(SECOND.replace("hold_seconds = 3", "hold_seconds = 0"))
-            told = CliRunner().invoke(main, ["items", "check", str(path)])
-            self.assertThat((told.exit_code, "entry.more.hold_seconds" in told.output), Equals((1, True)), told.output)
-            path.write_bytes(b"\xff")
-            self.assertThat(CliRunner().invoke(main, ["items", "check", str(path)]).output, Contains("UTF-8"))
-
-
-class Watching(TestCase):
-    def test_the_new_happenings_are_told_in_words(self) -> None:
-        for kind, detail, words in (
-            ("bundle patched", {"number": 4, "items": 2, "author": "desk", "signer": "ben"}, "signed by ben"),
-            ("patch refused", {"mishap": "item-broken", "field": "sets[0].parts"}, "is refused: item-broken"),
-            ("items taken up", {"revision": 9, "items": 3}, "takes up 3 items at revision 9"),
-            ("voter added", {"replica": 1, "epoch": 1, "voter": 5, "voters": 3}, "replica 5 votes from now on, of 3"),
-            ("voter dropped", {"replica": 1, "epoch": 1, "voter": 5, "voters": 2}, "replica 5 votes no more"),
-            ("founded", {"mesh": "abc"}, "founded as mesh abc"),
-        ):
-            happening = {"moment": "2026-12-02T03:00:00.000+00:00", "owner": "x", "kind": kind, "detail": detail}
-            self.assertThat(line_of(happening), Contains(words))
-
-
-class Processes(TestCase):
-    def test_a_core_founds_itself_takes_patches_and_serves_them(self) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            asyncio.run(self.walk(Path(folder)))
-
-    async def walk(self, folder: Path) -> None:
-        fleet = Deployment(folder)
-        runners = []
-        try:
-            for place in range(3):
-                await fleet.market(place, cold=True)
-
-            async def ready() -> bool:
-                return (await fleet.command("ready"))[0] == 0
-
-            await until(ready)
-            (folder / "first.toml").write_text(FIRST)
-            (folder / "second.toml").write_text(SECOND)
-            code, said = await fleet.command("items", "submit", str(folder / "first.toml"))
-            self.assertThat((code, json.loads(said)["number"], json.loads(said)["signer"]), Equals((0, 1, "ben")), said)
-            # The same again changes nothing.
-            code, said = await fleet.command("items", "submit", str(folder / "first.toml"))
-            self.assertThat((code, json.loads(said)["changed"]), Equals((0, [])), said)
-            stalls = [await fleet.broker(number) for number in (1, 2)]
-            async with aiohttp.ClientSession() as session:
-
-                async def heard() -> bool:
-                    try:
-                        for number, (_, side, server) in enumerate(stalls, start=1):
-                            vitals = {
-                                "service": "ledger",
-                                "instance": f"i-{number}",
-                                "address": server,
-                                "state": "ready",
-                                "room": 4,
-                            }
-                            async with session.post(f"http://{side}/hoistsaddle/vitals", json=vitals) as told:
-                                if told.status != 200:
-                                    return False
-                            async with session.get(f"http://{side}/hoistsaddle/ready") as told:
-                                if told.status != 200:
-                                    return False
-                    except aiohttp.ClientError:
-                        return False
-                    return True
-
-                async def ask(door: str, path: str, *, key: str = "") -> tuple[int, str]:
-                    headers = {"Host": "shop.example", "X-Hoistsaddle-Send": "try"}
-                    if key:
-                        headers["Idempotency-Key"] = key
-                    async with session.post(f"http://{door}{path}", headers=headers, data=b"body") as told:
-                        return told.status, await told.text()
-
-                for _, _, server in stalls:
-                    runners.append(await fleet.serve(server))
-                await until(heard)
-
-                async def served() -> bool:
-                    return (await ask(stalls[0][0], "/read/x"))[0] == 200
-
-                await until(served)
-                first = await ask(stalls[0][0], "/pay/x", key="k1")
-                count = len(fleet.runs)
-                self.assertThat(first[0], Equals(200), str(first))
-                self.assertThat([await ask(door, "/pay/x", key="k1") for door, _, _ in stalls], Equals([first] * 2))
-                self.assertThat(len(fleet.runs), Equals(count))
-                self.assertThat((await ask(stalls[0][0], "/nothing/"))[0], Equals(404))
-                # One core machine dies at once, with the founder's disk; the other two go on.
-                fleet.processes["market-0"].kill()
-                await fleet.processes["market-0"].wait()
-
-                async def second() -> bool:
-                    return (await fleet.command("items", "submit", str(folder / "second.toml")))[0] == 0
-
-                await until(second)
-
-                async def moved() -> bool:
-                    await heard()
-                    return [(await ask(stalls[1][0], path))[0] for path in ("/read/x", "/more/x")] == [404, 200]
-
-                await until(moved)
-                code, said = await fleet.command("items", "list")
-                names = [f"{each['kind']}.{each['item']['name']}" for each in json.loads(said)["items"]]
-                self.assertThat(
-                    (code, names), Equals((0, ["entry.more", "entry.pay", "limits.limits", "service.ledger"])), said
-                )
-                self.assertThat(json.loads(said)["dropped"], Equals({"entry:read": 2}))
-                code, said = await fleet.command("items", "status")
-                told = json.loads(said)
-                self.assertThat(
-                    (code, told["standing_sign_off"], [each["number"] for each in told["patches"]]),
-                    Equals((0, "ben", [2, 1])),
-                )
-                (folder / "broken.toml").write_text(SECOND.replace('"ledger"', '"nobody"').replace("= 2", "= 3"))
-                code, said = await fleet.command("items", "submit", str(folder / "broken.toml"))
-                self.assertThat((code, "item-broken" in said), Equals((1, True)), said)
-                code, said = await fleet.command("core")
-                self.assertThat((code, "leader" in said), Equals((0, True)), said)
-                # Its disk is kept, and it comes back: nobody founds beside the mesh.
-                await fleet.market(0, cold=False)
-                await until(ready)
-                for place in ("holds", "counters", "happenings?after=0"):
-                    async with session.get(f"http://{stalls[0][1]}/hoistsaddle/{place}") as answer:
-                        self.assertThat((answer.status, len(await answer.json()) > 0), Equals((200, True)))
-                async with session.post(f"http://{stalls[0][1]}/hoistsaddle/vitals", json={"service": "x"}) as answer:
-                    self.assertThat(answer.status, Equals(400))
-        finally:
-            codes = await fleet.stop()
-            for runner in runners:
-                await runner.cleanup()
-        self.assertThat(set(codes.values()), Equals({0}), str(codes))
+        core.standing, core.leader = LEADER, 1
+        core.epoch = 5
+        core.granted = {(1, "a"), (2, "b")}
+        core.trial = False
+        core._count_ballots()
+        return core
+
+    def test_a_new_leader_is_not_fresh_before_its_epoch_has_committed(self) -> None:
+        core = self.leader()
+        now = seconds(0.1)
+        call = FetchCall("m", 2, "b", 5, 1, 0, 0, True, LEVEL)
+        core.handle(CallArrived(1, call), now=now)
+        # A follower fetches, so a majority follows; but nothing of this epoch is committed yet.
+        self.assertThat(self.heard(core, now), Is(None))
+        core.handle(Synced(core.sequence), now=now)
+        core.handle(CallArrived(2, call._replace(fetch_offset=2, fetch_epoch=5)), now=now)
+        core.handle(Ticked(), now=now)
+        self.assertThat(core.state.epoch, Equals(5))
+        self.assertThat(self.heard(core, now), Equals(now))
+
+    def test_a_follower_is_not_fresh_before_it_has_applied_the_epoch(self) -> None:
+        core = self.leader()
+        core.standing, core.leader, core.heard_leader = "follower", 2, seconds(1)
+        self.assertThat(self.heard(core, seconds(1)), Is(None))
+        core.state = core.state._replace(epoch=5)
+        self.assertThat(self.heard(core, seconds(1)), Equals(seconds(1)))
