A patch with a number over 64 bits is refused, not a crash of the call

Cause: Market.patch packed what it was given before any check; an integer over 64 bits, which JSON allows, raised OverflowError and the operator got a 500. Change: the market checks a patch before it troubles the log, as the bundles' desk does; the log still checks again.

--- a/packages/bourse/src/hoistsaddle/bourse/market.py
+++ b/packages/bourse/src/hoistsaddle/bourse/market.py
@@ -29,7 +29,7 @@
 from hoistsaddle.tally.mishaps import Mishap, MishapKind
 from hoistsaddle.tally.moments import milliseconds
 from hoistsaddle.tally.params import BourseParams, MarketParams, WarehouseParams
-from hoistsaddle.tariff.items import Patch, pack_patch
+from hoistsaddle.tariff.items import Patch, check_patch, pack_patch
 from hoistsaddle.warehouse.service import Warehouse
 
 LOOK_EVERY = milliseconds(20)
@@ -240,6 +240,10 @@
     async def patch(self, patch: Patch) -> Result[dict, Mishap]:
         """A bundle in parts, taken at once under the standing sign-off. Idempotent by its items' revisions."""
         bourse = self.bourse
+        # Checked here before the log is troubled; the log checks again, for what stands may have moved.
+        if isinstance(checked := check_patch(patch), Failure):
+            bourse.counters.happen("patch refused", mishap=checked.failure().kind, field=checked.failure().field)
+            return checked
         self.requests += 1
         request = f"{bourse.node}.{bourse.incarnation}.{self.requests}"
         command = PatchItems(request, self.params.desk, self.params.standing_sign_off, pack_patch(patch))
--- a/tests/test_customs.py
+++ b/tests/test_customs.py
@@ -251,6 +251,7 @@
             route(rank=None),
             '{"remove":{"route_table":["r-old"]}}',
             "[" * 100000,
+            '{"apply":{"route_table":[{"note":' + "[" * 100000 + "]" * 100000 + "}]}}",
             '{"apply":' * 100000,
         ):
             told = read_call(body.encode())
@@ -266,6 +267,9 @@
             {"split": [{"service": "huvo11a", "gain": -1}]},
             {"target_s": 63.0, "cutoff_s": 3},
             {"split": []},
+            # More than 64 bits: neither the log nor a stall could hold it.
+            {"rank": 10**30},
+            {"tries": 2**64},
         ):
             body = json.dumps({"apply": {"route_table": [{**json.loads(ROUTE), **changes}]}})
             told = read_call(body.encode()).bind(check_patch)
--- a/tests/test_items_interface.py
+++ b/tests/test_items_interface.py
@@ -4,6 +4,7 @@
 import json
 import tempfile
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import aiohttp
@@ -12,10 +13,12 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, IsInstance
 
+from hoistsaddle.bourse.market import Market
 from hoistsaddle.kiosk.commands import main
 from hoistsaddle.kiosk.watch import line_of
+from hoistsaddle.tally.counters import Counters
 from hoistsaddle.tally.params import BrokerParams, MarketParams, read_params
-from hoistsaddle.tariff.items import ENTRY, LIMITS, SERVICE, Dropping
+from hoistsaddle.tariff.items import ENTRY, LIMITS, SERVICE, Dropping, Patch, Setting
 from hoistsaddle.tariff.itemtext import read_text
 from markets import Deployment, until
 
@@ -207,6 +210,18 @@
             self.assertThat(CliRunner().invoke(main, ["items", "check", str(path)]).output, Contains("UTF-8"))
 
 
+class Taking(TestCase):
+    def test_what_is_wrong_in_itself_never_reaches_the_log(self) -> None:
+        for changes, field in (({"rank": 10**30}, "rank"), ({"hold_seconds": 0}, "hold_seconds")):
+            item = {**read_text(SECOND).unwrap().sets[0].item, **changes}
+            counters = Counters(owner="market")
+            desk = SimpleNamespace(bourse=SimpleNamespace(counters=counters))
+            told = asyncio.run(Market.patch(desk, Patch([Setting(ENTRY, 1, item)])))
+            self.assertThat(told, IsInstance(Failure))
+            self.assertThat(told.failure().field, Equals(f"sets[0].{field}"))
+            self.assertThat(counters.read()["counts"]["happening.patch refused"], Equals(1))
+
+
 class Watching(TestCase):
     def test_the_new_happenings_are_told_in_words(self) -> None:
         for kind, detail, words in (
