A core that grows, on real processes

Cause: growth and the return of a wiped disk were tested on cores alone. Change: a test founds with two of three seeds, lets the third join and come back with an empty disk.

--- a/tests/test_items_interface.py
+++ b/tests/test_items_interface.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import shutil
 import tempfile
 from pathlib import Path
 from types import SimpleNamespace
@@ -14,6 +15,7 @@
 from testtools.matchers import Contains, Equals, IsInstance
 
 from hoistsaddle.bourse.market import Market
+from hoistsaddle.bourse.places import host_of_number
 from hoistsaddle.kiosk.commands import main
 from hoistsaddle.kiosk.watch import line_of
 from hoistsaddle.tally.counters import Counters
@@ -347,3 +349,43 @@
             for runner in runners:
                 await runner.cleanup()
         self.assertThat(set(codes.values()), Equals({0}), str(codes))
+
+    def test_a_late_seed_joins_and_a_wiped_one_comes_back(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(self.growth(Path(folder)))
+
+    async def growth(self, folder: Path) -> None:
+        fleet = Deployment(folder)
+
+        async def standings() -> dict[str, str]:
+            code, said = await fleet.command("core")
+            machines = json.loads(said)["machines"] if code == 0 else {}
+            return {host_of_number(int(number)): each["standing"] for number, each in machines.items()}
+
+        async def all_vote() -> bool:
+            told = await standings()
+            return sorted(told) == sorted(fleet.hosts) and set(told.values()) == {"leader", "follower"}
+
+        try:
+            for place in (0, 1):
+                await fleet.market(place, cold=True)
+
+            async def led() -> bool:
+                return "leader" in (await standings()).values()
+
+            await until(led)
+            self.assertThat((await standings()).get(fleet.hosts[2], "unreachable"), Equals("unreachable"))
+            # It is told of a cold start as well, but the mesh is there: it joins.
+            await fleet.market(2, cold=True)
+            await until(all_vote)
+            fleet.processes["market-2"].kill()
+            await fleet.processes["market-2"].wait()
+            shutil.rmtree(folder / "data-2")
+            await fleet.market(2, cold=False)
+            await until(all_vote)
+            log = (folder / "market-0.log").read_text() + (folder / "market-1.log").read_text()
+            for words in ("voter added", "voter swapped"):
+                self.assertThat(log, Contains(words))
+        finally:
+            codes = await fleet.stop()
+        self.assertThat(set(codes.values()), Equals({0}), str(codes))
