--- a/tests/brokers.py
+++ b/tests/brokers.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from hoistsaddle.broker.core import BrokerCore
+from hoistsaddle.broker.counter import Pace
 from hoistsaddle.broker.messages import (
     AnswerDeal,
     AnswerRecall,
@@ -50,6 +51,14 @@
     return EntryItem(**{**values, **changes})
 
 
+def pace_of(seconds: float, *, deviation: float = 0.0) -> Pace:
+    """A pace well known."""
+    pace = Pace()
+    pace.count = 100
+    pace.mean, pace.deviation = timedelta(seconds=seconds), timedelta(seconds=deviation)
+    return pace
+
+
 def server_of(name: str) -> ServerEntry:
     return ServerEntry(name, "ledger", f"i-{name}", f"plant-{name}", "a", READY, 1, "life", "", 1)
 
