The door under items: tests

Cause: nothing tested what the door reads and writes. Change: tests/test_door.py with a raw visitor. A server's answer without a content type gets aiohttp's own (application/octet-stream); left as it is.

--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,167 @@
+"""The door of a stall that serves items, against a raw visitor."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from types import SimpleNamespace
+from typing import Any
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals
+
+from hoistsaddle.broker.door import Door, open_door
+from hoistsaddle.broker.messages import Asked, Reply
+from hoistsaddle.broker.serverline import pack_pairs, unpack_pairs
+from hoistsaddle.broker.wording import Wording
+from hoistsaddle.tally.counters import Counters
+from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.tariff.items import LimitsItem
+
+
+class Node:
+    """Answers as the test says, and keeps what was asked."""
+
+    def __init__(self) -> None:
+        self.asked: list[Asked] = []
+        self.asked_at = timedelta()
+        self.counters = Counters(owner="test")
+        items = SimpleNamespace(limits=LimitsItem(idle_seconds=30.0))
+        self.core = SimpleNamespace(view=SimpleNamespace(items=items), stopping=False)
+        self.answer = Reply(0, 200, pack_pairs([(b"X-Seal", b"a"), (b"X-Seal", b"b")]), b"body", None, None)
+
+    async def request_items(self, make: Callable[[int], Asked]) -> Reply:
+        self.asked.append(make(len(self.asked) + 1))
+        return self.answer
+
+
+class AtTheDoor(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = Node()
+
+    def with_door(self, work: Callable[[int], Coroutine[Any, Any, Any]]) -> Any:
+        async def run() -> Any:
+            runner = await open_door(address="127.0.0.1:0", handler=Door(node=self.node, wording=Wording()).handle)
+            try:
+                return await asyncio.wait_for(work(runner.addresses[0][1]), 10)
+            finally:
+                await runner.cleanup()
+
+        return asyncio.run(run())
+
+    def say(self, *parts: bytes, cut: bool = False) -> bytes:
+        """What a visitor gets that sends this and then nothing more."""
+
+        async def work(port: int) -> bytes:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            for part in parts:
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0.02)
+            if cut:
+                writer.transport.abort()
+                await asyncio.sleep(0.05)
+                return b""
+            told = b""
+            try:
+                while data := await asyncio.wait_for(reader.read(65536), 0.3):
+                    told += data
+            except (TimeoutError, ConnectionError):
+                pass
+            writer.close()
+            return told
+
+        return self.with_door(work)
+
+    def test_a_request_is_told_as_it_came(self) -> None:
+        self.say(
+            b"POST /pay/x?a=%2F&b HTTP/1.1\r\nHost: SHOP.example:80\r\nX-Own: 1\r\nx-own: 2\r\n"
+            b"Connection: keep-alive\r\nIdempotency-Key: k1\r\nX-Hoistsaddle-Send: t1\r\n"
+            b"X-Hoistsaddle-Budget: 1500\r\nContent-Length: 4\r\n\r\nbody"
+        )
+        asked = self.node.asked[0]
+        self.assertThat(
+            (asked.method, asked.host, asked.path, asked.body, asked.key, asked.send_id, asked.budget),
+            Equals(("POST", "shop.example", "/pay/x?a=%2F&b", b"body", "k1", "t1", timedelta(milliseconds=1500))),
+        )
+        pairs = unpack_pairs(asked.headers)
+        self.assertThat(
+            [pair for pair in pairs if pair[0].lower() == b"x-own"], Equals([(b"X-Own", b"1"), (b"x-own", b"2")])
+        )
+        self.assertThat([name for name, _ in pairs if name.lower() in (b"connection", b"content-length")], Equals([]))
+
+    def test_odd_budgets_are_left_to_the_entry_or_count_as_none(self) -> None:
+        for said, budget in (
+            ("", None),
+            ("soon", None),
+            ("-5", timedelta()),
+            ("1e400", None),
+            ("2.5", timedelta(milliseconds=2.5)),
+        ):
+            self.say(f"GET / HTTP/1.1\r\nHost: a\r\nX-Hoistsaddle-Budget: {said}\r\n\r\n".encode())
+            self.assertThat(self.node.asked[-1].budget, Equals(budget), said)
+
+    def test_bodies_in_chunks_and_with_a_word_before_them(self) -> None:
+        told = self.say(
+            b"POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"3\r\nabc\r\n",
+            b"2\r\nde\r\n0\r\n\r\n",
+        )
+        self.assertThat(self.node.asked[0].body, Equals(b"abcde"))
+        self.assertThat(told, Contains(b"100 Continue"))
+        self.assertThat(told, Contains(b"200 OK"))
+
+    def test_a_servers_answer_goes_back_unchanged(self) -> None:
+        told = self.say(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        head, _, body = told.partition(b"\r\n\r\n")
+        self.assertThat(body, Equals(b"body"))
+        for line in (b"X-Seal: a", b"X-Seal: b", b"Content-Length: 4"):
+            self.assertThat(head, Contains(line))
+
+    def test_its_own_kind_of_body_goes_back_alone(self) -> None:
+        self.node.answer = self.node.answer._replace(headers=pack_pairs([(b"content-type", b"image/x-odd; a=b")]))
+        head = self.say(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n").partition(b"\r\n\r\n")[0]
+        kinds = [line for line in head.split(b"\r\n") if line.lower().startswith(b"content-type")]
+        self.assertThat([kind.partition(b": ")[2] for kind in kinds], Equals([b"image/x-odd; a=b"]))
+
+    def test_an_answer_to_head_has_no_body(self) -> None:
+        self.node.answer = self.node.answer._replace(body=b"")
+        told = self.say(b"HEAD / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertThat((told.count(b"200 OK"), len(self.node.asked)), Equals((2, 2)))
+
+    def test_many_requests_on_one_connection_are_answered_in_their_order(self) -> None:
+        one = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
+        told = self.say(one % 1 + one % 2, one % 3)
+        self.assertThat(told.count(b"200 OK"), Equals(3))
+        self.assertThat([asked.path for asked in self.node.asked], Equals(["/1", "/2", "/3"]))
+
+    def test_a_refusal_says_why_and_when_to_come_back(self) -> None:
+        mishap = Mishap(MishapKind.NO_SERVER, "None takes work.", "Come back.")
+        self.node.answer = Reply(0, 503, b"", b"", mishap, timedelta(milliseconds=250))
+        told = self.say(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        for part in (b"503 Service Unavailable", b"Retry-After: 0.250", b"no-server"):
+            self.assertThat(told, Contains(part))
+
+    def test_a_stopping_stall_keeps_no_connection(self) -> None:
+        self.node.core.stopping = True
+        told = self.say(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertThat(told.lower(), Contains(b"connection: close"))
+
+    def test_what_never_came_whole_is_asked_of_nobody(self) -> None:
+        for parts in (
+            (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc",),
+            (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n", b"5\r\nab"),
+            (b"GET / HTTP/1.1\r\nHo",),
+        ):
+            self.say(*parts, cut=True)
+        self.assertThat(self.node.asked, Equals([]))
+
+    def test_what_is_no_http_is_refused_and_asked_of_nobody(self) -> None:
+        for data in (
+            b"\x16\x03\x01\x02\x00\r\n\r\n",
+            b"GET / HTTP/1.1\r\nbad header\r\n\r\n",
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
+        ):
+            self.assertThat(self.say(data)[:12], Contains(b" 400"))
+        broken = self.say(b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n", b"zz\r\nab\r\n\r\n")
+        self.assertThat((self.node.asked, b" 500" in broken[:16]), Equals(([], False)), repr(broken))
