Two scale runs at once share no address; too many processes are refused before any starts

Cause: a run looked for a free block of addresses, but opened its own half a minute later; a test's fleet took the same block, and that test and the run of 500 nodes failed by it. Change: the block is held by a socket from the start. Tests for both.

--- a/packages/fairground/src/hoistsaddle/fairground/scale/run.py
+++ b/packages/fairground/src/hoistsaddle/fairground/scale/run.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import os
+import socket
 import sys
 import tempfile
 import time
@@ -118,19 +119,19 @@
         await self.child.wait()
 
 
-def _free_block() -> int:
-    """The second number of the run's addresses: one that no other run on this machine uses now."""
-    import socket
+def _hold_block() -> tuple[int, socket.socket]:
+    """The second number of the run's addresses, and what keeps it until the run is over.
 
+    Held from here on: a fleet's own addresses are opened much later, and two runs that began together would share them.
+    """
     for block in range(20, 250):
         holder = socket.socket()
         try:
-            holder.bind((f"127.{block}.250.1", 7100))
+            holder.bind((f"127.{block}.251.1", 7100))
         except OSError:
-            continue
-        finally:
             holder.close()
-        return block
+            continue
+        return block, holder
     raise Broke("no free block of loopback addresses")
 
 
@@ -141,7 +142,7 @@
         self.size: Size = sized(plan.nodes)
         self.rows: list[Row] = []
         self.began = time.monotonic()
-        block = _free_block()
+        block, self.holder = _hold_block()
         hosts = [f"127.{block}.250.{place + 1}" for place in range(plan.core)]
 
         def job(kind: str, **needs: Any) -> Job:
@@ -227,6 +228,7 @@
                 await self._leader_lost()
         finally:
             await asyncio.gather(*(process.end() for process in self.processes if hasattr(process, "child")))
+            self.holder.close()
 
     async def _leader(self) -> _Process | None:
         for process in self.core:
@@ -429,7 +431,12 @@
 async def run_fleet(plan: Plan, *, say: Callable[[str], Any]) -> list[Row]:
     """The figures of one fleet; where it broke, those it had until then and one row that says so."""
     with tempfile.TemporaryDirectory(prefix="hoistsaddle-scale-") as folder:
-        fleet = ScaleFleet(plan=plan, folder=Path(folder), say=say)
+        try:
+            fleet = ScaleFleet(plan=plan, folder=Path(folder), say=say)
+        except Broke as broke:
+            # Nothing was started yet.
+            say(f"{plan.nodes} nodes BROKE: {broke}")
+            return [Row(plan.nodes, f"BROKE: {broke}", "", 1)]
         try:
             await fleet.run()
         except Broke as broke:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -16,7 +16,7 @@
 
 from hoistsaddle.fairground.scale.clock import make_loop
 from hoistsaddle.fairground.scale.report import fit_of
-from hoistsaddle.fairground.scale.run import Plan, run_fleet
+from hoistsaddle.fairground.scale.run import Plan, ScaleFleet, run_fleet
 from hoistsaddle.fairground.scale.sizes import GOAL, Size, make_state, sized
 from hoistsaddle.fairground.scale.slopes import SLOPES, Measured, take, tree_of
 from hoistsaddle.haggle.line import Lines, LineServer
@@ -64,6 +64,20 @@
         self.assertThat([row.nodes for row in rows if row.what.startswith("BROKE")], Equals([2]))
         self.assertThat(told[-1], Contains("2 nodes BROKE: not done within 0 s"))
 
+    def test_more_processes_than_allowed_are_not_started(self) -> None:
+        told: list[str] = []
+        rows = asyncio.run(run_fleet(Plan(nodes=40, whole=0, together=1), say=told.append))
+        self.assertThat([row.what for row in rows], Equals([told[-1].removeprefix("40 nodes ")]))
+        self.assertThat(told[-1], Contains("43 processes, 30 are allowed"))
+
+    def test_two_fleets_laid_out_together_share_no_address(self) -> None:
+        plan = Plan(nodes=2, core=1, whole=0, together=2)
+        with tempfile.TemporaryDirectory() as folder:
+            one, two = (ScaleFleet(plan=plan, folder=Path(folder), say=str) for _ in range(2))
+            self.addCleanup(one.holder.close)
+            self.addCleanup(two.holder.close)
+        self.assertThat(one.core[0].job.block == two.core[0].job.block, Equals(False))
+
 
 class Slopes(TestCase):
     def test_each_has_four_points_or_more_and_its_counts_come_out_the_same(self) -> None:
