--- a/packages/bourse/src/hoistsaddle/bourse/market.py
+++ b/packages/bourse/src/hoistsaddle/bourse/market.py
@@ -16,7 +16,7 @@
 from hoistsaddle.bourse.places import Places, number_of_host
 from hoistsaddle.bourse.service import Bourse
 from hoistsaddle.crier.member import MemberPace
-from hoistsaddle.haggle.parcels import FoundAnswer, LookAnswer, LookCall, ReadAnswer
+from hoistsaddle.haggle.parcels import FoundAnswer, FoundCall, LookAnswer, LookCall, ReadAnswer
 from hoistsaddle.haggle.runtime import Runtime
 from hoistsaddle.ledger.core import LEADER
 from hoistsaddle.ledger.disk import Disk
@@ -29,7 +29,7 @@
 from hoistsaddle.tally.mishaps import Mishap, MishapKind
 from hoistsaddle.tally.moments import milliseconds
 from hoistsaddle.tally.params import BourseParams, MarketParams, WarehouseParams
-from hoistsaddle.tariff.items import Patch, pack_patch
+from hoistsaddle.tariff.items import Patch, check_patch, pack_patch
 from hoistsaddle.warehouse.service import Warehouse
 
 LOOK_EVERY = milliseconds(20)
@@ -62,6 +62,10 @@
         core = self.warehouse.shell.core
         if not core.whole or core.halted:
             return None
+        if core.state.epoch != core.epoch:
+            # A record of the present epoch must have been applied: before that a leader may not know itself how much
+            # of its log is committed, and its state may be as old as its checkpoint.
+            return None
         if core.standing == LEADER:
             recent = [
                 progress.heard for (replica, _), progress in core.progress.items() if replica in core.state.voters
@@ -144,7 +148,7 @@
             disk=disk or Disk(folder=Path(params.data_folder), replica=self.replica),
             make_worker=make_worker,
             addresses=self.stores,
-            pace=Pace(checkpoint_records=params.checkpoint_records, chunk_bytes=params.chunk_bytes),
+            pace=Pace(checkpoint_records=params.checkpoint_records, chunk_bytes=params.chunk_bytes, boot_share=0.4),
             wanted_voters=2 * params.losses + 1,
         )
         self.bourse = MarketBourse(
@@ -176,6 +180,23 @@
         await self.warehouse.stop()
         await self.bourse.stop()
 
+    def revise(self, params: MarketParams) -> None:
+        """Takes up what may change under a running market: whom to turn to, and how many losses are to be borne."""
+        self.counters.happen("params revised", seeds=params.seeds, losses=params.losses)
+        self.params = msgspec.structs.replace(
+            self.params,
+            seeds=params.seeds,
+            losses=params.losses,
+            uptake_seconds=params.uptake_seconds,
+            write_seconds=params.write_seconds,
+        )
+        numbers = [number_of_host(seed) for seed in params.seeds]
+        for number in numbers:
+            self.stores.learn(number)
+            self.peers.learn(number)
+        self.warehouse.shell.revise(wanted_voters=2 * params.losses + 1, seeds=tuple(numbers))
+        self.bourse.member.seeds = [self.peers[number] for number in numbers if number != self.replica]
+
     async def _found(self) -> None:
         duty = Founding(
             replica=self.replica,
@@ -184,6 +205,7 @@
             losses=self.params.losses,
             mesh=self.runtime.token(8),
             now=self.runtime.now(),
+            begun=self._begun(),
         )
         while duty.duty:
             for command in duty.handle(founded=bool(self.warehouse.shell.core.mesh), now=self.runtime.now()):
@@ -198,6 +220,16 @@
                                     duty.told.add(replica)
             await asyncio.sleep(milliseconds(50).total_seconds())
 
+    def _begun(self) -> FoundCall | None:
+        """The founding on this disk, if nothing came after it: a founder that died may have told nobody else.
+
+        Telling it again is safe: a voter takes it only under the life that it names and with nothing on its disk.
+        """
+        core = self.warehouse.shell.core
+        if not core.mesh or not core.whole or core.last.offset:
+            return None
+        return FoundCall(core.mesh, dict(core.state.voters), dict(core.state.operators), core.state.level)
+
     async def _look(self, duty: Founding, replica: int) -> None:
         match await self.runtime.lines.call(self.stores[replica], LookCall(self.bourse.node), within=milliseconds(500)):
             case Success(LookAnswer() as answer):
@@ -208,6 +240,10 @@
     async def patch(self, patch: Patch) -> Result[dict, Mishap]:
         """A bundle in parts, taken at once under the standing sign-off. Idempotent by its items' revisions."""
         bourse = self.bourse
+        # Checked here before the log is troubled; the log checks again, for what stands may have moved.
+        if isinstance(checked := check_patch(patch), Failure):
+            bourse.counters.happen("patch refused", mishap=checked.failure().kind, field=checked.failure().field)
+            return checked
         self.requests += 1
         request = f"{bourse.node}.{bourse.incarnation}.{self.requests}"
         command = PatchItems(request, self.params.desk, self.params.standing_sign_off, pack_patch(patch))
@@ -221,7 +257,11 @@
                 pass
         if outcome.detail["number"]:
             bourse.counters.happen(
-                "bundle patched", number=outcome.detail["number"], items=len(outcome.detail["changed"])
+                "bundle patched",
+                number=outcome.detail["number"],
+                items=len(outcome.detail["changed"]),
+                author=self.params.desk,
+                signer=self.params.standing_sign_off,
             )
         waits = await self._await_uptake(outcome.detail["offset"])
         return Success({**outcome.detail, "waits_for": waits})
--- a/packages/broker/src/hoistsaddle/broker/entry.py
+++ b/packages/broker/src/hoistsaddle/broker/entry.py
@@ -20,6 +20,7 @@
 )
 from hoistsaddle.haggle.parcels import DealAnswer, DealCall, RecallAnswer, RecallCall
 from hoistsaddle.shelf.commands import ClaimHold, Outcome, ReleaseHold
+from hoistsaddle.shelf.keys import handle_of
 from hoistsaddle.shelf.state import GONE, ServerEntry
 from hoistsaddle.shelf.view import View
 from hoistsaddle.stall.further import FurtherSends, part_of
@@ -39,8 +40,11 @@
 LEFT_ALONE = timedelta(seconds=1)
 # How fast what others have sent to a stall is taken to be worked off, once it said how much that was.
 FADE = timedelta(seconds=1)
-# What another zone must save to be worth the way: a share of the request's aim.
-ZONE_SHARE = 0.2
+# What another zone must save to be worth the way, as a share of the request's aim: something for any request, and more
+# the more bytes would cross. Of all that a mesh spends, bytes between zones are the dearest.
+ZONE_SHARE = 0.1
+ZONE_BYTES = 20000
+MOST_ZONE_SHARE = 1.5
 # How much of its aim a request waits for its key.
 KEY_SHARE = 0.22
 # Hex digits of a key's digest: 96 bits tell keys apart, and the log holds hundreds of them a second.
@@ -119,8 +123,7 @@
     ) -> None:
         super().__init__(**needs)
         self.service_here = service
-        self.further_percent = further_percent
-        self.further_margin = further_margin
+        self.set_further(percent=further_percent, margin=further_margin)
         self.key_span = key_span
         self.further = FurtherSends(wait=self.params.lease_span * 1.05)
         self.deals: dict[int, _Deal] = {}
@@ -134,6 +137,8 @@
         # Sends whose requests were answered before they came back, to the claims they ran under.
         self.late: dict[int, str] = {}
         self.seen: dict[str, Seen] = {}
+        # Entry to the usual size of its answers.
+        self.answer_bytes: dict[str, float] = {}
         # The view that was read in: service to its open servers, and to this stall's part of the further sends.
         self.read_in: View | None = None
         self.servers: dict[str, list[ServerEntry]] = {}
@@ -141,6 +146,12 @@
         # Since when the core gives no answer about keys.
         self.silent_since: timedelta | None = None
 
+    def set_further(self, *, percent: int, margin: int) -> None:
+        # A quarter of the share is kept back: where a run repeats, the calls it makes count as repeats as well, at
+        # services that this side never sees.
+        self.further_percent = percent * 3 // 4
+        self.further_margin = margin
+
     # -- admitting ---------------------------------------------------------------------------------------------------
 
     def _asked(self, event: Asked) -> None:
@@ -185,7 +196,11 @@
             deal.claim = f"{self.params.name}.{self.params.incarnation}.{self._number()}"
         deal.number = self._number()
         self.by_number[deal.number] = ticket
-        command = self.claims[deal.number] = ClaimHold(
+        command = self.claims[deal.number] = self._claim_of(deal)
+        self._out.append(AskHold(deal.number, command))
+
+    def _claim_of(self, deal: _Deal) -> ClaimHold:
+        return ClaimHold(
             deal.scope,
             deal.claim,
             self.params.name,
@@ -197,7 +212,6 @@
             max(1, round(self.key_span.total_seconds())),
             deal.after,
         )
-        self._out.append(AskHold(deal.number, command))
 
     def _hold_answered(self, number: int, outcome: Outcome | None) -> None:
         if outcome is not None:
@@ -295,22 +309,21 @@
             return RecallAnswer(KEPT, kept.answer.status, kept.answer.headers, kept.answer.body)
         return RecallAnswer(kept.standing)
 
-    def _keep(self, claim: str) -> None:
+    def _keep(self, claim: str) -> _Kept:
         while self.kept and next(iter(self.kept.values())).until <= self.now:
             self.kept.popitem(last=False)
-        self.kept[claim] = _Kept(until=self.now + self.key_span)
+        return self.kept.setdefault(claim, _Kept(until=self.now + self.key_span))
 
     def _let_go(self, deal: _Deal) -> None:
         """Gives a claimed key back: nothing ran under it and nothing will."""
         if not deal.claim or deal.uncertain or deal.sends:
             return
-        kept = self.kept.get(deal.claim)
-        if kept is not None:
-            kept.standing = FREE
-        self._release(ClaimHold(deal.scope, deal.claim, "", ""))
+        # Also a claim that was never answered: should it be in the log, a repeat that meets it may take it over.
+        self._keep(deal.claim).standing = FREE
+        self._release(self._claim_of(deal))
 
     def _release(self, command: ClaimHold) -> None:
-        self._ask_release(ReleaseHold(command.scope, command.claim), self.now + RELEASE_SPAN)
+        self._ask_release(ReleaseHold(handle_of(command), command.claim), self.now + RELEASE_SPAN)
 
     def _ask_release(self, command: ReleaseHold, until: timedelta) -> None:
         number = self._number()
@@ -341,7 +354,9 @@
         busy = min(1.0, load / seen.room)
         score = span.total_seconds() * (1 + wait + busy * 0.25)
         if server.zone != self.params.zone:
-            score += (deal.aim_at - deal.arrived).total_seconds() * ZONE_SHARE
+            crossing = len(deal.event.body) + self.answer_bytes.get(deal.entry.name, 0.0)
+            share = min(MOST_ZONE_SHARE, ZONE_SHARE + crossing / ZONE_BYTES)
+            score += (deal.aim_at - deal.arrived).total_seconds() * share
         return score
 
     def _select(self, deal: _Deal) -> ServerEntry | None:
@@ -458,6 +473,8 @@
                 ticket, deal, mishap_of(MishapKind.SILENT, "The server gave no whole answer.", "Ask what became of it.")
             )
         if answer.status < 500:
+            usual = self.answer_bytes.get(deal.entry.name, float(len(answer.body)))
+            self.answer_bytes[deal.entry.name] = usual + (len(answer.body) - usual) * 0.1
             known = seen.spans.get(deal.entry.name)
             seen.spans[deal.entry.name] = answer.took if known is None else known + (answer.took - known) * 0.15
         elif deal.entry.kind == REPEATABLE:
--- a/packages/ledger/src/hoistsaddle/ledger/core.py
+++ b/packages/ledger/src/hoistsaddle/ledger/core.py
@@ -128,6 +128,8 @@
         self.seeds = replicas
         self.sought = 0
         self.sought_at = now
+        # When a leader was last known here.
+        self.led_at = now
         self.pace = pace
         self.level = min(level, LEVEL)
         # Why this replica can't go on; empty while it can.
@@ -142,6 +144,8 @@
         self.checkpoint = boot.checkpoint
         self.checkpoints: list[tuple[Mark, timedelta]] = [(boot.checkpoint, now)] if boot.checkpoint else []
         self.known_voters = boot.voters
+        # What a former life knew to be committed; this one's high-watermark begins below it.
+        self.committed_before = 0 if boot.catching else boot.committed
         # A log without a checkpoint between its begin and its high-watermark counts as empty.
         self.whole = boot.state is not None and not boot.catching
         if self.whole:
@@ -174,7 +178,9 @@
         self.pull_sent: timedelta | None = None
         self.pull_position = 0
         self.loading = False
-        self.election_at = now + self._election_span()
+        # After a start nobody is known to lead. Should somebody, its call comes first, and the voters that hear it
+        # refuse the trial; if nobody does, all were down and every moment counts.
+        self.election_at = now + self._election_span() * pace.boot_share
         # Candidate's side.
         self.trial = False
         self.granted: set[tuple[int, str]] = set()
@@ -218,12 +224,17 @@
         return self.log[place].epoch if 0 <= place < len(self.log) else None
 
     def voter_sets(self) -> list[dict[int, str]]:
-        """The voters, and beside them the set each unapplied swap would make: until it commits, both must agree."""
+        """The voters, and beside them the set that an uncommitted change would make: until it commits, both must agree.
+
+        A change is logged only once the one before it is committed, so of several unapplied ones, as a start finds
+        them, only the last is open; and not even that if a former life knew it to be committed. To ask the sets before
+        them as well would ask for disks that may have been lost and replaced since.
+        """
         voters = dict(self.state.voters) if self.whole else dict(self.known_voters)
         sets = [voters]
-        for _, swap in self.swaps:
+        for offset, swap in self.swaps:
             voters = _changed(voters, swap)
-            sets.append(voters)
+            sets = [voters] if offset <= self.committed_before else [sets[-1], voters]
         return sets
 
     @property
@@ -364,6 +375,7 @@
                 clear,
                 truncate_from,
                 records,
+                max(self.committed_before, self.high_watermark),
             )
         )
         self.unsynced.append((self.sequence, self.last.offset, self.now))
@@ -899,7 +911,7 @@
         self.checkpoint = None
         self.checkpoints = []
         self.begin = Mark(answer.checkpoint_offset, answer.checkpoint_epoch)
-        self.high_watermark = 0
+        self.high_watermark = self.committed_before = 0
         self.durable = self.begin.offset
         self.unsynced = [(sequence, self.begin.offset, moment) for sequence, _, moment in self.unsynced]
         self._write(clear=True)
@@ -980,7 +992,11 @@
                 and (self.pull_sent is None or self.now - self.pull_sent > self.pace.fetch_retry * 2)
             ):
                 self._pull()
-        if self.leader == UNSET and not self.is_voter() and self.now - self.sought_at >= self.pace.seek_every:
+        if self.leader != UNSET:
+            self.led_at = self.now
+        # A voter without a leader for long may have been dropped while it was away: then nobody calls it either.
+        unknown = not self.is_voter() or self.now - self.led_at >= self.pace.alive_span
+        if self.leader == UNSET and unknown and self.now - self.sought_at >= self.pace.seek_every:
             self._seek()
         if self.now >= self.election_at:
             if self._can_stand():
--- a/packages/ledger/src/hoistsaddle/ledger/events.py
+++ b/packages/ledger/src/hoistsaddle/ledger/events.py
@@ -29,6 +29,8 @@
     records: tuple[Record, ...] = ()
     checkpoint: Mark | None = None
     state: State | None = None
+    # Up to here the log was known to be committed when it was last written.
+    committed: int = 0
 
 
 class CallArrived(NamedTuple):
@@ -116,6 +118,7 @@
     clear: bool
     truncate_from: int
     records: tuple[Record, ...]
+    committed: int = 0
 
 
 class Capture(NamedTuple):
@@ -168,6 +171,8 @@
     fetch_retry: timedelta = timedelta(milliseconds=350)
     election_least: timedelta = timedelta(milliseconds=500)
     election_most: timedelta = timedelta(milliseconds=850)
+    # The part of an election's span that a replica waits for a leader after its own start.
+    boot_share: float = 1.0
     ballot_retry: timedelta = timedelta(milliseconds=250)
     quorum_silence: timedelta = timedelta(milliseconds=1000)
     lead_every: timedelta = timedelta(milliseconds=150)
