--- a/packages/broker/src/hoistsaddle/broker/node.py
+++ b/packages/broker/src/hoistsaddle/broker/node.py
@@ -50,6 +50,7 @@
     vitals_every = timedelta(seconds=1)
     poll_span = milliseconds(800)
     tick = milliseconds(20)
+    same_polls = 1
     member_pace = MemberPace(
         period=timedelta(seconds=1),
         probe_span=milliseconds(500),
--- a/packages/stall/src/hoistsaddle/stall/node.py
+++ b/packages/stall/src/hoistsaddle/stall/node.py
@@ -80,6 +80,8 @@
     vitals_every = VITALS_EVERY
     poll_span = POLL_SPAN
     tick = TICK
+    # How many answers in a row that renew nothing a parent may give before it is left.
+    same_polls = 0
     member_pace = MemberPace()
 
     def __init__(self, *, params: StallParams | BrokerParams, runtime: Runtime, run_server: Runner) -> None:
@@ -336,10 +338,10 @@
             if outcome == RENEWED:
                 turn, same = 0, 0
                 continue
-            if outcome == SAME and not same:
+            if outcome == SAME and same < self.same_polls:
                 # Once is the beat of two held polls, the parent's and this one. Moving on then brought half of all
                 # polls of a deep tree to its roots.
-                same = 1
+                same += 1
                 continue
             turn, same = turn + 1, 0
             await asyncio.sleep(milliseconds(30).total_seconds())
