--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -13,6 +13,6 @@
     cp -r "$source/hoistsaddle" target/deps/
 done
 find target/deps/hoistsaddle -name __pycache__ -prune -exec rm -rf {} +
-rm -rf target/deps/hoistsaddle/fairground target/deps/hoistsaddle/kiosk target/deps/hoistsaddle/scales target/deps/hoistsaddle/docket
+rm -rf target/deps/hoistsaddle/testbed target/deps/hoistsaddle/cli target/deps/hoistsaddle/planner target/deps/hoistsaddle/usage
 # Sources are only read at run time and nothing is compiled there: unchecked files need no look at their sources.
 python3 -m compileall -q -j 0 --invalidation-mode unchecked-hash target/deps/hoistsaddle
--- /dev/null
+++ b/packages/cli/src/hoistsaddle/cli/__main__.py
@@ -0,0 +1,3 @@
+from hoistsaddle.cli.commands import main
+
+main(prog_name="hoistsaddle")
--- a/packages/kiosk/src/hoistsaddle/kiosk/commands.py
+++ b/packages/cli/src/hoistsaddle/cli/commands.py
@@ -9,11 +9,18 @@
 from loguru import logger
 from returns.result import Failure, Success
 
-from hoistsaddle.kiosk.fleet_commands import fleet
-from hoistsaddle.kiosk.item_commands import items
-from hoistsaddle.kiosk.operator_commands import OPERATOR_COMMANDS
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.params import BourseParams, BrokerParams, MarketParams, StallParams, WarehouseParams, read_params
+from hoistsaddle.cli.fleet_commands import fleet
+from hoistsaddle.cli.item_commands import items
+from hoistsaddle.cli.operator_commands import OPERATOR_COMMANDS
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.common.settings import (
+    ControllerParams,
+    ProxyParams,
+    RegistryParams,
+    SidecarParams,
+    StoreParams,
+    read_params,
+)
 
 
 def _not_a_visitors_fault(record: logging.LogRecord) -> bool:
@@ -78,11 +85,11 @@
 @_core
 def warehouse(params_file, core, **flags) -> None:
     """Runs the store on a core machine."""
-    from hoistsaddle.warehouse.service import WarehouseService
+    from hoistsaddle.store.service import StoreService
 
     _run(
-        kind=WarehouseParams,
-        service=WarehouseService,
+        kind=StoreParams,
+        service=StoreService,
         params_file=params_file,
         flags={**flags, "core": _core_machines(core)},
     )
@@ -97,10 +104,13 @@
 @_core
 def bourse(params_file, core, **flags) -> None:
     """Runs the registry on a core machine."""
-    from hoistsaddle.bourse.service import BourseService
+    from hoistsaddle.registry.service import RegistryService
 
     _run(
-        kind=BourseParams, service=BourseService, params_file=params_file, flags={**flags, "core": _core_machines(core)}
+        kind=RegistryParams,
+        service=RegistryService,
+        params_file=params_file,
+        flags={**flags, "core": _core_machines(core)},
     )
 
 
@@ -114,9 +124,9 @@
 @click.option("--seed", "seeds", multiple=True, help="A bourse's mesh address; give three.")
 def stall(params_file, seeds, **flags) -> None:
     """Runs the proxy beside a server."""
-    from hoistsaddle.stall.service import StallService
+    from hoistsaddle.proxy.service import ProxyService
 
-    _run(kind=StallParams, service=StallService, params_file=params_file, flags={**flags, "seeds": list(seeds)})
+    _run(kind=ProxyParams, service=ProxyService, params_file=params_file, flags={**flags, "seeds": list(seeds)})
 
 
 @main.command()
@@ -132,11 +142,11 @@
 @click.option("--losses", type=int, help="How many core machines may be lost at once.")
 def market(settings, params_file, seeds, **flags) -> None:
     """Runs both core programs in one process, for items. SETTINGS is a TOML file; flags win over it."""
-    from hoistsaddle.bourse.marketdoor import MarketService
+    from hoistsaddle.registry.controllerdoor import ControllerService
 
     _run(
-        kind=MarketParams,
-        service=MarketService,
+        kind=ControllerParams,
+        service=ControllerService,
         params_file=settings or params_file,
         flags={**flags, "seeds": list(seeds)},
     )
@@ -156,11 +166,11 @@
 @click.option("--seed", "seeds", multiple=True, help="A market's bourse address, IP:PORT; one to three.")
 def broker(settings, params_file, seeds, **flags) -> None:
     """Runs a stall that serves items. SETTINGS is a TOML file; flags win over it."""
-    from hoistsaddle.broker.service import BrokerService
+    from hoistsaddle.sidecar.service import SidecarService
 
     _run(
-        kind=BrokerParams,
-        service=BrokerService,
+        kind=SidecarParams,
+        service=SidecarService,
         params_file=settings or params_file,
         flags={**flags, "seeds": list(seeds)},
     )
--- a/packages/kiosk/src/hoistsaddle/kiosk/export.py
+++ b/packages/cli/src/hoistsaddle/cli/export.py
@@ -41,7 +41,7 @@
 def export(stalls, out) -> None:
     """Writes usage by service, entry, caller and outcome as Parquet or CSV."""
     # Only here: a daemon has no use for so large a library.
-    from hoistsaddle.docket.usage import table_of, write_usage
+    from hoistsaddle.usage.usage import table_of, write_usage
 
     told, silent = asyncio.run(read_usage(stalls=stalls))
     match write_usage(table_of(told, read_at=datetime.now(UTC)), path=Path(out)):
--- a/packages/kiosk/src/hoistsaddle/kiosk/fleet_commands.py
+++ b/packages/cli/src/hoistsaddle/cli/fleet_commands.py
@@ -38,9 +38,9 @@
     """Starts it, founds it, rolls out its first bundle, and sends it visitors (none with --rate 0)."""
 
     async def work(running, stopped: asyncio.Event):
-        from hoistsaddle.fairground.fleet import AUTHOR, SIGNER
-        from hoistsaddle.fairground.load import Load
-        from hoistsaddle.fairground.proof import Proof
+        from hoistsaddle.testbed.fleet import AUTHOR, SIGNER
+        from hoistsaddle.testbed.load import Load
+        from hoistsaddle.testbed.proof import Proof
 
         click.echo(f"export HOISTSADDLE_DOORS='{' '.join(running.doors)}'")
         click.echo(f"export HOISTSADDLE_STALLS='{' '.join(running.visitor_doors())}'")
@@ -92,7 +92,7 @@
     """Does a day's worth of harm to it under load and checks every line of "What must never happen"."""
 
     async def work(running, stopped: asyncio.Event):
-        from hoistsaddle.fairground.proof import prove as proof
+        from hoistsaddle.testbed.proof import prove as proof
 
         return await proof(fleet=running, seed=seed, rate=rate, say=click.echo)
 
@@ -108,8 +108,8 @@
 @click.option("--list", "listing", is_flag=True, help="Names the scenarios and ends.")
 def simulate(deployment, scenarios, seeds, listing, workers, quiet) -> None:
     """Drives the same code through failures in simulated time, seed by seed."""
-    from hoistsaddle.fairground.simulation.catalogue import CORE_SCENARIOS, SCENARIOS
-    from hoistsaddle.fairground.simulation.runs import Run, carry_out_all
+    from hoistsaddle.testbed.simulation.catalogue import CORE_SCENARIOS, SCENARIOS
+    from hoistsaddle.testbed.simulation.runs import Run, carry_out_all
 
     if listing:
         for name, scenario in {**SCENARIOS, **CORE_SCENARIOS}.items():
@@ -151,7 +151,7 @@
 @click.option("--workers", type=click.IntRange(1, 256), help="Days at once; by default one for each core.")
 def hunt(seeds, only, small, no_shrink, workers) -> None:
     """Plays random days of the users' platform in simulated time and looks for broken rules."""
-    from hoistsaddle.fairground.arcade import hunt as hunting
+    from hoistsaddle.testbed.emulator import hunt as hunting
 
     first, _, last = seeds.partition("-")
     places = None if only is None else [place.strip() for place in only.split(",") if place.strip()]
@@ -210,8 +210,8 @@
 )
 def measure(what, older) -> None:
     """Takes one of the measurements that docs/measurements.md keeps."""
-    from hoistsaddle.fairground import measure as measuring
-    from hoistsaddle.fairground.deployments import DEPLOYMENTS
+    from hoistsaddle.testbed import measure as measuring
+    from hoistsaddle.testbed.deployments import DEPLOYMENTS
 
     if what == "versions" and older is None:
         click.echo("refused: params: versions needs --older. Remedy: name a checkout of the former release.", err=True)
@@ -255,9 +255,9 @@
 @_seed
 def scale(sizes, slopes, no_slopes, small, listing, figures, picture, rounds, seed, losses, **needs) -> None:
     """Measures what control costs as the fleet grows: hollow stalls beside a real core, and the cores' own slopes."""
-    from hoistsaddle.fairground.scale import report
-    from hoistsaddle.fairground.scale.run import Plan, run_fleet
-    from hoistsaddle.fairground.scale.slopes import SLOPES, Measured, take
+    from hoistsaddle.testbed.scale import report
+    from hoistsaddle.testbed.scale.run import Plan, run_fleet
+    from hoistsaddle.testbed.scale.slopes import SLOPES, Measured, take
 
     if listing:
         for name, (work, points, _) in SLOPES.items():
@@ -316,10 +316,10 @@
 
 
 async def _run(name: str, folder: Path, seed: int, work: Callable[..., Awaitable], outsiders: bool, needs: dict) -> int:
-    from hoistsaddle.fairground.checkers import check_all
-    from hoistsaddle.fairground.deployments import DEPLOYMENTS
-    from hoistsaddle.fairground.fleet import Fleet
-    from hoistsaddle.fairground.history import Got
+    from hoistsaddle.testbed.checkers import check_all
+    from hoistsaddle.testbed.deployments import DEPLOYMENTS
+    from hoistsaddle.testbed.fleet import Fleet
+    from hoistsaddle.testbed.history import Got
 
     deployment = DEPLOYMENTS[name]
     stopped = asyncio.Event()
--- a/packages/kiosk/src/hoistsaddle/kiosk/holds.py
+++ b/packages/cli/src/hoistsaddle/cli/holds.py
@@ -7,7 +7,7 @@
 import click
 import msgspec
 
-from hoistsaddle.kiosk.caller import say
+from hoistsaddle.cli.caller import say
 
 
 async def read_rooms(*, stalls: tuple[str, ...]) -> tuple[list[dict], list[str]]:
--- a/packages/kiosk/src/hoistsaddle/kiosk/item_commands.py
+++ b/packages/cli/src/hoistsaddle/cli/item_commands.py
@@ -7,10 +7,10 @@
 import click
 from returns.result import Failure, Success
 
-from hoistsaddle.kiosk.caller import say, show
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tariff.items import Patch
-from hoistsaddle.tariff.itemtext import read_text
+from hoistsaddle.cli.caller import say, show
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.config.items import Patch
+from hoistsaddle.config.itemtext import read_text
 
 _door = click.option(
     "--door",
--- a/packages/kiosk/src/hoistsaddle/kiosk/operator_commands.py
+++ b/packages/cli/src/hoistsaddle/cli/operator_commands.py
@@ -8,12 +8,12 @@
 import msgspec
 from returns.result import Failure, Success
 
-from hoistsaddle.kiosk.caller import ask, say, show
-from hoistsaddle.kiosk.export import export
-from hoistsaddle.kiosk.holds import holds
-from hoistsaddle.kiosk.plan import plan
-from hoistsaddle.kiosk.watch import watch
-from hoistsaddle.tariff.bundle import digest_of, read_bundle
+from hoistsaddle.cli.caller import ask, say, show
+from hoistsaddle.cli.export import export
+from hoistsaddle.cli.holds import holds
+from hoistsaddle.cli.plan import plan
+from hoistsaddle.cli.watch import watch
+from hoistsaddle.config.bundle import digest_of, read_bundle
 
 _door = click.option(
     "--door",
--- a/packages/kiosk/src/hoistsaddle/kiosk/plan.py
+++ b/packages/cli/src/hoistsaddle/cli/plan.py
@@ -6,8 +6,8 @@
 import click
 from returns.result import Failure, Success
 
-from hoistsaddle.kiosk.caller import say, show
-from hoistsaddle.scales.forecast import Change, weigh_bundle, weigh_change
+from hoistsaddle.cli.caller import say, show
+from hoistsaddle.planner.forecast import Change, weigh_bundle, weigh_change
 
 
 @click.command()
--- a/packages/kiosk/src/hoistsaddle/kiosk/watch.py
+++ b/packages/cli/src/hoistsaddle/cli/watch.py
@@ -7,7 +7,7 @@
 import click
 import msgspec
 
-from hoistsaddle.kiosk.caller import say
+from hoistsaddle.cli.caller import say
 
 _words = {
     "bundle submitted": "bundle {number} arrives from {author}",
--- a/packages/tally/src/hoistsaddle/tally/reading.py
+++ b/packages/common/src/hoistsaddle/common/reading.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.tally.mishaps import Mishap, MishapKind, field_in
+from hoistsaddle.common.errors import Mishap, MishapKind, field_in
 
 Kind = TypeVar("Kind")
 # What a double and a signed 64-bit number both hold exactly.
--- a/packages/tally/src/hoistsaddle/tally/params.py
+++ b/packages/common/src/hoistsaddle/common/settings.py
@@ -8,7 +8,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.tally.mishaps import Mishap, MishapKind, field_in
+from hoistsaddle.common.errors import Mishap, MishapKind, field_in
 
 
 class CoreMachine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -19,7 +19,7 @@
     zone: str = ""
 
 
-class WarehouseParams(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class StoreParams(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     replica: int
     zone: str
     listen: str
@@ -35,7 +35,7 @@
     line_faults: str = ""
 
 
-class BourseParams(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class RegistryParams(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     replica: int
     zone: str
     listen: str
@@ -48,7 +48,7 @@
     line_faults: str = ""
 
 
-class StallParams(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class ProxyParams(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     name: str
     zone: str
     listen: str
@@ -64,7 +64,7 @@
     line_faults: str = ""
 
 
-class MarketParams(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class ControllerParams(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One core machine whose two core programs share a process, in a core that founds itself and grows by its log."""
 
     host: str
@@ -90,7 +90,7 @@
     write_seconds: float = 0.5
 
 
-class BrokerParams(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class SidecarParams(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One stall that serves items: a door for visitors and its own server, and the way to that server."""
 
     name: str
@@ -144,7 +144,7 @@
     "grace_seconds": (0.5, 600),
     "drain_seconds": (0.1, 600),
 }
-Params = WarehouseParams | BourseParams | StallParams | MarketParams | BrokerParams
+Params = StoreParams | RegistryParams | ProxyParams | ControllerParams | SidecarParams
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -188,7 +188,7 @@
     if not folder or "\0" in folder:
         return Mishap(MishapKind.PARAMS, "That is no folder.", "Name one that this process may write.", "data_folder")
     match params:
-        case StallParams(seeds=seeds):
+        case ProxyParams(seeds=seeds):
             # Three seeds, so that any one of them may be down when a process starts.
             if len(seeds) != 3:
                 return Mishap(
@@ -197,7 +197,7 @@
             for place, seed in enumerate(seeds):
                 if found := check_address(field=f"seeds[{place}]", address=seed):
                     return found
-        case BrokerParams() as broker:
+        case SidecarParams() as broker:
             if not 1 <= len(broker.seeds) <= 3:
                 return Mishap(MishapKind.PARAMS, f"{len(broker.seeds)} seeds given.", "Give one to three.", "seeds")
             for field in ("door", "vitals_door", "ready_door", "server"):
@@ -206,7 +206,7 @@
             for place, seed in enumerate(broker.seeds):
                 if found := check_address(field=f"seeds[{place}]", address=seed):
                     return found
-        case MarketParams() as market:
+        case ControllerParams() as market:
             if len({market.bourse_port, market.warehouse_port, market.operators_port}) < 3:
                 return Mishap(MishapKind.PARAMS, "Two ports are the same.", "Give each its own.", "bourse_port")
             if market.desk == market.standing_sign_off:
@@ -222,7 +222,7 @@
             ):
                 if found := check_address(field=field, address=f"{host}:1"):
                     return found
-        case WarehouseParams(replica=replica, core=core) | BourseParams(replica=replica, core=core):
+        case StoreParams(replica=replica, core=core) | RegistryParams(replica=replica, core=core):
             if replica not in [machine.replica for machine in core]:
                 return Mishap(
                     MishapKind.PARAMS,
--- a/packages/tariff/src/hoistsaddle/tariff/bundle.py
+++ b/packages/config/src/hoistsaddle/config/bundle.py
@@ -8,7 +8,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.tally.mishaps import Mishap, MishapKind, field_in
+from hoistsaddle.common.errors import Mishap, MishapKind, field_in
 
 VISITORS = "visitors"
 LARGEST_BODY = 8 * 1024 * 1024
--- a/packages/tariff/src/hoistsaddle/tariff/items.py
+++ b/packages/config/src/hoistsaddle/config/items.py
@@ -10,7 +10,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.tally.mishaps import Mishap, MishapKind, field_in
+from hoistsaddle.common.errors import Mishap, MishapKind, field_in
 
 REPEATABLE = "repeatable"
 ONCE_PER_SEND = "once per send"
--- a/packages/tariff/src/hoistsaddle/tariff/itemtext.py
+++ b/packages/config/src/hoistsaddle/config/itemtext.py
@@ -12,8 +12,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.tally.mishaps import Mishap, MishapKind, field_in
-from hoistsaddle.tariff.items import ENTRY, LIMITS, SERVICE, Dropping, Kind, Patch, Setting, check_patch
+from hoistsaddle.common.errors import Mishap, MishapKind, field_in
+from hoistsaddle.config.items import ENTRY, LIMITS, SERVICE, Dropping, Kind, Patch, Setting, check_patch
 
 LARGEST_TEXT = 4 * 1024 * 1024
 
--- a/packages/kiosk/src/hoistsaddle/kiosk/__main__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-from hoistsaddle.kiosk.commands import main
-
-main(prog_name="hoistsaddle")
--- a/packages/crier/src/hoistsaddle/crier/holding.py
+++ b/packages/membership/src/hoistsaddle/membership/holding.py
@@ -3,10 +3,10 @@
 import asyncio
 from datetime import timedelta
 
-from hoistsaddle.crier.relay import Relay
-from hoistsaddle.haggle.parcels import PollAnswer, PollCall
-from hoistsaddle.haggle.runtime import Runtime
-from hoistsaddle.tally.moments import milliseconds
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.membership.relay import Relay
+from hoistsaddle.rpc.messages import PollAnswer, PollCall
+from hoistsaddle.rpc.runtime import Runtime
 
 POLL_HOLD = milliseconds(150)
 
--- a/packages/crier/src/hoistsaddle/crier/member.py
+++ b/packages/membership/src/hoistsaddle/membership/member.py
@@ -6,7 +6,8 @@
 
 from returns.result import Success
 
-from hoistsaddle.crier.membership import (
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.membership.membership import (
     AskOpinions,
     Changed,
     Membership,
@@ -17,9 +18,8 @@
     RumoursArrived,
     Ticked,
 )
-from hoistsaddle.haggle.parcels import ProbeAnswer, ProbeCall, ProbeForAnswer, ProbeForCall, Rumour
-from hoistsaddle.haggle.runtime import Runtime
-from hoistsaddle.tally.counters import Counters
+from hoistsaddle.rpc.messages import ProbeAnswer, ProbeCall, ProbeForAnswer, ProbeForCall, Rumour
+from hoistsaddle.rpc.runtime import Runtime
 
 PERIOD = timedelta(milliseconds=250)
 PROBE_SPAN = timedelta(milliseconds=300)
--- a/packages/crier/src/hoistsaddle/crier/membership.py
+++ b/packages/membership/src/hoistsaddle/membership/membership.py
@@ -4,8 +4,8 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from hoistsaddle.haggle.parcels import Rumour
-from hoistsaddle.tally.moments import ZERO
+from hoistsaddle.common.clock import ZERO
+from hoistsaddle.rpc.messages import Rumour
 
 ALIVE = "alive"
 SUSPECT = "suspect"
--- a/packages/crier/src/hoistsaddle/crier/relay.py
+++ b/packages/membership/src/hoistsaddle/membership/relay.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from hoistsaddle.haggle.parcels import NewsItem, PollAnswer, PollCall, Uptake
-from hoistsaddle.shelf.digests import RANGES, digests_of, range_of
-from hoistsaddle.tally.mishaps import MishapKind
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.rpc.messages import NewsItem, PollAnswer, PollCall, Uptake
+from hoistsaddle.statemachine.digests import RANGES, digests_of, range_of
 
 # Each parent feeds this many children; the core machines are the roots.
 FAN_OUT = 2
--- a/packages/scales/src/hoistsaddle/scales/forecast.py
+++ b/packages/planner/src/hoistsaddle/planner/forecast.py
@@ -6,10 +6,10 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.crier.relay import select_parents
-from hoistsaddle.shelf.state import DRAFT, GONE, READY
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tariff.bundle import Bundle, Entry, digest_of, read_bundle
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.config.bundle import Bundle, Entry, digest_of, read_bundle
+from hoistsaddle.membership.relay import select_parents
+from hoistsaddle.statemachine.state import DRAFT, GONE, READY
 
 
 class Change(NamedTuple):
--- a/packages/stall/src/hoistsaddle/stall/core.py
+++ b/packages/proxy/src/hoistsaddle/proxy/core.py
@@ -8,11 +8,8 @@
 from collections import deque
 from datetime import timedelta
 
-from hoistsaddle.shelf.commands import Outcome
-from hoistsaddle.shelf.state import GONE, READY
-from hoistsaddle.shelf.view import View
-from hoistsaddle.stall.entry import EntrySide
-from hoistsaddle.stall.messages import (
+from hoistsaddle.proxy.entry import EntrySide
+from hoistsaddle.proxy.messages import (
     HoldAnswered,
     LeaseRenewed,
     PassAnswered,
@@ -28,11 +25,14 @@
     Ticked,
     VitalsArrived,
 )
-from hoistsaddle.stall.standing import OwnServer
-from hoistsaddle.stall.target import TargetSide
+from hoistsaddle.proxy.standing import OwnServer
+from hoistsaddle.proxy.target import TargetSide
+from hoistsaddle.statemachine.commands import Outcome
+from hoistsaddle.statemachine.state import GONE, READY
+from hoistsaddle.statemachine.view import View
 
 
-class StallCore(EntrySide, TargetSide):
+class ProxyCore(EntrySide, TargetSide):
     def handle(self, event: tuple, *, now: timedelta) -> list[tuple]:
         self.now = max(now, self.now)
         self._out = []
--- a/packages/stall/src/hoistsaddle/stall/entry.py
+++ b/packages/proxy/src/hoistsaddle/proxy/entry.py
@@ -3,11 +3,11 @@
 from collections import deque
 from datetime import timedelta
 
-from hoistsaddle.haggle.parcels import PassAnswer, PassCall
-from hoistsaddle.shelf.commands import ClaimHold, Outcome, ReleaseHold
-from hoistsaddle.shelf.state import READY, SETTLED, ServerEntry
-from hoistsaddle.stall.further import FurtherSends, part_of
-from hoistsaddle.stall.messages import (
+from hoistsaddle.common.clock import ZERO
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.config.bundle import SAFE_METHODS, VISITORS, Bundle, Entry, Service, budget_of
+from hoistsaddle.proxy.further import FurtherSends, part_of
+from hoistsaddle.proxy.messages import (
     ANSWERED,
     NOT_RUN,
     REFUSED,
@@ -18,11 +18,11 @@
     PassOn,
     RequestArrived,
 )
-from hoistsaddle.stall.standing import GAP, SETTLE_AGAIN, Standing, digest_of_body, mishap_of, number_of
-from hoistsaddle.stall.visitors import KnownBy, digest_of_parts, known_by
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.moments import ZERO
-from hoistsaddle.tariff.bundle import SAFE_METHODS, VISITORS, Bundle, Entry, Service, budget_of
+from hoistsaddle.proxy.standing import GAP, SETTLE_AGAIN, Standing, digest_of_body, mishap_of, number_of
+from hoistsaddle.proxy.visitors import KnownBy, digest_of_parts, known_by
+from hoistsaddle.rpc.messages import PassAnswer, PassCall
+from hoistsaddle.statemachine.commands import ClaimHold, Outcome, ReleaseHold
+from hoistsaddle.statemachine.state import READY, SETTLED, ServerEntry
 
 DEFAULT_BUDGET = timedelta(seconds=5)
 RELEASE_SPAN = timedelta(seconds=60)
--- a/packages/stall/src/hoistsaddle/stall/messages.py
+++ b/packages/proxy/src/hoistsaddle/proxy/messages.py
@@ -3,10 +3,10 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from hoistsaddle.haggle.parcels import PassAnswer, PassCall
-from hoistsaddle.shelf.commands import ClaimHold, Outcome, ReleaseHold, SettleHold
-from hoistsaddle.shelf.view import View
-from hoistsaddle.tally.mishaps import Mishap
+from hoistsaddle.common.errors import Mishap
+from hoistsaddle.rpc.messages import PassAnswer, PassCall
+from hoistsaddle.statemachine.commands import ClaimHold, Outcome, ReleaseHold, SettleHold
+from hoistsaddle.statemachine.view import View
 
 ANSWERED = "answered"
 NOT_RUN = "not-run"
--- a/packages/stall/src/hoistsaddle/stall/node.py
+++ b/packages/proxy/src/hoistsaddle/proxy/node.py
@@ -7,30 +7,16 @@
 
 from returns.result import Success
 
-from hoistsaddle.crier.holding import POLL_HOLD, hold_poll
-from hoistsaddle.crier.member import Member, MemberPace
-from hoistsaddle.crier.membership import ALIVE
-from hoistsaddle.crier.relay import Relay, select_parents
-from hoistsaddle.haggle.parcels import (
-    PassAnswer,
-    PassCall,
-    PollAnswer,
-    PollCall,
-    ProbeCall,
-    ProbeForCall,
-    Rumour,
-    Uptake,
-    VitalsAnswer,
-    VitalsCall,
-    WriteAnswer,
-    WriteCall,
-)
-from hoistsaddle.haggle.runtime import Runtime
-from hoistsaddle.shelf.commands import LEVEL, pack_command, unpack_outcome
-from hoistsaddle.shelf.state import GONE, READY, WARDEN
-from hoistsaddle.shelf.view import read_view
-from hoistsaddle.stall.core import StallCore
-from hoistsaddle.stall.messages import (
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.common.settings import ProxyParams, SidecarParams
+from hoistsaddle.membership.holding import POLL_HOLD, hold_poll
+from hoistsaddle.membership.member import Member, MemberPace
+from hoistsaddle.membership.membership import ALIVE
+from hoistsaddle.membership.relay import Relay, select_parents
+from hoistsaddle.proxy.core import ProxyCore
+from hoistsaddle.proxy.messages import (
     Announce,
     AnswerPass,
     AnswerVisitor,
@@ -50,11 +36,25 @@
     StopAsked,
     Ticked,
 )
-from hoistsaddle.stall.standing import StallParamsView
-from hoistsaddle.tally.counters import Counters
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tally.moments import milliseconds
-from hoistsaddle.tally.params import BrokerParams, StallParams
+from hoistsaddle.proxy.standing import ProxyParamsView
+from hoistsaddle.rpc.messages import (
+    PassAnswer,
+    PassCall,
+    PollAnswer,
+    PollCall,
+    ProbeCall,
+    ProbeForCall,
+    Rumour,
+    Uptake,
+    VitalsAnswer,
+    VitalsCall,
+    WriteAnswer,
+    WriteCall,
+)
+from hoistsaddle.rpc.runtime import Runtime
+from hoistsaddle.statemachine.commands import LEVEL, pack_command, unpack_outcome
+from hoistsaddle.statemachine.state import GONE, READY, WARDEN
+from hoistsaddle.statemachine.view import read_view
 
 TICK = milliseconds(50)
 # A gap this long between ticks means the process stood still; what is read right after may be old.
@@ -74,7 +74,7 @@
 Runner = Callable[[Any], Awaitable[tuple]]
 
 
-class StallNode:
+class ProxyNode:
     # What a deployment with thin links sets wider.
     poll_hold = POLL_HOLD
     vitals_every = VITALS_EVERY
@@ -84,7 +84,7 @@
     same_polls = 0
     member_pace = MemberPace()
 
-    def __init__(self, *, params: StallParams | BrokerParams, runtime: Runtime, run_server: Runner) -> None:
+    def __init__(self, *, params: ProxyParams | SidecarParams, runtime: Runtime, run_server: Runner) -> None:
         self.params = params
         self.runtime = runtime
         self.run_server = run_server
@@ -106,9 +106,9 @@
         me = Rumour(params.name, "stall", params.listen, params.zone, self.incarnation, 0, ALIVE)
         self.member = Member(me=me, seeds=params.seeds, runtime=runtime, counters=self.counters, pace=self.member_pace)
 
-    def _params_view(self) -> StallParamsView:
+    def _params_view(self) -> ProxyParamsView:
         params = self.params
-        return StallParamsView(
+        return ProxyParamsView(
             params.name,
             params.zone,
             self.incarnation,
@@ -119,7 +119,7 @@
         )
 
     def _make_core(self) -> Any:
-        return StallCore(params=self._params_view(), seed=self.runtime.random, now=self.runtime.now())
+        return ProxyCore(params=self._params_view(), seed=self.runtime.random, now=self.runtime.now())
 
     async def start(self) -> None:
         self.server = await self.runtime.serve(self.params.listen, self.answer)
--- a/packages/stall/src/hoistsaddle/stall/service.py
+++ b/packages/proxy/src/hoistsaddle/proxy/service.py
@@ -12,10 +12,11 @@
 from aiomisc import Service
 from returns.result import Failure, Success
 
-from hoistsaddle.haggle.parcels import PassCall
-from hoistsaddle.haggle.runtime import RealRuntime
-from hoistsaddle.shelf.state import GONE
-from hoistsaddle.stall.messages import (
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.common.reading import plain_name, read_body, whole_number
+from hoistsaddle.common.settings import ProxyParams, check_address, split_address
+from hoistsaddle.config.bundle import LARGEST_BODY
+from hoistsaddle.proxy.messages import (
     ANSWERED,
     REFUSED,
     AnswerVisitor,
@@ -25,11 +26,10 @@
     ServerMissed,
     VitalsArrived,
 )
-from hoistsaddle.stall.node import StallNode
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.params import StallParams, check_address, split_address
-from hoistsaddle.tally.reading import plain_name, read_body, whole_number
-from hoistsaddle.tariff.bundle import LARGEST_BODY
+from hoistsaddle.proxy.node import ProxyNode
+from hoistsaddle.rpc.messages import PassCall
+from hoistsaddle.rpc.runtime import RealRuntime
+from hoistsaddle.statemachine.state import GONE
 
 DOOR_WAIT = timedelta(milliseconds=700)
 # Hop-by-hop headers and the mesh's own names never pass from one side to the other.
@@ -97,8 +97,8 @@
     return None
 
 
-class StallService(Service):
-    def __init__(self, *, params: StallParams) -> None:
+class ProxyService(Service):
+    def __init__(self, *, params: ProxyParams) -> None:
         super().__init__()
         self.stall_params = params
 
@@ -111,7 +111,7 @@
             cookie_jar=aiohttp.DummyCookieJar(),
         )
         runtime = RealRuntime(line_faults=params.line_faults)
-        self.node = StallNode(params=params, runtime=runtime, run_server=self.run_server)
+        self.node = ProxyNode(params=params, runtime=runtime, run_server=self.run_server)
         await self.node.start()
         self.runners = [
             await self._open_door(params.visitors, inner=False),
--- a/packages/stall/src/hoistsaddle/stall/standing.py
+++ b/packages/proxy/src/hoistsaddle/proxy/standing.py
@@ -5,11 +5,11 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
-from hoistsaddle.shelf.state import GONE, READY, WINDING_DOWN
-from hoistsaddle.shelf.view import View
-from hoistsaddle.stall.messages import Announce, ReportVitals
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tariff.bundle import Bundle
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.config.bundle import Bundle
+from hoistsaddle.proxy.messages import Announce, ReportVitals
+from hoistsaddle.statemachine.state import GONE, READY, WINDING_DOWN
+from hoistsaddle.statemachine.view import View
 
 SETTLE_AGAIN = timedelta(milliseconds=250)
 # How long a gap of the core's may last and still be waited out: twice the slowest takeover measured (0.72 s). It counts
@@ -25,7 +25,7 @@
     return hashlib.sha256(body).hexdigest()
 
 
-class StallParamsView(NamedTuple):
+class ProxyParamsView(NamedTuple):
     """What the core needs of the params."""
 
     name: str
@@ -52,7 +52,7 @@
 
 
 class Standing:
-    def __init__(self, *, params: StallParamsView, seed: random.Random, now: timedelta) -> None:
+    def __init__(self, *, params: ProxyParamsView, seed: random.Random, now: timedelta) -> None:
         self.params = params
         self.random = seed
         self.now = now
--- a/packages/stall/src/hoistsaddle/stall/target.py
+++ b/packages/proxy/src/hoistsaddle/proxy/target.py
@@ -3,10 +3,10 @@
 from collections import OrderedDict
 from datetime import timedelta
 
-from hoistsaddle.haggle.parcels import PassAnswer, PassCall
-from hoistsaddle.shelf.commands import Outcome, SettleHold
-from hoistsaddle.shelf.state import GONE, READY
-from hoistsaddle.stall.messages import (
+from hoistsaddle.common.clock import ZERO
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.config.bundle import LARGEST_ONCE_ANSWER
+from hoistsaddle.proxy.messages import (
     ANSWERED,
     NOT_RUN,
     UNKNOWN,
@@ -17,10 +17,10 @@
     ServerAnswered,
     ServerMissed,
 )
-from hoistsaddle.stall.standing import GAP, SETTLE_AGAIN, Standing, digest_of_body, mishap_of, number_of
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.moments import ZERO
-from hoistsaddle.tariff.bundle import LARGEST_ONCE_ANSWER
+from hoistsaddle.proxy.standing import GAP, SETTLE_AGAIN, Standing, digest_of_body, mishap_of, number_of
+from hoistsaddle.rpc.messages import PassAnswer, PassCall
+from hoistsaddle.statemachine.commands import Outcome, SettleHold
+from hoistsaddle.statemachine.state import GONE, READY
 
 # How long a target's stall remembers what it refused or ran: longer than any envelope's budget can be.
 REMEMBERED = timedelta(seconds=120)
--- a/packages/stall/src/hoistsaddle/stall/visitors.py
+++ b/packages/proxy/src/hoistsaddle/proxy/visitors.py
@@ -4,8 +4,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from hoistsaddle.shelf.keys import BY_CREDENTIALS
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.statemachine.keys import BY_CREDENTIALS
 
 BY_SERVICE = "service"
 
--- a/packages/ledger/src/hoistsaddle/ledger/checkpoint.py
+++ b/packages/raft/src/hoistsaddle/raft/checkpoint.py
@@ -6,9 +6,9 @@
 
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.ledger.events import Mark
-from hoistsaddle.shelf.state import State, pack_state, unpack_state
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.raft.events import Mark
+from hoistsaddle.statemachine.state import State, pack_state, unpack_state
 
 MAGIC = b"HOISTSADDLE-CHECKPOINT-1\n"
 _mark = struct.Struct("!qq")
--- a/packages/ledger/src/hoistsaddle/ledger/core.py
+++ b/packages/raft/src/hoistsaddle/raft/core.py
@@ -7,20 +7,9 @@
 from datetime import timedelta
 from typing import Any
 
-from hoistsaddle.haggle.parcels import (
-    UNSET,
-    BallotAnswer,
-    BallotCall,
-    FetchAnswer,
-    FetchCall,
-    Heard,
-    LeadCall,
-    PullAnswer,
-    PullCall,
-    Record,
-    ResignCall,
-)
-from hoistsaddle.ledger.events import (
+from hoistsaddle.common.clock import ZERO
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.raft.events import (
     Announce,
     Answer,
     AnswerArrived,
@@ -47,8 +36,21 @@
     Ticked,
     Write,
 )
-from hoistsaddle.shelf.apply import apply
-from hoistsaddle.shelf.commands import (
+from hoistsaddle.rpc.messages import (
+    UNSET,
+    BallotAnswer,
+    BallotCall,
+    FetchAnswer,
+    FetchCall,
+    Heard,
+    LeadCall,
+    PullAnswer,
+    PullCall,
+    Record,
+    ResignCall,
+)
+from hoistsaddle.statemachine.apply import apply
+from hoistsaddle.statemachine.commands import (
     LEVEL,
     AddVoter,
     DropVoter,
@@ -60,9 +62,7 @@
     pack_command,
     unpack_command,
 )
-from hoistsaddle.shelf.state import State
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tally.moments import ZERO
+from hoistsaddle.statemachine.state import State
 
 FOLLOWER = "follower"
 CANDIDATE = "candidate"
@@ -108,7 +108,7 @@
     return voters
 
 
-class LedgerCore:
+class RaftCore:
     def __init__(
         self,
         *,
--- a/packages/ledger/src/hoistsaddle/ledger/disk.py
+++ b/packages/raft/src/hoistsaddle/raft/disk.py
@@ -15,13 +15,13 @@
 import msgspec
 from returns.result import Failure, Success
 
-from hoistsaddle.haggle.parcels import Record
-from hoistsaddle.ledger.checkpoint import mark_of, name_of, pack_checkpoint, unpack_checkpoint
-from hoistsaddle.ledger.core import OFFSET_OUT_OF_RANGE, SNAPSHOT_NOT_FOUND
-from hoistsaddle.ledger.events import Boot, Mark, Write
-from hoistsaddle.shelf.state import State, found_state
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tally.moments import from_microseconds, to_microseconds
+from hoistsaddle.common.clock import from_microseconds, to_microseconds
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.raft.checkpoint import mark_of, name_of, pack_checkpoint, unpack_checkpoint
+from hoistsaddle.raft.core import OFFSET_OUT_OF_RANGE, SNAPSHOT_NOT_FOUND
+from hoistsaddle.raft.events import Boot, Mark, Write
+from hoistsaddle.rpc.messages import Record
+from hoistsaddle.statemachine.state import State, found_state
 
 
 def _sync_folder(folder: Path) -> None:
--- a/packages/ledger/src/hoistsaddle/ledger/events.py
+++ b/packages/raft/src/hoistsaddle/raft/events.py
@@ -3,9 +3,9 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from hoistsaddle.haggle.parcels import PullCall, Record
-from hoistsaddle.shelf.commands import Outcome
-from hoistsaddle.shelf.state import State
+from hoistsaddle.rpc.messages import PullCall, Record
+from hoistsaddle.statemachine.commands import Outcome
+from hoistsaddle.statemachine.state import State
 
 
 class Mark(NamedTuple):
--- a/packages/ledger/src/hoistsaddle/ledger/jobs.py
+++ b/packages/raft/src/hoistsaddle/raft/jobs.py
@@ -9,9 +9,9 @@
 from datetime import timedelta
 from typing import NamedTuple, Protocol
 
-from hoistsaddle.haggle.parcels import PullAnswer
-from hoistsaddle.ledger.disk import Disk
-from hoistsaddle.ledger.events import (
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.raft.disk import Disk
+from hoistsaddle.raft.events import (
     Boot,
     Capture,
     CheckpointLoaded,
@@ -24,7 +24,7 @@
     Synced,
     Write,
 )
-from hoistsaddle.tally.counters import Counters
+from hoistsaddle.rpc.messages import PullAnswer
 
 DISK_RETRY = timedelta(milliseconds=200)
 
--- a/packages/ledger/src/hoistsaddle/ledger/shell.py
+++ b/packages/raft/src/hoistsaddle/raft/shell.py
@@ -7,10 +7,12 @@
 
 from returns.result import Success
 
-from hoistsaddle.haggle.runtime import Runtime
-from hoistsaddle.ledger.core import LedgerCore
-from hoistsaddle.ledger.disk import Disk
-from hoistsaddle.ledger.events import (
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.raft.core import RaftCore
+from hoistsaddle.raft.disk import Disk
+from hoistsaddle.raft.events import (
     Announce,
     Answer,
     AnswerArrived,
@@ -33,17 +35,15 @@
     Ticked,
     Write,
 )
-from hoistsaddle.ledger.jobs import ChunkRead, DiskThread, DiskWorker, Founded, Founding
-from hoistsaddle.shelf.commands import LEVEL
-from hoistsaddle.tally.counters import Counters
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tally.moments import milliseconds
+from hoistsaddle.raft.jobs import ChunkRead, DiskThread, DiskWorker, Founded, Founding
+from hoistsaddle.rpc.runtime import Runtime
+from hoistsaddle.statemachine.commands import LEVEL
 
 TICK = timedelta(milliseconds=15)
 CALL_SPAN = timedelta(milliseconds=900)
 
 
-class LedgerShell:
+class RaftShell:
     def __init__(
         self,
         *,
@@ -69,7 +69,7 @@
         self.answers: dict[int, asyncio.Future] = {}
         self.tickets = 0
         self.tasks: set[asyncio.Task] = set()
-        self.core: LedgerCore | None = None
+        self.core: RaftCore | None = None
         self.founding: asyncio.Future | None = None
         self.worker: DiskWorker | None = None
         self.loop: asyncio.AbstractEventLoop | None = None
@@ -87,8 +87,8 @@
         self.worker = self.make_worker(disk=self.disk, report=self._report, counters=self.counters)
         self._spawn(self._ticks())
 
-    def _core_of(self, boot: Boot) -> LedgerCore:
-        return LedgerCore(
+    def _core_of(self, boot: Boot) -> RaftCore:
+        return RaftCore(
             boot=boot,
             replicas=tuple(self.addresses),
             pace=self.pace,
--- a/packages/bourse/src/hoistsaddle/bourse/market.py
+++ b/packages/registry/src/hoistsaddle/registry/controller.py
@@ -12,25 +12,25 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.bourse.founding import Found, Founding, Look
-from hoistsaddle.bourse.places import Places, number_of_host
-from hoistsaddle.bourse.service import Bourse
-from hoistsaddle.crier.member import MemberPace
-from hoistsaddle.haggle.parcels import FoundAnswer, FoundCall, LookAnswer, LookCall, ReadAnswer
-from hoistsaddle.haggle.runtime import Runtime
-from hoistsaddle.ledger.core import LEADER
-from hoistsaddle.ledger.disk import Disk
-from hoistsaddle.ledger.events import Pace
-from hoistsaddle.ledger.jobs import DiskThread, DiskWorker
-from hoistsaddle.shelf.commands import PatchItems
-from hoistsaddle.shelf.digests import digests_of
-from hoistsaddle.shelf.state import news_of
-from hoistsaddle.shelf.view import read_view
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.moments import milliseconds
-from hoistsaddle.tally.params import BourseParams, MarketParams, WarehouseParams
-from hoistsaddle.tariff.items import Patch, check_patch, pack_patch
-from hoistsaddle.warehouse.service import Warehouse
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.common.settings import ControllerParams, RegistryParams, StoreParams
+from hoistsaddle.config.items import Patch, check_patch, pack_patch
+from hoistsaddle.membership.member import MemberPace
+from hoistsaddle.raft.core import LEADER
+from hoistsaddle.raft.disk import Disk
+from hoistsaddle.raft.events import Pace
+from hoistsaddle.raft.jobs import DiskThread, DiskWorker
+from hoistsaddle.registry.founding import Found, Founding, Look
+from hoistsaddle.registry.places import Places, number_of_host
+from hoistsaddle.registry.service import Registry
+from hoistsaddle.rpc.messages import FoundAnswer, FoundCall, LookAnswer, LookCall, ReadAnswer
+from hoistsaddle.rpc.runtime import Runtime
+from hoistsaddle.statemachine.commands import PatchItems
+from hoistsaddle.statemachine.digests import digests_of
+from hoistsaddle.statemachine.state import news_of
+from hoistsaddle.statemachine.view import read_view
+from hoistsaddle.store.service import Store
 
 LOOK_EVERY = milliseconds(20)
 MARKET_PACE = MemberPace(
@@ -43,10 +43,10 @@
 )
 
 
-class MarketBourse(Bourse):
+class ControllerRegistry(Registry):
     """A bourse whose news comes from the replica in its own process."""
 
-    def __init__(self, *, params: BourseParams, runtime: Runtime, warehouse: Warehouse, peers: Places, stores: Places):
+    def __init__(self, *, params: RegistryParams, runtime: Runtime, warehouse: Store, peers: Places, stores: Places):
         self.warehouse = warehouse
         self.peer_places, self.store_places = peers, stores
         super().__init__(params=params, runtime=runtime, poll_hold=milliseconds(300), member_pace=MARKET_PACE)
@@ -120,11 +120,11 @@
             self.news.notify_all()
 
 
-class Market:
+class Controller:
     def __init__(
         self,
         *,
-        params: MarketParams,
+        params: ControllerParams,
         runtime: Runtime,
         disk: Disk | None = None,
         make_worker: Callable[..., DiskWorker] = DiskThread,
@@ -136,8 +136,8 @@
         self.stores = Places(port=params.warehouse_port, hosts=hosts)
         self.peers = Places(port=params.bourse_port, hosts=hosts)
         self.may_found = params.cold_start
-        self.warehouse = Warehouse(
-            params=WarehouseParams(
+        self.warehouse = Store(
+            params=StoreParams(
                 replica=self.replica,
                 zone=params.zone,
                 listen=self.stores[self.replica],
@@ -151,8 +151,8 @@
             pace=Pace(checkpoint_records=params.checkpoint_records, chunk_bytes=params.chunk_bytes, boot_share=0.4),
             wanted_voters=2 * params.losses + 1,
         )
-        self.bourse = MarketBourse(
-            params=BourseParams(
+        self.bourse = ControllerRegistry(
+            params=RegistryParams(
                 replica=self.replica,
                 zone=params.zone,
                 listen=self.peers[self.replica],
@@ -180,7 +180,7 @@
         await self.warehouse.stop()
         await self.bourse.stop()
 
-    def revise(self, params: MarketParams) -> None:
+    def revise(self, params: ControllerParams) -> None:
         """Takes up what may change under a running market: whom to turn to, and how many losses are to be borne."""
         self.counters.happen("params revised", seeds=params.seeds, losses=params.losses)
         self.params = msgspec.structs.replace(
--- a/packages/bourse/src/hoistsaddle/bourse/marketdoor.py
+++ b/packages/registry/src/hoistsaddle/registry/controllerdoor.py
@@ -8,25 +8,25 @@
 from aiomisc import Service
 from returns.result import Failure, Success
 
-from hoistsaddle.bourse.market import Market
-from hoistsaddle.bourse.operators import OperatorDoor, refuse_call
-from hoistsaddle.haggle.line import Pulse
-from hoistsaddle.haggle.parcels import ReadAnswer
-from hoistsaddle.haggle.runtime import RealRuntime
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.moments import milliseconds
-from hoistsaddle.tally.params import MarketParams
-from hoistsaddle.tariff.itemtext import LARGEST_TEXT, read_text
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.common.settings import ControllerParams
+from hoistsaddle.config.itemtext import LARGEST_TEXT, read_text
+from hoistsaddle.registry.controller import Controller
+from hoistsaddle.registry.operators import OperatorDoor, refuse_call
+from hoistsaddle.rpc.connection import Pulse
+from hoistsaddle.rpc.messages import ReadAnswer
+from hoistsaddle.rpc.runtime import RealRuntime
 
 PULSE = Pulse(every=milliseconds(250), span=milliseconds(900))
 CONNECT_SPAN = milliseconds(350)
 READ_SPAN = timedelta(seconds=3)
 
 
-class MarketDoor(OperatorDoor):
+class ControllerDoor(OperatorDoor):
     """The calls that mean something where items are in force; the others belong to bundles signed by two."""
 
-    def __init__(self, *, market: Market) -> None:
+    def __init__(self, *, market: Controller) -> None:
         super().__init__(bourse=market.bourse)
         self.market = market
 
@@ -77,19 +77,19 @@
                 )
 
 
-class MarketService(Service):
+class ControllerService(Service):
     """A market as a service of the house: both core programs and the operators' door, opened and closed in order."""
 
-    def __init__(self, *, params: MarketParams) -> None:
+    def __init__(self, *, params: ControllerParams) -> None:
         super().__init__()
         self.market_params = params
 
     async def start(self) -> None:
         Path(self.market_params.data_folder).mkdir(parents=True, exist_ok=True)
         runtime = RealRuntime(pulse=PULSE, connect_span=CONNECT_SPAN, home=True)
-        self.market = Market(params=self.market_params, runtime=runtime)
+        self.market = Controller(params=self.market_params, runtime=runtime)
         await self.market.start()
-        self.door = MarketDoor(market=self.market)
+        self.door = ControllerDoor(market=self.market)
         await self.door.start()
         self.start_event.set()
 
--- a/packages/bourse/src/hoistsaddle/bourse/desk.py
+++ b/packages/registry/src/hoistsaddle/registry/desk.py
@@ -8,7 +8,10 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.shelf.commands import (
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.config.bundle import Stage, read_bundle
+from hoistsaddle.statemachine.commands import (
     AbortBundle,
     AdvanceBundle,
     ChangeOperator,
@@ -20,18 +23,15 @@
     SignOperator,
     SubmitBundle,
 )
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.moments import milliseconds
-from hoistsaddle.tariff.bundle import Stage, read_bundle
 
 if TYPE_CHECKING:
-    from hoistsaddle.bourse.service import Bourse
+    from hoistsaddle.registry.service import Registry
 
 WRITE_SPAN = timedelta(seconds=8)
 
 
 class Desk:
-    def __init__(self, *, bourse: "Bourse") -> None:
+    def __init__(self, *, bourse: "Registry") -> None:
         self.bourse = bourse
 
     async def operator_of(self, token: str) -> Result[str, Mishap]:
--- a/packages/bourse/src/hoistsaddle/bourse/duties.py
+++ b/packages/registry/src/hoistsaddle/registry/duties.py
@@ -3,9 +3,9 @@
 from datetime import timedelta
 from typing import Any
 
-from hoistsaddle.shelf.commands import NoteNode, NoteServer, Purge, TakeDuty
-from hoistsaddle.shelf.state import GONE, WARDEN
-from hoistsaddle.shelf.view import View
+from hoistsaddle.statemachine.commands import NoteNode, NoteServer, Purge, TakeDuty
+from hoistsaddle.statemachine.state import GONE, WARDEN
+from hoistsaddle.statemachine.view import View
 
 PURGE_EVERY = timedelta(seconds=30)
 RAISE_EVERY = timedelta(seconds=1)
--- a/packages/bourse/src/hoistsaddle/bourse/founding.py
+++ b/packages/registry/src/hoistsaddle/registry/founding.py
@@ -8,8 +8,8 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
-from hoistsaddle.haggle.parcels import FoundCall, LookAnswer
-from hoistsaddle.shelf.commands import LEVEL
+from hoistsaddle.rpc.messages import FoundCall, LookAnswer
+from hoistsaddle.statemachine.commands import LEVEL
 
 ASK_EVERY = timedelta(milliseconds=150)
 # A seed that says nothing for so long founds nothing; it joins once it is there.
--- a/packages/bourse/src/hoistsaddle/bourse/operators.py
+++ b/packages/registry/src/hoistsaddle/registry/operators.py
@@ -9,16 +9,16 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.bourse.desk import Desk
-from hoistsaddle.haggle.parcels import FoundAnswer, FoundCall, LookAnswer, LookCall
-from hoistsaddle.shelf.people import digest_like, operator_name
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.moments import milliseconds
-from hoistsaddle.tally.params import split_address
-from hoistsaddle.tally.reading import plain_name, read_body, whole_number
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.common.reading import plain_name, read_body, whole_number
+from hoistsaddle.common.settings import split_address
+from hoistsaddle.registry.desk import Desk
+from hoistsaddle.rpc.messages import FoundAnswer, FoundCall, LookAnswer, LookCall
+from hoistsaddle.statemachine.people import digest_like, operator_name
 
 if TYPE_CHECKING:
-    from hoistsaddle.bourse.service import Bourse
+    from hoistsaddle.registry.service import Registry
 
 DISK_WAIT = timedelta(seconds=1)
 _statuses: dict[str, int] = {
@@ -88,7 +88,7 @@
 
 
 class OperatorDoor:
-    def __init__(self, *, bourse: "Bourse") -> None:
+    def __init__(self, *, bourse: "Registry") -> None:
         self.bourse = bourse
         self.desk = Desk(bourse=bourse)
         self.runner: web.AppRunner | None = None
--- a/packages/bourse/src/hoistsaddle/bourse/service.py
+++ b/packages/registry/src/hoistsaddle/registry/service.py
@@ -8,14 +8,18 @@
 from aiomisc import Service
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.bourse.duties import Warden
-from hoistsaddle.bourse.operators import OperatorDoor
-from hoistsaddle.bourse.writer import NO_LEADER, Writer
-from hoistsaddle.crier.holding import POLL_HOLD, hold_poll
-from hoistsaddle.crier.member import Member, MemberPace
-from hoistsaddle.crier.membership import ALIVE
-from hoistsaddle.crier.relay import Relay
-from hoistsaddle.haggle.parcels import (
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.common.settings import RegistryParams
+from hoistsaddle.membership.holding import POLL_HOLD, hold_poll
+from hoistsaddle.membership.member import Member, MemberPace
+from hoistsaddle.membership.membership import ALIVE
+from hoistsaddle.membership.relay import Relay
+from hoistsaddle.registry.duties import Warden
+from hoistsaddle.registry.operators import OperatorDoor
+from hoistsaddle.registry.writer import NO_LEADER, Writer
+from hoistsaddle.rpc.messages import (
     PollAnswer,
     PollCall,
     ProbeCall,
@@ -32,8 +36,8 @@
     WriteAnswer,
     WriteCall,
 )
-from hoistsaddle.haggle.runtime import RealRuntime, Runtime
-from hoistsaddle.shelf.commands import (
+from hoistsaddle.rpc.runtime import RealRuntime, Runtime
+from hoistsaddle.statemachine.commands import (
     LEVEL,
     ClaimHold,
     NoteNode,
@@ -43,23 +47,19 @@
     pack_outcome,
     unpack_command,
 )
-from hoistsaddle.shelf.state import GONE, WARDEN, NodeEntry
-from hoistsaddle.shelf.view import View, read_view
-from hoistsaddle.tally.counters import Counters
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tally.moments import milliseconds
-from hoistsaddle.tally.params import BourseParams
+from hoistsaddle.statemachine.state import GONE, WARDEN, NodeEntry
+from hoistsaddle.statemachine.view import View, read_view
 
 READ_EVERY = milliseconds(100)
 WRITE_SPAN = timedelta(seconds=3)
 DUTY_EVERY = milliseconds(200)
 
 
-class Bourse:
+class Registry:
     def __init__(
         self,
         *,
-        params: BourseParams,
+        params: RegistryParams,
         runtime: Runtime,
         poll_hold: timedelta = POLL_HOLD,
         member_pace: MemberPace = MemberPace(),  # noqa: B008
@@ -379,13 +379,13 @@
         return result if isinstance(result, Success) else Failure(NO_LEADER)
 
 
-class BourseService(Service):
-    def __init__(self, *, params: BourseParams) -> None:
+class RegistryService(Service):
+    def __init__(self, *, params: RegistryParams) -> None:
         super().__init__()
         self.bourse_params = params
 
     async def start(self) -> None:
-        self.node = Bourse(params=self.bourse_params, runtime=RealRuntime(line_faults=self.bourse_params.line_faults))
+        self.node = Registry(params=self.bourse_params, runtime=RealRuntime(line_faults=self.bourse_params.line_faults))
         await self.node.start()
         self.door = OperatorDoor(bourse=self.node)
         await self.door.start()
--- a/packages/bourse/src/hoistsaddle/bourse/writer.py
+++ b/packages/registry/src/hoistsaddle/registry/writer.py
@@ -6,12 +6,12 @@
 
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.haggle.parcels import ReadAnswer, ReadCall, WriteAnswer, WriteCall
-from hoistsaddle.haggle.runtime import Runtime
-from hoistsaddle.shelf.commands import Command, Outcome, pack_command, unpack_outcome
-from hoistsaddle.tally.counters import Counters
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.moments import milliseconds
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.rpc.messages import ReadAnswer, ReadCall, WriteAnswer, WriteCall
+from hoistsaddle.rpc.runtime import Runtime
+from hoistsaddle.statemachine.commands import Command, Outcome, pack_command, unpack_outcome
 
 CALL_SPAN = timedelta(milliseconds=700)
 # How long a warehouse that gave no answer is passed by, whatever the others believe of it.
--- a/packages/haggle/src/hoistsaddle/haggle/line.py
+++ b/packages/rpc/src/hoistsaddle/rpc/connection.py
@@ -13,9 +13,9 @@
 from loguru import logger
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.haggle.parcels import PulseAnswer, PulseCall, pack, unpack
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.params import split_address
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.common.settings import split_address
+from hoistsaddle.rpc.messages import PulseAnswer, PulseCall, pack, unpack
 
 Handler = Callable[[tuple], Awaitable[tuple]]
 # A peer that is there takes a connection within milliseconds. Waiting longer spends a budget on one that isn't.
--- a/packages/haggle/src/hoistsaddle/haggle/parcels.py
+++ b/packages/rpc/src/hoistsaddle/rpc/messages.py
@@ -10,7 +10,7 @@
 from thriftpy2.protocol import TCyBinaryProtocolFactory
 from thriftpy2.utils import deserialize, serialize
 
-from hoistsaddle.tally.moments import from_microseconds, to_microseconds
+from hoistsaddle.common.clock import from_microseconds, to_microseconds
 
 mesh_thrift = thriftpy2.load(str(Path(__file__).with_name("mesh.thrift")), module_name="hoistsaddle_mesh_thrift")
 _protocol = TCyBinaryProtocolFactory()
--- a/packages/haggle/src/hoistsaddle/haggle/runtime.py
+++ b/packages/rpc/src/hoistsaddle/rpc/runtime.py
@@ -9,9 +9,9 @@
 
 from returns.result import Result
 
-from hoistsaddle.haggle.line import CONNECT_SPAN, Handler, LineFaults, Lines, LineServer, Pulse
-from hoistsaddle.tally.mishaps import Mishap
-from hoistsaddle.tally.moments import monotonic_now
+from hoistsaddle.common.clock import monotonic_now
+from hoistsaddle.common.errors import Mishap
+from hoistsaddle.rpc.connection import CONNECT_SPAN, Handler, LineFaults, Lines, LineServer, Pulse
 
 
 class Calls(Protocol):
--- a/packages/broker/src/hoistsaddle/broker/core.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/core.py
@@ -2,9 +2,11 @@
 
 from datetime import timedelta
 
-from hoistsaddle.broker.counter import CounterSide
-from hoistsaddle.broker.entry import EntrySide
-from hoistsaddle.broker.messages import (
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.proxy.messages import HoldAnswered, LeaseRenewed, SetupChanged, StopAsked, Ticked
+from hoistsaddle.proxy.standing import OwnServer
+from hoistsaddle.sidecar.entry import EntrySide
+from hoistsaddle.sidecar.messages import (
     Asked,
     CloseAsked,
     DealAnswered,
@@ -17,14 +19,12 @@
     ServeMissed,
     Vitals,
 )
-from hoistsaddle.shelf.state import GONE, READY
-from hoistsaddle.shelf.view import View
-from hoistsaddle.stall.messages import HoldAnswered, LeaseRenewed, SetupChanged, StopAsked, Ticked
-from hoistsaddle.stall.standing import OwnServer
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.sidecar.serverside import CounterSide
+from hoistsaddle.statemachine.state import GONE, READY
+from hoistsaddle.statemachine.view import View
 
 
-class BrokerCore(EntrySide, CounterSide):
+class SidecarCore(EntrySide, CounterSide):
     def __init__(self, *, server: str, drain_span: timedelta, **needs) -> None:
         super().__init__(**needs)
         self.server_address = server
--- a/packages/broker/src/hoistsaddle/broker/door.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/door.py
@@ -7,11 +7,11 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from hoistsaddle.broker.messages import Asked, Reply
-from hoistsaddle.broker.node import BrokerNode
-from hoistsaddle.broker.serverline import HOP_BY_HOP, pack_pairs, unpack_pairs
-from hoistsaddle.broker.wording import Wording
-from hoistsaddle.tally.params import split_address
+from hoistsaddle.common.settings import split_address
+from hoistsaddle.sidecar.messages import Asked, Reply
+from hoistsaddle.sidecar.node import SidecarNode
+from hoistsaddle.sidecar.serverconnection import HOP_BY_HOP, pack_pairs, unpack_pairs
+from hoistsaddle.sidecar.wording import Wording
 
 LARGEST_HEADER = 262144
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -37,7 +37,7 @@
 
 
 class Door:
-    def __init__(self, *, node: BrokerNode, wording: Wording) -> None:
+    def __init__(self, *, node: SidecarNode, wording: Wording) -> None:
         self.node = node
         self.wording = wording
 
--- a/packages/broker/src/hoistsaddle/broker/entry.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/entry.py
@@ -7,7 +7,15 @@
 from collections import OrderedDict
 from datetime import timedelta
 
-from hoistsaddle.broker.messages import (
+from hoistsaddle.common.clock import ZERO, milliseconds
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.config.items import ONCE_PER_KEY, REPEATABLE, EntryItem, aim_of, hold_of
+from hoistsaddle.proxy.further import FurtherSends, part_of
+from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN, AskHold
+from hoistsaddle.proxy.standing import SETTLE_AGAIN, Standing, mishap_of
+from hoistsaddle.proxy.visitors import digest_of_parts
+from hoistsaddle.rpc.messages import DealAnswer, DealCall, RecallAnswer, RecallCall
+from hoistsaddle.sidecar.messages import (
     AnswerRecall,
     Asked,
     DealAnswered,
@@ -18,18 +26,10 @@
     RecallArrived,
     Reply,
 )
-from hoistsaddle.haggle.parcels import DealAnswer, DealCall, RecallAnswer, RecallCall
-from hoistsaddle.shelf.commands import ClaimHold, Outcome, ReleaseHold
-from hoistsaddle.shelf.keys import handle_of
-from hoistsaddle.shelf.state import GONE, ServerEntry
-from hoistsaddle.shelf.view import View
-from hoistsaddle.stall.further import FurtherSends, part_of
-from hoistsaddle.stall.messages import ANSWERED, NOT_RUN, AskHold
-from hoistsaddle.stall.standing import SETTLE_AGAIN, Standing, mishap_of
-from hoistsaddle.stall.visitors import digest_of_parts
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.moments import ZERO, milliseconds
-from hoistsaddle.tariff.items import ONCE_PER_KEY, REPEATABLE, EntryItem, aim_of, hold_of
+from hoistsaddle.statemachine.commands import ClaimHold, Outcome, ReleaseHold
+from hoistsaddle.statemachine.keys import handle_of
+from hoistsaddle.statemachine.state import GONE, ServerEntry
+from hoistsaddle.statemachine.view import View
 
 DEFAULT_BUDGET = timedelta(seconds=30)
 # Stalls that turn a request away cost a hop each: so many are asked, then it is told to come back.
--- a/packages/broker/src/hoistsaddle/broker/messages.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/messages.py
@@ -3,8 +3,8 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from hoistsaddle.haggle.parcels import DealAnswer, DealCall, RecallAnswer, RecallCall
-from hoistsaddle.tally.mishaps import Mishap
+from hoistsaddle.common.errors import Mishap
+from hoistsaddle.rpc.messages import DealAnswer, DealCall, RecallAnswer, RecallCall
 
 
 class Asked(NamedTuple):
--- a/packages/broker/src/hoistsaddle/broker/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -8,8 +8,17 @@
 import msgspec
 from returns.result import Success
 
-from hoistsaddle.broker.core import BrokerCore
-from hoistsaddle.broker.messages import (
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.common.settings import SidecarParams
+from hoistsaddle.membership.member import MemberPace
+from hoistsaddle.membership.relay import select_parents
+from hoistsaddle.proxy.messages import Announce, AskHold, ReportVitals, StopAsked
+from hoistsaddle.proxy.node import ProxyNode
+from hoistsaddle.rpc.messages import DealAnswer, DealCall, RecallAnswer, RecallCall
+from hoistsaddle.rpc.runtime import Runtime
+from hoistsaddle.sidecar.core import SidecarCore
+from hoistsaddle.sidecar.messages import (
     AnswerDeal,
     AnswerRecall,
     Asked,
@@ -25,17 +34,8 @@
     Reply,
     Serve,
 )
-from hoistsaddle.crier.member import MemberPace
-from hoistsaddle.crier.relay import select_parents
-from hoistsaddle.haggle.parcels import DealAnswer, DealCall, RecallAnswer, RecallCall
-from hoistsaddle.haggle.runtime import Runtime
-from hoistsaddle.shelf.state import GONE
-from hoistsaddle.shelf.view import View
-from hoistsaddle.stall.messages import Announce, AskHold, ReportVitals, StopAsked
-from hoistsaddle.stall.node import StallNode
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tally.moments import milliseconds
-from hoistsaddle.tally.params import BrokerParams
+from hoistsaddle.statemachine.state import GONE
+from hoistsaddle.statemachine.view import View
 
 # How much of its last moments a stopping stall waits for its door to fall quiet. The rest is for what it took by then:
 # a platform that sends it visitors to the end must not have them cut off.
@@ -45,7 +45,7 @@
 Server = Callable[[Serve], Awaitable[tuple]]
 
 
-class BrokerNode(StallNode):
+class SidecarNode(ProxyNode):
     poll_hold = milliseconds(300)
     vitals_every = timedelta(seconds=1)
     poll_span = milliseconds(800)
@@ -60,7 +60,7 @@
         spread=6,
     )
 
-    def __init__(self, *, params: BrokerParams, runtime: Runtime, serve: Server) -> None:
+    def __init__(self, *, params: SidecarParams, runtime: Runtime, serve: Server) -> None:
         self.serve = serve
         self.broker_params = params
         # The tree's places follow from the view alone: looked up anew with each view, not with each poll.
@@ -72,7 +72,7 @@
 
     def _make_core(self) -> Any:
         params = self.broker_params
-        return BrokerCore(
+        return SidecarCore(
             params=self._params_view(),
             seed=self.runtime.random,
             now=self.runtime.now(),
@@ -166,7 +166,7 @@
         self.parents = parents + [seed for seed in self.params.seeds if seed not in parents]
         return self.parents
 
-    def revise(self, params: BrokerParams) -> None:
+    def revise(self, params: SidecarParams) -> None:
         """Takes up what may change under a running stall: whom to turn to, and the figures it keeps."""
         self.counters.happen("params revised", seeds=params.seeds)
         # Its own addresses are where its doors stand open: those stay until the next start.
--- a/packages/broker/src/hoistsaddle/broker/serverline.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/serverconnection.py
@@ -14,11 +14,11 @@
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http import HttpResponseParser
 
-from hoistsaddle.broker.messages import Serve, Served, ServeMissed
-from hoistsaddle.broker.wording import Wording
-from hoistsaddle.tally.counters import Counters
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.params import split_address
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.common.settings import split_address
+from hoistsaddle.sidecar.messages import Serve, Served, ServeMissed
+from hoistsaddle.sidecar.wording import Wording
 
 CONNECT_SPAN = 0.4
 # Used again only within this share of the time the server says it keeps a connection, so that the two never meet.
--- a/packages/broker/src/hoistsaddle/broker/counter.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/serverside.py
@@ -8,13 +8,13 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from hoistsaddle.broker.messages import AnswerDeal, DealArrived, Serve, Served, ServeMissed, Vitals
-from hoistsaddle.haggle.parcels import DealAnswer, DealCall
-from hoistsaddle.shelf.state import GONE, READY
-from hoistsaddle.stall.messages import ANSWERED, NOT_RUN, UNKNOWN
-from hoistsaddle.stall.standing import OwnServer, Standing
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tally.moments import ZERO
+from hoistsaddle.common.clock import ZERO
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN, UNKNOWN
+from hoistsaddle.proxy.standing import OwnServer, Standing
+from hoistsaddle.rpc.messages import DealAnswer, DealCall
+from hoistsaddle.sidecar.messages import AnswerDeal, DealArrived, Serve, Served, ServeMissed, Vitals
+from hoistsaddle.statemachine.state import GONE, READY
 
 # What a server of unknown pace is taken to need for one request, as a share of the request's aim.
 FIRST_GUESS = 0.33
--- a/packages/broker/src/hoistsaddle/broker/service.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/service.py
@@ -5,16 +5,16 @@
 from aiohttp import web
 from aiomisc import Service
 
-from hoistsaddle.broker.door import Door, close_door, open_door
-from hoistsaddle.broker.node import BrokerNode
-from hoistsaddle.broker.serverline import ServerLine
-from hoistsaddle.broker.sidedoors import SideDoors
-from hoistsaddle.broker.wording import Wording
-from hoistsaddle.haggle.line import Pulse
-from hoistsaddle.haggle.runtime import RealRuntime
-from hoistsaddle.tally.counters import Counters
-from hoistsaddle.tally.moments import milliseconds
-from hoistsaddle.tally.params import BrokerParams
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.common.settings import SidecarParams
+from hoistsaddle.rpc.connection import Pulse
+from hoistsaddle.rpc.runtime import RealRuntime
+from hoistsaddle.sidecar.door import Door, close_door, open_door
+from hoistsaddle.sidecar.node import SidecarNode
+from hoistsaddle.sidecar.serverconnection import ServerLine
+from hoistsaddle.sidecar.sidedoors import SideDoors
+from hoistsaddle.sidecar.wording import Wording
 
 PULSE = Pulse(every=milliseconds(250), span=milliseconds(900))
 CONNECT_SPAN = milliseconds(350)
@@ -24,8 +24,8 @@
 CLOSING = milliseconds(900)
 
 
-class BrokerService(Service):
-    def __init__(self, *, params: BrokerParams, wording: Wording | None = None) -> None:
+class SidecarService(Service):
+    def __init__(self, *, params: SidecarParams, wording: Wording | None = None) -> None:
         super().__init__()
         self.broker_params = params
         self.wording = wording or Wording()
@@ -34,7 +34,7 @@
         params = self.broker_params
         runtime = RealRuntime(pulse=PULSE, connect_span=CONNECT_SPAN, home=True)
         self.server_line = ServerLine(wording=self.wording, counters=Counters(owner=params.name))
-        self.node = BrokerNode(params=params, runtime=runtime, serve=self.server_line.serve)
+        self.node = SidecarNode(params=params, runtime=runtime, serve=self.server_line.serve)
         self.server_line.counters = self.node.counters
         await self.node.start()
         self.door = await open_door(
--- a/packages/broker/src/hoistsaddle/broker/sidedoors.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/sidedoors.py
@@ -7,11 +7,11 @@
 from aiohttp import web
 from returns.result import Failure, Success
 
-from hoistsaddle.broker.messages import Vitals
-from hoistsaddle.broker.node import BrokerNode
-from hoistsaddle.tally.mishaps import Mishap
-from hoistsaddle.tally.params import BrokerParams, check_address, split_address
-from hoistsaddle.tally.reading import plain_name, read_body, whole_number
+from hoistsaddle.common.errors import Mishap
+from hoistsaddle.common.reading import plain_name, read_body, whole_number
+from hoistsaddle.common.settings import SidecarParams, check_address, split_address
+from hoistsaddle.sidecar.messages import Vitals
+from hoistsaddle.sidecar.node import SidecarNode
 
 _Name = Annotated[str, msgspec.Meta(min_length=1)]
 
@@ -33,7 +33,7 @@
 
 
 class SideDoors:
-    def __init__(self, *, node: BrokerNode, params: BrokerParams) -> None:
+    def __init__(self, *, node: SidecarNode, params: SidecarParams) -> None:
         self.node = node
         self.params = params
 
--- a/packages/shelf/src/hoistsaddle/shelf/apply.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/apply.py
@@ -4,8 +4,10 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from hoistsaddle.shelf import bundles, fleet, items, keys, people
-from hoistsaddle.shelf.commands import (
+from hoistsaddle.common.clock import to_microseconds
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.statemachine import bundles, fleet, items, keys, people
+from hoistsaddle.statemachine.commands import (
     LEVEL,
     LEVEL_OF,
     AbortBundle,
@@ -34,9 +36,7 @@
     Tick,
     unpack_command,
 )
-from hoistsaddle.shelf.state import State, refuse
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tally.moments import to_microseconds
+from hoistsaddle.statemachine.state import State, refuse
 
 Applied = tuple[State, Outcome]
 
--- a/packages/shelf/src/hoistsaddle/shelf/bundles.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/bundles.py
@@ -2,8 +2,10 @@
 
 from returns.result import Failure, Success
 
-from hoistsaddle.shelf.commands import AbortBundle, AdvanceBundle, Outcome, SignBundle, SubmitBundle
-from hoistsaddle.shelf.state import (
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.config.bundle import digest_of, read_bundle
+from hoistsaddle.statemachine.commands import AbortBundle, AdvanceBundle, Outcome, SignBundle, SubmitBundle
+from hoistsaddle.statemachine.state import (
     ABORTED,
     BUNDLES_KEPT,
     DRAFT,
@@ -16,8 +18,6 @@
     refusal_of,
     refuse,
 )
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tariff.bundle import digest_of, read_bundle
 
 
 def submit(state: State, command: SubmitBundle, offset: int) -> tuple[State, Outcome]:
--- a/packages/shelf/src/hoistsaddle/shelf/fleet.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/fleet.py
@@ -2,7 +2,9 @@
 
 from immutables import Map
 
-from hoistsaddle.shelf.commands import (
+from hoistsaddle.common.clock import to_microseconds
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.statemachine.commands import (
     GONE_KEPT,
     DrainServer,
     NoteNode,
@@ -12,9 +14,7 @@
     RaiseLevel,
     TakeDuty,
 )
-from hoistsaddle.shelf.state import GONE, WARDEN, DutyEntry, NodeEntry, ServerEntry, State, refuse
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tally.moments import to_microseconds
+from hoistsaddle.statemachine.state import GONE, WARDEN, DutyEntry, NodeEntry, ServerEntry, State, refuse
 
 
 def _fenced(state: State, duty: str, epoch: int) -> Outcome | None:
--- a/packages/shelf/src/hoistsaddle/shelf/items.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/items.py
@@ -2,11 +2,11 @@
 
 from returns.result import Failure, Success
 
-from hoistsaddle.shelf.commands import Outcome, PatchItems
-from hoistsaddle.shelf.state import BUNDLES_KEPT, ItemEntry, PatchEntry, State, refusal_of, refuse
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tariff.bundle import digest_of
-from hoistsaddle.tariff.items import SERVICE, Checked, EntryItem, key_of, pack_item, read_patch
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.config.bundle import digest_of
+from hoistsaddle.config.items import SERVICE, Checked, EntryItem, key_of, pack_item, read_patch
+from hoistsaddle.statemachine.commands import Outcome, PatchItems
+from hoistsaddle.statemachine.state import BUNDLES_KEPT, ItemEntry, PatchEntry, State, refusal_of, refuse
 
 
 def patch(state: State, command: PatchItems, offset: int) -> tuple[State, Outcome]:
--- a/packages/shelf/src/hoistsaddle/shelf/keys.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/keys.py
@@ -2,7 +2,10 @@
 
 from datetime import timedelta
 
-from hoistsaddle.shelf.commands import (
+from hoistsaddle.common.clock import from_microseconds, to_microseconds
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.config.bundle import digest_of
+from hoistsaddle.statemachine.commands import (
     HOLD_SETTLED,
     HOLD_UNSETTLED,
     OUTCOME_KEPT,
@@ -12,10 +15,7 @@
     ReleaseHold,
     SettleHold,
 )
-from hoistsaddle.shelf.state import CLAIMED, SETTLED, Hold, State, refuse
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tally.moments import from_microseconds, to_microseconds
-from hoistsaddle.tariff.bundle import digest_of
+from hoistsaddle.statemachine.state import CLAIMED, SETTLED, Hold, State, refuse
 
 BY_CREDENTIALS = "credentials"
 
--- a/packages/shelf/src/hoistsaddle/shelf/people.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/people.py
@@ -2,10 +2,10 @@
 
 import re
 
-from hoistsaddle.shelf.commands import ChangeOperator, DropOperator, Outcome, SignOperator
-from hoistsaddle.shelf.state import State, refuse
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tariff.bundle import digest_of
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.config.bundle import digest_of
+from hoistsaddle.statemachine.commands import ChangeOperator, DropOperator, Outcome, SignOperator
+from hoistsaddle.statemachine.state import State, refuse
 
 LEAST_OPERATORS = 2
 _name = re.compile(r"^[a-z][a-z0-9.-]{0,62}$")
--- a/packages/shelf/src/hoistsaddle/shelf/readback.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/readback.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from hoistsaddle.shelf.commands import GONE_KEPT
-from hoistsaddle.shelf.state import GONE, IN_FORCE, READY, ROLLING, State, bundle_of
-from hoistsaddle.tally.moments import to_microseconds
-from hoistsaddle.tariff.items import unpack_item
+from hoistsaddle.common.clock import to_microseconds
+from hoistsaddle.config.items import unpack_item
+from hoistsaddle.statemachine.commands import GONE_KEPT
+from hoistsaddle.statemachine.state import GONE, IN_FORCE, READY, ROLLING, State, bundle_of
 
 # A stall that hasn't heard of a mark holds a lease no longer than this; the daemons' params may set another span.
 LEASE = timedelta(seconds=1.5)
--- a/packages/shelf/src/hoistsaddle/shelf/state.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/state.py
@@ -6,10 +6,10 @@
 import msgspec
 from immutables import Map
 
-from hoistsaddle.shelf.commands import Outcome
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.moments import ZERO, from_microseconds, to_microseconds
-from hoistsaddle.tariff.bundle import Bundle, read_bundle
+from hoistsaddle.common.clock import ZERO, from_microseconds, to_microseconds
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.config.bundle import Bundle, read_bundle
+from hoistsaddle.statemachine.commands import Outcome
 
 DRAFT = "draft"
 ROLLING = "rolling"
--- a/packages/shelf/src/hoistsaddle/shelf/view.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/view.py
@@ -5,9 +5,9 @@
 import msgspec
 from returns.result import Failure, Success
 
-from hoistsaddle.shelf.state import GONE, IN_FORCE, READY, DutyEntry, NodeEntry, ServerEntry
-from hoistsaddle.tariff.bundle import Bundle, Service, read_bundle
-from hoistsaddle.tariff.items import Item, ItemSetup, unpack_item
+from hoistsaddle.config.bundle import Bundle, Service, read_bundle
+from hoistsaddle.config.items import Item, ItemSetup, unpack_item
+from hoistsaddle.statemachine.state import GONE, IN_FORCE, READY, DutyEntry, NodeEntry, ServerEntry
 
 
 class View(NamedTuple):
--- a/packages/warehouse/src/hoistsaddle/warehouse/service.py
+++ b/packages/store/src/hoistsaddle/store/service.py
@@ -7,7 +7,14 @@
 import msgspec
 from aiomisc import Service
 
-from hoistsaddle.haggle.parcels import (
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.common.settings import StoreParams
+from hoistsaddle.raft.disk import Disk
+from hoistsaddle.raft.events import Pace
+from hoistsaddle.raft.jobs import DiskThread, DiskWorker
+from hoistsaddle.raft.shell import RaftShell
+from hoistsaddle.rpc.messages import (
     UNSET,
     BallotCall,
     FetchCall,
@@ -25,21 +32,14 @@
     WriteAnswer,
     WriteCall,
 )
-from hoistsaddle.haggle.runtime import RealRuntime, Runtime
-from hoistsaddle.ledger.disk import Disk
-from hoistsaddle.ledger.events import Pace
-from hoistsaddle.ledger.jobs import DiskThread, DiskWorker
-from hoistsaddle.ledger.shell import LedgerShell
-from hoistsaddle.shelf.commands import LEVEL, pack_outcome
-from hoistsaddle.shelf.digests import digests_of
-from hoistsaddle.shelf.readback import holds_of, items_of, people_of, read_back
-from hoistsaddle.shelf.state import State, news_of
-from hoistsaddle.tally.counters import Counters
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tally.params import WarehouseParams
-
-
-def pace_of(params: WarehouseParams) -> Pace:
+from hoistsaddle.rpc.runtime import RealRuntime, Runtime
+from hoistsaddle.statemachine.commands import LEVEL, pack_outcome
+from hoistsaddle.statemachine.digests import digests_of
+from hoistsaddle.statemachine.readback import holds_of, items_of, people_of, read_back
+from hoistsaddle.statemachine.state import State, news_of
+
+
+def pace_of(params: StoreParams) -> Pace:
     return Pace(
         checkpoint_records=params.checkpoint_records,
         chunk_bytes=params.chunk_bytes,
@@ -48,13 +48,13 @@
     )
 
 
-class Warehouse:
+class Store:
     """One ledger replica and what it answers."""
 
     def __init__(
         self,
         *,
-        params: WarehouseParams,
+        params: StoreParams,
         runtime: Runtime,
         disk: Disk,
         make_worker: Callable[..., DiskWorker] = DiskThread,
@@ -67,7 +67,7 @@
         self.counters = Counters(owner=f"warehouse-{params.replica}")
         if addresses is None:
             addresses = {machine.replica: machine.warehouse for machine in params.core}
-        self.shell = LedgerShell(
+        self.shell = RaftShell(
             disk=disk,
             addresses=addresses,
             pace=pace or pace_of(params),
@@ -196,14 +196,14 @@
         return FoundAnswer("", call.mesh, core.incarnation)
 
 
-class WarehouseService(Service):
-    def __init__(self, *, params: WarehouseParams) -> None:
+class StoreService(Service):
+    def __init__(self, *, params: StoreParams) -> None:
         super().__init__()
         self.warehouse_params = params
 
     async def start(self) -> None:
         params = self.warehouse_params
-        self.node = Warehouse(
+        self.node = Store(
             params=params,
             runtime=RealRuntime(line_faults=params.line_faults),
             disk=Disk(folder=Path(params.data_folder), replica=params.replica),
--- a/packages/fairground/src/hoistsaddle/fairground/checkers.py
+++ b/packages/testbed/src/hoistsaddle/testbed/checkers.py
@@ -5,8 +5,9 @@
 
 from returns.result import Success
 
-from hoistsaddle.fairground.deployments import Deployment
-from hoistsaddle.fairground.history import (
+from hoistsaddle.config.bundle import Bundle, read_bundle
+from hoistsaddle.testbed.deployments import Deployment
+from hoistsaddle.testbed.history import (
     Accepted,
     Asked,
     Back,
@@ -30,7 +31,6 @@
     Wanted,
     Written,
 )
-from hoistsaddle.tariff.bundle import Bundle, read_bundle
 
 ONCE_SPAN = 60.0
 IN_FORCE_SPAN = 2.0
--- a/packages/fairground/src/hoistsaddle/fairground/deployments.py
+++ b/packages/testbed/src/hoistsaddle/testbed/deployments.py
@@ -36,7 +36,7 @@
         return self.zones[(place + place // len(self.zones)) % len(self.zones)]
 
     def first_bundle(self) -> str:
-        return resources.files("hoistsaddle.fairground").joinpath("bundles", f"{self.name}-1.toml").read_text()
+        return resources.files("hoistsaddle.testbed").joinpath("bundles", f"{self.name}-1.toml").read_text()
 
     def changed_bundle(self, change: Callable[[dict], None], *, number: int, based_on: int) -> str:
         """The first bundle after a change of its declarations, under another number."""
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/arena.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/arena.py
@@ -13,7 +13,7 @@
 
 from loguru import logger
 
-from hoistsaddle.fairground.arcade.day import (
+from hoistsaddle.testbed.emulator.day import (
     BOUNDS,
     LEADER,
     AfterWord,
@@ -36,12 +36,12 @@
     Stop,
     Visit,
 )
-from hoistsaddle.fairground.arcade.history import Closed, Fault, Harm, Healed, History
-from hoistsaddle.fairground.arcade.machines import ArcadeWorld, Process
-from hoistsaddle.fairground.arcade.operators import Operators
-from hoistsaddle.fairground.arcade.servers import Server
-from hoistsaddle.fairground.arcade.visitors import Call, Visitors
-from hoistsaddle.fairground.simulation.clockwork import ClockworkLoop
+from hoistsaddle.testbed.emulator.history import Closed, Fault, Harm, Healed, History
+from hoistsaddle.testbed.emulator.machines import ArcadeWorld, Process
+from hoistsaddle.testbed.emulator.operators import Operators
+from hoistsaddle.testbed.emulator.servers import Server
+from hoistsaddle.testbed.emulator.visitors import Call, Visitors
+from hoistsaddle.testbed.simulation.clockwork import ClockworkLoop
 
 # From the machines' start to the first traffic.
 LEAD_SECONDS = 5.0
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/checkers.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/checkers.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from functools import cached_property
 
-from hoistsaddle.fairground.arcade.day import BOUNDS, REPEATABLE, Day, Route
-from hoistsaddle.fairground.arcade.history import (
+from hoistsaddle.testbed.emulator.day import BOUNDS, REPEATABLE, Day, Route
+from hoistsaddle.testbed.emulator.history import (
     Arrived,
     Beaten,
     Closed,
@@ -20,7 +20,7 @@
     Sent,
     Told,
 )
-from hoistsaddle.fairground.arcade.touch import Touch
+from hoistsaddle.testbed.emulator.touch import Touch
 
 PROMISES = (408, 421, 429, 503)
 PROMISED_OWN = (408, 421, 429)
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/customs.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/customs.py
@@ -15,4 +15,4 @@
     """A module of the adapter. Its folder is no installed package: the deployment puts it beside the others."""
     if str(FOLDER) not in sys.path:
         sys.path.append(str(FOLDER))
-    return importlib.import_module(f"hoistsaddle.customs.{name}")
+    return importlib.import_module(f"hoistsaddle.adapter.{name}")
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/history.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/history.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from typing import Any, NamedTuple, TypeVar
 
-from hoistsaddle.fairground.arcade.day import Route
+from hoistsaddle.testbed.emulator.day import Route
 
 Event = TypeVar("Event")
 
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/hunt.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/hunt.py
@@ -10,10 +10,10 @@
 from concurrent.futures import ProcessPoolExecutor
 from typing import NamedTuple
 
-from hoistsaddle.fairground.arcade.arena import play
-from hoistsaddle.fairground.arcade.checkers import check
-from hoistsaddle.fairground.arcade.day import Day, draw_day
-from hoistsaddle.fairground.arcade.history import Got, Sent
+from hoistsaddle.testbed.emulator.arena import play
+from hoistsaddle.testbed.emulator.checkers import check
+from hoistsaddle.testbed.emulator.day import Day, draw_day
+from hoistsaddle.testbed.emulator.history import Got, Sent
 
 MOST_TRIES = 60
 
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/machines.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
@@ -7,23 +7,23 @@
 
 from returns.result import Failure
 
-from hoistsaddle.bourse.market import Market
-from hoistsaddle.bourse.places import number_of_host
-from hoistsaddle.broker.door import Door
-from hoistsaddle.broker.messages import Serve
-from hoistsaddle.broker.node import BrokerNode
-from hoistsaddle.broker.service import CLOSING, CONNECT_SPAN, QUIET
-from hoistsaddle.fairground.arcade.customs import adapter
-from hoistsaddle.fairground.arcade.day import BOUNDS, CoreMachine, StallMachine
-from hoistsaddle.fairground.arcade.history import Started
-from hoistsaddle.fairground.simulation.clockwork import Life
-from hoistsaddle.fairground.simulation.world import SimulatedDiskWorker, SimulatedRuntime, World, wipe
-from hoistsaddle.ledger.disk import Disk
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.params import check_params
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.common.settings import check_params
+from hoistsaddle.raft.disk import Disk
+from hoistsaddle.registry.controller import Controller
+from hoistsaddle.registry.places import number_of_host
+from hoistsaddle.sidecar.door import Door
+from hoistsaddle.sidecar.messages import Serve
+from hoistsaddle.sidecar.node import SidecarNode
+from hoistsaddle.sidecar.service import CLOSING, CONNECT_SPAN, QUIET
+from hoistsaddle.testbed.emulator.customs import adapter
+from hoistsaddle.testbed.emulator.day import BOUNDS, CoreMachine, StallMachine
+from hoistsaddle.testbed.emulator.history import Started
+from hoistsaddle.testbed.simulation.clockwork import Life
+from hoistsaddle.testbed.simulation.world import SimulatedDiskWorker, SimulatedRuntime, World, wipe
 
 if TYPE_CHECKING:
-    from hoistsaddle.fairground.arcade.arena import Arena
+    from hoistsaddle.testbed.emulator.arena import Arena
 
 # How long a line with a pulse takes to miss a machine that says nothing.
 PULSE_SECONDS = 0.9
@@ -98,7 +98,7 @@
         )
         path = arena.world.folder / f"{machine.name}.json"
         path.write_bytes(written)
-        return adapter("papers").read_settings(str(path))
+        return adapter("headers").read_settings(str(path))
 
     @property
     def folder(self) -> Path:
@@ -110,9 +110,9 @@
         self.life.spawn(self._boot())
 
     def _make(self, settings: Any) -> None:
-        doors, papers = adapter("doors"), adapter("papers")
+        handlers, headers = adapter("handlers"), adapter("headers")
         if isinstance(self.machine, CoreMachine):
-            params: Any = check_params(papers.market_params(settings)).unwrap()
+            params: Any = check_params(headers.market_params(settings)).unwrap()
             self.folder.mkdir(parents=True, exist_ok=True)
             disk = Disk(
                 folder=self.folder, replica=number_of_host(params.host), token=self.runtime.token, synchronous="OFF"
@@ -121,21 +121,21 @@
             def make_worker(**needs: Any) -> SimulatedDiskWorker:
                 return SimulatedDiskWorker(world=self.arena.world, life=self.life, **needs)
 
-            self.node = Market(params=params, runtime=self.runtime, disk=disk, make_worker=make_worker)
-            self.control = doors.OperatorDoor(market=self.node)
+            self.node = Controller(params=params, runtime=self.runtime, disk=disk, make_worker=make_worker)
+            self.control = handlers.OperatorDoor(market=self.node)
         else:
-            params = check_params(papers.broker_params(settings)).unwrap()
-            self.node = BrokerNode(params=params, runtime=self.runtime, serve=self._serve)
-            self.door = Door(node=self.node, wording=papers.WORDING)
-            self.control = doors.BeatDoor(node=self.node)
+            params = check_params(headers.broker_params(settings)).unwrap()
+            self.node = SidecarNode(params=params, runtime=self.runtime, serve=self._serve)
+            self.door = Door(node=self.node, wording=headers.WORDING)
+            self.control = handlers.BeatDoor(node=self.node)
         self.arena.listen(self.node.counters)
 
     def rewrite(self) -> None:
         """The settings file is another one, and the program takes it up as it runs."""
         if self.life.dead or self.life.frozen or not self.open:
             return
-        settings, papers = self.settings(cold=False), adapter("papers")
-        read = papers.market_params if isinstance(self.machine, CoreMachine) else papers.broker_params
+        settings, headers = self.settings(cold=False), adapter("headers")
+        read = headers.market_params if isinstance(self.machine, CoreMachine) else headers.broker_params
         self.life.context.run(self.node.revise, check_params(read(settings)).unwrap())
 
     async def _boot(self) -> None:
@@ -147,7 +147,7 @@
         return await self.arena.keep(server.serve(serve))
 
     async def ready(self) -> bool:
-        answer = await adapter("doors").ready_door(self.node, None)
+        answer = await adapter("handlers").ready_door(self.node, None)
         return answer.status == 200
 
     async def wind_down(self) -> None:
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/operators.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/operators.py
@@ -4,12 +4,12 @@
 import random
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from hoistsaddle.fairground.arcade.customs import adapter
-from hoistsaddle.fairground.arcade.day import BOUNDS, ONCE_PER_KEY, REPEATABLE, BadOrder, Change, Route
-from hoistsaddle.fairground.arcade.history import Ordered, ReadBack, Told
+from hoistsaddle.testbed.emulator.customs import adapter
+from hoistsaddle.testbed.emulator.day import BOUNDS, ONCE_PER_KEY, REPEATABLE, BadOrder, Change, Route
+from hoistsaddle.testbed.emulator.history import Ordered, ReadBack, Told
 
 if TYPE_CHECKING:
-    from hoistsaddle.fairground.arcade.arena import Arena
+    from hoistsaddle.testbed.emulator.arena import Arena
 
 CONFIG = "/-/config"
 FINAL = (400, 409, 412, 413, 422)
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/servers.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/servers.py
@@ -5,15 +5,15 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from hoistsaddle.broker.messages import Serve, Served, ServeMissed
-from hoistsaddle.broker.serverline import pack_pairs, unpack_pairs
-from hoistsaddle.fairground.arcade.customs import adapter
-from hoistsaddle.fairground.arcade.day import BOUNDS, StallMachine
-from hoistsaddle.fairground.arcade.history import Arrived, Beaten, Ran, Replied
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.sidecar.messages import Serve, Served, ServeMissed
+from hoistsaddle.sidecar.serverconnection import pack_pairs, unpack_pairs
+from hoistsaddle.testbed.emulator.customs import adapter
+from hoistsaddle.testbed.emulator.day import BOUNDS, StallMachine
+from hoistsaddle.testbed.emulator.history import Arrived, Beaten, Ran, Replied
 
 if TYPE_CHECKING:
-    from hoistsaddle.fairground.arcade.arena import Arena
+    from hoistsaddle.testbed.emulator.arena import Arena
 
 BEAT_SECONDS = 1.5
 # A server that just started takes twice as long for a while.
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/touch.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/touch.py
@@ -3,8 +3,8 @@
 import bisect
 from typing import NamedTuple
 
-from hoistsaddle.fairground.arcade.day import BOUNDS, Site
-from hoistsaddle.fairground.arcade.history import Closed, Harm, Healed, History
+from hoistsaddle.testbed.emulator.day import BOUNDS, Site
+from hoistsaddle.testbed.emulator.history import Closed, Harm, Healed, History
 
 # A request's own bounds begin a little after a trouble's end is written down.
 FOR_EVER = 1e9
--- a/packages/fairground/src/hoistsaddle/fairground/arcade/visitors.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/visitors.py
@@ -7,12 +7,12 @@
 
 from multidict import CIMultiDict
 
-from hoistsaddle.fairground.arcade.day import ONCE_PER_KEY, REPEATABLE, Route, Visit
-from hoistsaddle.fairground.arcade.history import Got, Sent
-from hoistsaddle.fairground.arcade.servers import SEAL, Server, digest_of
+from hoistsaddle.testbed.emulator.day import ONCE_PER_KEY, REPEATABLE, Route, Visit
+from hoistsaddle.testbed.emulator.history import Got, Sent
+from hoistsaddle.testbed.emulator.servers import SEAL, Server, digest_of
 
 if TYPE_CHECKING:
-    from hoistsaddle.fairground.arcade.arena import Arena
+    from hoistsaddle.testbed.emulator.arena import Arena
 
 PROMISES = (408, 421, 429, 503)
 NEVER_AGAIN = (400, 401, 404, 413, 431)
--- a/packages/fairground/src/hoistsaddle/fairground/fleet.py
+++ b/packages/testbed/src/hoistsaddle/testbed/fleet.py
@@ -16,10 +16,10 @@
 import aiohttp
 import msgspec
 
-from hoistsaddle.fairground.deployments import Deployment, to_toml
-from hoistsaddle.fairground.history import History
-from hoistsaddle.fairground.standins import StandIn
-from hoistsaddle.kiosk.caller import call_doors
+from hoistsaddle.cli.caller import call_doors
+from hoistsaddle.testbed.deployments import Deployment, to_toml
+from hoistsaddle.testbed.history import History
+from hoistsaddle.testbed.standins import StandIn
 
 HOST = "127.0.0.1"
 AUTHOR = ("ada", "token-of-ada")
@@ -160,7 +160,7 @@
         self.processes[name] = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "hoistsaddle.kiosk",
+            "hoistsaddle.cli",
             self.kinds[name],
             "--settings",
             str(self.folder / f"{name}.toml"),
--- a/packages/fairground/src/hoistsaddle/fairground/history.py
+++ b/packages/testbed/src/hoistsaddle/testbed/history.py
@@ -3,7 +3,7 @@
 import hashlib
 from typing import NamedTuple
 
-from hoistsaddle.shelf.state import GONE
+from hoistsaddle.statemachine.state import GONE
 
 
 def mark_of(body: bytes) -> str:
--- a/packages/fairground/src/hoistsaddle/fairground/load.py
+++ b/packages/testbed/src/hoistsaddle/testbed/load.py
@@ -8,8 +8,8 @@
 import aiohttp
 import msgspec
 
-from hoistsaddle.fairground.deployments import Ask, Deployment
-from hoistsaddle.fairground.history import Asked, Got, History, mark_of
+from hoistsaddle.testbed.deployments import Ask, Deployment
+from hoistsaddle.testbed.history import Asked, Got, History, mark_of
 
 
 class Load:
--- a/packages/fairground/src/hoistsaddle/fairground/measure.py
+++ b/packages/testbed/src/hoistsaddle/testbed/measure.py
@@ -10,14 +10,14 @@
 import aiohttp
 from returns.result import Success
 
-from hoistsaddle.bourse import writer as writing
-from hoistsaddle.bourse.writer import Writer
-from hoistsaddle.fairground.deployments import DEPLOYMENTS, Deployment
-from hoistsaddle.fairground.fleet import Fleet
-from hoistsaddle.haggle.parcels import LookAnswer, LookCall
-from hoistsaddle.haggle.runtime import RealRuntime
-from hoistsaddle.shelf.commands import ClaimHold, SettleHold
-from hoistsaddle.tally.counters import Counters
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.registry import writer as writing
+from hoistsaddle.registry.writer import Writer
+from hoistsaddle.rpc.messages import LookAnswer, LookCall
+from hoistsaddle.rpc.runtime import RealRuntime
+from hoistsaddle.statemachine.commands import ClaimHold, SettleHold
+from hoistsaddle.testbed.deployments import DEPLOYMENTS, Deployment
+from hoistsaddle.testbed.fleet import Fleet
 
 Say = Callable[[str], None]
 ME = {"Authorization": "Bearer measure"}
--- a/packages/fairground/src/hoistsaddle/fairground/proof.py
+++ b/packages/testbed/src/hoistsaddle/testbed/proof.py
@@ -6,8 +6,10 @@
 
 import aiohttp
 
-from hoistsaddle.fairground.fleet import AUTHOR, SIGNER, Fleet, token_digest
-from hoistsaddle.fairground.history import (
+from hoistsaddle.config.bundle import digest_of
+from hoistsaddle.statemachine.commands import LEVEL
+from hoistsaddle.testbed.fleet import AUTHOR, SIGNER, Fleet, token_digest
+from hoistsaddle.testbed.history import (
     Accepted,
     Back,
     Expected,
@@ -19,9 +21,7 @@
     Written,
     read_back_of,
 )
-from hoistsaddle.fairground.load import Load
-from hoistsaddle.shelf.commands import LEVEL
-from hoistsaddle.tariff.bundle import digest_of
+from hoistsaddle.testbed.load import Load
 
 Say = Callable[[str], None]
 
--- a/packages/fairground/src/hoistsaddle/fairground/scale/clock.py
+++ b/packages/testbed/src/hoistsaddle/testbed/scale/clock.py
@@ -12,8 +12,8 @@
 
 import uvloop
 
-from hoistsaddle.broker.service import CONNECT_SPAN, PULSE
-from hoistsaddle.haggle.runtime import RealRuntime
+from hoistsaddle.rpc.runtime import RealRuntime
+from hoistsaddle.sidecar.service import CONNECT_SPAN, PULSE
 
 
 class _StretchedSelector(selectors.DefaultSelector):
--- a/packages/fairground/src/hoistsaddle/fairground/scale/part.py
+++ b/packages/testbed/src/hoistsaddle/testbed/scale/part.py
@@ -21,15 +21,21 @@
 from loguru import logger
 from returns.result import Success
 
-from hoistsaddle.bourse.market import Market
-from hoistsaddle.broker.door import Door, close_door, open_door
-from hoistsaddle.broker.messages import Asked, Reply, Serve, Served, Vitals
-from hoistsaddle.broker.node import BrokerNode
-from hoistsaddle.broker.serverline import ServerLine, pack_pairs
-from hoistsaddle.broker.wording import Wording
-from hoistsaddle.crier.membership import DEAD
-from hoistsaddle.fairground.scale.clock import ScaleRuntime, make_loop, mesh_seconds
-from hoistsaddle.fairground.scale.sizes import (
+from hoistsaddle.common.clock import ZERO, milliseconds
+from hoistsaddle.common.settings import ControllerParams, SidecarParams
+from hoistsaddle.config.items import Patch
+from hoistsaddle.membership.membership import DEAD
+from hoistsaddle.raft.core import LEADER
+from hoistsaddle.registry.controller import Controller
+from hoistsaddle.sidecar.door import Door, close_door, open_door
+from hoistsaddle.sidecar.messages import Asked, Reply, Serve, Served, Vitals
+from hoistsaddle.sidecar.node import SidecarNode
+from hoistsaddle.sidecar.serverconnection import ServerLine, pack_pairs
+from hoistsaddle.sidecar.wording import Wording
+from hoistsaddle.statemachine.commands import LEVEL, NoteNode, NoteServer
+from hoistsaddle.statemachine.state import GONE, READY
+from hoistsaddle.testbed.scale.clock import ScaleRuntime, make_loop, mesh_seconds
+from hoistsaddle.testbed.scale.sizes import (
     HOST,
     Size,
     prefix_of,
@@ -39,12 +45,6 @@
     stall_name,
     zone_name,
 )
-from hoistsaddle.ledger.core import LEADER
-from hoistsaddle.shelf.commands import LEVEL, NoteNode, NoteServer
-from hoistsaddle.shelf.state import GONE, READY
-from hoistsaddle.tally.moments import ZERO, milliseconds
-from hoistsaddle.tally.params import BrokerParams, MarketParams
-from hoistsaddle.tariff.items import Patch
 
 LOOK_EVERY = milliseconds(20)
 BEAT_EVERY = timedelta(seconds=1)
@@ -93,9 +93,9 @@
 
     def __init__(self, job: Job) -> None:
         self.job = job
-        self.nodes: dict[int, BrokerNode] = {}
+        self.nodes: dict[int, SidecarNode] = {}
         # Also of those lost since: what was counted stays counted.
-        self.ever: list[BrokerNode] = []
+        self.ever: list[SidecarNode] = []
         self.beating: asyncio.Task | None = None
         self.asked = 0
         self.closing: list[Callable[[], Awaitable]] = []
@@ -112,9 +112,9 @@
         self.beating = asyncio.ensure_future(self._beats())
         return {"started": len(self.nodes)}
 
-    async def _make(self, number: int) -> BrokerNode:
+    async def _make(self, number: int) -> SidecarNode:
         job = self.job
-        params = BrokerParams(
+        params = SidecarParams(
             name=stall_name(number),
             zone=zone_name(number, job.size),
             listen=address_of(number, job),
@@ -127,17 +127,17 @@
         )
         runtime = _runtime(job, params.name)
         if job.kind == "hollow":
-            return BrokerNode(params=params, runtime=runtime, serve=_serve_hollow)
+            return SidecarNode(params=params, runtime=runtime, serve=_serve_hollow)
         wording = Wording()
         line = ServerLine(wording=wording, counters=None)
-        node = BrokerNode(params=params, runtime=runtime, serve=line.serve)
+        node = SidecarNode(params=params, runtime=runtime, serve=line.serve)
         line.counters = node.counters
         door = await open_door(address=params.door, handler=Door(node=node, wording=wording).handle)
         server = await open_door(address=params.server, handler=_answer_whole)
         self.closing += [lambda: close_door(door, wait=ZERO), server.cleanup]
         return node
 
-    def _beat(self, number: int, node: BrokerNode) -> None:
+    def _beat(self, number: int, node: SidecarNode) -> None:
         params = node.broker_params
         node.feed(Vitals(params.service, _instance(number, self.job.size), params.server, READY, ROOM, ZERO))
 
@@ -228,7 +228,7 @@
             await asyncio.wait(tasks, timeout=10)
         return {"outcomes": dict(outcomes), "sent": sent}
 
-    async def _ask(self, node: BrokerNode, *, with_key: bool, outcomes: Counter) -> None:
+    async def _ask(self, node: SidecarNode, *, with_key: bool, outcomes: Counter) -> None:
         self.asked += 1
         number = self.asked
         routes = [route for route in range(self.job.size.routes) if (route % 4 == 1) == with_key] or [0]
@@ -280,8 +280,8 @@
     def __init__(self, job: Job) -> None:
         self.job = job
         Path(job.folder).mkdir(parents=True, exist_ok=True)
-        self.market = Market(
-            params=MarketParams(
+        self.market = Controller(
+            params=ControllerParams(
                 host=job.host,
                 zone=job.zone,
                 data_folder=job.folder,
--- a/packages/fairground/src/hoistsaddle/fairground/scale/path.py
+++ b/packages/testbed/src/hoistsaddle/testbed/scale/path.py
@@ -14,18 +14,18 @@
 from aiohttp import web
 from loguru import logger
 
-from hoistsaddle.broker.door import Door, open_door
-from hoistsaddle.broker.messages import Vitals
-from hoistsaddle.broker.node import BrokerNode
-from hoistsaddle.broker.serverline import ServerLine
-from hoistsaddle.broker.wording import Wording
-from hoistsaddle.fairground.scale.clock import ScaleRuntime
-from hoistsaddle.fairground.scale.sizes import HOST, Size, make_state, prefix_of, service_name, stall_name
-from hoistsaddle.shelf.state import READY, news_of
-from hoistsaddle.shelf.view import View, read_view
-from hoistsaddle.stall.messages import SetupChanged
-from hoistsaddle.tally.moments import ZERO
-from hoistsaddle.tally.params import BrokerParams
+from hoistsaddle.common.clock import ZERO
+from hoistsaddle.common.settings import SidecarParams
+from hoistsaddle.proxy.messages import SetupChanged
+from hoistsaddle.sidecar.door import Door, open_door
+from hoistsaddle.sidecar.messages import Vitals
+from hoistsaddle.sidecar.node import SidecarNode
+from hoistsaddle.sidecar.serverconnection import ServerLine
+from hoistsaddle.sidecar.wording import Wording
+from hoistsaddle.statemachine.state import READY, news_of
+from hoistsaddle.statemachine.view import View, read_view
+from hoistsaddle.testbed.scale.clock import ScaleRuntime
+from hoistsaddle.testbed.scale.sizes import HOST, Size, make_state, prefix_of, service_name, stall_name
 
 BODY = b"x" * 200
 WORDING = Wording()
@@ -53,7 +53,7 @@
         # Only these two serve the first two services: every call stays in this process.
         others = {key: entry for key, entry in servers.items() if entry.service not in _own() or key in _two()}
         self.items = news_of(state._replace(nodes=nodes, servers=type(servers)(others)))
-        self.nodes: list[BrokerNode] = []
+        self.nodes: list[SidecarNode] = []
         self.lines: list[ServerLine] = []
         self.open: list[Any] = []
         self.asked = 0
@@ -62,7 +62,7 @@
         self.session = aiohttp.ClientSession()
         for number in range(2):
             name = stall_name(number)
-            params = BrokerParams(
+            params = SidecarParams(
                 name=name,
                 zone="zone-1",
                 listen=_place(number, 7100),
@@ -75,7 +75,7 @@
                 vitals_seconds=3600.0,
             )
             line = ServerLine(wording=WORDING, counters=None)
-            node = BrokerNode(params=params, runtime=ScaleRuntime(stretch=1.0, seed=name), serve=line.serve)
+            node = SidecarNode(params=params, runtime=ScaleRuntime(stretch=1.0, seed=name), serve=line.serve)
             line.counters = node.counters
             view = read_view(revision=1, items=self.items, node=name, zone="zone-1", before=View())
             node.feed(SetupChanged(view))
@@ -150,9 +150,9 @@
 def spend(size: Size, *, depth: int, times: int, rounds: int) -> dict[str, list[float]]:
     """Milliseconds of processor for one call, a figure for each round, by way."""
     # What two stalls say at their start has no place in a table of figures.
-    logger.disable("hoistsaddle.tally.counters")
+    logger.disable("hoistsaddle.common.counters")
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             return runner.run(_spend(size, depth=depth, times=times, rounds=rounds))
     finally:
-        logger.enable("hoistsaddle.tally.counters")
+        logger.enable("hoistsaddle.common.counters")
--- a/packages/fairground/src/hoistsaddle/fairground/scale/report.py
+++ b/packages/testbed/src/hoistsaddle/testbed/scale/report.py
@@ -6,9 +6,9 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from hoistsaddle.fairground.scale.run import Row
-from hoistsaddle.fairground.scale.sizes import GOAL
-from hoistsaddle.fairground.scale.slopes import Measured
+from hoistsaddle.testbed.scale.run import Row
+from hoistsaddle.testbed.scale.sizes import GOAL
+from hoistsaddle.testbed.scale.slopes import Measured
 
 FLEET = "fleet of nodes"
 # Where each slope stands at the size we head for; holds, claims and depth are worked out on the page.
--- a/packages/fairground/src/hoistsaddle/fairground/scale/run.py
+++ b/packages/testbed/src/hoistsaddle/testbed/scale/run.py
@@ -18,8 +18,8 @@
 import aiohttp
 import msgspec
 
-from hoistsaddle.fairground.scale.part import Job
-from hoistsaddle.fairground.scale.sizes import HOST, Size, prefix_of, sized, zone_name
+from hoistsaddle.testbed.scale.part import Job
+from hoistsaddle.testbed.scale.sizes import HOST, Size, prefix_of, sized, zone_name
 
 MOST_PROCESSES = 30
 DATA_KINDS = frozenset({"DealCall", "DealAnswer", "RecallCall", "RecallAnswer"})
@@ -70,7 +70,7 @@
         self.child = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "hoistsaddle.fairground.scale.part",
+            "hoistsaddle.testbed.scale.part",
             str(self.job.stretch),
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
--- a/packages/fairground/src/hoistsaddle/fairground/scale/sizes.py
+++ b/packages/testbed/src/hoistsaddle/testbed/scale/sizes.py
@@ -4,8 +4,10 @@
 
 from immutables import Map
 
-from hoistsaddle.shelf.commands import LEVEL
-from hoistsaddle.shelf.state import (
+from hoistsaddle.config.items import ENTRY, SERVICE, Checked, Patch, Setting, check_patch, key_of, pack_item
+from hoistsaddle.proxy.visitors import digest_of_parts
+from hoistsaddle.statemachine.commands import LEVEL
+from hoistsaddle.statemachine.state import (
     CLAIMED,
     READY,
     WARDEN,
@@ -17,8 +19,6 @@
     State,
     found_state,
 )
-from hoistsaddle.stall.visitors import digest_of_parts
-from hoistsaddle.tariff.items import ENTRY, SERVICE, Checked, Patch, Setting, check_patch, key_of, pack_item
 
 HOST = "scale.internal"
 
--- a/packages/fairground/src/hoistsaddle/fairground/scale/slopes.py
+++ b/packages/testbed/src/hoistsaddle/testbed/scale/slopes.py
@@ -15,14 +15,26 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from hoistsaddle.broker.core import BrokerCore
-from hoistsaddle.broker.messages import Asked, DealAnswered, DealArrived, Served
-from hoistsaddle.crier.member import MemberPace
-from hoistsaddle.crier.membership import ALIVE, Membership, Probe, ProbeAnswered, RumoursArrived
-from hoistsaddle.crier.membership import Ticked as MemberTicked
-from hoistsaddle.crier.relay import Relay, SetupCopy, select_parents
-from hoistsaddle.fairground.scale.path import spend
-from hoistsaddle.fairground.scale.sizes import (
+from hoistsaddle.common.clock import ZERO
+from hoistsaddle.config.items import Patch, pack_patch
+from hoistsaddle.membership.member import MemberPace
+from hoistsaddle.membership.membership import ALIVE, Membership, Probe, ProbeAnswered, RumoursArrived
+from hoistsaddle.membership.membership import Ticked as MemberTicked
+from hoistsaddle.membership.relay import Relay, SetupCopy, select_parents
+from hoistsaddle.proxy.messages import SetupChanged
+from hoistsaddle.proxy.standing import ProxyParamsView
+from hoistsaddle.raft.disk import Disk
+from hoistsaddle.raft.events import Mark, Write
+from hoistsaddle.rpc.messages import ProbeAnswer, ProbeCall, Record, Rumour, Uptake, WriteCall, pack, unpack
+from hoistsaddle.sidecar.core import SidecarCore
+from hoistsaddle.sidecar.messages import Asked, DealAnswered, DealArrived, Served
+from hoistsaddle.statemachine.apply import apply
+from hoistsaddle.statemachine.commands import ClaimHold, NoteNode, NoteServer, PatchItems, Tick, pack_command
+from hoistsaddle.statemachine.digests import digests_of
+from hoistsaddle.statemachine.state import GONE, READY, State, news_of, pack_state, unpack_state
+from hoistsaddle.statemachine.view import View, read_view
+from hoistsaddle.testbed.scale.path import spend
+from hoistsaddle.testbed.scale.sizes import (
     GOAL,
     HOST,
     Size,
@@ -35,18 +47,6 @@
     stall_name,
     zone_name,
 )
-from hoistsaddle.haggle.parcels import ProbeAnswer, ProbeCall, Record, Rumour, Uptake, WriteCall, pack, unpack
-from hoistsaddle.ledger.disk import Disk
-from hoistsaddle.ledger.events import Mark, Write
-from hoistsaddle.shelf.apply import apply
-from hoistsaddle.shelf.commands import ClaimHold, NoteNode, NoteServer, PatchItems, Tick, pack_command
-from hoistsaddle.shelf.digests import digests_of
-from hoistsaddle.shelf.state import GONE, READY, State, news_of, pack_state, unpack_state
-from hoistsaddle.shelf.view import View, read_view
-from hoistsaddle.stall.messages import SetupChanged
-from hoistsaddle.stall.standing import StallParamsView
-from hoistsaddle.tally.moments import ZERO
-from hoistsaddle.tariff.items import Patch, pack_patch
 
 FAN_OUT = 8
 MESH = "0123456789abcdef"
@@ -160,11 +160,11 @@
 # -- one request -----------------------------------------------------------------------------------------------------
 
 
-def _core(view: View, *, number: int) -> BrokerCore:
+def _core(view: View, *, number: int) -> SidecarCore:
     node = stall_name(number)
     server = view.servers[node]
-    core = BrokerCore(
-        params=StallParamsView(
+    core = SidecarCore(
+        params=ProxyParamsView(
             node, server.zone, server.incarnation, timedelta(seconds=1.5), timedelta(seconds=5), 400, 400
         ),
         seed=random.Random(number),
--- a/packages/fairground/src/hoistsaddle/fairground/simulation/catalogue.py
+++ b/packages/testbed/src/hoistsaddle/testbed/simulation/catalogue.py
@@ -1,14 +1,14 @@
 """Every scenario by its name."""
 
-from hoistsaddle.fairground.simulation import hardships
-from hoistsaddle.fairground.simulation import scenarios as plain
-from hoistsaddle.fairground.simulation.rules import (
+from hoistsaddle.testbed.simulation import hardships
+from hoistsaddle.testbed.simulation import scenarios as plain
+from hoistsaddle.testbed.simulation.rules import (
     keys_travel,
     old_process_lives,
     rules_change,
     rules_change_in_trouble,
 )
-from hoistsaddle.fairground.simulation.scenarios import Scenario
+from hoistsaddle.testbed.simulation.scenarios import Scenario
 
 # On core machines alone; these run with the deployments "three" and "five".
 CORE_SCENARIOS: dict[str, Scenario] = {
--- a/packages/fairground/src/hoistsaddle/fairground/simulation/deployment.py
+++ b/packages/testbed/src/hoistsaddle/testbed/simulation/deployment.py
@@ -15,10 +15,27 @@
 from loguru import logger
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.bourse.desk import Desk
-from hoistsaddle.bourse.service import Bourse
-from hoistsaddle.fairground.deployments import Ask, Deployment, Inner
-from hoistsaddle.fairground.history import (
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.common.settings import CoreMachine, ProxyParams, RegistryParams, StoreParams
+from hoistsaddle.config.bundle import read_bundle
+from hoistsaddle.proxy.messages import (
+    ANSWERED,
+    AnswerVisitor,
+    RequestArrived,
+    RunServer,
+    ServerAnswered,
+    ServerMissed,
+    VitalsArrived,
+)
+from hoistsaddle.proxy.node import ProxyNode
+from hoistsaddle.raft.disk import Disk
+from hoistsaddle.registry.desk import Desk
+from hoistsaddle.registry.service import Registry
+from hoistsaddle.rpc.messages import FoundAnswer, FoundCall, PassCall
+from hoistsaddle.statemachine.commands import LEVEL
+from hoistsaddle.store.service import Store
+from hoistsaddle.testbed.deployments import Ask, Deployment, Inner
+from hoistsaddle.testbed.history import (
     Accepted,
     Asked,
     Back,
@@ -38,25 +55,8 @@
     mark_of,
     read_back_of,
 )
-from hoistsaddle.fairground.simulation.clockwork import ClockworkLoop, Life
-from hoistsaddle.fairground.simulation.world import SimulatedDiskWorker, SimulatedRuntime, World, wipe
-from hoistsaddle.haggle.parcels import FoundAnswer, FoundCall, PassCall
-from hoistsaddle.ledger.disk import Disk
-from hoistsaddle.shelf.commands import LEVEL
-from hoistsaddle.stall.messages import (
-    ANSWERED,
-    AnswerVisitor,
-    RequestArrived,
-    RunServer,
-    ServerAnswered,
-    ServerMissed,
-    VitalsArrived,
-)
-from hoistsaddle.stall.node import StallNode
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.params import BourseParams, CoreMachine, StallParams, WarehouseParams
-from hoistsaddle.tariff.bundle import read_bundle
-from hoistsaddle.warehouse.service import Warehouse
+from hoistsaddle.testbed.simulation.clockwork import ClockworkLoop, Life
+from hoistsaddle.testbed.simulation.world import SimulatedDiskWorker, SimulatedRuntime, World, wipe
 
 OPERATORS = {"ada": hashlib.sha256(b"token-of-ada").hexdigest(), "ben": hashlib.sha256(b"token-of-ben").hexdigest()}
 VITALS_SECONDS = 0.8
@@ -146,7 +146,7 @@
             case "warehouse":
                 replica = int(place)
                 folder = self.world.folder / f"data-{replica}"
-                params = WarehouseParams(
+                params = StoreParams(
                     replica=replica,
                     zone=zones[(replica - 1) % len(zones)],
                     listen=name,
@@ -163,13 +163,13 @@
                     return SimulatedDiskWorker(world=self.world, life=life, **needs)
 
                 node = life.context.run(
-                    lambda: Warehouse(params=params, runtime=runtime, disk=disk, make_worker=make_worker)
+                    lambda: Store(params=params, runtime=runtime, disk=disk, make_worker=make_worker)
                 )
             case "bourse":
                 replica = int(place)
                 node = life.context.run(
-                    lambda: Bourse(
-                        params=BourseParams(
+                    lambda: Registry(
+                        params=RegistryParams(
                             replica=replica,
                             zone=zones[(replica - 1) % len(zones)],
                             listen=name,
@@ -182,7 +182,7 @@
                 )
             case _:
                 zone, _ = self.stalls[name]
-                params = StallParams(
+                params = ProxyParams(
                     name=name,
                     zone=zone,
                     listen=name,
@@ -195,7 +195,7 @@
                 async def run_server(command: RunServer) -> tuple:
                     return await self._run_server(name, command)
 
-                node = life.context.run(lambda: StallNode(params=params, runtime=runtime, run_server=run_server))
+                node = life.context.run(lambda: ProxyNode(params=params, runtime=runtime, run_server=run_server))
         self.nodes[name] = node
         self._listen(node.counters)
         life.spawn(node.start())
@@ -227,7 +227,7 @@
             if life.dead:
                 continue
             self.world.kill(life)
-            if isinstance(node, Warehouse):
+            if isinstance(node, Store):
                 node.shell.disk.close()
 
     def restart(self, *names: str) -> None:
--- a/packages/fairground/src/hoistsaddle/fairground/simulation/hardships.py
+++ b/packages/testbed/src/hoistsaddle/testbed/simulation/hardships.py
@@ -7,15 +7,15 @@
 import msgspec
 from returns.result import Failure, Success
 
-from hoistsaddle.bourse.desk import Desk
-from hoistsaddle.fairground.history import Damaged, Differs, Further, ServerChanged, Wanted
-from hoistsaddle.fairground.simulation.deployment import SimulatedDeployment, SimulatedServer
-from hoistsaddle.fairground.simulation.scenarios import RATE, next_bundle, under_load
-from hoistsaddle.haggle.parcels import VitalsCall
-from hoistsaddle.shelf.commands import GONE_KEPT, LEVEL
-from hoistsaddle.shelf.digests import digests_of
-from hoistsaddle.shelf.state import news_of
-from hoistsaddle.tally import counters
+from hoistsaddle.common import counters
+from hoistsaddle.registry.desk import Desk
+from hoistsaddle.rpc.messages import VitalsCall
+from hoistsaddle.statemachine.commands import GONE_KEPT, LEVEL
+from hoistsaddle.statemachine.digests import digests_of
+from hoistsaddle.statemachine.state import news_of
+from hoistsaddle.testbed.history import Damaged, Differs, Further, ServerChanged, Wanted
+from hoistsaddle.testbed.simulation.deployment import SimulatedDeployment, SimulatedServer
+from hoistsaddle.testbed.simulation.scenarios import RATE, next_bundle, under_load
 
 
 async def _compare_copies(whole: SimulatedDeployment) -> None:
--- a/packages/fairground/src/hoistsaddle/fairground/simulation/rules.py
+++ b/packages/testbed/src/hoistsaddle/testbed/simulation/rules.py
@@ -7,11 +7,11 @@
 import msgspec
 from returns.result import Failure, Success
 
-from hoistsaddle.fairground.deployments import Ask
-from hoistsaddle.fairground.history import Asked, Got, Wanted
-from hoistsaddle.fairground.simulation.deployment import SimulatedDeployment, SimulatedServer
-from hoistsaddle.fairground.simulation.scenarios import RATE, under_load
-from hoistsaddle.shelf.state import WINDING_DOWN
+from hoistsaddle.statemachine.state import WINDING_DOWN
+from hoistsaddle.testbed.deployments import Ask
+from hoistsaddle.testbed.history import Asked, Got, Wanted
+from hoistsaddle.testbed.simulation.deployment import SimulatedDeployment, SimulatedServer
+from hoistsaddle.testbed.simulation.scenarios import RATE, under_load
 
 
 def _entry(declared: dict, name: str) -> dict:
--- a/packages/fairground/src/hoistsaddle/fairground/simulation/runs.py
+++ b/packages/testbed/src/hoistsaddle/testbed/simulation/runs.py
@@ -6,11 +6,11 @@
 from concurrent.futures import ProcessPoolExecutor
 from typing import NamedTuple
 
-from hoistsaddle.fairground.checkers import check, worst_further_window
-from hoistsaddle.fairground.deployments import DEPLOYMENTS
-from hoistsaddle.fairground.history import Got
-from hoistsaddle.fairground.simulation.catalogue import CORE_SCENARIOS, SCENARIOS
-from hoistsaddle.fairground.simulation.deployment import simulate
+from hoistsaddle.testbed.checkers import check, worst_further_window
+from hoistsaddle.testbed.deployments import DEPLOYMENTS
+from hoistsaddle.testbed.history import Got
+from hoistsaddle.testbed.simulation.catalogue import CORE_SCENARIOS, SCENARIOS
+from hoistsaddle.testbed.simulation.deployment import simulate
 
 
 class Run(NamedTuple):
--- a/packages/fairground/src/hoistsaddle/fairground/simulation/scenarios.py
+++ b/packages/testbed/src/hoistsaddle/testbed/simulation/scenarios.py
@@ -8,10 +8,10 @@
 import msgspec
 from returns.result import Failure, Success
 
-from hoistsaddle.fairground.history import Concluded, Interrupted, Replica, ServerChanged
-from hoistsaddle.fairground.simulation.deployment import SimulatedDeployment, SimulatedServer
-from hoistsaddle.shelf.commands import ClaimHold
-from hoistsaddle.shelf.state import WINDING_DOWN, pack_state
+from hoistsaddle.statemachine.commands import ClaimHold
+from hoistsaddle.statemachine.state import WINDING_DOWN, pack_state
+from hoistsaddle.testbed.history import Concluded, Interrupted, Replica, ServerChanged
+from hoistsaddle.testbed.simulation.deployment import SimulatedDeployment, SimulatedServer
 
 Scenario = Callable[[SimulatedDeployment], Coroutine]
 RATE = 25.0
--- a/packages/fairground/src/hoistsaddle/fairground/simulation/world.py
+++ b/packages/testbed/src/hoistsaddle/testbed/simulation/world.py
@@ -11,13 +11,13 @@
 
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.fairground.simulation.clockwork import ClockworkLoop, Life
-from hoistsaddle.haggle.line import CONNECT_SPAN, Handler
-from hoistsaddle.haggle.parcels import BallotCall, FetchCall, LeadCall, PassCall, PullCall, WriteCall
-from hoistsaddle.ledger.disk import Disk
-from hoistsaddle.ledger.jobs import DISK_RETRY, DiskJobs
-from hoistsaddle.tally.counters import Counters
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.raft.disk import Disk
+from hoistsaddle.raft.jobs import DISK_RETRY, DiskJobs
+from hoistsaddle.rpc.connection import CONNECT_SPAN, Handler
+from hoistsaddle.rpc.messages import BallotCall, FetchCall, LeadCall, PassCall, PullCall, WriteCall
+from hoistsaddle.testbed.simulation.clockwork import ClockworkLoop, Life
 
 _unreachable = Failure(Mishap(MishapKind.UNREACHABLE, "no connection", "simulated"))
 _silent = Failure(Mishap(MishapKind.SILENT, "no answer", "simulated"))
--- a/packages/fairground/src/hoistsaddle/fairground/standins.py
+++ b/packages/testbed/src/hoistsaddle/testbed/standins.py
@@ -8,8 +8,8 @@
 import msgspec
 from aiohttp import web
 
-from hoistsaddle.fairground.deployments import Deployment
-from hoistsaddle.fairground.history import Further, Got, History, Ran, Replied, ServerChanged, mark_of
+from hoistsaddle.testbed.deployments import Deployment
+from hoistsaddle.testbed.history import Further, Got, History, Ran, Replied, ServerChanged, mark_of
 
 VITALS_SECONDS = 0.8
 _runs = itertools.count(1)
--- a/packages/docket/src/hoistsaddle/docket/usage.py
+++ b/packages/usage/src/hoistsaddle/usage/usage.py
@@ -7,7 +7,7 @@
 from pyarrow import csv, parquet
 from returns.result import Failure, Result, Success
 
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.common.errors import Mishap, MishapKind
 
 SCHEMA = pyarrow.schema(
     [
--- a/tests/arcade_plants.py
+++ b/tests/arcade_plants.py
@@ -7,15 +7,21 @@
 
 from returns.result import Success
 
-from hoistsaddle.bourse import market
-from hoistsaddle.bourse.market import Market
-from hoistsaddle.broker.core import BrokerCore
-from hoistsaddle.broker.door import Door
-from hoistsaddle.broker.entry import EntrySide
-from hoistsaddle.broker.messages import Reply
-from hoistsaddle.broker.node import BrokerNode
-from hoistsaddle.fairground.arcade.customs import adapter
-from hoistsaddle.fairground.arcade.day import (
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.config.items import ItemSetup
+from hoistsaddle.proxy.further import FurtherSends
+from hoistsaddle.raft.events import Pace
+from hoistsaddle.registry.controller import Controller
+from hoistsaddle.sidecar.core import SidecarCore
+from hoistsaddle.sidecar.door import Door
+from hoistsaddle.sidecar.entry import EntrySide
+from hoistsaddle.sidecar.messages import Reply
+from hoistsaddle.sidecar.node import SidecarNode
+from hoistsaddle.statemachine.commands import Outcome
+from hoistsaddle.statemachine.state import READY
+from hoistsaddle.testbed.emulator.customs import adapter
+from hoistsaddle.testbed.emulator.day import (
     BadOrder,
     Change,
     Closing,
@@ -27,13 +33,6 @@
     Stop,
     draw_site,
 )
-from hoistsaddle.ledger.events import Pace
-from hoistsaddle.shelf.commands import Outcome
-from hoistsaddle.shelf.state import READY
-from hoistsaddle.stall.further import FurtherSends
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.moments import milliseconds
-from hoistsaddle.tariff.items import ItemSetup
 
 
 def small_day(*happenings: Happening, seconds: float = 9.0, seed: int = 1) -> Day:
@@ -110,18 +109,18 @@
 
 
 def _callers_untold():
-    plain = BrokerNode._deal_on
+    plain = SidecarNode._deal_on
     return mock.patch.object(
-        BrokerNode,
+        SidecarNode,
         "_deal_on",
         lambda self, command: plain(self, command._replace(call=command.call._replace(caller="somebody"))),
     )
 
 
 def _paths_changed():
-    plain = BrokerNode._deal_on
+    plain = SidecarNode._deal_on
     return mock.patch.object(
-        BrokerNode,
+        SidecarNode,
         "_deal_on",
         lambda self, command: plain(
             self, command._replace(call=command.call._replace(path=command.call.path + b"?more"))
@@ -131,7 +130,7 @@
 
 def _every_claim_granted():
     return mock.patch(
-        "hoistsaddle.shelf.keys.claim", lambda state, command: (state, Outcome(detail={"phase": "granted"}))
+        "hoistsaddle.statemachine.keys.claim", lambda state, command: (state, Outcome(detail={"phase": "granted"}))
     )
 
 
@@ -166,41 +165,41 @@
 
 
 def _leaving_is_ready():
-    return mock.patch.dict(adapter("doors").STATES, {"decaying": READY})
+    return mock.patch.dict(adapter("handlers").STATES, {"decaying": READY})
 
 
 def _stops_answer_for_servers():
-    plain = BrokerNode.wind_down
+    plain = SidecarNode.wind_down
 
-    async def at_once(self: BrokerNode, **needs) -> None:
+    async def at_once(self: SidecarNode, **needs) -> None:
         for ticket in list(self.core.deals):
             future = self.answers.pop(ticket, None)
             if future is not None and not future.done():
                 future.set_result(Reply(ticket, 502, b"", b"", Mishap(MishapKind.SILENT, "planted", "planted"), None))
         await plain(self, **needs)
 
-    return mock.patch.object(BrokerNode, "wind_down", at_once)
+    return mock.patch.object(SidecarNode, "wind_down", at_once)
 
 
 def _stops_break_off():
-    plain = BrokerNode.wind_down
+    plain = SidecarNode.wind_down
 
-    async def at_once(self: BrokerNode, **needs) -> None:
+    async def at_once(self: SidecarNode, **needs) -> None:
         for future in self.answers.values():
             future.cancel()
         await plain(self, **needs)
 
-    return mock.patch.object(BrokerNode, "wind_down", at_once)
+    return mock.patch.object(SidecarNode, "wind_down", at_once)
 
 
 def _first_items_kept():
-    plain = BrokerCore._setup
+    plain = SidecarCore._setup
 
-    def first(self: BrokerCore, view) -> None:
+    def first(self: SidecarCore, view) -> None:
         kept = self.view.items
         plain(self, view if kept is None else view._replace(items=kept))
 
-    return mock.patch.object(BrokerCore, "_setup", first)
+    return mock.patch.object(SidecarCore, "_setup", first)
 
 
 def _items_waver():
@@ -220,31 +219,31 @@
 
 
 def _entries_unchecked():
-    return mock.patch("hoistsaddle.tariff.items._check_entry", lambda entry, where: None)
+    return mock.patch("hoistsaddle.config.items._check_entry", lambda entry, where: None)
 
 
 def _patches_unanswered():
-    async def patch(self: Market, patch):
+    async def patch(self: Controller, patch):
         import asyncio
 
         await asyncio.sleep(2.0)
 
-    plain = Market.patch
+    plain = Controller.patch
 
-    async def first_alone(self: Market, patch):
+    async def first_alone(self: Controller, patch):
         # The first setup goes through, so that there is a day.
-        return await plain(self, patch) if len(patch.sets) > 4 else await Market.planted(self, patch)
+        return await plain(self, patch) if len(patch.sets) > 4 else await Controller.planted(self, patch)
 
-    return mock.patch.multiple(Market, patch=first_alone, planted=patch, create=True)
+    return mock.patch.multiple(Controller, patch=first_alone, planted=patch, create=True)
 
 
 def _an_item_is_not_read():
-    plain = Market.read_items
+    plain = Controller.read_items
 
-    async def short(self: Market, **needs):
+    async def short(self: Controller, **needs):
         return (await plain(self, **needs)).bind(lambda items: Success(items[1:]))
 
-    return mock.patch.object(Market, "read_items", short)
+    return mock.patch.object(Controller, "read_items", short)
 
 
 def _further_sends_unbounded():
@@ -259,7 +258,7 @@
         slow = milliseconds(60000) if len(starts) > 3 else milliseconds(500)
         return Pace(election_least=slow, election_most=slow * 1.5, **needs)
 
-    return mock.patch.object(market, "Pace", pace)
+    return mock.patch.object(controller, "Pace", pace)
 
 
 def _some_answers_raise():
--- a/tests/brokers.py
+++ b/tests/brokers.py
@@ -4,9 +4,12 @@
 from datetime import timedelta
 from typing import Any
 
-from hoistsaddle.broker.core import BrokerCore
-from hoistsaddle.broker.counter import Pace
-from hoistsaddle.broker.messages import (
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.config.items import EntryItem, ItemSetup, LimitsItem, Part, ServiceItem
+from hoistsaddle.proxy.messages import AskHold, HoldAnswered, SetupChanged, Ticked
+from hoistsaddle.proxy.standing import ProxyParamsView
+from hoistsaddle.sidecar.core import SidecarCore
+from hoistsaddle.sidecar.messages import (
     AnswerDeal,
     AnswerRecall,
     Asked,
@@ -23,14 +26,11 @@
     ServeMissed,
     Vitals,
 )
-from hoistsaddle.shelf.apply import apply
-from hoistsaddle.shelf.commands import pack_command
-from hoistsaddle.shelf.state import READY, NodeEntry, ServerEntry, State, found_state
-from hoistsaddle.shelf.view import View
-from hoistsaddle.stall.messages import AskHold, HoldAnswered, SetupChanged, Ticked
-from hoistsaddle.stall.standing import StallParamsView
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tariff.items import EntryItem, ItemSetup, LimitsItem, Part, ServiceItem
+from hoistsaddle.sidecar.serverside import Pace
+from hoistsaddle.statemachine.apply import apply
+from hoistsaddle.statemachine.commands import pack_command
+from hoistsaddle.statemachine.state import READY, NodeEntry, ServerEntry, State, found_state
+from hoistsaddle.statemachine.view import View
 
 HOST = "shop.example"
 KINDS = {"read": "repeatable", "post": "once per send", "pay": "once per key", "pack": "upload"}
@@ -107,9 +107,9 @@
         for name in names:
             self.vitals(name, room=room)
 
-    def make(self, name: str, *, margin: int, seed: int) -> BrokerCore:
-        return BrokerCore(
-            params=StallParamsView(
+    def make(self, name: str, *, margin: int, seed: int) -> SidecarCore:
+        return SidecarCore(
+            params=ProxyParamsView(
                 name, "a", f"life-{self.moment}", timedelta(seconds=1.5), timedelta(seconds=5), 50, 50
             ),
             seed=random.Random(seed),
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 
-from hoistsaddle.fairground.deployments import DEPLOYMENTS
-from hoistsaddle.fairground.fleet import Fleet
-from hoistsaddle.fairground.load import Load
+from hoistsaddle.testbed.deployments import DEPLOYMENTS
+from hoistsaddle.testbed.fleet import Fleet
+from hoistsaddle.testbed.load import Load
 
 THIMBLE = DEPLOYMENTS["thimble"]
 
--- a/tests/markets.py
+++ b/tests/markets.py
@@ -41,7 +41,7 @@
         path.write_text("".join(f"{key} = {json.dumps(value)}\n" for key, value in settings.items()))
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "hoistsaddle.kiosk", kind, str(path), stdout=log, stderr=log
+                sys.executable, "-m", "hoistsaddle.cli", kind, str(path), stdout=log, stderr=log
             )
 
     async def market(self, place: int, *, cold: bool) -> None:
@@ -87,7 +87,7 @@
 
     async def command(self, *arguments: str) -> tuple[int, str]:
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "hoistsaddle.kiosk", *arguments,
+            sys.executable, "-m", "hoistsaddle.cli", *arguments,
             env={**os.environ, "HOISTSADDLE_DOORS": " ".join(self.doors())},
             stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT,
         )  # fmt: skip
--- a/tests/plants.py
+++ b/tests/plants.py
@@ -5,22 +5,22 @@
 from typing import NamedTuple
 from unittest import mock
 
-from hoistsaddle.bourse.service import Bourse
-from hoistsaddle.crier.relay import Relay
-from hoistsaddle.fairground.simulation import hardships, rules, scenarios
-from hoistsaddle.ledger import core as ledger
-from hoistsaddle.ledger.core import LedgerCore
-from hoistsaddle.ledger.disk import Disk
-from hoistsaddle.ledger.events import Answer, Pace, Send
-from hoistsaddle.shelf import bundles, fleet, keys
-from hoistsaddle.shelf.commands import Outcome
-from hoistsaddle.stall import entry
-from hoistsaddle.stall.core import StallCore
-from hoistsaddle.stall.further import FurtherSends
-from hoistsaddle.stall.messages import RequestArrived
-from hoistsaddle.stall.node import StallNode
-from hoistsaddle.tally.moments import milliseconds
-from hoistsaddle.warehouse import service
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.membership.relay import Relay
+from hoistsaddle.proxy import entry
+from hoistsaddle.proxy.core import ProxyCore
+from hoistsaddle.proxy.further import FurtherSends
+from hoistsaddle.proxy.messages import RequestArrived
+from hoistsaddle.proxy.node import ProxyNode
+from hoistsaddle.raft import core as ledger
+from hoistsaddle.raft.core import RaftCore
+from hoistsaddle.raft.disk import Disk
+from hoistsaddle.raft.events import Answer, Pace, Send
+from hoistsaddle.registry.service import Registry
+from hoistsaddle.statemachine import bundles, fleet, keys
+from hoistsaddle.statemachine.commands import Outcome
+from hoistsaddle.store import service
+from hoistsaddle.testbed.simulation import hardships, rules, scenarios
 
 
 class Plant(NamedTuple):
@@ -34,63 +34,63 @@
 
 def _every_claim_granted():
     return mock.patch(
-        "hoistsaddle.shelf.keys.claim", lambda state, command: (state, Outcome(detail={"phase": "granted"}))
+        "hoistsaddle.statemachine.keys.claim", lambda state, command: (state, Outcome(detail={"phase": "granted"}))
     )
 
 
 def _uncertain_said_not_run():
-    def not_run(self: StallCore, ticket: int, mishap) -> None:
+    def not_run(self: ProxyCore, ticket: int, mishap) -> None:
         self._not_run(ticket, mishap)
 
-    return mock.patch.object(StallCore, "_uncertain", not_run)
+    return mock.patch.object(ProxyCore, "_uncertain", not_run)
 
 
 def _answers_swapped():
     kept: dict[str, object] = {}
-    plain = StallCore._server_answered
+    plain = ProxyCore._server_answered
 
-    def swapped(self: StallCore, event) -> None:
+    def swapped(self: ProxyCore, event) -> None:
         # Every second answer is the one before it.
         before = kept.get("event")
         kept["event"] = event
         plain(self, event._replace(body=before.body) if before is not None else event)
 
-    return mock.patch.object(StallCore, "_server_answered", swapped)
+    return mock.patch.object(ProxyCore, "_server_answered", swapped)
 
 
 def _target_admits_all():
-    return mock.patch.object(StallCore, "_gate", lambda self, event: None)
+    return mock.patch.object(ProxyCore, "_gate", lambda self, event: None)
 
 
 def _inner_calls_as_visitors():
-    plain = StallCore._request
+    plain = ProxyCore._request
 
-    def unnamed(self: StallCore, event: RequestArrived) -> None:
+    def unnamed(self: ProxyCore, event: RequestArrived) -> None:
         plain(self, event._replace(caller="") if event.path == "/readings" else event)
 
-    return mock.patch.object(StallCore, "_request", unnamed)
+    return mock.patch.object(ProxyCore, "_request", unnamed)
 
 
 def _leaving_goes_unseen():
-    return mock.patch.object(StallCore, "server_state", lambda self: "ready" if self.server else "gone")
+    return mock.patch.object(ProxyCore, "server_state", lambda self: "ready" if self.server else "gone")
 
 
 def _accepted_without_waiting():
-    async def at_once(self: Bourse, *, revision, stalls, committed) -> dict[str, str]:
+    async def at_once(self: Registry, *, revision, stalls, committed) -> dict[str, str]:
         return dict.fromkeys(stalls(), "taken up")
 
-    return mock.patch.object(Bourse, "await_uptake", at_once)
+    return mock.patch.object(Registry, "await_uptake", at_once)
 
 
 def _bundles_unchecked():
-    return mock.patch("hoistsaddle.tariff.bundle._check", lambda bundle: None)
+    return mock.patch("hoistsaddle.config.bundle._check", lambda bundle: None)
 
 
 def _stop_without_finishing():
-    async def at_once(self: StallNode) -> None:
+    async def at_once(self: ProxyNode) -> None:
         return None
 
-    return mock.patch.object(StallNode, "finish", at_once)
+    return mock.patch.object(ProxyNode, "finish", at_once)
 
 
 def _further_sends_unbounded():
@@ -127,7 +127,7 @@
 
     patches = contextlib.ExitStack()
     patches.enter_context(mock.patch.object(ledger, "apply", passing))
-    patches.enter_context(mock.patch.object(LedgerCore, "_halt", lambda self, why: None))
+    patches.enter_context(mock.patch.object(RaftCore, "_halt", lambda self, why: None))
     return patches
 
 
@@ -145,12 +145,12 @@
 
 
 def _inner_door_names_whoever_came_last():
-    plain = StallCore._request
+    plain = ProxyCore._request
 
-    def trusting(self: StallCore, event: RequestArrived) -> None:
+    def trusting(self: ProxyCore, event: RequestArrived) -> None:
         plain(self, event._replace(instance=self.server.instance) if event.caller and self.server else event)
 
-    return mock.patch.object(StallCore, "_request", trusting)
+    return mock.patch.object(ProxyCore, "_request", trusting)
 
 
 def _late_reports_taken():
@@ -168,12 +168,12 @@
 
 
 def _status_altered_on_the_way():
-    plain = StallCore._pass_answered
+    plain = ProxyCore._pass_answered
 
-    def altered(self: StallCore, number: int, answer) -> None:
+    def altered(self: ProxyCore, number: int, answer) -> None:
         plain(self, number, answer._replace(status=201) if answer.status == 200 else answer)
 
-    return mock.patch.object(StallCore, "_pass_answered", altered)
+    return mock.patch.object(ProxyCore, "_pass_answered", altered)
 
 
 def _read_back_kept():
@@ -196,14 +196,14 @@
         slow = milliseconds(16000) if len(starts) > len(params.core) else milliseconds(500)
         return Pace(election_least=slow, election_most=slow * 1.5, checkpoint_records=params.checkpoint_records)
 
-    return mock.patch("hoistsaddle.warehouse.service.pace_of", pace)
+    return mock.patch("hoistsaddle.store.service.pace_of", pace)
 
 
 def _blank_disks_vote():
     """As if there were no incarnations: a wiped replica goes on voting and counting in its predecessor's place."""
-    plain_vote, plain_lay = LedgerCore._ballot_call, Disk._lay
+    plain_vote, plain_lay = RaftCore._ballot_call, Disk._lay
 
-    def vote(self: LedgerCore, ticket, call) -> None:
+    def vote(self: RaftCore, ticket, call) -> None:
         self.mesh = self.mesh or call.mesh
         plain_vote(self, ticket, call)
 
@@ -212,36 +212,36 @@
         plain_lay(self)
 
     patches = contextlib.ExitStack()
-    patches.enter_context(mock.patch.multiple(LedgerCore, is_voter=lambda self: True, _ballot_call=vote))
+    patches.enter_context(mock.patch.multiple(RaftCore, is_voter=lambda self: True, _ballot_call=vote))
     patches.enter_context(mock.patch.object(Disk, "_lay", lay))
     return patches
 
 
 def _said_before_synced():
-    plain = LedgerCore.handle
+    plain = RaftCore.handle
 
-    def unsynced(self: LedgerCore, event, *, now):
+    def unsynced(self: RaftCore, event, *, now):
         return [
             command._replace(after=0) if isinstance(command, Send | Answer) else command
             for command in plain(self, event, now=now)
         ]
 
-    return mock.patch.object(LedgerCore, "handle", unsynced)
+    return mock.patch.object(RaftCore, "handle", unsynced)
 
 
 def _own_unsynced_counted():
-    plain = LedgerCore._append
+    plain = RaftCore._append
 
-    def counted(self: LedgerCore, records) -> None:
+    def counted(self: RaftCore, records) -> None:
         plain(self, records)
         self.durable = self.last.offset
 
-    def single(self: LedgerCore) -> None:
+    def single(self: RaftCore) -> None:
         if self.standing == "leader" and self.durable > self.high_watermark:
             self.high_watermark = self.durable
             self._apply()
 
-    return mock.patch.multiple(LedgerCore, _append=counted, _advance=single)
+    return mock.patch.multiple(RaftCore, _append=counted, _advance=single)
 
 
 PLANTS = (
--- a/tests/test_arcade.py
+++ b/tests/test_arcade.py
@@ -12,16 +12,16 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan
 
-from hoistsaddle.fairground.arcade.arena import play
-from hoistsaddle.fairground.arcade.checkers import RULES, check
-from hoistsaddle.fairground.arcade.customs import adapter
-from hoistsaddle.fairground.arcade.day import Day, Kill, draw_day
-from hoistsaddle.fairground.arcade.hunt import Hunted, Verdict, day_of, hunt, make_smaller
-from hoistsaddle.shelf import items
-from hoistsaddle.shelf.commands import LEVEL, Outcome, PatchItems
-from hoistsaddle.shelf.state import State, found_state
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tariff.items import Patch, pack_patch
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.config.items import Patch, pack_patch
+from hoistsaddle.statemachine import items
+from hoistsaddle.statemachine.commands import LEVEL, Outcome, PatchItems
+from hoistsaddle.statemachine.state import State, found_state
+from hoistsaddle.testbed.emulator.arena import play
+from hoistsaddle.testbed.emulator.checkers import RULES, check
+from hoistsaddle.testbed.emulator.customs import adapter
+from hoistsaddle.testbed.emulator.day import Day, Kill, draw_day
+from hoistsaddle.testbed.emulator.hunt import Hunted, Verdict, day_of, hunt, make_smaller
 
 sys.path.insert(0, str(Path(__file__).parent))
 from arcade_plants import DAYS, PLANTS  # noqa: E402
@@ -57,7 +57,7 @@
         self.assertThat(first, Equals(again))
         # Each process hashes names with a secret of its own, so an order taken from a set or a map shows here.
         code = (
-            "from hoistsaddle.fairground.arcade.hunt import Hunted, carry_out\n"
+            "from hoistsaddle.testbed.emulator.hunt import Hunted, carry_out\n"
             "print(carry_out(Hunted(1, small=True, only=(0, 1, 2))).digest)"
         )
         for secret in ("1", "2"):
@@ -97,14 +97,14 @@
             sends=1,
             revision=3,
         )
-        patch = adapter("goods").read_call(samples.call(routes=[{**told, "service": "nobody"}])).unwrap()
+        patch = adapter("config_items").read_call(samples.call(routes=[{**told, "service": "nobody"}])).unwrap()
         state = found_state(mesh="m", voters={}, operators={}, level=LEVEL)
         services = samples.call(services=[samples.service(name=name, revision=1) for name in ("known", "other")])
 
         def put(state: State, patch: Patch, offset: int) -> tuple[State, Outcome]:
             return items.patch(state, PatchItems("request", "desk", "signer", pack_patch(patch)), offset)
 
-        state, first = put(state, adapter("goods").read_call(services).unwrap(), 1)
+        state, first = put(state, adapter("config_items").read_call(services).unwrap(), 1)
         _, second = put(state, patch, 2)
         self.assertThat((first.mishap, second.mishap), Equals(("", MishapKind.ITEM_BROKEN)))
 
--- a/tests/test_brief.py
+++ b/tests/test_brief.py
@@ -8,8 +8,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan
 
-from hoistsaddle.fairground.checkers import CHECKERS
-from hoistsaddle.fairground.simulation.catalogue import CORE_SCENARIOS, SCENARIOS
+from hoistsaddle.testbed.checkers import CHECKERS
+from hoistsaddle.testbed.simulation.catalogue import CORE_SCENARIOS, SCENARIOS
 
 TESTS = Path(__file__).parent
 sys.path.insert(0, str(TESTS))
--- a/tests/test_broker_counter.py
+++ b/tests/test_broker_counter.py
@@ -8,12 +8,12 @@
 from testtools.matchers import Equals, GreaterThan
 
 from brokers import Brokers, pace_of
-from hoistsaddle.broker.counter import Pace
-from hoistsaddle.broker.messages import AnswerDeal, Serve
-from hoistsaddle.haggle.parcels import DealAnswer, DealCall
-from hoistsaddle.shelf.state import GONE, READY, WINDING_DOWN
-from hoistsaddle.stall.messages import ANSWERED, NOT_RUN, UNKNOWN, StopAsked
-from hoistsaddle.tally.mishaps import MishapKind
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN, UNKNOWN, StopAsked
+from hoistsaddle.rpc.messages import DealAnswer, DealCall
+from hoistsaddle.sidecar.messages import AnswerDeal, Serve
+from hoistsaddle.sidecar.serverside import Pace
+from hoistsaddle.statemachine.state import GONE, READY, WINDING_DOWN
 
 NAME = "s-1"
 
--- a/tests/test_broker_entry.py
+++ b/tests/test_broker_entry.py
@@ -8,14 +8,14 @@
 from testtools.matchers import Equals, Is, Not
 
 from brokers import KINDS, Brokers, entry, pace_of
-from hoistsaddle.broker.messages import DealAnswered, DealOn, Gone, Recall, Reply, Serve
-from hoistsaddle.haggle.parcels import DealAnswer
-from hoistsaddle.shelf.commands import ClaimHold, Outcome, ReleaseHold
-from hoistsaddle.shelf.state import WINDING_DOWN
-from hoistsaddle.shelf.view import View
-from hoistsaddle.stall.messages import ANSWERED, AskHold, HoldAnswered
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tariff.items import LimitsItem, Part
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.config.items import LimitsItem, Part
+from hoistsaddle.proxy.messages import ANSWERED, AskHold, HoldAnswered
+from hoistsaddle.rpc.messages import DealAnswer
+from hoistsaddle.sidecar.messages import DealAnswered, DealOn, Gone, Recall, Reply, Serve
+from hoistsaddle.statemachine.commands import ClaimHold, Outcome, ReleaseHold
+from hoistsaddle.statemachine.state import WINDING_DOWN
+from hoistsaddle.statemachine.view import View
 
 
 class Case(TestCase):
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -4,9 +4,9 @@
 from testtools import TestCase
 from testtools.matchers import Equals, IsInstance
 
-from hoistsaddle.fairground.deployments import DEPLOYMENTS
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tariff.bundle import read_bundle
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.config.bundle import read_bundle
+from hoistsaddle.testbed.deployments import DEPLOYMENTS
 
 GOOD = DEPLOYMENTS["brindlefield"].first_bundle()
 # What is changed in a good bundle, and the field the refusal must name.
--- a/tests/test_crier.py
+++ b/tests/test_crier.py
@@ -6,8 +6,8 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
-from hoistsaddle.crier import relay as relays
-from hoistsaddle.crier.membership import (
+from hoistsaddle.membership import relay as relays
+from hoistsaddle.membership.membership import (
     ALIVE,
     DEAD,
     SUSPECT,
@@ -21,9 +21,9 @@
     RumoursArrived,
     Ticked,
 )
-from hoistsaddle.crier.relay import Relay, SetupCopy, select_parents
-from hoistsaddle.haggle.parcels import Rumour, Uptake
-from hoistsaddle.shelf.digests import RANGES, digests_of, range_of
+from hoistsaddle.membership.relay import Relay, SetupCopy, select_parents
+from hoistsaddle.rpc.messages import Rumour, Uptake
+from hoistsaddle.statemachine.digests import RANGES, digests_of, range_of
 
 SPAN = timedelta(seconds=1.5)
 OWN = Uptake("child", 0, 0, "", "life", 0)
--- a/tests/test_customs.py
+++ b/tests/test_customs.py
@@ -12,15 +12,15 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, Is, IsInstance
 
-from hoistsaddle.broker.messages import Vitals
-from hoistsaddle.customs.doors import BeatDoor, OperatorDoor, ready_door
-from hoistsaddle.customs.goods import read_call, write_items
-from hoistsaddle.customs.papers import WORDING, Settings, broker_params, market_params, read_settings
-from hoistsaddle.shelf.state import GONE, READY, WINDING_DOWN
-from hoistsaddle.stall.standing import OwnServer
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tally.params import check_params
-from hoistsaddle.tariff.items import ENTRY, LIMITS, SERVICE, Dropping, Patch, check_patch
+from hoistsaddle.adapter.config_items import read_call, write_items
+from hoistsaddle.adapter.handlers import BeatDoor, OperatorDoor, ready_door
+from hoistsaddle.adapter.headers import WORDING, Settings, broker_params, market_params, read_settings
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.common.settings import check_params
+from hoistsaddle.config.items import ENTRY, LIMITS, SERVICE, Dropping, Patch, check_patch
+from hoistsaddle.proxy.standing import OwnServer
+from hoistsaddle.sidecar.messages import Vitals
+from hoistsaddle.statemachine.state import GONE, READY, WINDING_DOWN
 
 SETTINGS: dict[str, Any] = {
     "node_name": "sidecar-mids-a-1",
@@ -307,7 +307,7 @@
         self.core.server = OwnServer(event.service, event.instance, event.address, event.state, timedelta())
 
 
-class Market:
+class Controller:
     def __init__(self, patched: Result[dict, Mishap], items: Result[list, Mishap] = Success([])) -> None:  # noqa: B008
         self.patched = patched
         self.items = items
@@ -407,41 +407,41 @@
 
 
 class Operators(TestCase):
-    def call(self, market: Market, method: str = "PATCH", body: str = FIRST, path: str = "/-/config") -> Any:
+    def call(self, market: Controller, method: str = "PATCH", body: str = FIRST, path: str = "/-/config") -> Any:
         return answered(OperatorDoor(market=market).handle(Request(method, path, body.encode())))
 
     def test_a_good_call_is_passed_on_whole_and_acknowledged(self) -> None:
-        market = Market(Success({"number": 1}))
+        market = Controller(Success({"number": 1}))
         self.assertThat(self.call(market).status, Equals(200))
         self.assertThat(market.patches, Equals([read_call(FIRST.encode()).unwrap()]))
 
     def test_a_broken_call_is_refused_for_good_and_goes_nowhere(self) -> None:
-        market = Market(Success({}))
+        market = Controller(Success({}))
         self.assertThat((self.call(market, body="{").status, market.patches), Equals((400, [])))
 
     def test_what_the_product_refuses_is_refused_for_good(self) -> None:
-        told = self.call(Market(Failure(Mishap(MishapKind.ITEM_BROKEN, "wrong", "mend it", "sets[0].parts"))))
+        told = self.call(Controller(Failure(Mishap(MishapKind.ITEM_BROKEN, "wrong", "mend it", "sets[0].parts"))))
         self.assertThat((told.status, told.text), Equals((400, told.text)))
         self.assertThat(told.text, Contains("sets[0].parts"))
 
     def test_everything_else_is_unclear_and_worth_another_call(self) -> None:
         for kind in (MishapKind.NO_LEADER, MishapKind.UNSURE, MishapKind.RELEASE_LEVEL):
-            told = self.call(Market(Failure(Mishap(kind, "not now", "again"))))
+            told = self.call(Controller(Failure(Mishap(kind, "not now", "again"))))
             self.assertThat((told.status, "Retry-After" in told.headers), Equals((503, True)))
 
     def test_reading_gives_what_stands_or_says_that_it_cannot(self) -> None:
         items = [(ENTRY, "r-n2ctnfz", 7, ROUTE.encode()), (LIMITS, LIMITS, 7, CONSTRAINTS.encode())]
-        told = self.call(Market(Success({}), Success(items)), "GET", "")
+        told = self.call(Controller(Success({}), Success(items)), "GET", "")
         self.assertThat((told.status, told.content_type), Equals((200, "application/json")))
         self.assertThat(
             json.loads(told.body),
             Equals({"route_table": [json.loads(ROUTE)], "services": [], "constraints": json.loads(CONSTRAINTS)}),
         )
-        away = self.call(Market(Success({}), Failure(Mishap(MishapKind.NO_LEADER, "away", "again"))), "GET", "")
+        away = self.call(Controller(Success({}), Failure(Mishap(MishapKind.NO_LEADER, "away", "again"))), "GET", "")
         self.assertThat((away.status, "Retry-After" in away.headers), Equals((503, True)))
 
     def test_no_other_calls(self) -> None:
-        market = Market(Success({}))
+        market = Controller(Success({}))
         self.assertThat(self.call(market, path="/-/other").status, Equals(404))
         self.assertThat(self.call(market, method="DELETE").status, Equals(405))
         self.assertThat(market.patches, Equals([]))
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -10,13 +10,13 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
-from hoistsaddle.broker.door import Door, close_door, open_door
-from hoistsaddle.broker.messages import Asked, Reply
-from hoistsaddle.broker.serverline import pack_pairs, unpack_pairs
-from hoistsaddle.broker.wording import Wording
-from hoistsaddle.tally.counters import Counters
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tariff.items import LimitsItem
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.config.items import LimitsItem
+from hoistsaddle.sidecar.door import Door, close_door, open_door
+from hoistsaddle.sidecar.messages import Asked, Reply
+from hoistsaddle.sidecar.serverconnection import pack_pairs, unpack_pairs
+from hoistsaddle.sidecar.wording import Wording
 
 
 class Node:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,12 +11,12 @@
 from testtools.matchers import Contains, Equals, Not
 
 from fleets import THIMBLE, on_fleet
-from hoistsaddle.fairground.checkers import check
-from hoistsaddle.fairground.deployments import DEPLOYMENTS, Ask
-from hoistsaddle.fairground.fleet import AUTHOR, SIGNER, Fleet
-from hoistsaddle.fairground.history import Got, Ran
-from hoistsaddle.fairground.load import Load
-from hoistsaddle.fairground.proof import prove
+from hoistsaddle.testbed.checkers import check
+from hoistsaddle.testbed.deployments import DEPLOYMENTS, Ask
+from hoistsaddle.testbed.fleet import AUTHOR, SIGNER, Fleet
+from hoistsaddle.testbed.history import Got, Ran
+from hoistsaddle.testbed.load import Load
+from hoistsaddle.testbed.proof import prove
 
 PAY = Ask("POST", "/payments", True, 1)
 
@@ -282,7 +282,7 @@
     def test_settings_are_refused_with_field_and_remedy(self) -> None:
         async def refusal(*arguments: str) -> tuple[int, str]:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "hoistsaddle.kiosk", *arguments, stderr=asyncio.subprocess.PIPE
+                sys.executable, "-m", "hoistsaddle.cli", *arguments, stderr=asyncio.subprocess.PIPE
             )
             _, said = await process.communicate()
             return process.returncode, said.decode()
--- a/tests/test_fleet_hardships.py
+++ b/tests/test_fleet_hardships.py
@@ -12,12 +12,12 @@
 from testtools.matchers import Contains, Equals, GreaterThan
 
 from fleets import THIMBLE, on_fleet
-from hoistsaddle.fairground.checkers import check
-from hoistsaddle.fairground.deployments import Ask
-from hoistsaddle.fairground.fleet import AUTHOR, SIGNER, Fleet
-from hoistsaddle.fairground.history import Got, Ran
-from hoistsaddle.fairground.load import Load
-from hoistsaddle.fairground.standins import StandIn
+from hoistsaddle.testbed.checkers import check
+from hoistsaddle.testbed.deployments import Ask
+from hoistsaddle.testbed.fleet import AUTHOR, SIGNER, Fleet
+from hoistsaddle.testbed.history import Got, Ran
+from hoistsaddle.testbed.load import Load
+from hoistsaddle.testbed.standins import StandIn
 
 PAY = Ask("POST", "/payments", True, 1)
 READ = Ask("GET", "/readings", False, 1)
@@ -348,9 +348,9 @@
                 "disk_stall_seconds": "1.0",
             },
         }
-        from hoistsaddle.tally.params import BourseParams, StallParams, WarehouseParams, read_params
+        from hoistsaddle.common.settings import ProxyParams, RegistryParams, StoreParams, read_params
 
-        kinds = {"stall": StallParams, "bourse": BourseParams, "warehouse": WarehouseParams}
+        kinds = {"stall": ProxyParams, "bourse": RegistryParams, "warehouse": StoreParams}
         odd = ("[[1]]", "-1", HUGE, "1e300", "nan", "true", '"\\u0000"', '""', "1979-05-27", "{}")
         # What is right for a field isn't wrong: an empty path means no faults, and 1 s is a fine number of records.
         fine = {("line_faults", '""'), ("line_faults", '"\\u0000"')}
@@ -378,5 +378,5 @@
             path.write_bytes(b"\xff\xfe")
             for text in (b"\xff\xfe", b"a = ", b"a = " + b"[" * 100000):
                 path.write_bytes(text)
-                result = read_params(kind=StallParams, path=str(path), flags={})
+                result = read_params(kind=ProxyParams, path=str(path), flags={})
                 self.assertThat(str(result.failure()), Contains("Remedy:"))
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -5,9 +5,9 @@
 from testtools import TestCase
 from testtools.matchers import Equals, Is
 
-from hoistsaddle.bourse.founding import ASK_EVERY, WAIT_FOR_ALL, Found, Founding, Look
-from hoistsaddle.haggle.parcels import FoundCall, LookAnswer
-from hoistsaddle.shelf.commands import LEVEL
+from hoistsaddle.registry.founding import ASK_EVERY, WAIT_FOR_ALL, Found, Founding, Look
+from hoistsaddle.rpc.messages import FoundCall, LookAnswer
+from hoistsaddle.statemachine.commands import LEVEL
 
 SEEDS = (11, 12, 13)
 
--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -8,12 +8,8 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, Is
 
-from hoistsaddle.shelf.apply import apply
-from hoistsaddle.shelf.commands import ClaimHold, Outcome, PatchItems, RaiseLevel, pack_command
-from hoistsaddle.shelf.state import BUNDLES_KEPT, State, found_state, news_of, pack_state, unpack_state
-from hoistsaddle.shelf.view import View, read_view
-from hoistsaddle.tally.mishaps import MishapKind
-from hoistsaddle.tariff.items import (
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.config.items import (
     ENTRY,
     LARGEST_REVISION,
     LIMITS,
@@ -32,6 +28,10 @@
     pack_patch,
     read_patch,
 )
+from hoistsaddle.statemachine.apply import apply
+from hoistsaddle.statemachine.commands import ClaimHold, Outcome, PatchItems, RaiseLevel, pack_command
+from hoistsaddle.statemachine.state import BUNDLES_KEPT, State, found_state, news_of, pack_state, unpack_state
+from hoistsaddle.statemachine.view import View, read_view
 
 
 def entry(name: str = "pay", *, revision: int = 1, **changes: Any) -> Setting:
--- a/tests/test_kip_630.py
+++ b/tests/test_kip_630.py
@@ -12,26 +12,16 @@
 from testtools import TestCase
 from testtools.matchers import Equals, IsInstance, raises
 
-from hoistsaddle.haggle.parcels import (
-    BallotAnswer,
-    BallotCall,
-    FetchAnswer,
-    FetchCall,
-    LeadCall,
-    PullAnswer,
-    PullCall,
-    Record,
-)
-from hoistsaddle.ledger.checkpoint import mark_of, name_of, pack_checkpoint, unpack_checkpoint
-from hoistsaddle.ledger.core import (
+from hoistsaddle.raft.checkpoint import mark_of, name_of, pack_checkpoint, unpack_checkpoint
+from hoistsaddle.raft.core import (
     LEADER,
     NOT_LEADER_FOR_PARTITION,
     OFFSET_OUT_OF_RANGE,
     SNAPSHOT_NOT_FOUND,
-    LedgerCore,
+    RaftCore,
 )
-from hoistsaddle.ledger.disk import Disk
-from hoistsaddle.ledger.events import (
+from hoistsaddle.raft.disk import Disk
+from hoistsaddle.raft.events import (
     Announce,
     Answer,
     AnswerArrived,
@@ -53,8 +43,18 @@
     Ticked,
     Write,
 )
-from hoistsaddle.shelf.commands import ClaimHold, RaiseLevel, pack_command
-from hoistsaddle.shelf.state import State, found_state
+from hoistsaddle.rpc.messages import (
+    BallotAnswer,
+    BallotCall,
+    FetchAnswer,
+    FetchCall,
+    LeadCall,
+    PullAnswer,
+    PullCall,
+    Record,
+)
+from hoistsaddle.statemachine.commands import ClaimHold, RaiseLevel, pack_command
+from hoistsaddle.statemachine.state import State, found_state
 
 VOTERS = {1: "one", 2: "two", 3: "three"}
 PACE = Pace(checkpoint_records=5)
@@ -78,7 +78,7 @@
             state=state,
         )
         self.moment = timedelta(seconds=100)
-        self.core = LedgerCore(boot=boot, replicas=(1, 2, 3), pace=PACE, seed=random.Random(1), now=self.moment)
+        self.core = RaftCore(boot=boot, replicas=(1, 2, 3), pace=PACE, seed=random.Random(1), now=self.moment)
         self.commands: list[tuple] = []
         self.tickets = 0
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -13,10 +13,10 @@
 from testtools import TestCase
 from testtools.matchers import Equals, IsInstance
 
-from hoistsaddle.haggle.line import OUT, Lines, LineServer, Pulse, Traffic
-from hoistsaddle.haggle.parcels import ProbeAnswer, ProbeCall, PulseAnswer, PulseCall, pack, unpack
-from hoistsaddle.haggle.runtime import RealRuntime
-from hoistsaddle.tally.mishaps import MishapKind
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.rpc.connection import OUT, Lines, LineServer, Pulse, Traffic
+from hoistsaddle.rpc.messages import ProbeAnswer, ProbeCall, PulseAnswer, PulseCall, pack, unpack
+from hoistsaddle.rpc.runtime import RealRuntime
 from stepped import Noted, run_stepped, step
 
 PULSE = Pulse(every=timedelta(seconds=1), span=timedelta(seconds=3))
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -14,14 +14,14 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, IsInstance
 
-from hoistsaddle.bourse.market import Market
-from hoistsaddle.bourse.places import host_of_number
-from hoistsaddle.kiosk.commands import main
-from hoistsaddle.kiosk.watch import line_of
-from hoistsaddle.tally.counters import Counters
-from hoistsaddle.tally.params import BrokerParams, MarketParams, read_params
-from hoistsaddle.tariff.items import ENTRY, LIMITS, SERVICE, Dropping, Patch, Setting
-from hoistsaddle.tariff.itemtext import read_text
+from hoistsaddle.cli.commands import main
+from hoistsaddle.cli.watch import line_of
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.common.settings import ControllerParams, SidecarParams, read_params
+from hoistsaddle.config.items import ENTRY, LIMITS, SERVICE, Dropping, Patch, Setting
+from hoistsaddle.config.itemtext import read_text
+from hoistsaddle.registry.controller import Controller
+from hoistsaddle.registry.places import host_of_number
 from markets import Deployment, until
 
 FIRST = """
@@ -140,8 +140,8 @@
         return told.failure().field
 
     def test_whole_ones_are_taken(self) -> None:
-        self.assertThat(read_params(kind=MarketParams, path=None, flags=MARKET), IsInstance(Success))
-        self.assertThat(read_params(kind=BrokerParams, path=None, flags=BROKER), IsInstance(Success))
+        self.assertThat(read_params(kind=ControllerParams, path=None, flags=MARKET), IsInstance(Success))
+        self.assertThat(read_params(kind=SidecarParams, path=None, flags=BROKER), IsInstance(Success))
 
     def test_each_field_has_its_range(self) -> None:
         for field, value in (
@@ -161,12 +161,12 @@
             ("checkpoint_records", 0),
             ("lease_seconds", 0.0),
         ):
-            told = self.refused(MarketParams, {**MARKET, field: value})
+            told = self.refused(ControllerParams, {**MARKET, field: value})
             self.assertThat(
                 told.partition("[")[0], Equals("bourse_port" if value == 7100 else field), f"{field} {value}"
             )
-        self.assertThat(self.refused(MarketParams, {**MARKET, "seeds": ["127.0.0.1"] * 4}), Equals("seeds"))
-        self.assertThat(self.refused(MarketParams, {**MARKET, "colour": 1}), Equals("colour"))
+        self.assertThat(self.refused(ControllerParams, {**MARKET, "seeds": ["127.0.0.1"] * 4}), Equals("seeds"))
+        self.assertThat(self.refused(ControllerParams, {**MARKET, "colour": 1}), Equals("colour"))
         for field, value in (
             ("name", "a b"),
             ("service", "a/b"),
@@ -182,7 +182,7 @@
             ("drain_seconds", 0.0),
             ("backlog", 0),
         ):
-            told = self.refused(BrokerParams, {**BROKER, field: value})
+            told = self.refused(SidecarParams, {**BROKER, field: value})
             self.assertThat(told.partition("[")[0], Equals(field), f"{field} {value}")
 
     def test_daemons_refuse_before_they_start(self) -> None:
@@ -218,7 +218,7 @@
             item = {**read_text(SECOND).unwrap().sets[0].item, **changes}
             counters = Counters(owner="market")
             desk = SimpleNamespace(bourse=SimpleNamespace(counters=counters))
-            told = asyncio.run(Market.patch(desk, Patch([Setting(ENTRY, 1, item)])))
+            told = asyncio.run(Controller.patch(desk, Patch([Setting(ENTRY, 1, item)])))
             self.assertThat(told, IsInstance(Failure))
             self.assertThat(told.failure().field, Equals(f"sets[0].{field}"))
             self.assertThat(counters.read()["counts"]["happening.patch refused"], Equals(1))
--- a/tests/test_market_news.py
+++ b/tests/test_market_news.py
@@ -7,12 +7,12 @@
 from testtools import TestCase
 from testtools.matchers import Equals, Is
 
-from hoistsaddle.bourse.market import MarketBourse
-from hoistsaddle.haggle.parcels import FetchCall
-from hoistsaddle.ledger.core import LEADER, LedgerCore
-from hoistsaddle.ledger.events import Boot, CallArrived, Mark, Pace, Synced, Ticked
-from hoistsaddle.shelf.commands import LEVEL
-from hoistsaddle.shelf.state import found_state
+from hoistsaddle.raft.core import LEADER, RaftCore
+from hoistsaddle.raft.events import Boot, CallArrived, Mark, Pace, Synced, Ticked
+from hoistsaddle.registry.controller import ControllerRegistry
+from hoistsaddle.rpc.messages import FetchCall
+from hoistsaddle.statemachine.commands import LEVEL
+from hoistsaddle.statemachine.state import found_state
 
 
 def seconds(amount: float) -> timedelta:
@@ -22,16 +22,16 @@
 class Freshness(TestCase):
     """After a power loss of the whole core a leader's state is its checkpoint's until it has committed something."""
 
-    def heard(self, core: LedgerCore, now: timedelta) -> timedelta | None:
+    def heard(self, core: RaftCore, now: timedelta) -> timedelta | None:
         bourse = SimpleNamespace(
             warehouse=SimpleNamespace(shell=SimpleNamespace(core=core)), runtime=SimpleNamespace(now=lambda: now)
         )
-        return MarketBourse._heard_leader(bourse)
+        return ControllerRegistry._heard_leader(bourse)
 
-    def leader(self) -> LedgerCore:
+    def leader(self) -> RaftCore:
         voters = {1: "a", 2: "b", 3: "c"}
         state = found_state(mesh="m", voters=voters, operators={}, level=LEVEL)
-        core = LedgerCore(
+        core = RaftCore(
             boot=Boot(1, "a", 4, None, tuple(voters.items()), "m", checkpoint=Mark(0, 0), state=state),
             replicas=(1, 2, 3),
             pace=Pace(),
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -12,8 +12,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan
 
-from hoistsaddle.fairground.deployments import DEPLOYMENTS
-from hoistsaddle.fairground.fleet import AUTHOR, SIGNER, Fleet
+from hoistsaddle.testbed.deployments import DEPLOYMENTS
+from hoistsaddle.testbed.fleet import AUTHOR, SIGNER, Fleet
 from markets import Deployment, until
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_parcels.py
+++ b/tests/test_parcels.py
@@ -7,7 +7,7 @@
 from thriftpy2.protocol import TCyBinaryProtocolFactory
 from thriftpy2.utils import serialize
 
-from hoistsaddle.haggle.parcels import MESSAGES, FetchAnswer, PassCall, Record, mesh_thrift, pack, tag_of, unpack
+from hoistsaddle.rpc.messages import MESSAGES, FetchAnswer, PassCall, Record, mesh_thrift, pack, tag_of, unpack
 
 
 class Parcels(TestCase):
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -8,12 +8,12 @@
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
-from hoistsaddle.fairground.deployments import DEPLOYMENTS
-from hoistsaddle.fairground.history import Ran
-from hoistsaddle.fairground.simulation.deployment import SimulatedDeployment, simulate
-from hoistsaddle.fairground.simulation.scenarios import next_bundle
-from hoistsaddle.scales.forecast import Change, parents, shares, weigh_bundle, weigh_change
-from hoistsaddle.stall.node import StallNode
+from hoistsaddle.planner.forecast import Change, parents, shares, weigh_bundle, weigh_change
+from hoistsaddle.proxy.node import ProxyNode
+from hoistsaddle.testbed.deployments import DEPLOYMENTS
+from hoistsaddle.testbed.history import Ran
+from hoistsaddle.testbed.simulation.deployment import SimulatedDeployment, simulate
+from hoistsaddle.testbed.simulation.scenarios import next_bundle
 
 BRINDLEFIELD = DEPLOYMENTS["brindlefield"]
 
@@ -40,7 +40,7 @@
 
 
 def first_parents(whole: SimulatedDeployment) -> dict[str, str]:
-    names = {node.params.listen: name for name, node in whole.nodes.items() if isinstance(node, StallNode)} | {
+    names = {node.params.listen: name for name, node in whole.nodes.items() if isinstance(node, ProxyNode)} | {
         machine.bourse: f"bourse-{machine.replica}" for machine in whole.core
     }
     return {name: names[whole.nodes[name]._parents()[0]] for name in whole.live("stall")}
--- a/tests/test_planted_faults.py
+++ b/tests/test_planted_faults.py
@@ -9,9 +9,9 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from hoistsaddle.fairground.checkers import CHECKERS, check
-from hoistsaddle.fairground.deployments import DEPLOYMENTS
-from hoistsaddle.fairground.simulation.deployment import simulate
+from hoistsaddle.testbed.checkers import CHECKERS, check
+from hoistsaddle.testbed.deployments import DEPLOYMENTS
+from hoistsaddle.testbed.simulation.deployment import simulate
 
 sys.path.insert(0, str(Path(__file__).parent))
 from plants import PLANTS  # noqa: E402
--- a/tests/test_polling.py
+++ b/tests/test_polling.py
@@ -8,10 +8,10 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from hoistsaddle.broker.node import BrokerNode
-from hoistsaddle.haggle.line import silent_at
-from hoistsaddle.haggle.parcels import PollAnswer
-from hoistsaddle.tally.params import BrokerParams
+from hoistsaddle.common.settings import SidecarParams
+from hoistsaddle.rpc.connection import silent_at
+from hoistsaddle.rpc.messages import PollAnswer
+from hoistsaddle.sidecar.node import SidecarNode
 
 FIRST, SECOND, THIRD = SEEDS = ["127.0.0.1:1", "127.0.0.2:1", "127.0.0.3:1"]
 
@@ -46,7 +46,7 @@
 
 def asked(*starts: float | None) -> list[str]:
     script = Script(list(starts))
-    params = BrokerParams(
+    params = SidecarParams(
         name="stall-1",
         zone="a",
         listen="127.0.0.9:1",
@@ -59,7 +59,7 @@
     )
 
     async def scenario() -> None:
-        node = BrokerNode(params=params, runtime=script, serve=None)
+        node = SidecarNode(params=params, runtime=script, serve=None)
         try:
             await node._poll()
         except asyncio.CancelledError:
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -8,14 +8,15 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from hoistsaddle.crier.membership import ALIVE, DEAD, FORGET, Membership, RumoursArrived, Ticked
-from hoistsaddle.crier.relay import Relay
-from hoistsaddle.fairground.deployments import DEPLOYMENTS
-from hoistsaddle.haggle.parcels import Rumour, Uptake
-from hoistsaddle.ledger.checkpoint import pack_checkpoint, unpack_checkpoint
-from hoistsaddle.ledger.events import Mark
-from hoistsaddle.shelf.apply import apply
-from hoistsaddle.shelf.commands import (
+from hoistsaddle.membership.membership import ALIVE, DEAD, FORGET, Membership, RumoursArrived, Ticked
+from hoistsaddle.membership.relay import Relay
+from hoistsaddle.proxy.further import FurtherSends, part_of
+from hoistsaddle.proxy.visitors import KnownBy, known_by
+from hoistsaddle.raft.checkpoint import pack_checkpoint, unpack_checkpoint
+from hoistsaddle.raft.events import Mark
+from hoistsaddle.rpc.messages import Rumour, Uptake
+from hoistsaddle.statemachine.apply import apply
+from hoistsaddle.statemachine.commands import (
     GONE_KEPT,
     LEVEL,
     ChangeOperator,
@@ -34,10 +35,9 @@
     TakeDuty,
     pack_command,
 )
-from hoistsaddle.shelf.digests import digests_of
-from hoistsaddle.shelf.state import State, found_state, news_of, pack_state, unpack_state
-from hoistsaddle.stall.further import FurtherSends, part_of
-from hoistsaddle.stall.visitors import KnownBy, known_by
+from hoistsaddle.statemachine.digests import digests_of
+from hoistsaddle.statemachine.state import State, found_state, news_of, pack_state, unpack_state
+from hoistsaddle.testbed.deployments import DEPLOYMENTS
 
 TEXT = DEPLOYMENTS["thimble"].first_bundle()
 PEOPLE = {"ada": "a" * 64, "ben": "b" * 64}
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -6,12 +6,12 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
-from hoistsaddle.fairground.deployments import DEPLOYMENTS
-from hoistsaddle.fairground.simulation.clockwork import NODE
-from hoistsaddle.fairground.simulation.deployment import SimulatedDeployment, simulate
-from hoistsaddle.fairground.simulation.scenarios import next_bundle
-from hoistsaddle.shelf import view
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.statemachine import view
+from hoistsaddle.testbed.deployments import DEPLOYMENTS
+from hoistsaddle.testbed.simulation.clockwork import NODE
+from hoistsaddle.testbed.simulation.deployment import SimulatedDeployment, simulate
+from hoistsaddle.testbed.simulation.scenarios import next_bundle
 
 OLD_RELEASE = "stall-05"
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -15,15 +15,15 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
-from hoistsaddle.fairground.scale.clock import make_loop
-from hoistsaddle.fairground.scale.report import fit_of
-from hoistsaddle.fairground.scale.run import Plan, ScaleFleet, run_fleet
-from hoistsaddle.fairground.scale.sizes import GOAL, Size, make_state, sized
-from hoistsaddle.fairground.scale.slopes import SLOPES, Measured, take, tree_of
-from hoistsaddle.haggle.line import Lines, LineServer
-from hoistsaddle.haggle.parcels import ProbeAnswer, ProbeCall
-from hoistsaddle.kiosk.fleet_commands import fleet
-from hoistsaddle.shelf.state import news_of, pack_state, unpack_state
+from hoistsaddle.cli.fleet_commands import fleet
+from hoistsaddle.rpc.connection import Lines, LineServer
+from hoistsaddle.rpc.messages import ProbeAnswer, ProbeCall
+from hoistsaddle.statemachine.state import news_of, pack_state, unpack_state
+from hoistsaddle.testbed.scale.clock import make_loop
+from hoistsaddle.testbed.scale.report import fit_of
+from hoistsaddle.testbed.scale.run import Plan, ScaleFleet, run_fleet
+from hoistsaddle.testbed.scale.sizes import GOAL, Size, make_state, sized
+from hoistsaddle.testbed.scale.slopes import SLOPES, Measured, take, tree_of
 
 
 class Command(TestCase):
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -6,15 +6,15 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from hoistsaddle.broker import entry as entries
-from hoistsaddle.broker.core import BrokerCore
-from hoistsaddle.broker.messages import Asked, DealOn
-from hoistsaddle.fairground.scale.sizes import HOST, Size, make_state, prefix_of, stall_name
-from hoistsaddle.shelf.state import GONE, WINDING_DOWN, State, news_of
-from hoistsaddle.shelf.view import View, read_view
-from hoistsaddle.stall.further import part_of
-from hoistsaddle.stall.messages import SetupChanged
-from hoistsaddle.stall.standing import StallParamsView
+from hoistsaddle.proxy.further import part_of
+from hoistsaddle.proxy.messages import SetupChanged
+from hoistsaddle.proxy.standing import ProxyParamsView
+from hoistsaddle.sidecar import entry as entries
+from hoistsaddle.sidecar.core import SidecarCore
+from hoistsaddle.sidecar.messages import Asked, DealOn
+from hoistsaddle.statemachine.state import GONE, WINDING_DOWN, State, news_of
+from hoistsaddle.statemachine.view import View, read_view
+from hoistsaddle.testbed.scale.sizes import HOST, Size, make_state, prefix_of, stall_name
 
 SIZE = Size(nodes=6, services=2, routes=2)
 
@@ -23,10 +23,10 @@
     return read_view(revision=1, items=news_of(state), node=stall_name(1), zone="zone-2", before=View())
 
 
-def core_with(view: View) -> BrokerCore:
+def core_with(view: View) -> SidecarCore:
     server = view.servers[stall_name(1)]
-    core = BrokerCore(
-        params=StallParamsView(
+    core = SidecarCore(
+        params=ProxyParamsView(
             server.stall, server.zone, server.incarnation, timedelta(seconds=1.5), timedelta(seconds=5), 400, 400
         ),
         seed=random.Random(1),
@@ -42,7 +42,7 @@
     return core
 
 
-def asked(core: BrokerCore, count: int) -> set[str]:
+def asked(core: SidecarCore, count: int) -> set[str]:
     """Which stalls so many requests for the first service went to."""
     found = set()
     for _ in range(count):
--- a/tests/test_serverline.py
+++ b/tests/test_serverline.py
@@ -12,13 +12,13 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, IsInstance
 
-from hoistsaddle.broker import serverline
-from hoistsaddle.broker.messages import Serve, Served, ServeMissed
-from hoistsaddle.broker.serverline import ServerLine, pack_pairs, unpack_pairs
-from hoistsaddle.broker.wording import Wording
-from hoistsaddle.haggle.parcels import DealCall
-from hoistsaddle.tally.counters import Counters
-from hoistsaddle.tally.mishaps import MishapKind
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.rpc.messages import DealCall
+from hoistsaddle.sidecar import serverconnection
+from hoistsaddle.sidecar.messages import Serve, Served, ServeMissed
+from hoistsaddle.sidecar.serverconnection import ServerLine, pack_pairs, unpack_pairs
+from hoistsaddle.sidecar.wording import Wording
 from stepped import Noted, run_stepped, step
 
 ID = "X-Hoistsaddle-Send"
@@ -380,10 +380,10 @@
     def test_not_beyond_the_houses_own_span_where_the_server_says_nothing(self) -> None:
         async def work(line: ServerLine, raw: Raw) -> None:
             await self.send(line, raw, "s1")
-            await step(serverline.KEPT_SECONDS - 0.5)
+            await step(serverconnection.KEPT_SECONDS - 0.5)
             await self.send(line, raw, "s2")
             self.assertThat(raw.connections, Equals(1))
-            await step(serverline.KEPT_SECONDS)
+            await step(serverconnection.KEPT_SECONDS)
             await self.send(line, raw, "s3")
             self.assertThat(raw.connections, Equals(2))
 
--- a/tests/test_shelf.py
+++ b/tests/test_shelf.py
@@ -6,9 +6,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from hoistsaddle.fairground.deployments import DEPLOYMENTS
-from hoistsaddle.shelf.apply import apply
-from hoistsaddle.shelf.commands import (
+from hoistsaddle.statemachine.apply import apply
+from hoistsaddle.statemachine.commands import (
     AdvanceBundle,
     ClaimHold,
     Command,
@@ -23,7 +22,8 @@
     TakeDuty,
     pack_command,
 )
-from hoistsaddle.shelf.state import BUNDLES_KEPT, State, found_state, pack_state, unpack_state
+from hoistsaddle.statemachine.state import BUNDLES_KEPT, State, found_state, pack_state, unpack_state
+from hoistsaddle.testbed.deployments import DEPLOYMENTS
 
 TEXT = DEPLOYMENTS["thimble"].first_bundle()
 
--- a/tests/test_simulated_failures.py
+++ b/tests/test_simulated_failures.py
@@ -10,8 +10,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan
 
-from hoistsaddle.fairground.simulation.catalogue import CORE_SCENARIOS, SCENARIOS
-from hoistsaddle.fairground.simulation.runs import Run, carry_out_all
+from hoistsaddle.testbed.simulation.catalogue import CORE_SCENARIOS, SCENARIOS
+from hoistsaddle.testbed.simulation.runs import Run, carry_out_all
 
 SEEDS = (1, 2, 3)
 NO_SERVICE = ("servers_misbehave", "servers_change", "margins_kept", "isolated", "keys_travel")
@@ -63,7 +63,7 @@
     def test_a_seed_gives_the_same_run_in_every_process(self) -> None:
         """Each process hashes names with a secret of its own, so an order taken from a set or a map shows here."""
         code = (
-            "from hoistsaddle.fairground.simulation.runs import Run, carry_out\n"
+            "from hoistsaddle.testbed.simulation.runs import Run, carry_out\n"
             "print(*(carry_out(Run('brindlefield', name, 1)).digest for name in ('frozen', 'servers_change')))"
         )
         said = [
--- a/tests/test_stall.py
+++ b/tests/test_stall.py
@@ -6,13 +6,10 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from hoistsaddle.fairground.deployments import DEPLOYMENTS
-from hoistsaddle.haggle.parcels import PassAnswer, PassCall
-from hoistsaddle.shelf.commands import ClaimHold, Outcome, ReleaseHold, SettleHold
-from hoistsaddle.shelf.state import NodeEntry, ServerEntry
-from hoistsaddle.shelf.view import View
-from hoistsaddle.stall.core import StallCore
-from hoistsaddle.stall.messages import (
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.config.bundle import read_bundle
+from hoistsaddle.proxy.core import ProxyCore
+from hoistsaddle.proxy.messages import (
     AnswerPass,
     AnswerVisitor,
     AskHold,
@@ -32,9 +29,12 @@
     Ticked,
     VitalsArrived,
 )
-from hoistsaddle.stall.standing import StallParamsView, digest_of_body
-from hoistsaddle.tally.mishaps import Mishap, MishapKind
-from hoistsaddle.tariff.bundle import read_bundle
+from hoistsaddle.proxy.standing import ProxyParamsView, digest_of_body
+from hoistsaddle.rpc.messages import PassAnswer, PassCall
+from hoistsaddle.statemachine.commands import ClaimHold, Outcome, ReleaseHold, SettleHold
+from hoistsaddle.statemachine.state import NodeEntry, ServerEntry
+from hoistsaddle.statemachine.view import View
+from hoistsaddle.testbed.deployments import DEPLOYMENTS
 
 BUNDLE = read_bundle(DEPLOYMENTS["thimble"].first_bundle()).unwrap()
 SERVICES = ("portal", "ledger", "meter", "portal", "ledger", "meter")
@@ -66,8 +66,8 @@
 class Bench:
     def __init__(self, *, name: str = "stall-1", fresh: bool = True, backlog: int = 5, outstanding: int = 50) -> None:
         self.moment = timedelta(seconds=50)
-        self.core = StallCore(
-            params=StallParamsView(
+        self.core = ProxyCore(
+            params=ProxyParamsView(
                 name, "a", "life", timedelta(seconds=1.5), timedelta(seconds=1.5), backlog, outstanding
             ),
             seed=random.Random(1),
--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -9,11 +9,11 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from hoistsaddle.fairground.checkers import check
-from hoistsaddle.fairground.deployments import DEPLOYMENTS
-from hoistsaddle.fairground.fleet import Fleet
-from hoistsaddle.fairground.history import Got, Ran
-from hoistsaddle.fairground.load import Load
+from hoistsaddle.testbed.checkers import check
+from hoistsaddle.testbed.deployments import DEPLOYMENTS
+from hoistsaddle.testbed.fleet import Fleet
+from hoistsaddle.testbed.history import Got, Ran
+from hoistsaddle.testbed.load import Load
 
 
 class ThinPath(TestCase):
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -10,10 +10,10 @@
 from testtools import TestCase
 from testtools.matchers import Equals, IsInstance
 
-from hoistsaddle.docket.usage import SCHEMA, table_of, write_usage
-from hoistsaddle.fairground.deployments import DEPLOYMENTS
-from hoistsaddle.fairground.history import Got
-from hoistsaddle.fairground.simulation.deployment import SimulatedDeployment, simulate
+from hoistsaddle.testbed.deployments import DEPLOYMENTS
+from hoistsaddle.testbed.history import Got
+from hoistsaddle.testbed.simulation.deployment import SimulatedDeployment, simulate
+from hoistsaddle.usage.usage import SCHEMA, table_of, write_usage
 
 
 class Usage(TestCase):
--- a/tests/test_voter_changes.py
+++ b/tests/test_voter_changes.py
@@ -8,18 +8,18 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from hoistsaddle.haggle.parcels import Record
-from hoistsaddle.ledger.core import LedgerCore
-from hoistsaddle.ledger.disk import Disk
-from hoistsaddle.ledger.events import Boot, Mark, Pace, Write
-from hoistsaddle.shelf.commands import LEVEL, AddVoter, SwapVoter, pack_command
-from hoistsaddle.shelf.state import found_state
+from hoistsaddle.raft.core import RaftCore
+from hoistsaddle.raft.disk import Disk
+from hoistsaddle.raft.events import Boot, Mark, Pace, Write
+from hoistsaddle.rpc.messages import Record
+from hoistsaddle.statemachine.commands import LEVEL, AddVoter, SwapVoter, pack_command
+from hoistsaddle.statemachine.state import found_state
 
 FOUNDERS = {1: "one", 2: "two", 3: "three"}
 GROWN = (pack_command(AddVoter(4, "four")), pack_command(AddVoter(5, "five")))
 
 
-def started(*payloads: bytes, committed: int = 0) -> LedgerCore:
+def started(*payloads: bytes, committed: int = 0) -> RaftCore:
     state = found_state(mesh="m", voters=FOUNDERS, operators={}, level=LEVEL)
     records = tuple(Record(place, 1, timedelta(), payload) for place, payload in enumerate(payloads, start=1))
     boot = Boot(
@@ -33,7 +33,7 @@
         records=records,
         committed=committed,
     )
-    return LedgerCore(boot=boot, replicas=(1, 2, 3), pace=Pace(), seed=random.Random(1), now=timedelta(seconds=100))
+    return RaftCore(boot=boot, replicas=(1, 2, 3), pace=Pace(), seed=random.Random(1), now=timedelta(seconds=100))
 
 
 class VotersAfterAStart(TestCase):
--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -6,13 +6,13 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
-from hoistsaddle.haggle.parcels import BallotCall, FetchAnswer, FetchCall, LeadCall, Record
-from hoistsaddle.ledger.core import CANDIDATE, FOLLOWER, LEADER, NOT_LEADER_FOR_PARTITION, LedgerCore
-from hoistsaddle.ledger.events import Announce, AnswerArrived, Boot, Mark, ProposalArrived, Ticked
-from hoistsaddle.shelf.apply import apply
-from hoistsaddle.shelf.commands import AddVoter, DropVoter, pack_command
-from hoistsaddle.shelf.state import State, found_state
-from hoistsaddle.tally.mishaps import MishapKind
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.raft.core import CANDIDATE, FOLLOWER, LEADER, NOT_LEADER_FOR_PARTITION, RaftCore
+from hoistsaddle.raft.events import Announce, AnswerArrived, Boot, Mark, ProposalArrived, Ticked
+from hoistsaddle.rpc.messages import BallotCall, FetchAnswer, FetchCall, LeadCall, Record
+from hoistsaddle.statemachine.apply import apply
+from hoistsaddle.statemachine.commands import AddVoter, DropVoter, pack_command
+from hoistsaddle.statemachine.state import State, found_state
 from test_kip_630 import PACE, Bench, claim
 
 STEP = timedelta(milliseconds=200)
@@ -46,7 +46,7 @@
             state=state,
         )
         self.moment = timedelta(seconds=100)
-        self.core = LedgerCore(
+        self.core = RaftCore(
             boot=boot, replicas=seeds, pace=PACE, seed=random.Random(1), now=self.moment, wanted_voters=wanted
         )
         self.commands = []
--- a/tests/test_wind_down.py
+++ b/tests/test_wind_down.py
@@ -8,11 +8,11 @@
 from testtools.matchers import Equals
 
 from brokers import Brokers
-from hoistsaddle.broker import node as nodes
-from hoistsaddle.broker.messages import CloseAsked
-from hoistsaddle.broker.node import OPEN_SHARE, BrokerNode
-from hoistsaddle.stall.messages import StopAsked
-from hoistsaddle.tally.mishaps import MishapKind
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.proxy.messages import StopAsked
+from hoistsaddle.sidecar import node as nodes
+from hoistsaddle.sidecar.messages import CloseAsked
+from hoistsaddle.sidecar.node import OPEN_SHARE, SidecarNode
 
 MOST = timedelta(seconds=5)
 QUIET = timedelta(seconds=0.5)
@@ -34,7 +34,7 @@
             core=core,
             feed=self.feed,
             asked_at=self.moment,
-            tick=BrokerNode.tick,
+            tick=SidecarNode.tick,
         )
 
     def feed(self, event: tuple) -> None:
@@ -52,7 +52,7 @@
 
     def run(self) -> timedelta:
         with mock.patch.object(nodes.asyncio, "sleep", self.sleep):
-            work = BrokerNode.wind_down(self.node, quiet=QUIET, most=MOST)
+            work = SidecarNode.wind_down(self.node, quiet=QUIET, most=MOST)
             try:
                 work.send(None)
             except StopIteration:
@@ -72,7 +72,7 @@
         stopping = Stopping(busy=True, works=timedelta(seconds=1.5))
         took = stopping.run()
         closed = stopping.told[1][1]
-        self.assertThat(closed <= MOST * OPEN_SHARE + BrokerNode.tick, Equals(True), str(closed))
+        self.assertThat(closed <= MOST * OPEN_SHARE + SidecarNode.tick, Equals(True), str(closed))
         self.assertThat(took < MOST, Equals(True), str(took))
 
     def test_a_closing_stall_turns_new_ones_back_and_ends_what_it_took(self) -> None:
