--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -10,9 +10,9 @@
 # Happenings carry a wall-clock moment for people to read; the export says when it was read; measurements are
 # no daemons.
 MAY_READ = {
-    "tally/src/hoistsaddle/common/counters.py",
-    "kiosk/src/hoistsaddle/cli/export.py",
-    "fairground/src/hoistsaddle/testbed/measure.py",
+    "common/src/hoistsaddle/common/counters.py",
+    "cli/src/hoistsaddle/cli/export.py",
+    "testbed/src/hoistsaddle/testbed/measure.py",
 }
 WALL = {
     ("datetime", "now"),
