--- a/tests/arcade_plants.py
+++ b/tests/arcade_plants.py
@@ -12,6 +12,7 @@
 from hoistsaddle.config.items import ItemSetup
 from hoistsaddle.proxy.further import FurtherSends
 from hoistsaddle.raft.events import Pace
+from hoistsaddle.registry import controller
 from hoistsaddle.registry.controller import Controller
 from hoistsaddle.sidecar.core import SidecarCore
 from hoistsaddle.sidecar.door import Door
