--- a/packages/membership/src/hoistsaddle/membership/holding.py
+++ b/packages/membership/src/hoistsaddle/membership/holding.py
@@ -15,10 +15,12 @@
     *, runtime: Runtime, relay: Relay, news: asyncio.Condition, call: PollCall, hold: timedelta = POLL_HOLD
 ) -> PollAnswer:
     """A child that knows everything is held until there is news, or for a short while."""
+    arrived = runtime.now()
     if relay.must_wait(call):
         try:
             async with asyncio.timeout(hold.total_seconds()), news:
                 await news.wait_for(lambda: not relay.must_wait(call))
         except TimeoutError:
             pass
-    return relay.answer(call, now=runtime.now())
+    now = runtime.now()
+    return relay.answer(call, now=now, held=now - arrived)
--- a/packages/membership/src/hoistsaddle/membership/relay.py
+++ b/packages/membership/src/hoistsaddle/membership/relay.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from hoistsaddle.common.clock import ZERO
 from hoistsaddle.common.errors import MishapKind
 from hoistsaddle.rpc.messages import NewsItem, PollAnswer, PollCall, Uptake
 from hoistsaddle.statemachine.digests import RANGES, digests_of, range_of
@@ -68,6 +69,8 @@
         self.lease_span = lease_span
         self.copy = SetupCopy()
         self.lease_start: timedelta | None = None
+        # The leader's epoch under which the copy was last confirmed; 0 while nobody said one.
+        self.epoch = 0
         self.uptakes: dict[str, tuple[Uptake, timedelta]] = {}
         # The digests the log has for the copy's revision, as the leader said them; empty from a former release.
         self.vouched: tuple[int, ...] = ()
@@ -95,9 +98,10 @@
         revision: int,
         items: dict[str, tuple[int, bytes]] | None,
         vouched: tuple[int, ...] = (),
+        epoch: int = 0,
     ) -> bool:
         """A root's news: a read its leader confirmed, dated from when it was asked. True if the copy changed."""
-        if revision < self.copy.revision or (self.copy.mesh and mesh and mesh != self.copy.mesh):
+        if self.is_older(revision=revision, epoch=epoch) or (self.copy.mesh and mesh and mesh != self.copy.mesh):
             return False
         # What doesn't add up to the log's own digests is no news, and renews nothing.
         if vouched and digests_of(self.copy.items if items is None else items) != vouched:
@@ -106,13 +110,23 @@
         if changed:
             self.copy.replace(mesh=mesh, revision=revision, items=items)
         self.vouched = vouched
+        self.epoch = max(self.epoch, epoch)
         self._renew(asked)
         return changed
 
-    def renewed(self, *, asked: timedelta) -> None:
+    def renewed(self, *, asked: timedelta, epoch: int = 0) -> None:
         """A root's copy was just what the log says, as of that moment."""
+        self.epoch = max(self.epoch, epoch)
         self._renew(asked)
 
+    def is_older(self, *, revision: int, epoch: int) -> bool:
+        """Whether such news was overtaken by what is held here, whoever brings it and in whatever order it comes.
+
+        A leader's word under one epoch is dated before the election of the next, so it can't renew anything either.
+        A former release says no epoch.
+        """
+        return revision < self.copy.revision or 0 < epoch < self.epoch
+
     def _renew(self, start: timedelta) -> None:
         # Answers may come out of order: a lease only ever moves forward.
         if self.lease_start is None or start > self.lease_start:
@@ -133,7 +147,7 @@
         if answer.mishap or (self.copy.mesh and answer.mesh != self.copy.mesh):
             return False
         # A parent behind this copy has nothing to teach, and its lease speaks of an older setup.
-        if answer.revision < self.copy.revision:
+        if self.is_older(revision=answer.revision, epoch=answer.epoch):
             return False
         changed = bool(answer.ranges)
         if changed or answer.revision > self.copy.revision:
@@ -148,6 +162,7 @@
         if items is not self.copy.items:
             self.copy.replace(mesh=answer.mesh, revision=answer.revision, items=items)
         self.vouched = answer.vouched
+        self.epoch = max(self.epoch, answer.epoch)
         # No clocks are compared: the age was taken when the answer was made, so it counts from this poll's sending.
         self._renew(sent - answer.lease_age)
         return changed
@@ -156,7 +171,8 @@
         """Whether a child knows all there is, so that its poll is held a while."""
         return call.revision >= self.copy.revision and not self.copy.differing(call.digests)
 
-    def answer(self, call: PollCall, *, now: timedelta) -> PollAnswer:
+    def answer(self, call: PollCall, *, now: timedelta, held: timedelta = ZERO) -> PollAnswer:
+        """held: how long the poll was here. The child counts from its sending, so that much less of the age is left."""
         if call.mesh and self.copy.mesh and call.mesh != self.copy.mesh:
             return PollAnswer(str(MishapKind.WRONG_MESH), self.copy.mesh, self.copy.revision, timedelta())
         age = self.lease_age(now=now)
@@ -167,7 +183,7 @@
             return PollAnswer(str(MishapKind.COPY_DAMAGED), self.copy.mesh, self.copy.revision, timedelta())
         ranges = self.copy.differing(call.digests)
         items = self.copy.items_in(ranges)
-        return PollAnswer("", self.copy.mesh, self.copy.revision, age, ranges, items, self.vouched)
+        return PollAnswer("", self.copy.mesh, self.copy.revision, age - held, ranges, items, self.vouched, self.epoch)
 
     def heard(self, uptakes: tuple[Uptake, ...], *, now: timedelta) -> bool:
         """Notes what is taken up below; true if any of it is new."""
--- a/packages/proxy/src/hoistsaddle/proxy/node.py
+++ b/packages/proxy/src/hoistsaddle/proxy/node.py
@@ -10,6 +10,7 @@
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.counters import Counters
 from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.common.pause import GrowingPause
 from hoistsaddle.common.settings import ProxyParams, SidecarParams
 from hoistsaddle.membership.holding import POLL_HOLD, hold_poll
 from hoistsaddle.membership.member import Member, MemberPace
@@ -52,7 +53,7 @@
     WriteCall,
 )
 from hoistsaddle.rpc.runtime import Runtime
-from hoistsaddle.statemachine.commands import LEVEL, pack_command, unpack_outcome
+from hoistsaddle.statemachine.commands import LEVEL, Outcome, pack_command, unpack_outcome
 from hoistsaddle.statemachine.state import GONE, READY, WARDEN
 from hoistsaddle.statemachine.view import read_view
 
@@ -65,6 +66,10 @@
 # One bourse gets this long; the same command is then tried at the next, which may not be frozen.
 HOLD_TRY = milliseconds(500)
 STOP_SPAN = timedelta(seconds=20)
+# Between two parents, or two registries, that gave nothing: the first round goes fast, and then each slower.
+PAUSE_LEAST = milliseconds(30)
+VITALS_PAUSE_LEAST = milliseconds(50)
+VITALS_PAUSE_MOST = milliseconds(800)
 # What a poll came to.
 RENEWED = "renewed"
 SAME = "same"
@@ -101,6 +106,13 @@
         self.ticked_at = self.thawed_at = runtime.now()
         self.bourses: list[str] = list(params.seeds)
         self.parent = params.seeds[0]
+        # At most a third of a lease: once somebody has news again, hearing of it costs no more than that.
+        self.poll_pause = GrowingPause(least=PAUSE_LEAST, most=span / 3)
+        self.hold_pause = GrowingPause(least=PAUSE_LEAST, most=span / 3)
+        self.hold_line = asyncio.Lock()
+        self.vitals_pause = GrowingPause(least=VITALS_PAUSE_LEAST, most=VITALS_PAUSE_MOST)
+        # The parent whose news was taken last, and the one whose news was refused as older.
+        self.fed_by = self.older_from = ""
         self.vitals_due = asyncio.Event()
         self.vitals_told = (0, "")
         me = Rumour(params.name, "stall", params.listen, params.zone, self.incarnation, 0, ALIVE)
@@ -228,24 +240,47 @@
     # -- commands ----------------------------------------------------------------------------------------------------
 
     async def _ask_hold(self, ask: AskHold) -> None:
+        """Asks one registry after the other; while none grants anything, one call at a time for all keys here."""
         self.counters.add(f"holds.{type(ask.command).__name__}")
         call = WriteCall(self.params.name, (pack_command(ask.command),))
         deadline = self.runtime.now() + HOLD_SPAN
-        for address in list(self.bourses) * 2:
-            left = deadline - self.runtime.now()
-            if left <= timedelta():
+        outcome: Outcome | None = None
+        for _ in range(len(self.bourses) * 2):
+            if not self.hold_pause.failing:
+                outcome = await self._try_hold(call, deadline)
+            else:
+                outcome = await self._try_hold_in_line(call, deadline)
+            if outcome is not None or self.runtime.now() >= deadline:
                 break
-            match await self.runtime.lines.call(address, call, within=min(left, HOLD_TRY)):
-                case Success(WriteAnswer(mishap="", leader=leader, outcomes=(outcome,))):
-                    self._lead_hint(leader)
-                    self.feed(HoldAnswered(ask.number, unpack_outcome(outcome)))
-                    return
-                case _:
-                    # The next bourse may reach the leader; the command is the same command there.
-                    if self.bourses and self.bourses[0] == address:
-                        self.bourses = [*self.bourses[1:], address]
-        self.counters.add("holds.mishaps")
-        self.feed(HoldAnswered(ask.number, None))
+        if outcome is None:
+            self.counters.add("holds.mishaps")
+        self.feed(HoldAnswered(ask.number, outcome))
+
+    async def _try_hold_in_line(self, call: WriteCall, deadline: timedelta) -> Outcome | None:
+        try:
+            async with asyncio.timeout((deadline - self.runtime.now()).total_seconds()), self.hold_line:
+                if self.hold_pause.failing:
+                    self.counters.add("holds.paused")
+                    await asyncio.sleep(self.hold_pause.span.total_seconds())
+                return await self._try_hold(call, deadline)
+        except TimeoutError:
+            return None
+
+    async def _try_hold(self, call: WriteCall, deadline: timedelta) -> Outcome | None:
+        left = deadline - self.runtime.now()
+        if left <= timedelta():
+            return None
+        address = self.bourses[0]
+        match await self.runtime.lines.call(address, call, within=min(left, HOLD_TRY)):
+            case Success(WriteAnswer(mishap="", leader=leader, outcomes=(outcome,))):
+                self.hold_pause.reset()
+                self._lead_hint(leader)
+                return unpack_outcome(outcome)
+        # The next bourse may reach the leader; the command is the same command there.
+        if self.bourses[0] == address:
+            self.bourses = [*self.bourses[1:], address]
+        self.hold_pause.after_failure(now=self.runtime.now())
+        return None
 
     def _lead_hint(self, leader: int) -> None:
         """The bourse beside the leader is asked first from now on."""
@@ -304,6 +339,9 @@
             case _:
                 self.counters.add("news.polls_missed")
                 return MISSED
+        if self.relay.is_older(revision=answer.revision, epoch=answer.epoch):
+            self._refuse_older(address, answer)
+            return SAME
         before = self.relay.lease_start
         if self.relay.polled(answer, sent=sent):
             view = read_view(
@@ -314,6 +352,7 @@
                 before=self.core.view,
             )
             self.counters.add("news.taken")
+            self._note_feeder(address, answer)
             self.feed(SetupChanged(view))
             known = [node.address for node in view.nodes.values() if node.kind == "bourse" and node.state != GONE]
             self.bourses = [each for each in self.bourses if each in known] + [
@@ -328,6 +367,32 @@
             self.news.notify_all()
         return RENEWED if self.relay.lease_start != before else SAME
 
+    def _refuse_older(self, address: str, answer: PollAnswer) -> None:
+        """A parent whose news was overtaken here: nothing of it counts. Told once for each parent in a row."""
+        self.counters.add("news.older_refused")
+        if self.older_from != address:
+            self.older_from = address
+            self.counters.happen(
+                "older news refused",
+                parent=address,
+                revision=answer.revision,
+                epoch=answer.epoch,
+                held_revision=self.relay.copy.revision,
+                held_epoch=self.relay.epoch,
+            )
+
+    def _note_feeder(self, address: str, answer: PollAnswer) -> None:
+        self.older_from = ""
+        if self.fed_by != address:
+            self.fed_by = address
+            self.counters.happen(
+                "fed by",
+                parent=address,
+                revision=answer.revision,
+                epoch=answer.epoch,
+                age_milliseconds=round(answer.lease_age.total_seconds() * 1000),
+            )
+
     async def _poll(self) -> None:
         turn, same = 0, 0
         while True:
@@ -337,6 +402,7 @@
             outcome = await self._poll_once(self.parent)
             if outcome == RENEWED:
                 turn, same = 0, 0
+                self.poll_pause.reset()
                 continue
             if outcome == SAME and same < self.same_polls:
                 # Once is the beat of two held polls, the parent's and this one. Moving on then brought half of all
@@ -344,7 +410,11 @@
                 same += 1
                 continue
             turn, same = turn + 1, 0
-            await asyncio.sleep(milliseconds(30).total_seconds())
+            if turn % len(parents) == 0:
+                # All were asked, and nobody knows anything newer.
+                self.poll_pause.after_failure(now=self.runtime.now())
+            self.counters.add("news.polls_paused")
+            await asyncio.sleep(self.poll_pause.span.total_seconds())
 
     async def _tell_vitals(self) -> None:
         turn = 0
@@ -372,11 +442,14 @@
             match await self.runtime.lines.call(addresses[turn % len(addresses)], call, within=milliseconds(900)):
                 case Success(VitalsAnswer(mishap="") as answer):
                     self.vitals_told = (serial, answer.state)
+                    self.vitals_pause.reset()
                     turn = 0
                 case _:
                     self.counters.add("vitals.missed")
                     turn += 1
-                    await asyncio.sleep(milliseconds(50).total_seconds())
+                    if turn % len(addresses) == 0:
+                        self.vitals_pause.after_failure(now=self.runtime.now())
+                    await asyncio.sleep(self.vitals_pause.span.total_seconds())
                     continue
             try:
                 async with asyncio.timeout(self.vitals_every.total_seconds()):
--- a/packages/raft/src/hoistsaddle/raft/core.py
+++ b/packages/raft/src/hoistsaddle/raft/core.py
@@ -9,6 +9,7 @@
 
 from hoistsaddle.common.clock import ZERO
 from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.raft.contact import NEVER, Rounds, majority_contact
 from hoistsaddle.raft.events import (
     Announce,
     Answer,
@@ -37,6 +38,7 @@
     Write,
 )
 from hoistsaddle.rpc.messages import (
+    UNSAID,
     UNSET,
     BallotAnswer,
     BallotCall,
@@ -173,6 +175,8 @@
         self.fetch_sent: timedelta | None = None
         self.heard_leader: timedelta | None = None
         self.round_seen = 0
+        # A moment at which this replica's applied state held all that was committed anywhere; None while none is known.
+        self.newest: timedelta | None = None
         self.pulling: Mark | None = None
         self.pull_number = 0
         self.pull_sent: timedelta | None = None
@@ -191,7 +195,7 @@
         self.lead_sent = ZERO
         self.base_stamp = ZERO
         self.epoch_began = 0
-        self.round = 0
+        self.rounds = Rounds(now=now)
         self.reads: list[tuple[int, int]] = []
         self.waiting: dict[int, list] = {}
         self.ticket_of: dict[int, int] = {}
@@ -202,6 +206,10 @@
         self._out: list[tuple] = []
         self._check_level()
 
+    @property
+    def round(self) -> int:
+        return self.rounds.newest
+
     # -- what is known ---------------------------------------------------------------------------------------------
 
     @property
@@ -554,7 +562,7 @@
         self.progress = {}
         self.held = {}
         self.reads = []
-        self.round = 0
+        self.rounds = Rounds(now=self.now)
         self.lead_since = self.now
         self.lead_sent = self.now
         # Mesh time goes on from the newest stamp in the log: it stood still while nobody led.
@@ -602,8 +610,7 @@
             self._out.append(ReadReady(ticket, str(MishapKind.NOT_LEADER), self.leader, None))
             return
         # Only fetches sent after this round was announced prove that nobody else led when the read began.
-        self.round += 1
-        self.reads.append((ticket, self.round))
+        self.reads.append((ticket, self.rounds.begin(now=self.now)))
         self._answer_held(everyone=True)
         self._confirm_reads()
 
@@ -680,13 +687,18 @@
         if old is not None:
             self._answer(old[0], answer)
         self._advance()
-        if call.fetch_offset <= self.last.offset or call.round < self.round:
+        # Only a read hurries: the rounds that date this leader's contact go along with what is sent anyway.
+        if call.fetch_offset <= self.last.offset or any(call.round < number for _, number in self.reads):
             self._answer_fetch(ticket, call)
         else:
             self.held[call.replica] = (ticket, call, self.now)
         self._confirm_reads()
 
-    def _answer_fetch(self, ticket: int, call: FetchCall) -> None:
+    def _answer_fetch(self, ticket: int, call: FetchCall, *, held: timedelta = ZERO) -> None:
+        age = self._contact_age()
+        if self.now - self.rounds.latest() >= self.pace.fetch_wait / 4:
+            # The fetch that follows this answer proves that the follower still followed at this moment.
+            self.rounds.begin(now=self.now)
         records = []
         size = 0
         place = max(0, call.fetch_offset - self.begin_offset)
@@ -698,7 +710,15 @@
         self._answer(
             ticket,
             FetchAnswer(
-                "", self.epoch, self.replica, self.high_watermark, self.begin_offset, tuple(records), round=self.round
+                "",
+                self.epoch,
+                self.replica,
+                self.high_watermark,
+                self.begin_offset,
+                tuple(records),
+                round=self.round,
+                # The follower counts from when it sent the fetch: it was here for that long already.
+                contact_age=age - held,
             ),
         )
         # A leader's answer carries records it may not have synced itself: only its own count waits for that.
@@ -714,11 +734,35 @@
                     self._answer(
                         ticket,
                         FetchAnswer(
-                            "", self.epoch, self.replica, self.high_watermark, self.begin_offset, round=self.round
+                            "",
+                            self.epoch,
+                            self.replica,
+                            self.high_watermark,
+                            self.begin_offset,
+                            round=self.round,
                         ),
                     )
                 else:
-                    self._answer_fetch(ticket, call)
+                    self._answer_fetch(ticket, call, held=self.now - arrived)
+
+    def _contact(self) -> timedelta | None:
+        """Leader: the newest moment at which nobody else can have led, and this state held all that was committed."""
+        if self.high_watermark < self.epoch_began or self.state.offset < self.high_watermark:
+            return None
+        return majority_contact(
+            voter_sets=self.voter_sets(),
+            me=(self.replica, self.incarnation),
+            now=self.now,
+            heard={key: self.rounds.began(progress.round) for key, progress in self.progress.items()},
+        )
+
+    def _contact_age(self) -> timedelta:
+        contact = self._contact()
+        return NEVER if contact is None else self.now - contact
+
+    def _note_newest(self, moment: timedelta | None) -> None:
+        if moment is not None and (self.newest is None or moment > self.newest):
+            self.newest = moment
 
     def _advance(self) -> None:
         """Raises the high-watermark to what a majority of every voter set has synced."""
@@ -846,7 +890,7 @@
         )
 
     def _fetch_answer(self, replica: int, answer: FetchAnswer) -> None:
-        self.fetch_sent = None
+        sent, self.fetch_sent = self.fetch_sent, None
         if answer.mishap == WRONG_MESH:
             self._announce("wrong mesh", leader=replica)
             return None
@@ -886,6 +930,11 @@
             if self.whole:
                 self.high_watermark = max(self.high_watermark, min(answer.high_watermark, self.last.offset))
                 self._apply()
+                if sent is not None and self.state.epoch == self.epoch and self.state.offset >= answer.high_watermark:
+                    # No clocks are compared: the age was taken after this fetch was sent. A leader of a former release
+                    # says none; it steps down after so long a silence of the others.
+                    said = answer.contact_age != UNSAID
+                    self._note_newest(sent - (answer.contact_age if said else self.pace.quorum_silence))
                 # Followers adopt the begin offset once their own checkpoint covers it.
                 if (
                     answer.begin_offset - 1 > self.begin.offset
@@ -905,6 +954,7 @@
         """KIP-630: throw log and checkpoints away, then pull the leader's checkpoint and its log side by side."""
         self.known_voters = tuple(sorted(self.state.voters.items())) if self.whole else self.known_voters
         self.whole = False
+        self.newest = None
         self.state = State()
         self.log = []
         self.swaps = []
@@ -1037,6 +1087,7 @@
             self._announce("majority lost", heard=sorted(replica for replica, _ in recent))
             self._step_down(self.epoch, UNSET)
             return
+        self._note_newest(self._contact())
         if self.now - self.lead_sent >= self.pace.lead_every:
             self._call_to_follow(everyone=False)
         self._answer_held()
--- a/packages/registry/src/hoistsaddle/registry/controller.py
+++ b/packages/registry/src/hoistsaddle/registry/controller.py
@@ -17,14 +17,13 @@
 from hoistsaddle.common.settings import ControllerParams, RegistryParams, StoreParams
 from hoistsaddle.config.items import Patch, check_patch, pack_patch
 from hoistsaddle.membership.member import MemberPace
-from hoistsaddle.raft.core import LEADER
 from hoistsaddle.raft.disk import Disk
 from hoistsaddle.raft.events import Pace
 from hoistsaddle.raft.jobs import DiskThread, DiskWorker
 from hoistsaddle.registry.founding import Found, Founding, Look
 from hoistsaddle.registry.places import Places, number_of_host
 from hoistsaddle.registry.service import Registry
-from hoistsaddle.rpc.messages import FoundAnswer, FoundCall, LookAnswer, LookCall, ReadAnswer
+from hoistsaddle.rpc.messages import UNSET, FoundAnswer, FoundCall, LookAnswer, LookCall, ReadAnswer
 from hoistsaddle.rpc.runtime import Runtime
 from hoistsaddle.statemachine.commands import PatchItems
 from hoistsaddle.statemachine.digests import digests_of
@@ -58,23 +57,13 @@
         return self.store_places
 
     def _heard_leader(self) -> timedelta | None:
-        """The moment for which this replica's state is known to be the newest: near enough, the leader's last word."""
+        """The newest moment at which this replica's state is known to have held all that was committed anywhere.
+
+        It follows from a contact of the leader with a majority, and a follower's from what its leader said of one: a
+        leader that was cut off, or froze, makes it grow older and never younger.
+        """
         core = self.warehouse.shell.core
-        if not core.whole or core.halted:
-            return None
-        if core.state.epoch != core.epoch:
-            # A record of the present epoch must have been applied: before that a leader may not know itself how much
-            # of its log is committed, and its state may be as old as its checkpoint.
-            return None
-        if core.standing == LEADER:
-            recent = [
-                progress.heard for (replica, _), progress in core.progress.items() if replica in core.state.voters
-            ]
-            needed = len(core.state.voters) // 2
-            if not needed:
-                return self.runtime.now()
-            return sorted(recent, reverse=True)[needed - 1] if len(recent) >= needed else None
-        return core.heard_leader
+        return core.newest if core.whole and not core.halted else None
 
     async def _read_news(self) -> None:
         while True:
@@ -82,16 +71,17 @@
             await asyncio.sleep(LOOK_EVERY.total_seconds())
 
     async def refresh(self, *, within: timedelta) -> bool:
+        core = self.warehouse.shell.core
+        self.writer.leader_known(core.leader if core.leader > 0 else UNSET)
         heard = self._heard_leader()
         if heard is None:
             return False
-        state = self.warehouse.shell.core.state
-        self.writer.leader = (
-            self.warehouse.shell.core.leader if self.warehouse.shell.core.leader > 0 else self.writer.leader
-        )
+        state = core.state
+        if core.leader > 0:
+            self.writer.leader = core.leader
         if state.news == self.relay.copy.revision:
             was_fresh = self.relay.fresh(now=self.runtime.now())
-            self.relay.renewed(asked=heard)
+            self.relay.renewed(asked=heard, epoch=state.epoch)
             if not was_fresh and self.relay.fresh(now=self.runtime.now()):
                 await self._tell_children()
             return True
@@ -100,7 +90,12 @@
             self.store_places.learn(replica)
         items = news_of(state)
         if not self.relay.confirmed(
-            asked=heard, mesh=state.mesh, revision=state.news, items=items, vouched=digests_of(items)
+            asked=heard,
+            mesh=state.mesh,
+            revision=state.news,
+            items=items,
+            vouched=digests_of(items),
+            epoch=state.epoch,
         ):
             return False
         self.view = read_view(
--- a/packages/registry/src/hoistsaddle/registry/operators.py
+++ b/packages/registry/src/hoistsaddle/registry/operators.py
@@ -27,6 +27,7 @@
     MishapKind.BUNDLE_BROKEN: 422,
     MishapKind.ITEM_BROKEN: 422,
     MishapKind.NO_LEADER: 503,
+    MishapKind.UNSURE: 503,
     MishapKind.NOT_FOUNDED: 503,
     MishapKind.UNREACHABLE: 503,
     MishapKind.BUNDLE_UNKNOWN: 404,
--- a/packages/registry/src/hoistsaddle/registry/service.py
+++ b/packages/registry/src/hoistsaddle/registry/service.py
@@ -52,6 +52,8 @@
 
 READ_EVERY = milliseconds(100)
 WRITE_SPAN = timedelta(seconds=3)
+# A stall waits half a second for its key at one registry and then asks the next: trying on for longer helps nobody.
+HOLD_WRITE_SPAN = milliseconds(450)
 DUTY_EVERY = milliseconds(200)
 
 
@@ -142,7 +144,9 @@
             mesh, plain = msgspec.msgpack.decode(answer.content)
             items = {key: (revision, value) for key, (revision, value) in plain.items()}
         was_fresh = self.relay.fresh(now=self.runtime.now())
-        if self.relay.confirmed(asked=asked, mesh=mesh, revision=answer.revision, items=items, vouched=answer.digests):
+        if self.relay.confirmed(
+            asked=asked, mesh=mesh, revision=answer.revision, items=items, vouched=answer.digests, epoch=answer.epoch
+        ):
             self.view = read_view(
                 revision=self.relay.copy.revision,
                 items=self.relay.copy.items,
@@ -202,7 +206,7 @@
             if not isinstance(unpack_command(payload), ClaimHold | SettleHold | ReleaseHold):
                 return WriteAnswer(str(MishapKind.NOT_ALLOWED), -1)
         outcomes = []
-        for result in await self.writer.write_payloads(payloads, within=WRITE_SPAN):
+        for result in await self.writer.write_payloads(payloads, within=HOLD_WRITE_SPAN):
             match result:
                 case Success(outcome):
                     outcomes.append(pack_outcome(outcome))
@@ -222,6 +226,10 @@
         return await self.take_vitals(call)
 
     async def take_vitals(self, call: VitalsCall) -> VitalsAnswer:
+        if not self.relay.fresh(now=self.runtime.now()):
+            # What this copy says of the stall may have been overtaken: "noted" would be no true word.
+            self.counters.add("vitals.not_fresh")
+            return VitalsAnswer(str(MishapKind.NO_LEADER), "", 0)
         self.warden.hear(call.node, now=self.runtime.now())
         self.warden.levels[call.node] = (call.incarnation, call.level)
         # Only changes are logged; a heartbeat that says what the log says already ends here.
--- a/packages/registry/src/hoistsaddle/registry/writer.py
+++ b/packages/registry/src/hoistsaddle/registry/writer.py
@@ -1,4 +1,9 @@
-"""Writes and confirmed reads at whichever warehouse leads, found by asking and by following hints."""
+"""Writes and confirmed reads at whichever warehouse leads, found by asking and by following hints.
+
+Whoever asks here gets an answer inside the span that it gave, also on a machine that is cut off: an order that is still
+unanswered then is told so, and whether the core may have taken it. While nobody leads, one call at a time goes out for
+all that wait, with a pause between them that grows.
+"""
 
 import asyncio
 from collections.abc import Iterable
@@ -9,7 +14,8 @@
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.counters import Counters
 from hoistsaddle.common.errors import Mishap, MishapKind
-from hoistsaddle.rpc.messages import ReadAnswer, ReadCall, WriteAnswer, WriteCall
+from hoistsaddle.common.pause import GrowingPause
+from hoistsaddle.rpc.messages import UNSET, ReadAnswer, ReadCall, WriteAnswer, WriteCall
 from hoistsaddle.rpc.runtime import Runtime
 from hoistsaddle.statemachine.commands import Command, Outcome, pack_command, unpack_outcome
 
@@ -18,12 +24,30 @@
 PASSED_BY = timedelta(seconds=1)
 MOST_IN_BATCH = 128
 MOST_IN_FLIGHT = 6
+# Between two tries: long enough that a hint's hop isn't busy work, short enough to be no part of an election's second.
+PAUSE_LEAST = milliseconds(20)
+PAUSE_MOST = milliseconds(320)
 
 NO_LEADER = Mishap(
     MishapKind.NO_LEADER,
     "No warehouse leads with a majority at the moment.",
     "Ask again shortly; if it lasts, docs/operators/replacing-core-machines.md names the ways out.",
 )
+UNSURE = Mishap(
+    MishapKind.UNSURE,
+    "It was handed to the core, which hasn't said yet whether it is taken.",
+    "Send the same again, here or to another machine: what was taken is confirmed, and nothing counts twice.",
+)
+
+
+class _Entry:
+    """One command under way."""
+
+    def __init__(self, *, payload: bytes, future: asyncio.Future) -> None:
+        self.payload = payload
+        self.future = future
+        # Whether a warehouse may hold it: true from the moment it is sent, until that warehouse says it never took it.
+        self.perhaps_taken = False
 
 
 class Writer:
@@ -36,9 +60,26 @@
         self.runtime = runtime
         self.counters = counters
         self.silent: dict[int, timedelta] = {}
-        self.backlog: list[tuple[bytes, timedelta, asyncio.Future]] = []
+        self.backlog: list[_Entry] = []
         self.in_flight = 0
         self.tasks: set[asyncio.Task] = set()
+        self.pause = GrowingPause(least=PAUSE_LEAST, most=PAUSE_MOST)
+        # The leader that the replica beside this writer follows, where there is one; and what wakes those that pause.
+        self.known_leader = UNSET
+        self.woken = asyncio.Event()
+        # While tries fail, whoever tries again stands in line here.
+        self.line = asyncio.Lock()
+
+    def leader_known(self, leader: int) -> None:
+        """What the replica in the same process knows; a leader newly known ends all pauses."""
+        if leader == self.known_leader:
+            return
+        self.known_leader = leader
+        if leader != UNSET:
+            self.leader = leader
+            self.pause.reset()
+            self.woken.set()
+            self.woken = asyncio.Event()
 
     def _follow_hint(self, hint: int, tried: int) -> None:
         now = self.runtime.now()
@@ -53,7 +94,17 @@
 
     def _fell_silent(self, tried: int) -> None:
         self.silent[tried] = self.runtime.now()
-        self._follow_hint(-1, tried)
+        self._follow_hint(UNSET, tried)
+
+    async def _rest(self) -> None:
+        span = self.pause.after_failure(now=self.runtime.now())
+        self.counters.gauge("writes.pause_milliseconds", span.total_seconds() * 1000)
+        woken = self.woken
+        try:
+            async with asyncio.timeout(span.total_seconds()):
+                await woken.wait()
+        except TimeoutError:
+            pass
 
     async def read(self, *, part: str, known_revision: int, within: timedelta) -> Result[ReadAnswer, Mishap]:
         deadline = self.runtime.now() + within
@@ -63,32 +114,43 @@
                 self.warehouses[tried], ReadCall(self.name, part, known_revision), within=min(left, CALL_SPAN)
             ):
                 case Success(ReadAnswer(mishap="") as answer):
+                    self.pause.reset()
                     return Success(answer)
                 case Success(ReadAnswer(leader=leader)):
                     self._follow_hint(leader, tried)
                 case _:
                     self._fell_silent(tried)
-            await asyncio.sleep(milliseconds(15).total_seconds())
+            self.counters.add("reads.again")
+            if self.runtime.now() + self.pause.span >= deadline:
+                break
+            await self._rest()
         return Failure(NO_LEADER)
 
     async def write(self, command: Command, *, within: timedelta) -> Result[Outcome, Mishap]:
         """Every command may be forwarded again: each carries what makes its repetition recognisable in the log."""
-        future = asyncio.get_running_loop().create_future()
-        self.backlog.append((pack_command(command), self.runtime.now() + within, future))
-        self._flush()
-        return await future
+        return (await self.write_payloads([pack_command(command)], within=within))[0]
 
     async def write_payloads(self, payloads: Iterable[bytes], *, within: timedelta) -> list[Result[Outcome, Mishap]]:
-        futures = []
-        for payload in payloads:
-            future = asyncio.get_running_loop().create_future()
-            self.backlog.append((payload, self.runtime.now() + within, future))
-            futures.append(future)
+        loop = asyncio.get_running_loop()
+        entries = [_Entry(payload=payload, future=loop.create_future()) for payload in payloads]
+        if not entries:
+            return []
+        self.backlog += entries
         self._flush()
-        return list(await asyncio.gather(*futures))
+        # The asker's own span ends the wait, whatever call is still in flight and whoever stands before it in line.
+        await asyncio.wait([entry.future for entry in entries], timeout=within.total_seconds())
+        return [self._told(entry) for entry in entries]
+
+    def _told(self, entry: _Entry) -> Result[Outcome, Mishap]:
+        if entry.future.done():
+            return entry.future.result()
+        entry.future.cancel()
+        self.counters.add("writes.unsure" if entry.perhaps_taken else "writes.not_taken")
+        return Failure(UNSURE if entry.perhaps_taken else NO_LEADER)
 
     def _flush(self) -> None:
         # A few batches in flight at most: what arrives meanwhile goes together into the next.
+        self.backlog = [entry for entry in self.backlog if not entry.future.done()]
         while self.backlog and self.in_flight < MOST_IN_FLIGHT:
             batch, self.backlog = self.backlog[:MOST_IN_BATCH], self.backlog[MOST_IN_BATCH:]
             self.in_flight += 1
@@ -96,37 +158,51 @@
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    async def _carry(self, batch: list[tuple[bytes, timedelta, asyncio.Future]]) -> None:
+    async def _carry(self, batch: list[_Entry]) -> None:
         try:
-            while batch:
-                tried = self.leader
-                answer = await self.runtime.lines.call(
-                    self.warehouses[tried],
-                    WriteCall(self.name, tuple(payload for payload, _, _ in batch)),
-                    within=CALL_SPAN,
-                )
-                match answer:
-                    case Success(WriteAnswer(mishap="", outcomes=outcomes)):
-                        self.counters.add("writes.carried", len(batch))
-                        for (_, _, future), outcome in zip(batch, outcomes, strict=True):
-                            if not future.done():
-                                future.set_result(Success(unpack_outcome(outcome)))
+            if not self.pause.failing and await self._try(batch):
+                return
+            while batch := [entry for entry in batch if not entry.future.done()]:
+                async with self.line:
+                    if self.pause.failing:
+                        await self._rest()
+                    if await self._try([entry for entry in batch if not entry.future.done()]):
                         return
-                    case Success(WriteAnswer(leader=leader)):
-                        self._follow_hint(leader, tried)
-                    case _:
-                        self._fell_silent(tried)
-                self.counters.add("writes.again")
-                now = self.runtime.now()
-                for _, deadline, future in batch:
-                    if now >= deadline and not future.done():
-                        future.set_result(Failure(NO_LEADER))
-                batch = [entry for entry in batch if not entry[2].done()]
-                await asyncio.sleep(milliseconds(20).total_seconds())
         finally:
             self.in_flight -= 1
             self._flush()
 
+    async def _try(self, batch: list[_Entry]) -> bool:
+        """One call with the whole batch; true once all of it is concluded."""
+        if not batch:
+            return True
+        tried = self.leader
+        before = {entry for entry in batch if entry.perhaps_taken}
+        for entry in batch:
+            entry.perhaps_taken = True
+        call = WriteCall(self.name, tuple(entry.payload for entry in batch))
+        match await self.runtime.lines.call(self.warehouses[tried], call, within=CALL_SPAN):
+            case Success(WriteAnswer(mishap="", outcomes=outcomes)):
+                self.counters.add("writes.carried", len(batch))
+                self.pause.reset()
+                for entry, outcome in zip(batch, outcomes, strict=True):
+                    if not entry.future.done():
+                        entry.future.set_result(Success(unpack_outcome(outcome)))
+                return True
+            case Success(WriteAnswer(mishap=mishap, leader=leader)):
+                never = mishap != MishapKind.UNSURE
+                self._follow_hint(leader, tried)
+            case result:
+                never = not isinstance(result, Success) and result.failure().kind == MishapKind.UNREACHABLE
+                self._fell_silent(tried)
+        if never:
+            # It took none of it; an earlier try at another one may still have.
+            for entry in batch:
+                entry.perhaps_taken = entry in before
+        self.pause.after_failure(now=self.runtime.now())
+        self.counters.add("writes.again")
+        return False
+
     def stop(self) -> None:
         for task in list(self.tasks):
             task.cancel()
--- a/packages/rpc/src/hoistsaddle/rpc/mesh.thrift
+++ b/packages/rpc/src/hoistsaddle/rpc/mesh.thrift
@@ -4,7 +4,7 @@
 struct Record { 1: i64 offset, 2: i64 epoch, 3: i64 stamp, 4: binary payload }
 
 struct FetchCall { 1: string mesh, 2: i64 replica, 3: string incarnation, 4: i64 epoch, 5: i64 fetch_offset, 6: i64 fetch_epoch, 7: i64 round, 8: bool whole, 9: i64 level }
-struct FetchAnswer { 1: string mishap, 2: i64 epoch, 3: i64 leader, 4: i64 high_watermark, 5: i64 begin_offset, 6: list<Record> records, 7: i64 diverging_offset, 8: i64 diverging_epoch, 9: i64 checkpoint_offset, 10: i64 checkpoint_epoch, 11: i64 next_offset, 12: i64 round }
+struct FetchAnswer { 1: string mishap, 2: i64 epoch, 3: i64 leader, 4: i64 high_watermark, 5: i64 begin_offset, 6: list<Record> records, 7: i64 diverging_offset, 8: i64 diverging_epoch, 9: i64 checkpoint_offset, 10: i64 checkpoint_epoch, 11: i64 next_offset, 12: i64 round, 13: i64 contact_age }
 struct PullCall { 1: i64 replica, 2: i64 epoch, 3: i64 checkpoint_offset, 4: i64 checkpoint_epoch, 5: i64 position, 6: i64 max_bytes }
 struct PullAnswer { 1: string mishap, 2: i64 epoch, 3: i64 checkpoint_offset, 4: i64 checkpoint_epoch, 5: i64 position, 6: binary data, 7: bool continues }
 struct BallotCall { 1: string mesh, 2: i64 epoch, 3: i64 replica, 4: string incarnation, 5: i64 last_offset, 6: i64 last_epoch, 7: bool trial, 8: i64 level }
@@ -24,12 +24,12 @@
 struct WriteCall { 1: string asker, 2: list<binary> payloads }
 struct WriteAnswer { 1: string mishap, 2: i64 leader, 3: list<binary> outcomes, 4: i64 offset }
 struct ReadCall { 1: string asker, 2: string part, 3: i64 known_revision }
-struct ReadAnswer { 1: string mishap, 2: i64 leader, 3: i64 revision, 4: i64 offset, 5: binary content, 6: list<i64> digests }
+struct ReadAnswer { 1: string mishap, 2: i64 leader, 3: i64 revision, 4: i64 offset, 5: binary content, 6: list<i64> digests, 7: i64 epoch }
 
 struct Uptake { 1: string node, 2: i64 revision, 3: i64 bundle, 4: string refusal, 5: string incarnation, 6: i64 refused_bundle }
 struct NewsItem { 1: string key, 2: i64 revision, 3: binary value }
 struct PollCall { 1: string node, 2: string incarnation, 3: string mesh, 4: i64 revision, 5: list<i64> digests, 6: list<Uptake> uptakes }
-struct PollAnswer { 1: string mishap, 2: string mesh, 3: i64 revision, 4: i64 lease_age, 5: list<i64> ranges, 6: list<NewsItem> items, 7: list<i64> vouched }
+struct PollAnswer { 1: string mishap, 2: string mesh, 3: i64 revision, 4: i64 lease_age, 5: list<i64> ranges, 6: list<NewsItem> items, 7: list<i64> vouched, 8: i64 epoch }
 struct UptakeCall { 1: string asker }
 struct UptakeAnswer { 1: list<Uptake> uptakes, 2: i64 level }
 
--- a/packages/rpc/src/hoistsaddle/rpc/messages.py
+++ b/packages/rpc/src/hoistsaddle/rpc/messages.py
@@ -16,6 +16,8 @@
 _protocol = TCyBinaryProtocolFactory()
 
 UNSET = -1
+# An age that nobody told: from a former release, or where nothing is known.
+UNSAID = timedelta(microseconds=-1)
 
 
 class Record(NamedTuple):
@@ -51,6 +53,8 @@
     checkpoint_epoch: int = UNSET
     next_offset: int = UNSET
     round: int = 0
+    # How long ago, when this was made, the leader last knew that a majority followed it and its state was the newest.
+    contact_age: timedelta = UNSAID
 
 
 class PullCall(NamedTuple):
@@ -179,6 +183,8 @@
     content: bytes = b""
     # Of every range of the news at this revision, as the log has it.
     digests: tuple[int, ...] = ()
+    # Of the leader that confirmed the read; 0 from a former release.
+    epoch: int = 0
 
 
 class Uptake(NamedTuple):
@@ -213,6 +219,8 @@
     ranges: tuple[int, ...] = ()
     items: tuple[NewsItem, ...] = ()
     vouched: tuple[int, ...] = ()
+    # Under which leader's epoch the news was confirmed; 0 from a former release.
+    epoch: int = 0
 
 
 class UptakeCall(NamedTuple):
--- a/packages/store/src/hoistsaddle/store/service.py
+++ b/packages/store/src/hoistsaddle/store/service.py
@@ -149,7 +149,7 @@
             )
         elif part == "holds":
             content = msgspec.json.encode(holds_of(state))
-        return ReadAnswer("", leader, state.news, state.offset, content, digests)
+        return ReadAnswer("", leader, state.news, state.offset, content, digests, state.epoch)
 
     def _look(self, after: int) -> LookAnswer:
         core = self.shell.core
