One revision of an item has one content; an order sent again is confirmed again

Cause: an equal revision changed nothing and was answered with success, so two operators with other content under one version were both confirmed; a bundle call sent again after a lost answer was refused (bundle-duplicate, bundle-wrong-phase).

Ruled out: refusals from uncommitted or old state. The log alone decides, records are applied up to the high-watermark, and a call is answered once its own record was; what the door refuses by itself hangs on the call alone.

A refused patch is remembered too: a copy that set out before its refusal (`seen`) never counts. Bundles: the same person's submission, signature, advance and abort are confirmed again with the phase they are in.

--- a/packages/common/src/hoistsaddle/common/errors.py
+++ b/packages/common/src/hoistsaddle/common/errors.py
@@ -16,6 +16,8 @@
     BUNDLE_WRONG_PHASE = "bundle-wrong-phase"
     BUNDLE_REFUSED = "bundle-refused"
     ITEM_BROKEN = "item-broken"
+    ITEM_CONFLICT = "item-conflict"
+    ORDER_UNSURE = "order-unsure"
     OPERATOR_UNKNOWN = "operator-unknown"
     OPERATOR_CONFLICT = "operator-conflict"
     OPERATOR_LAST = "operator-last"
--- a/packages/common/src/hoistsaddle/common/settings.py
+++ b/packages/common/src/hoistsaddle/common/settings.py
@@ -88,6 +88,8 @@
     # How long a patch waits to be seen in force on every stall before it is acknowledged all the same.
     uptake_seconds: float = 0.35
     write_seconds: float = 0.5
+    # For how long a patch may be sent again after a lost answer, and is told apart from another under its revisions.
+    resend_seconds: float = 600.0
 
 
 class SidecarParams(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -138,6 +140,7 @@
     "operators_port": (1, 65535),
     "uptake_seconds": (0, 60),
     "write_seconds": (0.05, 60),
+    "resend_seconds": (1, 86400),
     "further_percent": (0, 100),
     "further_margin": (0, 100000),
     "key_seconds": (1, 86400),
--- a/packages/config/src/hoistsaddle/config/items.py
+++ b/packages/config/src/hoistsaddle/config/items.py
@@ -4,8 +4,9 @@
 stands when the log applies it, as two desks may send at the same moment.
 """
 
+import hashlib
 from datetime import timedelta
-from typing import Literal, NamedTuple
+from typing import Any, Literal, NamedTuple
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -23,6 +24,8 @@
 # An aim may lie above the longest hold by less than this: further off, one of the two is a slip of the pen.
 AIM_ABOVE_HOLD = 60.0
 LARGEST_REVISION = 2**62
+# Bytes of a content's digest: 2**48 contents under one revision before two of them are taken for one.
+DIGEST_BYTES = 12
 # Far above any that is meant; their sum stays a number.
 LARGEST_WEIGHT = 1e12
 # A longer hold or aim than a day counts as a day: clocks and schedules end somewhere.
@@ -111,6 +114,34 @@
     return msgspec.msgpack.decode(data, type=KINDS[kind])
 
 
+def _plain(value: Any) -> Any:
+    """Numbers that are equal are written alike: 3 and 3.0."""
+    match value:
+        case float() if value.is_integer():
+            return int(value)
+        case dict():
+            return {key: _plain(each) for key, each in value.items()}
+        case list():
+            return [_plain(each) for each in value]
+    return value
+
+
+def content_digest(*, body: bytes, said: bytes) -> bytes:
+    """By what two settings under one revision are told apart: what they mean, and what is given back of them.
+
+    The order of a text's fields and its spaces are no content. A text that isn't JSON counts byte for byte.
+    """
+    try:
+        said = msgspec.json.encode(_plain(msgspec.json.decode(said)), order="sorted")
+    except (msgspec.MsgspecError, ValueError, OverflowError, RecursionError):
+        pass
+    return hashlib.blake2b(len(body).to_bytes(8) + body + said, digest_size=DIGEST_BYTES).digest()
+
+
+# What a drop is instead of a setting: the same for every name, and like no setting's.
+DROPPED_DIGEST = hashlib.blake2b(b"dropped", digest_size=DIGEST_BYTES).digest()
+
+
 def _broken(field: str, message: str, remedy: str) -> Mishap:
     return Mishap(MishapKind.ITEM_BROKEN, message, remedy, field)
 
--- a/packages/registry/src/hoistsaddle/registry/controller.py
+++ b/packages/registry/src/hoistsaddle/registry/controller.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
@@ -189,6 +190,7 @@
             losses=params.losses,
             uptake_seconds=params.uptake_seconds,
             write_seconds=params.write_seconds,
+            resend_seconds=params.resend_seconds,
         )
         numbers = [number_of_host(seed) for seed in params.seeds]
         for number in numbers:
@@ -246,16 +248,27 @@
             return checked
         self.requests += 1
         request = f"{bourse.node}.{bourse.incarnation}.{self.requests}"
-        command = PatchItems(request, self.params.desk, self.params.standing_sign_off, pack_patch(patch))
+        command = PatchItems(
+            request,
+            self.params.desk,
+            self.params.standing_sign_off,
+            pack_patch(patch),
+            span=math.ceil(self.params.resend_seconds),
+            # What its sender can know of was logged by now.
+            seen=self.warehouse.shell.core.state.offset,
+        )
         match await bourse.writer.write(command, within=timedelta(seconds=self.params.write_seconds)):
             case Failure(mishap):
                 return Failure(mishap)
             case Success(outcome) if outcome.mishap:
+                bourse.counters.add(f"patches.{outcome.mishap}")
                 bourse.counters.happen("patch refused", mishap=outcome.mishap, field=outcome.field)
                 return Failure(Mishap(outcome.mishap, outcome.message, outcome.remedy, outcome.field))
             case Success(outcome):
                 pass
-        if outcome.detail["number"]:
+        if not outcome.detail["number"]:
+            bourse.counters.add("patches.confirmed again")
+        else:
             bourse.counters.happen(
                 "bundle patched",
                 number=outcome.detail["number"],
--- a/packages/registry/src/hoistsaddle/registry/operators.py
+++ b/packages/registry/src/hoistsaddle/registry/operators.py
@@ -26,6 +26,9 @@
     MishapKind.REQUEST_BROKEN: 400,
     MishapKind.BUNDLE_BROKEN: 422,
     MishapKind.ITEM_BROKEN: 422,
+    MishapKind.ITEM_CONFLICT: 409,
+    # Neither taken nor refused.
+    MishapKind.ORDER_UNSURE: 503,
     MishapKind.NO_LEADER: 503,
     MishapKind.NOT_FOUNDED: 503,
     MishapKind.UNREACHABLE: 503,
--- a/packages/statemachine/src/hoistsaddle/statemachine/apply.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/apply.py
@@ -6,7 +6,7 @@
 
 from hoistsaddle.common.clock import to_microseconds
 from hoistsaddle.common.errors import MishapKind
-from hoistsaddle.statemachine import bundles, fleet, items, keys, people
+from hoistsaddle.statemachine import bundles, fleet, items, keys, orders, people
 from hoistsaddle.statemachine.commands import (
     LEVEL,
     LEVEL_OF,
@@ -75,7 +75,7 @@
             "Install a release that knows it on this machine; the others go on.",
         )
     # The stamp never goes back, whatever a record says.
-    state = keys.sweep(state._replace(offset=offset, epoch=epoch, stamp=max(stamp, state.stamp)))
+    state = _sweep(state._replace(offset=offset, epoch=epoch, stamp=max(stamp, state.stamp)))
     needed = LEVEL_OF.get(type(command), 1)
     if state.level < needed:
         return state, refuse(
@@ -86,6 +86,11 @@
     return _apply(state, command, offset, payload)
 
 
+def _sweep(state: State) -> State:
+    swept = keys.sweep(state)
+    return orders.sweep_orders(swept) if swept.swept != state.swept and swept.level >= orders.ORDERS_LEVEL else swept
+
+
 def _apply(state: State, command: Command, offset: int, payload: bytes) -> Applied:
     def once(request: str, operator: str, work: Callable[..., Applied]) -> Applied:
         return _once(state, request, operator, payload, lambda held: work(held, command, offset))
--- a/packages/statemachine/src/hoistsaddle/statemachine/bundles.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/bundles.py
@@ -5,6 +5,7 @@
 from hoistsaddle.common.errors import MishapKind
 from hoistsaddle.config.bundle import digest_of, read_bundle
 from hoistsaddle.statemachine.commands import AbortBundle, AdvanceBundle, Outcome, SignBundle, SubmitBundle
+from hoistsaddle.statemachine.orders import ORDERS_LEVEL
 from hoistsaddle.statemachine.state import (
     ABORTED,
     BUNDLES_KEPT,
@@ -36,26 +37,9 @@
     digest = digest_of(command.text)
     known = state.bundles.get(bundle.number)
     if known is not None:
-        if known.digest == digest:
-            return state, refuse(
-                MishapKind.BUNDLE_DUPLICATE,
-                f"Bundle {bundle.number} was submitted before and is {known.phase}.",
-                "Nothing to do: read its status.",
-                "number",
-            )
-        if known.phase != DRAFT:
-            return state, refuse(
-                MishapKind.BUNDLE_STALE,
-                f"Bundle {bundle.number} is {known.phase} with other content.",
-                "Take the next free number.",
-                "number",
-            )
-        return state, refuse(
-            MishapKind.BUNDLE_CONFLICT,
-            f"{known.author} submitted another bundle {bundle.number}.",
-            "Take the next free number.",
-            "number",
-        )
+        return state, _met(state, known, command.author, digest)
+    if (unsure := _forgotten(state, bundle.number)) is not None:
+        return state, unsure
     newest = max([number for number, entry in state.bundles.items() if entry.phase != DRAFT], default=0)
     if bundle.number <= newest:
         return state, refuse(
@@ -84,8 +68,49 @@
     return state._replace(bundles=bundles), Outcome(detail={"number": bundle.number, "digest": digest})
 
 
+def _met(state: State, known: BundleEntry, author: str, digest: str) -> Outcome:
+    """What a submission gets whose number is taken."""
+    if known.digest == digest and known.author == author and state.level >= ORDERS_LEVEL:
+        # Its answer was lost: what was taken is confirmed again, whatever became of it since.
+        return Outcome(detail={"number": known.number, "digest": digest, "phase": known.phase})
+    if known.digest == digest:
+        return refuse(
+            MishapKind.BUNDLE_DUPLICATE,
+            f"Bundle {known.number} was submitted before and is {known.phase}.",
+            "Nothing to do: read its status.",
+            "number",
+        )
+    if known.phase != DRAFT:
+        return refuse(
+            MishapKind.BUNDLE_STALE,
+            f"Bundle {known.number} is {known.phase} with other content.",
+            "Take the next free number.",
+            "number",
+        )
+    return refuse(
+        MishapKind.BUNDLE_CONFLICT,
+        f"{known.author} submitted another bundle {known.number}.",
+        "Take the next free number.",
+        "number",
+    )
+
+
+def _forgotten(state: State, number: int) -> Outcome | None:
+    """The answer where a bundle may have been taken and pushed out by newer ones: neither yes nor no."""
+    if state.level < ORDERS_LEVEL or len(state.bundles) < BUNDLES_KEPT or number >= min(state.bundles):
+        return None
+    return refuse(
+        MishapKind.ORDER_UNSURE,
+        f"Bundle {number} is older than all that are kept: whether it was taken isn't known any more.",
+        "Read the time line; a new change takes the next free number.",
+        "number",
+    )
+
+
 def sign(state: State, command: SignBundle, offset: int) -> tuple[State, Outcome]:
     entry = state.bundles.get(command.number)
+    if entry is None and (unsure := _forgotten(state, command.number)) is not None:
+        return state, unsure
     if entry is None:
         return state, refuse(
             MishapKind.BUNDLE_UNKNOWN, f"There is no bundle {command.number}.", "Submit it first.", "number"
@@ -97,6 +122,8 @@
             "Read the bundle again and sign what you read.",
             "digest",
         )
+    if state.level >= ORDERS_LEVEL and entry.signer == command.signer:
+        return state, _confirmed(state, entry)
     if entry.phase != DRAFT:
         return state, refuse(
             MishapKind.BUNDLE_WRONG_PHASE,
@@ -111,22 +138,33 @@
             "A second person must sign it.",
             "signer",
         )
+    if (refusal := _out_of_turn(state, entry)) is not None:
+        return state, refusal
+    state = state._replace(
+        bundles=state.bundles.set(entry.number, entry._replace(signer=command.signer, phase=ROLLING, offset=offset)),
+        rolling=entry.number,
+    )
+    return stage(state, entry.number, offset)
+
+
+def _out_of_turn(state: State, entry: BundleEntry) -> Outcome | None:
+    """The refusal of a draft that can't follow what is in force or rolling."""
     if state.rolling:
-        return state, refuse(
+        return refuse(
             MishapKind.BUNDLE_CONFLICT,
             f"Bundle {state.rolling} is rolling out.",
             f"Finish or abort {state.rolling} first.",
             "number",
         )
     if entry.based_on != state.in_force:
-        return state, refuse(
+        return refuse(
             MishapKind.BUNDLE_WRONG_BASE,
             f"It is based on {entry.based_on}, but {state.in_force} is in force.",
             f"Rework it on top of {state.in_force}.",
             "based_on",
         )
     if state.level > 1 and _renames_held(state, entry.number):
-        return state, refuse(
+        return refuse(
             MishapKind.RELEASE_LEVEL,
             "Keys held since before the release level rose are known by the names of entries this bundle renames.",
             "Sign it once they have expired, in ten minutes at most.",
@@ -134,15 +172,11 @@
         )
     # An older draft must not follow a newer bundle: numbers only go up.
     newest = max([number for number, each in state.bundles.items() if each.phase != DRAFT], default=0)
-    if command.number < newest:
-        return state, refuse(
+    if entry.number < newest:
+        return refuse(
             MishapKind.BUNDLE_STALE, f"Bundle {newest} was signed already.", f"Number it above {newest}.", "number"
         )
-    state = state._replace(
-        bundles=state.bundles.set(entry.number, entry._replace(signer=command.signer, phase=ROLLING, offset=offset)),
-        rolling=entry.number,
-    )
-    return stage(state, entry.number, offset)
+    return None
 
 
 def _renames_held(state: State, number: int) -> bool:
@@ -156,6 +190,21 @@
     return any(names.get(way, name) != name for way, name in held.items())
 
 
+def _confirmed(state: State, entry: BundleEntry) -> Outcome:
+    """What a call gets that was taken before and comes again: how far its bundle is, and no step further."""
+    stages = bundle_of(state, entry.number).rollout()
+    return Outcome(
+        detail={
+            "number": entry.number,
+            "stage": entry.stage,
+            "stages": len(stages),
+            "name": stages[entry.stage - 1].name,
+            "offset": entry.offset,
+            "phase": entry.phase,
+        }
+    )
+
+
 def stage(state: State, number: int, offset: int) -> tuple[State, Outcome]:
     """Moves the rolling bundle one stage on; after the last stage it is in force."""
     entry = state.bundles[number]
@@ -180,6 +229,10 @@
 
 def advance(state: State, command: AdvanceBundle, offset: int) -> tuple[State, Outcome]:
     entry = state.bundles.get(command.number)
+    if entry is None and (unsure := _forgotten(state, command.number)) is not None:
+        return state, unsure
+    if entry is not None and command.operator in entry.advanced_by[command.from_stage - 1 : command.from_stage]:
+        return state, _confirmed(state, entry)
     if entry is None or entry.phase != ROLLING:
         return state, refuse(
             MishapKind.BUNDLE_WRONG_PHASE,
@@ -195,11 +248,20 @@
             "Read its status and advance from there.",
             "from_stage",
         )
+    if state.level >= ORDERS_LEVEL:
+        # Stages passed below that level are nobody's.
+        before = (*entry.advanced_by, *[""] * (entry.stage - 1 - len(entry.advanced_by)))
+        moved = entry._replace(advanced_by=(*before, command.operator))
+        state = state._replace(bundles=state.bundles.set(entry.number, moved))
     return stage(state, command.number, offset)
 
 
 def abort(state: State, command: AbortBundle, offset: int) -> tuple[State, Outcome]:
     entry = state.bundles.get(command.number)
+    if entry is None and (unsure := _forgotten(state, command.number)) is not None:
+        return state, unsure
+    if entry is not None and entry.phase == ABORTED and entry.aborted_by == command.operator:
+        return state, Outcome(detail={"number": command.number, "offset": entry.offset})
     if entry is None or entry.phase not in (DRAFT, ROLLING):
         return state, refuse(
             MishapKind.BUNDLE_WRONG_PHASE,
@@ -208,7 +270,9 @@
             "number",
         )
     rolling = 0 if state.rolling == command.number else state.rolling
-    bundles = state.bundles.set(command.number, entry._replace(phase=ABORTED, offset=offset))
+    aborted_by = command.operator if state.level >= ORDERS_LEVEL else ""
+    aborted = entry._replace(phase=ABORTED, offset=offset, aborted_by=aborted_by)
+    bundles = state.bundles.set(command.number, aborted)
     return state._replace(
         bundles=bundles, rolling=rolling, news=offset if entry.phase == ROLLING else state.news
     ), Outcome(detail={"number": command.number, "offset": offset})
--- a/packages/statemachine/src/hoistsaddle/statemachine/commands.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/commands.py
@@ -43,6 +43,11 @@
     author: str
     signer: str
     patch: bytes
+    # Seconds of mesh time for which it may still be sent again; 0 for RESEND_KEPT.
+    span: int = 0
+    # The offset up to which its taker had applied the log when the call arrived: what was logged since can't have been
+    # known to whoever sent it. -1 from a release that doesn't say.
+    seen: int = -1
 
 
 class SubmitBundle(NamedTuple):
@@ -207,7 +212,7 @@
     | DropOperator
 )
 # The highest release level this release supports, and the commands that came with each level above the first.
-LEVEL = 3
+LEVEL = 4
 LEVEL_OF: dict[type, int] = {
     Purge: 2,
     ChangeOperator: 2,
@@ -255,6 +260,8 @@
 HOLD_SETTLED = timedelta(seconds=75)
 HOLD_UNSETTLED = timedelta(minutes=10)
 OUTCOME_KEPT = timedelta(minutes=10)
+# Seconds an order may still be sent again where its taker names no span.
+RESEND_KEPT = timedelta(minutes=10)
 SWEEP_EVERY = timedelta(seconds=5)
 # Longer than any lease, any hold and any memory of a send that could still refer to a server or node.
 GONE_KEPT = timedelta(minutes=10)
--- /dev/null
+++ b/packages/statemachine/src/hoistsaddle/statemachine/orders.py
@@ -0,0 +1,155 @@
+"""What the log knows of orders that may come more than once: the same one again, or another under the same revision.
+
+What was taken is never refused; what was refused never counts; one revision of an item has one content. Where the log
+no longer knows, it says so and gives neither answer.
+"""
+
+import hashlib
+from datetime import timedelta
+from typing import NamedTuple
+
+from hoistsaddle.common.clock import to_microseconds
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.config.items import DROPPED_DIGEST, Checked, content_digest, key_of, pack_item
+from hoistsaddle.statemachine.commands import RESEND_KEPT, Outcome, PatchItems
+from hoistsaddle.statemachine.itemmemory import ItemMemory, Meeting, TakenRevision, forget, meet, remember
+from hoistsaddle.statemachine.state import Refusal, State, refuse
+
+# From this release level on the log remembers orders.
+ORDERS_LEVEL = 4
+# Refused patches whose copies are still told apart; the oldest go first.
+MOST_REFUSALS = 256
+
+
+class OrderedItem(NamedTuple):
+    """One item of an order: what it names, and its content under that revision."""
+
+    key: str
+    revision: int
+    digest: bytes
+    # Where it stands in the patch.
+    field: str
+
+
+class OrderCheck(NamedTuple):
+    """What an order meets: the refusal it gets, if any, and what is to be remembered of it."""
+
+    refusal: Outcome | None
+    remembered: tuple[OrderedItem, ...] = ()
+
+
+def _ordered(checked: Checked) -> list[OrderedItem]:
+    ordered = [
+        OrderedItem(
+            key_of(setting.kind, item.name),
+            setting.revision,
+            content_digest(body=pack_item(item), said=setting.said),
+            f"sets[{place}]",
+        )
+        for place, (setting, item) in enumerate(checked.sets)
+    ]
+    ordered += [
+        OrderedItem(key_of(each.kind, each.name), each.revision, DROPPED_DIGEST, f"drops[{place}]")
+        for place, each in enumerate(checked.drops)
+    ]
+    return ordered
+
+
+def _memory(state: State, key: str) -> ItemMemory | None:
+    known = state.memories.get(key)
+    if known is not None or key not in state.items:
+        return known
+    # Taken before the log remembered: of what it overtook nothing is known.
+    entry = state.items[key]
+    digest = DROPPED_DIGEST if entry.dropped else content_digest(body=entry.body, said=entry.said)
+    return ItemMemory((TakenRevision(entry.revision, digest, 0),), entry.revision - 1)
+
+
+def _conflict(item: OrderedItem, *, where: str) -> Outcome:
+    kind, _, name = item.key.partition(":")
+    return refuse(
+        MishapKind.ITEM_CONFLICT,
+        f"Revision {item.revision} of {kind} {name} has another content {where}; nothing of the patch counts.",
+        "Read the items, and send the change under a higher revision of its own.",
+        item.field,
+    )
+
+
+def _unsure(message: str, field: str = "") -> Outcome:
+    return refuse(
+        MishapKind.ORDER_UNSURE,
+        message,
+        "Read the items: what is missing there, send under a higher revision.",
+        field,
+    )
+
+
+def check_order(state: State, command: PatchItems, checked: Checked) -> OrderCheck:
+    """Whether this order may count, by what is remembered of its items and of itself."""
+    if state.level < ORDERS_LEVEL:
+        return OrderCheck(None)
+    ordered = _ordered(checked)
+    within: dict[tuple[str, int], bytes] = {}
+    for item in ordered:
+        if within.setdefault((item.key, item.revision), item.digest) != item.digest:
+            return OrderCheck(_conflict(item, where="in the same patch"))
+    met = [(item, meet(_memory(state, item.key), revision=item.revision, digest=item.digest)) for item in ordered]
+    for item, meeting in met:
+        if meeting is Meeting.OTHER:
+            return OrderCheck(_conflict(item, where="already"))
+    for item, meeting in met:
+        if meeting is Meeting.FORGOTTEN:
+            kind, _, name = item.key.partition(":")
+            return OrderCheck(
+                _unsure(f"Revision {item.revision} of {kind} {name} was overtaken too long ago to be told.", item.field)
+            )
+    refused = state.refusals.get(call_digest(command))
+    if refused is not None and command.seen < refused.offset and any(each is not Meeting.TAKEN for _, each in met):
+        # This copy set out before the refusal was logged: its sender was told, or will be, that it doesn't count.
+        return OrderCheck(_unsure("An older copy of a patch that was refused since: it doesn't count any more."))
+    return OrderCheck(None, tuple(ordered))
+
+
+def call_digest(command: PatchItems) -> str:
+    return hashlib.sha256(command.patch).hexdigest()
+
+
+def _until(state: State, command: PatchItems) -> int:
+    span = timedelta(seconds=command.span) if command.span > 0 else RESEND_KEPT
+    return to_microseconds(state.stamp + span)
+
+
+def remember_order(state: State, command: PatchItems, check: OrderCheck) -> State:
+    """What was taken just now, or once more: its contents stay known for as long as it may be sent again."""
+    if not check.remembered:
+        return state
+    now, until = to_microseconds(state.stamp), _until(state, command)
+    memories = state.memories.mutate()
+    for item in sorted(check.remembered):
+        known = memories.get(item.key) or _memory(state, item.key)
+        if known is None or known.taken[-1][:2] != (item.revision, item.digest):
+            memories[item.key] = remember(known, revision=item.revision, digest=item.digest, now=now, until=until)
+    return state._replace(memories=memories.finish())
+
+
+def remember_refusal(state: State, command: PatchItems, offset: int) -> State:
+    """A refusal for what stood now: a copy that set out before it must not count once something else stands."""
+    if state.level < ORDERS_LEVEL:
+        return state
+    refusals = state.refusals.set(call_digest(command), Refusal(offset, _until(state, command)))
+    if len(refusals) > MOST_REFUSALS:
+        refusals = refusals.delete(min(refusals, key=lambda digest: refusals[digest].offset))
+    return state._replace(refusals=refusals)
+
+
+def sweep_orders(state: State) -> State:
+    """Forgets what nobody can send again."""
+    now = to_microseconds(state.stamp)
+    memories, refusals = state.memories.mutate(), state.refusals.mutate()
+    for key, memory in state.memories.items():
+        if (left := forget(memory, now=now)) is not memory:
+            memories[key] = left
+    for digest, refusal in state.refusals.items():
+        if refusal.kept_until <= now:
+            del refusals[digest]
+    return state._replace(memories=memories.finish(), refusals=refusals.finish())
--- a/packages/statemachine/src/hoistsaddle/statemachine/state.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/state.py
@@ -1,5 +1,6 @@
 """The deterministic state the log builds. Every value is immutable: a capture is a reference kept at one offset."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, NamedTuple
 
@@ -10,6 +11,7 @@
 from hoistsaddle.common.errors import Mishap, MishapKind
 from hoistsaddle.config.bundle import Bundle, read_bundle
 from hoistsaddle.statemachine.commands import Outcome
+from hoistsaddle.statemachine.itemmemory import ItemMemory, TakenRevision
 
 DRAFT = "draft"
 ROLLING = "rolling"
@@ -35,6 +37,9 @@
     phase: str
     stage: int
     offset: int
+    # Who moved it beyond each stage after the first, and who aborted it; kept from release level 4 on.
+    advanced_by: tuple[str, ...] = ()
+    aborted_by: str = ""
 
 
 class ServerEntry(NamedTuple):
@@ -107,6 +112,14 @@
     changed: tuple[str, ...]
 
 
+class Refusal(NamedTuple):
+    """A patch that was refused for what stood then: an older copy of it must not count later."""
+
+    offset: int
+    # Microseconds of mesh time.
+    kept_until: int
+
+
 class State(NamedTuple):
     mesh: str = ""
     offset: int = 0
@@ -137,12 +150,21 @@
     # "kind:name" to its item, and the newest patches by number; kept from release level 3 on.
     items: Map = Map()
     patches: Map = Map()
-
-
-# Fields of level 1. Below level 2 the others hold their defaults and aren't packed: a former release reads this too.
-_first_fields = {"servers": 10, "nodes": 7, "holds": 9}
-_first_parts = {"level", "raised", "purged", "buckets", "changes"}
-_second_parts = {"items", "patches"}
+    # "kind:name" to the contents its revisions were taken with, and digests of patches to how they were refused; kept
+    # from release level 4 on.
+    memories: Map = Map()
+    refusals: Map = Map()
+
+
+# How many fields the entries of a part had below a level. The others hold their defaults there and aren't packed: a
+# former release reads this too.
+_fields_below: dict[str, tuple[int, int]] = {"servers": (2, 10), "nodes": (2, 7), "holds": (2, 9), "bundles": (4, 9)}
+# Parts that came with a level.
+_parts_of: dict[int, set[str]] = {
+    2: {"level", "raised", "purged", "buckets", "changes"},
+    3: {"items", "patches"},
+    4: {"memories", "refusals"},
+}
 _entries: dict[str, Any] = {
     "bundles": BundleEntry,
     "servers": ServerEntry,
@@ -154,19 +176,20 @@
     "changes": None,
     "items": ItemEntry,
     "patches": PatchEntry,
+    "memories": ItemMemory,
+    "refusals": Refusal,
 }
 
 
 def pack_state(state: State) -> bytes:
     plain = state._asdict()
-    if state.level < 3:
-        plain = {name: value for name, value in plain.items() if name not in _second_parts}
-    if state.level < 2:
-        plain = {name: value for name, value in plain.items() if name not in _first_parts}
+    later = {name for level, parts in _parts_of.items() if state.level < level for name in parts}
+    plain = {name: value for name, value in plain.items() if name not in later}
     for name, value in plain.items():
         match value:
             case Map():
-                width = _first_fields.get(name) if state.level < 2 else None
+                level, fields = _fields_below.get(name, (0, 0))
+                width = fields if state.level < level else None
                 # Sorted, so that equal states give equal bytes on every replica.
                 plain[name] = [[key, value[key][:width] if width else value[key]] for key in sorted(value)]
             case timedelta():
@@ -186,14 +209,20 @@
         plain[name] = Map({key: kind(*value[: len(kind._fields)]) if kind else value for key, value in plain[name]})
     if "buckets" in plain:
         plain["buckets"] = Map({bucket: tuple(scopes) for bucket, scopes in plain["buckets"].items()})
-    if "patches" in plain:
-        # A list in one state and a tuple in the other would be two states.
-        plain["patches"] = Map(
-            {number: entry._replace(changed=tuple(entry.changed)) for number, entry in plain["patches"].items()}
-        )
+    # A list in one state and a tuple in the other would be two states.
+    for name, restore in _nested.items():
+        if name in plain:
+            plain[name] = Map({key: restore(entry) for key, entry in plain[name].items()})
     return State(**plain)
 
 
+_nested: dict[str, Callable[[Any], Any]] = {
+    "patches": lambda entry: entry._replace(changed=tuple(entry.changed)),
+    "bundles": lambda entry: entry._replace(advanced_by=tuple(entry.advanced_by)),
+    "memories": lambda entry: entry._replace(taken=tuple(TakenRevision(*each) for each in entry.taken)),
+}
+
+
 def found_state(*, mesh: str, voters: dict[int, str], operators: dict[str, str], level: int = 1) -> State:
     return State(mesh=mesh, voters=Map(voters), operators=Map(operators), level=level)
 
--- a/tests/plants.py
+++ b/tests/plants.py
@@ -17,10 +17,10 @@
 from hoistsaddle.raft.disk import Disk
 from hoistsaddle.raft.events import Answer, Pace, Send
 from hoistsaddle.registry.service import Registry
-from hoistsaddle.statemachine import bundles, fleet, keys
+from hoistsaddle.statemachine import bundles, fleet, itemmemory, keys
 from hoistsaddle.statemachine.commands import Outcome
 from hoistsaddle.store import service
-from hoistsaddle.testbed.simulation import hardships, rules, scenarios
+from hoistsaddle.testbed.simulation import hardships, orders, rules, scenarios
 
 
 class Plant(NamedTuple):
@@ -32,6 +32,16 @@
     patch: Callable[[], object]
 
 
+def _newest_revision_alone():
+    plain = itemmemory.meet
+
+    def planted(memory, *, revision: int, digest: bytes):
+        overtaken = memory is not None and revision < memory.taken[-1].revision
+        return itemmemory.Meeting.OVERTAKEN if overtaken else plain(memory, revision=revision, digest=digest)
+
+    return mock.patch("hoistsaddle.statemachine.orders.meet", planted)
+
+
 def _every_claim_granted():
     return mock.patch(
         "hoistsaddle.statemachine.keys.claim", lambda state, command: (state, Outcome(detail={"phase": "granted"}))
@@ -353,6 +363,14 @@
         (1,),
         _newer_records_passed_over,
     ),
+    Plant(
+        "only the newest revision is compared",
+        "what is promised comes true",
+        "three",
+        orders.orders_sent_again,
+        (1,),
+        _newest_revision_alone,
+    ),
     Plant(
         "copies are taken as sent",
         "damage mends and never spreads",
--- a/tests/test_market.py
+++ b/tests/test_market.py
@@ -158,6 +158,7 @@
             ("standing_sign_off", "desk"),
             ("uptake_seconds", -1.0),
             ("write_seconds", float("nan")),
+            ("resend_seconds", 0.5),
             ("checkpoint_records", 0),
             ("lease_seconds", 0.0),
         ):
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,460 @@
+"""Orders that come more than once: one revision of an item has one content, and no clear answer is ever taken back."""
+
+from contextlib import ExitStack
+from datetime import timedelta
+from typing import Any
+from unittest import mock
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals
+
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.config.items import ENTRY, SERVICE, Dropping, Patch, Setting, content_digest, pack_patch
+from hoistsaddle.statemachine import items, orders
+from hoistsaddle.statemachine.apply import apply
+from hoistsaddle.statemachine.commands import (
+    AbortBundle,
+    AdvanceBundle,
+    Outcome,
+    PatchItems,
+    RaiseLevel,
+    SignBundle,
+    SubmitBundle,
+    Tick,
+    pack_command,
+)
+from hoistsaddle.statemachine.itemmemory import MOST_REVISIONS, ItemMemory, Meeting, meet
+from hoistsaddle.statemachine.orders import MOST_REFUSALS
+from hoistsaddle.statemachine.state import BUNDLES_KEPT, State, found_state, pack_state, unpack_state
+from orders_model import CHECKS, ORDERS, WAIT, ModelOrder, explore
+
+SPAN = 60
+
+
+def service(name: str = "ledger", *, revision: int = 1, said: bytes | None = None, **changes: Any) -> Setting:
+    return Setting(SERVICE, revision, {"name": name, **changes}, b"" if said is None else said)
+
+
+def entry(name: str = "pay", *, revision: int = 1, **changes: Any) -> Setting:
+    item: dict[str, Any] = {
+        "name": name,
+        "host": "shop.example",
+        "prefix": f"/{name}/",
+        "kind": "repeatable",
+        "parts": [{"service": "ledger"}],
+        "hold_seconds": 2.0,
+        "aim_seconds": 0.5,
+    }
+    return Setting(ENTRY, revision, {**item, **changes})
+
+
+class Log:
+    """A state and the records that come to it."""
+
+    def __init__(self, *, level: int = 4, operators: dict[str, str] | None = None) -> None:
+        self.state: State = found_state(mesh="m", voters={1: "one"}, operators=operators or {}, level=level)
+
+    def take(self, command: Any, *, later: float = 1) -> Outcome:
+        self.state, outcome = apply(
+            self.state,
+            offset=self.state.offset + 1,
+            epoch=1,
+            stamp=self.state.stamp + timedelta(seconds=later),
+            payload=pack_command(command),
+        )
+        return outcome
+
+    def patch(self, *sets: Setting, drops: tuple[Dropping, ...] = (), seen: int | None = None) -> Outcome:
+        patch = pack_patch(Patch(list(sets), list(drops)))
+        seen = self.state.offset if seen is None else seen
+        return self.take(PatchItems("request", "desk", "standing", patch, SPAN, seen))
+
+    def wait(self, seconds: float) -> None:
+        self.take(Tick(1), later=seconds)
+
+    def stands(self) -> dict[str, int]:
+        return {key: item.revision for key, item in self.state.items.items() if not item.dropped}
+
+
+class OneContent(TestCase):
+    def test_another_content_under_a_taken_revision_is_refused_whole(self) -> None:
+        log = Log()
+        log.patch(service(), entry(revision=5))
+        before = log.state.items, log.state.patches, log.state.news, log.state.memories
+        outcome = log.patch(entry("other"), entry(revision=5, rank=9))
+        self.assertThat((outcome.mishap, outcome.field), Equals((str(MishapKind.ITEM_CONFLICT), "sets[1]")))
+        self.assertThat(outcome.message, Contains("Revision 5 of entry pay"))
+        self.assertThat(outcome.remedy, Contains("higher revision"))
+        dropped = log.patch(service("new"), drops=(Dropping(ENTRY, 5, "pay"),))
+        self.assertThat((dropped.mishap, dropped.field), Equals((str(MishapKind.ITEM_CONFLICT), "drops[0]")))
+        self.assertThat((log.state.items, log.state.patches, log.state.news, log.state.memories), Equals(before))
+        # Its own content is confirmed as often as it comes, beside something new too.
+        self.assertThat(log.patch(service(), entry(revision=5)).detail["number"], Equals(0))
+        self.assertThat(log.patch(entry(revision=5), service("new")).detail["changed"], Equals(["service:new"]))
+
+    def test_a_drop_is_a_content_too(self) -> None:
+        log = Log()
+        log.patch(service(), drops=(Dropping(ENTRY, 3, "pay"),))
+        self.assertThat(log.patch(drops=(Dropping(ENTRY, 3, "pay"),)).mishap, Equals(""))
+        self.assertThat(log.patch(entry(revision=3)).mishap, Equals(str(MishapKind.ITEM_CONFLICT)))
+
+    def test_a_patch_that_contradicts_itself_is_refused(self) -> None:
+        log = Log()
+        log.patch(service())
+        for sets, drops in (
+            ((entry(revision=3, rank=1), entry(revision=3, rank=2)), ()),
+            ((entry(revision=3),), (Dropping(ENTRY, 3, "pay"),)),
+        ):
+            outcome = log.patch(*sets, drops=drops)
+            self.assertThat((outcome.mishap, outcome.remedy != ""), Equals((str(MishapKind.ITEM_CONFLICT), True)))
+        self.assertThat(log.stands(), Equals({"service:ledger": 1}))
+        self.assertThat(log.patch(entry(revision=3), entry(revision=3)).detail["changed"], Equals(["entry:pay"]))
+
+    def test_what_is_written_otherwise_is_the_same_content(self) -> None:
+        said = b'{"name": "a", "n": 3, "list": [1.0, {"x": true}]}'
+        same = b'{"list":[1,{"x":true}],\n "n":3.0,"name":"a"}'
+        other = b'{"list":[1,{"x":false}],"n":3,"name":"a"}'
+        self.assertThat(content_digest(body=b"b", said=said), Equals(content_digest(body=b"b", said=same)))
+        digests = {
+            content_digest(body=body, said=text) for body in (b"b", b"c") for text in (said, other, b"no json", b"")
+        }
+        self.assertThat(len(digests), Equals(8))
+        log = Log()
+        log.patch(service(said=said))
+        self.assertThat(log.patch(service(said=same)).mishap, Equals(""))
+        # A field that means nothing here is given back all the same, so it is content.
+        self.assertThat(log.patch(service(said=other)).mishap, Equals(str(MishapKind.ITEM_CONFLICT)))
+
+    def test_the_loser_of_a_race_is_refused_when_both_are_overtaken_and_the_winner_is_confirmed(self) -> None:
+        log = Log()
+        winner, loser = entry(revision=5, rank=1), entry(revision=5, rank=2)
+        log.patch(service(), winner)
+        log.patch(loser)
+        log.patch(entry(revision=6))
+        log.patch(drops=(Dropping(ENTRY, 9, "pay"),))
+        for _ in range(3):
+            self.assertThat(log.patch(winner).mishap, Equals(""))
+            self.assertThat(log.patch(loser).mishap, Equals(str(MishapKind.ITEM_CONFLICT)))
+        self.assertThat(log.stands(), Equals({"service:ledger": 1}))
+
+    def test_one_that_came_after_it_was_overtaken_is_taken_and_its_rival_is_not(self) -> None:
+        log = Log()
+        log.patch(service(), entry(revision=9))
+        early, rival = entry(revision=7, rank=1), entry(revision=7, rank=2)
+        self.assertThat([log.patch(each).mishap for each in (early, rival, early)], Equals(["", "item-conflict", ""]))
+        self.assertThat(log.stands()["entry:pay"], Equals(9))
+
+
+class Spans(TestCase):
+    def test_when_the_span_is_over_neither_is_confirmed_and_neither_refused(self) -> None:
+        log = Log()
+        winner, loser = entry(revision=5, rank=1), entry(revision=5, rank=2)
+        log.patch(service(), winner)
+        log.wait(10 * SPAN)
+        # What prevails is known for ever.
+        self.assertThat([log.patch(each).mishap for each in (winner, loser)], Equals(["", "item-conflict"]))
+        log.patch(entry(revision=6))
+        # The span runs from the moment it was overtaken, and from each copy.
+        log.wait(SPAN - 5)
+        self.assertThat([log.patch(each).mishap for each in (winner, loser)], Equals(["", "item-conflict"]))
+        log.wait(SPAN - 5)
+        self.assertThat([log.patch(each).mishap for each in (winner, loser)], Equals(["", "item-conflict"]))
+        log.wait(SPAN + 10)
+        for order in (winner, loser, entry(revision=2)):
+            outcome = log.patch(order)
+            self.assertThat(
+                (outcome.mishap, outcome.remedy != ""), Equals((str(MishapKind.ORDER_UNSURE), True)), outcome.message
+            )
+        self.assertThat(log.state.memories["entry:pay"].forgotten, Equals(5))
+        self.assertThat(log.patch(entry(revision=7)).detail["changed"], Equals(["entry:pay"]))
+
+    def test_the_memory_has_a_bound_and_what_it_cut_is_not_refused(self) -> None:
+        log = Log()
+        log.patch(service())
+        for revision in range(1, 2 * MOST_REVISIONS):
+            log.patch(entry(revision=revision, rank=revision))
+            log.state = log.state._replace(stamp=timedelta(seconds=5))
+        memory = log.state.memories["entry:pay"]
+        self.assertThat((len(memory.taken), memory.forgotten), Equals((MOST_REVISIONS, MOST_REVISIONS - 1)))
+        for revision, answer in ((MOST_REVISIONS - 1, "order-unsure"), (MOST_REVISIONS, ""), (MOST_REVISIONS + 9, "")):
+            self.assertThat(log.patch(entry(revision=revision, rank=revision)).mishap, Equals(answer))
+        self.assertThat(log.patch(entry(revision=MOST_REVISIONS, rank=0)).mishap, Equals("item-conflict"))
+
+    def test_a_sweep_forgets_what_nobody_asks_for(self) -> None:
+        log = Log()
+        log.patch(service(), entry())
+        log.patch(entry("lost", parts=[{"service": "nobody"}]))
+        for revision in range(2, 9):
+            log.patch(entry(revision=revision))
+        self.assertThat((len(log.state.memories["entry:pay"].taken), len(log.state.refusals)), Equals((8, 1)))
+        log.wait(2 * SPAN)
+        self.assertThat((len(log.state.memories["entry:pay"].taken), len(log.state.refusals)), Equals((1, 0)))
+
+    def test_refusals_are_bounded(self) -> None:
+        log = Log()
+        for number in range(MOST_REFUSALS + 7):
+            log.patch(entry(f"lost-{number}"))
+            log.state = log.state._replace(stamp=timedelta(seconds=5))
+        self.assertThat(len(log.state.refusals), Equals(MOST_REFUSALS))
+        self.assertThat(min(each.offset for each in log.state.refusals.values()), Equals(8))
+
+
+class Copies(TestCase):
+    def test_a_copy_that_set_out_before_its_refusal_never_counts(self) -> None:
+        log = Log()
+        log.patch(service("other"))
+        early = log.state.offset
+        self.assertThat(log.patch(entry()).mishap, Equals(str(MishapKind.ITEM_BROKEN)))
+        log.patch(service())
+        late = log.patch(entry(), seen=early)
+        self.assertThat((late.mishap, log.stands().get("entry:pay")), Equals((str(MishapKind.ORDER_UNSURE), None)))
+        # Its sender read why, declared the service and sends it again.
+        self.assertThat(log.patch(entry()).detail["changed"], Equals(["entry:pay"]))
+        # From here on the same copy is one of an order that was taken.
+        self.assertThat(log.patch(entry(), seen=early).mishap, Equals(""))
+
+    def test_a_copy_of_a_release_that_does_not_say_when_it_set_out_waits_for_the_span(self) -> None:
+        log = Log()
+        log.patch(entry())
+        log.patch(service())
+        self.assertThat(log.patch(entry(), seen=-1).mishap, Equals(str(MishapKind.ORDER_UNSURE)))
+        log.wait(2 * SPAN)
+        self.assertThat(log.patch(entry(), seen=-1).mishap, Equals(""))
+
+    def test_what_was_taken_is_confirmed_when_its_service_is_gone(self) -> None:
+        log = Log()
+        log.patch(service(), entry())
+        log.patch(drops=(Dropping(SERVICE, 2, "ledger"),))
+        self.assertThat(log.patch(service(), entry()).mishap, Equals(""))
+        self.assertThat(log.patch(entry("more")).mishap, Equals(str(MishapKind.ITEM_BROKEN)))
+
+
+def forgets_at_once(memory: ItemMemory, *, now: int) -> ItemMemory:
+    if len(memory.taken) == 1:
+        return memory
+    return ItemMemory(memory.taken[-1:], max(memory.forgotten, memory.taken[-2].revision))
+
+
+def confirms_the_forgotten(memory: ItemMemory | None, *, revision: int, digest: bytes) -> Meeting:
+    found = meet(memory, revision=revision, digest=digest)
+    return Meeting.OVERTAKEN if found is Meeting.FORGOTTEN else found
+
+
+def refuses_the_forgotten(memory: ItemMemory | None, *, revision: int, digest: bytes) -> Meeting:
+    found = meet(memory, revision=revision, digest=digest)
+    return Meeting.OTHER if found is Meeting.FORGOTTEN else found
+
+
+def knows_the_newest_alone(memory: ItemMemory | None, *, revision: int, digest: bytes) -> Meeting:
+    """Refuses an equal revision's other content, and confirms what is lower: the first thought of a mend."""
+    found = meet(memory, revision=revision, digest=digest)
+    return found if memory is None or revision >= memory.taken[-1].revision else Meeting.OVERTAKEN
+
+
+class Model(TestCase):
+    """Each sequence of orders, copies and waits, up to a length."""
+
+    def test_every_sequence_holds(self) -> None:
+        small = explore(orders=(*ORDERS, WAIT), depth=4, level=4)
+        races = explore(orders=(*ORDERS[:4], WAIT), depth=5, level=4)
+        late = explore(orders=(*ORDERS[4:], WAIT), depth=5, level=4)
+        for explored in (small, races, late):
+            print(f"depth {explored.depth}: {explored.states} states")
+            self.assertThat(explored.broken, Equals({}))
+
+    def test_each_check_finds_the_fault_planted_for_it(self) -> None:
+        # The former rule, which knew no content.
+        self.assertThat(sorted(explore(orders=ORDERS[:3], depth=3, level=3).broken), Equals(["one_content"]))
+        races = (*ORDERS[:3], WAIT)
+        late = ORDERS[4:7]
+        plants: tuple[tuple[Any, str, Any, tuple[ModelOrder, ...], str], ...] = (
+            (orders, "meet", knows_the_newest_alone, races, "one_content"),
+            (orders, "meet", confirms_the_forgotten, races, "one_content"),
+            (orders, "meet", refuses_the_forgotten, races, "taken_never_refused"),
+            (orders, "forget", forgets_at_once, races, "taken_never_refused"),
+            (items, "remember_refusal", lambda state, command, offset: state, late, "refused_never_counts"),
+            (items, "remember_order", lambda state, command, check: state, races, "taken_never_refused"),
+            (items, "_prevails", lambda state, key, revision: True, races, "highest_stands"),
+        )
+        for module, name, planted, some, wanted in plants:
+            with ExitStack() as stack:
+                stack.enter_context(mock.patch.object(module, name, planted))
+                if name == "forget":
+                    stack.enter_context(mock.patch("hoistsaddle.statemachine.itemmemory.forget", planted))
+                found = explore(orders=some, depth=4, level=4).broken
+            self.assertThat(sorted(found), Contains(wanted), f"{name}: {found}")
+        self.assertThat(len(CHECKS), Equals(4))
+
+
+class Levels(TestCase):
+    def test_below_level_4_a_state_is_the_former_releases(self) -> None:
+        log = Log(level=3)
+        log.patch(service(), entry(revision=5))
+        self.assertThat(log.patch(entry(revision=5, rank=9)).mishap, Equals(""))
+        log.patch(entry("lost", parts=[{"service": "nobody"}]))
+        packed = pack_state(log.state)
+        self.assertThat([part in packed for part in (b"memories", b"refusals")], Equals([False, False]))
+        self.assertThat(unpack_state(packed), Equals(log.state))
+
+    def test_a_raised_log_knows_what_prevails_and_confirms_nothing_else_of_old(self) -> None:
+        log = Log(level=3)
+        first = (service(said=b'{"a": 1}'), entry(revision=5), entry("gone", revision=1))
+        log.patch(*first)
+        log.patch(drops=(Dropping(ENTRY, 3, "gone"),))
+        log.state = unpack_state(pack_state(log.state))
+        log.take(RaiseLevel(4))
+        self.assertThat(log.patch(service(said=b'{"a":1}'), entry(revision=5)).mishap, Equals(""))
+        self.assertThat(log.patch(drops=(Dropping(ENTRY, 3, "gone"),)).mishap, Equals(""))
+        for order, answer in (
+            (entry(revision=5, rank=9), "item-conflict"),
+            (entry("gone", revision=3), "item-conflict"),
+            (entry(revision=4), "order-unsure"),
+            (entry("gone", revision=1), "order-unsure"),
+            (entry(revision=6), ""),
+        ):
+            self.assertThat(log.patch(order).mishap, Equals(answer), str(order))
+        self.assertThat(log.patch(entry(revision=5)).mishap, Equals(""))
+        packed = pack_state(log.state)
+        self.assertThat(unpack_state(packed), Equals(log.state))
+        self.assertThat(pack_state(unpack_state(packed)), Equals(packed))
+
+
+TEXT = """
+number = 1
+based_on = 0
+
+[[services]]
+name = "ledger"
+
+[[entries]]
+name = "payments"
+service = "ledger"
+path = "/payments"
+methods = ["POST"]
+callers = ["visitors"]
+
+[[stages]]
+name = "one"
+stalls = ["stall-1"]
+
+[[stages]]
+name = "zone"
+zones = ["a"]
+
+[[stages]]
+name = "everyone"
+everyone = true
+"""
+
+
+class Bundles(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = Log(operators={name: name[0] * 64 for name in ("ada", "ben", "cleo")})
+        self.calls = 0
+
+    def call(self, kind: Any, who: str, *rest: Any) -> Outcome:
+        # A call sent again without an id of its own gets another from the door it comes to.
+        self.calls += 1
+        return self.log.take(kind(f"call-{self.calls}", who, *rest))
+
+    def roll(self) -> str:
+        digest = self.call(SubmitBundle, "ada", TEXT).detail["digest"]
+        self.call(SignBundle, "ben", 1, digest)
+        return digest
+
+    def test_a_submission_that_comes_again_is_confirmed_whatever_became_of_it(self) -> None:
+        first = self.call(SubmitBundle, "ada", TEXT)
+        self.assertThat(first.mishap, Equals(""))
+        phases = []
+        digest = first.detail["digest"]
+        for step in (
+            None,
+            (SignBundle, "ben", 1, digest),
+            (AdvanceBundle, "cleo", 1, 1),
+            (AdvanceBundle, "cleo", 1, 2),
+        ):
+            if step:
+                self.assertThat(self.call(*step).mishap, Equals(""), str(step))
+            state = self.log.state.bundles
+            again = self.call(SubmitBundle, "ada", TEXT)
+            self.assertThat((again.mishap, again.detail["digest"], self.log.state.bundles), Equals(("", digest, state)))
+            phases.append(again.detail["phase"])
+        self.assertThat(phases, Equals(["draft", "rolling", "rolling", "in force"]))
+
+    def test_another_content_or_another_person_under_the_number_is_refused(self) -> None:
+        self.call(SubmitBundle, "ada", TEXT)
+        other = TEXT.replace("/payments", "/paid")
+        for who, text, answer in (
+            ("ada", other, "bundle-conflict"),
+            ("ben", other, "bundle-conflict"),
+            ("ben", TEXT, "bundle-duplicate"),
+        ):
+            outcome = self.call(SubmitBundle, who, text)
+            self.assertThat((outcome.mishap, outcome.remedy != ""), Equals((answer, True)))
+        self.assertThat(self.log.state.bundles[1].text, Equals(TEXT))
+
+    def test_a_signature_that_comes_again_is_confirmed_and_moves_nothing(self) -> None:
+        digest = self.roll()
+        before = self.log.state.bundles
+        again = self.call(SignBundle, "ben", 1, digest)
+        self.assertThat((again.mishap, again.detail["stage"], again.detail["offset"]), Equals(("", 1, 2)))
+        self.assertThat(self.call(SignBundle, "cleo", 1, digest).mishap, Equals("bundle-wrong-phase"))
+        self.assertThat(self.call(SignBundle, "ben", 1, "0" * 64).mishap, Equals("bundle-conflict"))
+        self.assertThat(self.log.state.bundles, Equals(before))
+        self.call(AbortBundle, "cleo", 1)
+        again = self.call(SignBundle, "ben", 1, digest)
+        self.assertThat((again.mishap, again.detail["phase"]), Equals(("", "aborted")))
+
+    def test_an_advance_that_comes_again_is_confirmed_and_skips_no_stage(self) -> None:
+        self.roll()
+        self.assertThat(self.call(AdvanceBundle, "ben", 1, 1).detail["stage"], Equals(2))
+        before = self.log.state.bundles
+        again = self.call(AdvanceBundle, "ben", 1, 1)
+        self.assertThat((again.mishap, again.detail["stage"]), Equals(("", 2)))
+        # Another person's is no repeat: it must not pass for a step.
+        self.assertThat(self.call(AdvanceBundle, "cleo", 1, 1).mishap, Equals("bundle-wrong-phase"))
+        self.assertThat(self.call(AdvanceBundle, "ben", 1, 3).mishap, Equals("bundle-wrong-phase"))
+        self.assertThat(self.log.state.bundles, Equals(before))
+        self.call(AdvanceBundle, "cleo", 1, 2)
+        self.log.state = unpack_state(pack_state(self.log.state))
+        self.assertThat(
+            [self.call(AdvanceBundle, who, 1, stage).mishap for who, stage in (("ben", 1), ("cleo", 2))],
+            Equals(["", ""]),
+        )
+        self.assertThat(self.call(AdvanceBundle, "ben", 1, 2).mishap, Equals("bundle-wrong-phase"))
+
+    def test_an_abort_that_comes_again_is_confirmed(self) -> None:
+        self.roll()
+        first, again = self.call(AbortBundle, "cleo", 1), self.call(AbortBundle, "cleo", 1)
+        self.assertThat((again.mishap, again.detail), Equals(("", first.detail)))
+        self.assertThat(self.call(AbortBundle, "ben", 1).mishap, Equals("bundle-wrong-phase"))
+
+    def test_stages_passed_before_the_level_rose_are_nobodys(self) -> None:
+        self.log = Log(level=3, operators={name: name[0] * 64 for name in ("ada", "ben")})
+        self.roll()
+        self.call(AdvanceBundle, "ben", 1, 1)
+        self.assertThat(self.log.state.bundles[1].advanced_by, Equals(()))
+        self.assertThat(unpack_state(pack_state(self.log.state)), Equals(self.log.state))
+        self.log.take(RaiseLevel(4))
+        self.call(AdvanceBundle, "ben", 1, 2)
+        self.assertThat(self.call(AdvanceBundle, "ben", 1, 2).mishap, Equals(""))
+        self.assertThat(self.call(AdvanceBundle, "ben", 1, 1).mishap, Equals("bundle-wrong-phase"))
+
+    def test_what_newer_bundles_pushed_out_is_neither_confirmed_nor_refused(self) -> None:
+        def text(number: int) -> str:
+            return TEXT.replace("number = 1", f"number = {number}").replace("based_on = 0", f"based_on = {number - 1}")
+
+        for number in range(1, BUNDLES_KEPT + 3):
+            digest = self.call(SubmitBundle, "ada", text(number).partition("[[stages]]")[0]).detail["digest"]
+            self.call(SignBundle, "ben", number, digest)
+        oldest = min(self.log.state.bundles)
+        self.assertThat(oldest > 1, Equals(True))
+        for outcome in (
+            self.call(SubmitBundle, "ada", text(1).partition("[[stages]]")[0]),
+            self.call(SignBundle, "ben", 1, "0" * 64),
+            self.call(AdvanceBundle, "ben", 1, 1),
+            self.call(AbortBundle, "ben", 1),
+        ):
+            self.assertThat(outcome.mishap, Equals(str(MishapKind.ORDER_UNSURE)))
+        self.assertThat(self.call(SubmitBundle, "ada", text(oldest).partition("[[stages]]")[0]).mishap, Equals(""))
