--- a/packages/cli/src/hoistsaddle/cli/commands.py
+++ b/packages/cli/src/hoistsaddle/cli/commands.py
@@ -72,7 +72,7 @@
     "--params", "--settings", "params_file", type=str, help="TOML file with the fields below; flags win over it."
 )
 _core = click.option(
-    "--core", multiple=True, help="A core machine: REPLICA=WAREHOUSE_ADDRESS,BOURSE_ADDRESS. Repeat for each."
+    "--core", multiple=True, help="A core machine: REPLICA=STORE_ADDRESS,REGISTRY_ADDRESS. Repeat for each."
 )
 
 
@@ -83,7 +83,7 @@
 @click.option("--listen", help="Mesh address, IP:PORT.")
 @click.option("--data-folder")
 @_core
-def warehouse(params_file, core, **flags) -> None:
+def store(params_file, core, **flags) -> None:
     """Runs the store on a core machine."""
     from hoistsaddle.store.service import StoreService
 
@@ -102,7 +102,7 @@
 @click.option("--listen", help="Mesh address, IP:PORT.")
 @click.option("--operators", help="Operators' HTTP address, IP:PORT.")
 @_core
-def bourse(params_file, core, **flags) -> None:
+def registry(params_file, core, **flags) -> None:
     """Runs the registry on a core machine."""
     from hoistsaddle.registry.service import RegistryService
 
@@ -121,8 +121,8 @@
 @click.option("--listen", help="Mesh address, IP:PORT.")
 @click.option("--visitors", help="Visitors' HTTP address, IP:PORT.")
 @click.option("--inner", help="HTTP address for this machine's own server, IP:PORT.")
-@click.option("--seed", "seeds", multiple=True, help="A bourse's mesh address; give three.")
-def stall(params_file, seeds, **flags) -> None:
+@click.option("--seed", "seeds", multiple=True, help="A registry's mesh address; give three.")
+def proxy(params_file, seeds, **flags) -> None:
     """Runs the proxy beside a server."""
     from hoistsaddle.proxy.service import ProxyService
 
@@ -140,7 +140,7 @@
     "--cold-start/--no-cold-start", default=None, help="True once: at the first start of all, on blank disks."
 )
 @click.option("--losses", type=int, help="How many core machines may be lost at once.")
-def market(settings, params_file, seeds, **flags) -> None:
+def controller(settings, params_file, seeds, **flags) -> None:
     """Runs both core programs in one process, for items. SETTINGS is a TOML file; flags win over it."""
     from hoistsaddle.registry.controllerdoor import ControllerService
 
@@ -163,9 +163,9 @@
 @click.option("--ready-door", help="HTTP address where readiness is asked, IP:PORT.")
 @click.option("--service", help="The service of the server beside it.")
 @click.option("--server", help="That server's address, IP:PORT.")
-@click.option("--seed", "seeds", multiple=True, help="A market's bourse address, IP:PORT; one to three.")
-def broker(settings, params_file, seeds, **flags) -> None:
-    """Runs a stall that serves items. SETTINGS is a TOML file; flags win over it."""
+@click.option("--seed", "seeds", multiple=True, help="A controller's registry address, IP:PORT; one to three.")
+def sidecar(settings, params_file, seeds, **flags) -> None:
+    """Runs the proxy that serves items. SETTINGS is a TOML file; flags win over it."""
     from hoistsaddle.sidecar.service import SidecarService
 
     _run(
@@ -176,6 +176,24 @@
     )
 
 
+# The subcommands' former names, kept for one release.
+FORMER_NAMES = {"warehouse": store, "bourse": registry, "stall": proxy, "market": controller, "broker": sidecar}
+
+
+def _alias(*, former: str, command: click.Command) -> click.Command:
+    """The command under its former name: hidden, with a line of warning."""
+
+    def run(**arguments) -> None:
+        click.echo(
+            f"hoistsaddle {former} is now hoistsaddle {command.name}; the former name goes next release", err=True
+        )
+        command.callback(**arguments)
+
+    return click.Command(former, params=command.params, callback=run, help=command.help, hidden=True)
+
+
+for former_name, present in FORMER_NAMES.items():
+    main.add_command(_alias(former=former_name, command=present))
 main.add_command(fleet)
 main.add_command(items)
 for command in OPERATOR_COMMANDS:
--- a/packages/testbed/src/hoistsaddle/testbed/fleet.py
+++ b/packages/testbed/src/hoistsaddle/testbed/fleet.py
@@ -26,6 +26,18 @@
 SIGNER = ("ben", "token-of-ben")
 
 
+# Subcommands as releases before the packages' renaming called them, and the package that held them.
+FORMER_SUBCOMMANDS = {"store": "warehouse", "registry": "bourse", "proxy": "stall"}
+FORMER_CLI = "kiosk"
+
+
+def _program_of(*, release: Path, kind: str) -> tuple[str, str]:
+    """The module and subcommand that start a program of this kind in a checkout of an older release."""
+    if (release / "packages" / FORMER_CLI).is_dir():
+        return f"hoistsaddle.{FORMER_CLI}", FORMER_SUBCOMMANDS[kind]
+    return "hoistsaddle.cli", kind
+
+
 def free_ports(count: int) -> list[int]:
     """Ports that are free now, held open together so that none comes twice.
 
@@ -94,7 +106,7 @@
             replica = machine["replica"]
             zone = deployment.zones[place % len(deployment.zones)]
             self._settings(
-                "warehouse",
+                "store",
                 f"warehouse-{replica}",
                 {
                     "replica": replica,
@@ -106,7 +118,7 @@
                 },
             )
             self._settings(
-                "bourse",
+                "registry",
                 f"bourse-{replica}",
                 {
                     "replica": replica,
@@ -129,7 +141,7 @@
                 "seeds": seeds,
             }
             self.stalls[name] = {**stall, "service": service, "server": next(ports)}
-            self._settings("stall", name, stall)
+            self._settings("proxy", name, stall)
 
     def _settings(self, kind: str, name: str, values: dict) -> None:
         self.kinds[name] = kind
@@ -154,14 +166,16 @@
     async def launch(self, name: str) -> None:
         log = (self.folder / f"{name}.log").open("ab")
         environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
+        module, subcommand = "hoistsaddle.cli", self.kinds[name]
         if name in self.former and self.older is not None:
             environment["PYTHONPATH"] = ":".join(str(path) for path in sorted(self.older.glob("packages/*/src")))
+            module, subcommand = _program_of(release=self.older, kind=self.kinds[name])
         # A session of its own: an interrupt at the terminal reaches the runner first, which ends its own in order.
         self.processes[name] = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "hoistsaddle.cli",
-            self.kinds[name],
+            module,
+            subcommand,
             "--settings",
             str(self.folder / f"{name}.toml"),
             stdout=log,
