--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -30,14 +30,7 @@
 def commands_of(page: Path) -> list[str]:
     """The indented lines that are commands; fleets are the test's own affair, and so are daemons."""
     found = [match[1] for line in page.read_text().splitlines() if (match := COMMAND.match(line))]
-    return [
-        line
-        for line in found
-        if not re.match(
-            r"(?:\S+=\S+ )?hoistsaddle (fleet|store|registry|proxy|controller|sidecar|stall|bourse|warehouse|market|broker) ",
-            line,
-        )
-    ]
+    return [line for line in found if not DAEMON.match(line)]
 
 
 class Shell:
