--- a/packages/raft/src/hoistsaddle/raft/fetching.py
+++ b/packages/raft/src/hoistsaddle/raft/fetching.py
@@ -83,7 +83,7 @@
         self._fetch()
 
     def _date_state(self, answer: FetchAnswer, sent: timedelta | None) -> None:
-        """As of when the state is the newest, where all that the leader has committed is applied, its own epoch's too."""
+        """As of when the state here is the newest, once all that the leader has committed is applied."""
         if sent is None or self.state.epoch != self.epoch or self.state.offset < answer.high_watermark:
             return
         # No clocks are compared: the age was taken after this fetch was sent. A leader of a former release says none;
--- a/tests/test_customs.py
+++ b/tests/test_customs.py
@@ -140,6 +140,12 @@
             params = broker_params(self.read(bounds=[f"budget_ratio={ratio}"]))
             self.assertThat(params.further_percent, Equals(percent), ratio)
 
+    def test_a_lease_follows_from_the_bounds(self) -> None:
+        for contact, apply, lease in ((3, 2, 1.5), (2, 2, 1.0), (9, 1, 0.75), (60, 60, 1.5), (0.4, 9, 0.6)):
+            settings = self.read(state_dir="/data", bounds=[f"contact_s={contact}", f"apply_s={apply}"])
+            for params in (broker_params(settings), market_params(settings)):
+                self.assertThat((params.lease_seconds, type(check_params(params))), Equals((lease, Success)))
+
     def test_the_platforms_own_names_of_headers(self) -> None:
         self.assertThat(
             tuple(WORDING),
