--- a/packages/common/src/hoistsaddle/common/pause.py
+++ b/packages/common/src/hoistsaddle/common/pause.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+from hoistsaddle.common.clock import ZERO
+
 
 class GrowingPause:
     """From `least`, twice as long each time, up to `most`; a success starts it over.
@@ -13,21 +15,25 @@
         self.least = least
         self.most = max(least, most)
         self.span = least
-        self.failing = False
-        self._grown_at: timedelta | None = None
+        self._failed_at: timedelta | None = None
+
+    @property
+    def failing(self) -> bool:
+        return self._failed_at is not None
 
-    def after_failure(self, *, now: timedelta) -> timedelta:
-        """How long to wait before the next try."""
-        if self._grown_at is None:
+    def failed(self, *, now: timedelta) -> None:
+        if self._failed_at is None:
             self.span = self.least
-            self._grown_at = now
-        elif now - self._grown_at >= self.span:
+        elif now - self._failed_at >= self.span:
             self.span = min(self.span * 2, self.most)
-            self._grown_at = now
-        self.failing = True
-        return self.span
+        else:
+            return
+        self._failed_at = now
+
+    def left(self, *, now: timedelta) -> timedelta:
+        """How long until the next try is due."""
+        return ZERO if self._failed_at is None else max(ZERO, self._failed_at + self.span - now)
 
     def reset(self) -> None:
         self.span = self.least
-        self.failing = False
-        self._grown_at = None
+        self._failed_at = None
--- a/packages/proxy/src/hoistsaddle/proxy/node.py
+++ b/packages/proxy/src/hoistsaddle/proxy/node.py
@@ -109,10 +109,13 @@
         # At most a third of a lease: once somebody has news again, hearing of it costs no more than that.
         self.poll_pause = GrowingPause(least=PAUSE_LEAST, most=span / 3)
         self.hold_pause = GrowingPause(least=PAUSE_LEAST, most=span / 3)
-        self.hold_line = asyncio.Lock()
+        # While no registry answers, one claim at a time is tried; the others hear what came of it.
+        self.hold_probing = False
+        self.hold_news = asyncio.Event()
         self.vitals_pause = GrowingPause(least=VITALS_PAUSE_LEAST, most=VITALS_PAUSE_MOST)
         # The parent whose news was taken last, and the one whose news was refused as older.
         self.fed_by = self.older_from = ""
+        self.older_told = False
         self.vitals_due = asyncio.Event()
         self.vitals_told = (0, "")
         me = Rumour(params.name, "stall", params.listen, params.zone, self.incarnation, 0, ALIVE)
@@ -247,31 +250,39 @@
         outcome: Outcome | None = None
         for _ in range(len(self.bourses) * 2):
             if not self.hold_pause.failing:
-                outcome = await self._try_hold(call, deadline)
+                outcome = await self._try_hold(call, min(HOLD_TRY, deadline - self.runtime.now()))
+            elif not self.hold_probing:
+                outcome = await self._probe_hold(call)
             else:
-                outcome = await self._try_hold_in_line(call, deadline)
+                await self._await_hold_news(deadline)
             if outcome is not None or self.runtime.now() >= deadline:
                 break
         if outcome is None:
             self.counters.add("holds.mishaps")
         self.feed(HoldAnswered(ask.number, outcome))
 
-    async def _try_hold_in_line(self, call: WriteCall, deadline: timedelta) -> Outcome | None:
+    async def _probe_hold(self, call: WriteCall) -> Outcome | None:
+        """One try for all that wait, with a whole try's time, however little its own claim has left."""
+        self.hold_probing = True
+        self.counters.add("holds.paused")
         try:
-            async with asyncio.timeout((deadline - self.runtime.now()).total_seconds()), self.hold_line:
-                if self.hold_pause.failing:
-                    self.counters.add("holds.paused")
-                    await asyncio.sleep(self.hold_pause.span.total_seconds())
-                return await self._try_hold(call, deadline)
+            await asyncio.sleep(self.hold_pause.left(now=self.runtime.now()).total_seconds())
+            return await self._try_hold(call, HOLD_TRY)
+        finally:
+            self.hold_probing = False
+            self.hold_news.set()
+            self.hold_news = asyncio.Event()
+
+    async def _await_hold_news(self, deadline: timedelta) -> None:
+        try:
+            async with asyncio.timeout((deadline - self.runtime.now()).total_seconds()):
+                await self.hold_news.wait()
         except TimeoutError:
-            return None
+            pass
 
-    async def _try_hold(self, call: WriteCall, deadline: timedelta) -> Outcome | None:
-        left = deadline - self.runtime.now()
-        if left <= timedelta():
-            return None
+    async def _try_hold(self, call: WriteCall, within: timedelta) -> Outcome | None:
         address = self.bourses[0]
-        match await self.runtime.lines.call(address, call, within=min(left, HOLD_TRY)):
+        match await self.runtime.lines.call(address, call, within=within):
             case Success(WriteAnswer(mishap="", leader=leader, outcomes=(outcome,))):
                 self.hold_pause.reset()
                 self._lead_hint(leader)
@@ -279,7 +290,7 @@
         # The next bourse may reach the leader; the command is the same command there.
         if self.bourses[0] == address:
             self.bourses = [*self.bourses[1:], address]
-        self.hold_pause.after_failure(now=self.runtime.now())
+        self.hold_pause.failed(now=self.runtime.now())
         return None
 
     def _lead_hint(self, leader: int) -> None:
@@ -368,10 +379,13 @@
         return RENEWED if self.relay.lease_start != before else SAME
 
     def _refuse_older(self, address: str, answer: PollAnswer) -> None:
-        """A parent whose news was overtaken here: nothing of it counts. Told once for each parent in a row."""
+        """A parent whose news was overtaken here: nothing of it counts. Told at its second time in a row."""
         self.counters.add("news.older_refused")
         if self.older_from != address:
-            self.older_from = address
+            # Once is a parent that hears of a change a moment later.
+            self.older_from, self.older_told = address, False
+        elif not self.older_told:
+            self.older_told = True
             self.counters.happen(
                 "older news refused",
                 parent=address,
@@ -412,7 +426,7 @@
             turn, same = turn + 1, 0
             if turn % len(parents) == 0:
                 # All were asked, and nobody knows anything newer.
-                self.poll_pause.after_failure(now=self.runtime.now())
+                self.poll_pause.failed(now=self.runtime.now())
             self.counters.add("news.polls_paused")
             await asyncio.sleep(self.poll_pause.span.total_seconds())
 
@@ -448,7 +462,7 @@
                     self.counters.add("vitals.missed")
                     turn += 1
                     if turn % len(addresses) == 0:
-                        self.vitals_pause.after_failure(now=self.runtime.now())
+                        self.vitals_pause.failed(now=self.runtime.now())
                     await asyncio.sleep(self.vitals_pause.span.total_seconds())
                     continue
             try:
--- a/packages/registry/src/hoistsaddle/registry/writer.py
+++ b/packages/registry/src/hoistsaddle/registry/writer.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Coroutine, Iterable
 from datetime import timedelta
 
 from returns.result import Failure, Result, Success
@@ -67,8 +67,9 @@
         # The leader that the replica beside this writer follows, where there is one; and what wakes those that pause.
         self.known_leader = UNSET
         self.woken = asyncio.Event()
-        # While tries fail, whoever tries again stands in line here.
-        self.line = asyncio.Lock()
+        # While tries fail, one task tries again for all that wait.
+        self.retrying = False
+        self.stopped = False
 
     def leader_known(self, leader: int) -> None:
         """What the replica in the same process knows; a leader newly known ends all pauses."""
@@ -97,12 +98,11 @@
         self._follow_hint(UNSET, tried)
 
     async def _rest(self) -> None:
-        span = self.pause.after_failure(now=self.runtime.now())
-        self.counters.gauge("writes.pause_milliseconds", span.total_seconds() * 1000)
-        woken = self.woken
+        left = self.pause.left(now=self.runtime.now())
+        self.counters.gauge("writes.pause_milliseconds", self.pause.span.total_seconds() * 1000)
         try:
-            async with asyncio.timeout(span.total_seconds()):
-                await woken.wait()
+            async with asyncio.timeout(left.total_seconds()):
+                await self.woken.wait()
         except TimeoutError:
             pass
 
@@ -121,6 +121,7 @@
                 case _:
                     self._fell_silent(tried)
             self.counters.add("reads.again")
+            self.pause.failed(now=self.runtime.now())
             if self.runtime.now() + self.pause.span >= deadline:
                 break
             await self._rest()
@@ -149,33 +150,52 @@
         return Failure(UNSURE if entry.perhaps_taken else NO_LEADER)
 
     def _flush(self) -> None:
-        # A few batches in flight at most: what arrives meanwhile goes together into the next.
         self.backlog = [entry for entry in self.backlog if not entry.future.done()]
+        if self.stopped:
+            return
+        if self.pause.failing:
+            if self.backlog and not self.retrying:
+                self.retrying = True
+                self._spawn(self._retry())
+            return
+        # A few batches in flight at most: what arrives meanwhile goes together into the next.
         while self.backlog and self.in_flight < MOST_IN_FLIGHT:
-            batch, self.backlog = self.backlog[:MOST_IN_BATCH], self.backlog[MOST_IN_BATCH:]
             self.in_flight += 1
-            task = asyncio.ensure_future(self._carry(batch))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self._spawn(self._carry(self._next_batch()))
+
+    def _spawn(self, work: Coroutine) -> None:
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _next_batch(self) -> list[_Entry]:
+        waiting = [entry for entry in self.backlog if not entry.future.done()]
+        batch, self.backlog = waiting[:MOST_IN_BATCH], waiting[MOST_IN_BATCH:]
+        return batch
 
     async def _carry(self, batch: list[_Entry]) -> None:
         try:
-            if not self.pause.failing and await self._try(batch):
-                return
-            while batch := [entry for entry in batch if not entry.future.done()]:
-                async with self.line:
-                    if self.pause.failing:
-                        await self._rest()
-                    if await self._try([entry for entry in batch if not entry.future.done()]):
-                        return
+            if not await self._try(batch):
+                self.backlog = [*batch, *self.backlog]
         finally:
             self.in_flight -= 1
             self._flush()
 
+    async def _retry(self) -> None:
+        """While tries fail, this one goes on for all that wait, with those that are still waited for at its moment."""
+        try:
+            while self.pause.failing:
+                await self._rest()
+                if not (batch := self._next_batch()):
+                    return
+                if not await self._try(batch):
+                    self.backlog = [*batch, *self.backlog]
+        finally:
+            self.retrying = False
+            self._flush()
+
     async def _try(self, batch: list[_Entry]) -> bool:
         """One call with the whole batch; true once all of it is concluded."""
-        if not batch:
-            return True
         tried = self.leader
         before = {entry for entry in batch if entry.perhaps_taken}
         for entry in batch:
@@ -199,10 +219,11 @@
             # It took none of it; an earlier try at another one may still have.
             for entry in batch:
                 entry.perhaps_taken = entry in before
-        self.pause.after_failure(now=self.runtime.now())
+        self.pause.failed(now=self.runtime.now())
         self.counters.add("writes.again")
         return False
 
     def stop(self) -> None:
+        self.stopped = True
         for task in list(self.tasks):
             task.cancel()
