--- a/packages/cli/src/hoistsaddle/cli/fleet_commands.py
+++ b/packages/cli/src/hoistsaddle/cli/fleet_commands.py
@@ -199,6 +199,26 @@
     click.echo(f"BROKEN seed {hunted.seed}: {told} (again: {again})")
 
 
+@fleet.command()
+@click.option("--point", required=True, type=click.Choice(["cutoff", "orders", "losses", "changes", "answers", "all"]))
+@click.option("--site", type=click.Path(exists=True, dir_okay=False, path_type=Path), help="The site file to fit.")
+@click.option("--count", type=click.IntRange(1, 1000), default=5, show_default=True, help="How many days.")
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), required=True, help="Folder for the files.")
+@_seed
+def days(point, site, count, out, seed) -> None:
+    """Draws days of our own for the users' bench, one TOML file each."""
+    from hoistsaddle.testbed.benchdays.site import BenchSite, read_site
+    from hoistsaddle.testbed.benchdays.writer import write
+
+    try:
+        known = read_site(site) if site else BenchSite()
+    except (ValueError, KeyError) as problem:
+        click.echo(f"refused: params: {site} is no site file ({problem}). Remedy: name one of the bench's.", err=True)
+        sys.exit(2)
+    for path in write(site=known, point=point, seed=seed, count=count, folder=out):
+        click.echo(str(path))
+
+
 @fleet.command()
 @click.argument(
     "what", type=click.Choice(["commits", "catch-up", "growth", "news", "added-latency", "takeover", "versions"])
