--- /dev/null
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/account.py
@@ -0,0 +1,119 @@
+"""The history of a day with what several rules ask of it."""
+
+from collections import defaultdict
+from functools import cached_property
+
+from hoistsaddle.testbed.emulator.day import Day
+from hoistsaddle.testbed.emulator.history import Got, History, Ordered, Ran, Replied, Sent, Told, Unheard
+from hoistsaddle.testbed.emulator.site import REPEATABLE, Route
+from hoistsaddle.testbed.emulator.touch import Touch
+
+CONFIRMED = 200
+
+
+class Version:
+    """One item at one revision, as an operator sent it in a proper order."""
+
+    def __init__(self, *, revision: int, route: Route | None, sent: float) -> None:
+        self.revision = revision
+        self.route = route
+        self.sent = sent
+        # When the operator heard of it, and when a core machine said so first, heard or not.
+        self.acknowledged: float | None = None
+        self.given: float | None = None
+
+    def allows(self, service: str) -> bool:
+        return self.route is not None and any(name == service and weight > 0 for name, weight in self.route.parts)
+
+
+class Account:
+    """The history with what several rules ask of it."""
+
+    def __init__(self, *, history: History, day: Day) -> None:
+        self.history = history
+        self.day = day
+        self.touch = Touch(history=history, site=day.site)
+        self.sent = {sent.attempt: sent for sent in history.of(Sent)}
+        self.got = {got.attempt: got for got in history.of(Got)}
+        self.ran: dict[str, list[Ran]] = defaultdict(list)
+        for ran in history.of(Ran):
+            self.ran[ran.attempt].append(ran)
+        self.replied = {replied.run: replied for replied in history.of(Replied)}
+        self.runs = {ran.run: ran for ran in history.of(Ran)}
+        self.kinds = {route.name: route.kind for route in day.site.routes}
+        # Routes that came during the day, too.
+        for ordered in history.of(Ordered):
+            self.kinds.update((name, route.kind) for name, _, route in ordered.routes if route is not None)
+
+    @cached_property
+    def versions(self) -> dict[str, list[Version]]:
+        """Each item's versions in proper orders, in their order. Desks may give one version several contents."""
+        found: dict[str, dict[tuple[int, Route | None], Version]] = defaultdict(dict)
+        of_order: dict[str, list[Version]] = {}
+        for ordered in self.history.of(Ordered):
+            if not ordered.proper:
+                continue
+            these = []
+            for name, revision, route in ordered.routes:
+                version = found[name].get((revision, route))
+                if version is None:
+                    version = found[name][revision, route] = Version(revision=revision, route=route, sent=ordered.at)
+                these.append(version)
+            of_order[ordered.order] = these
+        for told in self.history.of(Told):
+            if told.status == CONFIRMED:
+                for version in of_order.get(told.order, ()):
+                    if version.acknowledged is None:
+                        version.acknowledged = told.at
+        for unheard in self.history.of(Unheard):
+            if unheard.status == CONFIRMED:
+                for version in of_order.get(unheard.order, ()):
+                    version.given = min(version.given or unheard.at, unheard.at)
+        return {name: self._possible(these) for name, these in found.items()}
+
+    @staticmethod
+    def _possible(these: dict[tuple[int, Route | None], Version]) -> list[Version]:
+        """Without contents that can't be in force, because another one was acknowledged under their version."""
+        settled = {version.revision for version in these.values() if version.acknowledged is not None}
+        left = [
+            version for version in these.values() if version.acknowledged is not None or version.revision not in settled
+        ]
+        return sorted(left, key=lambda version: version.revision)
+
+    def floor(self, name: str, moment: float) -> int:
+        """The newest revision acknowledged by then; -1 is none."""
+        return max(
+            (
+                version.revision
+                for version in self.versions.get(name, ())
+                if version.acknowledged is not None and version.acknowledged <= moment
+            ),
+            default=-1,
+        )
+
+    def given(self, name: str) -> int:
+        """The newest revision that a core machine confirmed, whether or not its word arrived; -1 is none."""
+        return max(
+            (
+                version.revision
+                for version in self.versions.get(name, ())
+                if version.acknowledged is not None or version.given is not None
+            ),
+            default=-1,
+        )
+
+    def handled(self, sent: Sent) -> tuple[str, str] | None:
+        """What a request shows of the setup: run by a service, or refused as unknown."""
+        if self.ran[sent.attempt]:
+            return ("run", self.ran[sent.attempt][0].service)
+        got = self.got.get(sent.attempt)
+        if got is not None and got.status == 404 and not got.seal:
+            return ("unknown", "")
+        return None
+
+    def fits(self, version: Version, shown: tuple[str, str]) -> bool:
+        kind, service = shown
+        return version.allows(service) if kind == "run" else version.route is None
+
+    def repeatable(self, sent: Sent) -> bool:
+        return self.kinds.get(sent.route) == REPEATABLE
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/arena.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/arena.py
@@ -1,4 +1,4 @@
-"""The arcade: the users' platform played in simulated time round the product's own programs."""
+"""The emulator of the users' platform, played in simulated time round the product's own programs."""
 
 import asyncio
 import contextvars
@@ -13,39 +13,36 @@
 
 from loguru import logger
 
-from hoistsaddle.testbed.emulator.day import (
-    BOUNDS,
-    LEADER,
-    AfterWord,
+from hoistsaddle.testbed.emulator.day import Day
+from hoistsaddle.testbed.emulator.disks import Disks
+from hoistsaddle.testbed.emulator.harms import SOON_AFTER, Harms
+from hoistsaddle.testbed.emulator.history import Closed, Fault, History
+from hoistsaddle.testbed.emulator.machines import Process
+from hoistsaddle.testbed.emulator.network import EmulatedWorld
+from hoistsaddle.testbed.emulator.operators import Operators
+from hoistsaddle.testbed.emulator.servers import Server
+from hoistsaddle.testbed.emulator.site import BOUNDS, CORE, CoreMachine, Route, SidecarMachine, Visit
+from hoistsaddle.testbed.emulator.troubles import (
+    ACKNOWLEDGED,
+    SENT,
+    TAKEN,
+    Again,
     BadOrder,
     Change,
     Closing,
-    Crash,
-    Cut,
-    Day,
-    DiskTrouble,
-    Freeze,
     Happening,
-    Kill,
-    Misbehave,
-    Release,
-    Replace,
-    Rewrite,
-    Route,
-    StallMachine,
-    Stop,
-    Visit,
+    Large,
+    LostWords,
+    Storm,
 )
-from hoistsaddle.testbed.emulator.history import Closed, Fault, Harm, Healed, History
-from hoistsaddle.testbed.emulator.machines import ArcadeWorld, Process
-from hoistsaddle.testbed.emulator.operators import Operators
-from hoistsaddle.testbed.emulator.servers import Server
 from hoistsaddle.testbed.emulator.visitors import Call, Visitors
 from hoistsaddle.testbed.simulation.clockwork import ClockworkLoop
 
 # From the machines' start to the first traffic.
 LEAD_SECONDS = 5.0
 AFTER_CLOSING = 5.0
+# The last part of a successor's address; no machine of a site has such a one.
+SUCCESSOR_NUMBERS = 100
 
 
 class Arena:
@@ -53,26 +50,30 @@
         self.day = day
         self.loop = loop
         self.random = random.Random(f"arena {day.seed}")
-        self.world = ArcadeWorld(loop=loop, seed=day.seed, folder=folder)
+        self.world = EmulatedWorld(loop=loop, seed=day.seed, folder=folder)
         self.world.sync_seconds = day.site.sync_seconds
+        self.world.disks = Disks(draw=random.Random(f"disks {day.seed}"))
         self.history = History()
         self.counter = itertools.count(1)
-        self.numbers = itertools.count(1)
         # Servers, visitors and operators are no part of any machine's life.
         self.outside = contextvars.copy_context()
         self.tasks: set[asyncio.Task] = set()
         self.processes: dict[str, Process] = {}
-        self.machines: dict[str, StallMachine] = {}
+        self.machines: dict[str, SidecarMachine] = {}
+        self.core: dict[str, CoreMachine] = {machine.name: machine for machine in day.site.core}
+        # Replaced core machines by name, and who came in their place.
+        self.successors: dict[str, str] = {}
+        # The operator's list of core machines as it was from each moment on.
+        self.lists: list[tuple[float, list[CoreMachine]]] = [(0.0, list(day.site.core))]
         self.servers: dict[str, Server] = {}
         self.ready: dict[str, bool] = {}
         self.manners: dict[str, tuple[float, str]] = {}
         self.happenings: list[tuple[float, str, str, dict]] = []
-        self.after_word: list[AfterWord] = []
         self.visitors = Visitors(arena=self)
         self.operators = Operators(arena=self)
+        self.harms = Harms(stage=self)
         self.lives = itertools.count(1)
-        self.busy: set[str] = set()
-        self.cuts: list[set[tuple[str, str]]] = []
+        self.awaited: dict[asyncio.Future, str] = {}
 
     def moment(self) -> float:
         return self.loop.time()
@@ -86,7 +87,7 @@
     def _done(self, task: asyncio.Task) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            self.loop.mishaps.append({"message": "the arcade itself", "exception": task.exception()})
+            self.loop.mishaps.append({"message": "the emulator itself", "exception": task.exception()})
 
     def fault(self, what: str) -> None:
         self.history.add(Fault(self.moment(), what))
@@ -144,23 +145,35 @@
 
     def leader(self) -> str:
         leading = [(process.leads(), name) for name, process in self.processes.items() if process.leads()]
-        return max(leading)[1] if leading else self.day.site.core[0].name
+        return max(leading)[1] if leading else next(iter(self.core))
 
     # -- machines ----------------------------------------------------------------------------------------------------
 
     def start(self, name: str, *, cold: bool = False) -> None:
-        machine = self.machines.get(name) or next(each for each in self.day.site.core if each.name == name)
+        machine = self.machines.get(name) or self.core[name]
         self.world.dark.discard(machine.host)
         process = self.processes[name] = Process(arena=self, machine=machine, number=next(self.lives))
         process.start(cold=cold)
 
-    def harm(self, machine: str, kind: str, *, planned: bool = False) -> int:
-        number = next(self.numbers)
-        self.history.add(Harm(self.moment(), number, machine, kind, planned))
-        return number
-
-    def heal(self, number: int) -> None:
-        self.history.add(Healed(self.moment(), number))
+    def seeds(self) -> list[CoreMachine]:
+        """The core as the operator's list has it, which lags."""
+        known = [core for since, core in self.lists if since <= self.moment() - BOUNDS["seed_lag_s"]]
+        return known[-1] if known else self.lists[0][1]
+
+    def name_now(self, name: str) -> str:
+        while name in self.successors:
+            name = self.successors[name]
+        return name
+
+    def add_successor(self, name: str) -> None:
+        """An empty machine at another address in the place of this one."""
+        old, number = self.core.pop(name), len(self.successors)
+        host = f"{old.host.rpartition('.')[0]}.{SUCCESSOR_NUMBERS + number}"
+        new = CoreMachine(f"{CORE}x{number}", host, old.zone)
+        self.successors[name] = new.name
+        self.core[new.name] = new
+        self.lists.append((self.moment(), list(self.core.values())))
+        self.start(new.name)
 
     async def _watch(self, name: str) -> None:
         """The platform's ready check, once a second."""
@@ -179,13 +192,13 @@
                 self.ready[name] = False
             await asyncio.sleep(1.0)
 
-    def add_machine(self, machine: StallMachine, *, cold: bool = False) -> None:
+    def add_machine(self, machine: SidecarMachine, *, cold: bool = False) -> None:
         self.machines[machine.name] = machine
         self.start(machine.name, cold=cold)
-        self._new_server(machine)
+        self.new_server(machine)
         self.keep(self._watch(machine.name))
 
-    def _new_server(self, machine: StallMachine) -> None:
+    def new_server(self, machine: SidecarMachine) -> None:
         server = self.servers[machine.name] = Server(arena=self, machine=machine, service=machine.service)
         self.keep(server.keep_beating())
 
@@ -195,8 +208,8 @@
         day = self.day
         for machine in day.site.core:
             self.start(machine.name, cold=True)
-        for stall in day.site.stalls:
-            self.add_machine(stall, cold=True)
+        for sidecar in day.site.sidecars:
+            self.add_machine(sidecar, cold=True)
         setup = self.keep(self.operators.first_setup())
         began = self.moment()
         await asyncio.sleep(LEAD_SECONDS)
@@ -217,7 +230,8 @@
         # Orders under way come to their end, and what is in force is read back in calm.
         for task in list(self.operators.open):
             await self.within(task, 5.0)
-        await asyncio.sleep(4.5)
+        await asyncio.sleep(BOUNDS["contact_s"] + 1.5)
+        await self.operators.last_order()
         await self.operators.read_back(seconds=BOUNDS["contact_s"] + 1)
         self._look_over()
 
@@ -229,171 +243,49 @@
 
     async def _later(self, at: float, happening: Happening) -> None:
         await asyncio.sleep(at - self.moment())
-        await self._happen(happening)
-
-    def _there(self, names: tuple[str, ...]) -> list[str]:
-        """Machines that stand and are in nobody's hands; the leader by its name of now."""
-        found = [self.leader() if name == LEADER else name for name in names]
-        return [
-            name
-            for name in dict.fromkeys(found)
-            if name in self.processes and name not in self.busy and not self.processes[name].life.dead
-        ]
-
-    async def _happen(self, happening: Happening) -> None:
         match happening:
-            case Kill(machines=names, seconds=seconds, power=power, wipe=wiped):
-                await self._kill(self._there(names), seconds, power=power, wiped=wiped)
-            case Freeze(machines=names, seconds=seconds):
-                await self._freeze(self._there(names), seconds)
-            case Cut():
-                await self._cut(happening)
-            case DiskTrouble(machine=name, seconds=seconds, how=how):
-                for each in self._there((name,)):
-                    number = self.harm(each, "disk")
-                    self.world.disk_faults[each] = how
-                    await asyncio.sleep(seconds)
-                    self.world.disk_faults.pop(each, None)
-                    self.heal(number)
-            case Stop(machine=name, seconds=seconds):
-                for each in self._there((name,)):
-                    await self._stop(each, seconds)
-            case Misbehave(service=service, share=share, seconds=seconds, how=how):
-                self.manners[service] = (share, how)
-                await asyncio.sleep(seconds)
-                self.manners.pop(service, None)
-            case Release(machine=name):
-                if name in self.machines and not self.servers[name].leaving and name not in self.busy:
-                    await self.servers[name].leave()
-                    await asyncio.sleep(0.4)
-                    if name in self.machines:
-                        self._new_server(self.machines[name])
-            case Replace(machine=name, service=service, crash=crash):
-                await self._replace(name, service, crash=crash)
-            case Crash(machine=name, seconds=seconds):
-                if name in self.machines and not self.servers[name].leaving:
-                    server = self.servers[name]
-                    server.leaving = True
-                    server.end()
-                    await asyncio.sleep(seconds)
-                    if name in self.machines:
-                        self._new_server(self.machines[name])
             case Change():
                 await self.operators.change(happening)
+            case Storm():
+                await self.operators.storm(happening)
+            case Large():
+                await self.operators.large(happening)
+            case Again():
+                await self.operators.again(happening)
+            case LostWords():
+                await self.operators.lose_words(happening)
             case BadOrder():
                 await self.operators.bad_order(happening)
-            case Rewrite():
-                for process in list(self.processes.values()):
-                    process.rewrite()
-            case AfterWord():
-                self.after_word.append(happening)
-
-    async def _kill(self, names: list[str], seconds: float, *, power: bool, wiped: bool = False) -> None:
-        numbers = []
-        for name in names:
-            numbers.append(self.harm(name, "wipe" if wiped else "power" if power else "kill"))
-            self.busy.add(name)
-            self.processes[name].kill(power=power)
-            if wiped:
-                self.processes[name].wipe()
-        await asyncio.sleep(seconds)
-        for name, number in zip(names, numbers, strict=True):
-            self.busy.discard(name)
-            if name in self.machines or name.startswith("core-"):
-                self.start(name)
-            self.heal(number)
-
-    async def _freeze(self, names: list[str], seconds: float) -> None:
-        numbers = [self.harm(name, "freeze") for name in names]
-        lives = [self.processes[name].life for name in names]
-        self.busy.update(names)
-        for life in lives:
-            life.freeze()
-        await asyncio.sleep(seconds)
-        for life in lives:
-            life.wake()
-        self.busy.difference_update(names)
-        for number in numbers:
-            self.heal(number)
-
-    async def _cut(self, cut: Cut) -> None:
-        names = self._there(cut.machines)
-        pairs = {(name, other) for name in names for other in cut.others if name != other}
-        if not cut.one_way:
-            pairs |= {(other, name) for name, other in pairs}
-        numbers = [self.harm(name, "cut") for name in names]
-        self.cuts.append(pairs)
-        self.world.cuts = set().union(*self.cuts)
-        await asyncio.sleep(cut.seconds)
-        self.cuts.remove(pairs)
-        self.world.cuts = set().union(*self.cuts)
-        for number in numbers:
-            self.heal(number)
-
-    async def _stop(self, name: str, seconds: float) -> None:
-        number = self.harm(name, "stop", planned=True)
-        self.busy.add(name)
-        process = self.processes[name]
-        await process.wind_down()
-        process.kill()
-        await asyncio.sleep(seconds)
-        self.busy.discard(name)
-        if name in self.machines or name.startswith("core-"):
-            self.start(name)
-        self.heal(number)
-
-    async def _replace(self, name: str, service: str, *, crash: bool) -> None:
-        if name not in self.machines or self.servers[name].leaving or name in self.busy:
-            return
-        machine = self.machines[name]
-        if len([each for each in self.machines.values() if each.service == machine.service]) < 2:
-            return
-        if crash:
-            self.servers[name].leaving = True
-            self.servers[name].end()
-        else:
-            await self.servers[name].leave()
-        if name in self.busy or self.processes[name].life.dead:
-            # Something else befell the machine meanwhile; its server comes back with it.
-            self._new_server(machine)
-            return
-        number = self.harm(name, "stop", planned=True)
-        self.busy.add(name)
-        process = self.processes[name]
-        await process.wind_down()
-        process.kill()
-        del self.machines[name]
-        self.ready[name] = False
-        self.heal(number)
-        await asyncio.sleep(BOUNDS["reuse_after_s"])
-        self.add_machine(machine._replace(name=f"side-x{next(self.counter)}", service=service))
-
-    def acknowledged(self, name: str) -> None:
-        """A core machine gave its word: now the harm that waited for it."""
-        while self.after_word:
-            after = self.after_word.pop(0)
-            if name not in self.busy:
-                wiped, power = after.how == "wipe", after.how != "kill"
-                self.keep(self._kill(self._there((name,)), after.seconds, power=power, wiped=wiped))
+            case Closing():
+                pass
+            case trouble:
+                await self.harms.carry_out(trouble)
+
+    def happened(self, when: str, machine: str = "") -> None:
+        """An order was sent or confirmed, or a keyed request answered."""
+        self.harms.happened(when, machine)
+        for future in [future for future, awaited in self.awaited.items() if awaited == when]:
+            del self.awaited[future]
+            future.set_result(None)
+
+    async def _until(self, when: str, *, most: float) -> None:
+        future = self.loop.create_future()
+        self.awaited[future] = when
+        await asyncio.wait({future}, timeout=most)
+        self.awaited.pop(future, None)
 
     async def _close(self, closing: Closing) -> None:
-        """Right after the core's word, everything at once."""
-        task = self.keep(self.operators.change(Change(0.0, "split", self.day.seed)))
-        await self.within(task, 1.0)
-        core = [machine.name for machine in self.day.site.core]
-        struck = self.moment()
-        match closing.how:
-            case "kill" | "power":
-                work = [self._kill(self._there((*core, *self.machines)), closing.seconds, power=closing.how == "power")]
+        """Everything at once: right after the core's word, soon after an order was sent, or after a keyed answer."""
+        self.keep(self.operators.change(Change(0.0, "split", self.day.seed)))
+        match closing.when:
+            case when if when == TAKEN:
+                await self._until(TAKEN, most=1.0)
+            case when if when == SENT:
+                await asyncio.sleep(self.random.uniform(*SOON_AFTER))
             case _:
-                lost = self.random.sample(core, self.day.site.losses)
-                dark = closing.how == "wipe and power" or self.random.random() < 0.5
-                rest = [name for name in core if name not in lost] if dark else []
-                work = [
-                    self._kill(self._there(tuple(lost)), closing.seconds, power=True, wiped=True),
-                    self._kill(self._there(tuple(rest)), closing.seconds, power=True),
-                ]
-        await asyncio.gather(*(self.keep(each) for each in work))
+                await self._until(ACKNOWLEDGED, most=1.0)
+        struck = self.moment()
+        await self.harms.everything(closing.how, closing.seconds)
         self.history.add(Closed(struck, self.moment()))
         self.visitors.send_keys_again(seconds=BOUNDS["recovery_s"])
 
@@ -405,10 +297,11 @@
 
 
 def _run(day: Day, loop: ClockworkLoop) -> Played:
-    with tempfile.TemporaryDirectory(prefix="hoistsaddle-arcade-") as folder:
+    with tempfile.TemporaryDirectory(prefix="hoistsaddle-emulator-") as folder:
         arena = Arena(day=day, loop=loop, folder=Path(folder))
         try:
-            loop.run_until_complete(arena.play())
+            with arena.world.disks.watched():
+                loop.run_until_complete(arena.play())
             mishaps = list(loop.mishaps)
         finally:
             for process in arena.processes.values():
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/customs.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/customs.py
@@ -1,4 +1,4 @@
-"""The platform's side of the arcade: its adapter, found beside the product's packages in the checkout.
+"""The platform's side of the emulator: its adapter, found beside the product's packages in the checkout.
 
 The product doesn't know the adapter; only this stand-in of the platform speaks to the product through it.
 """
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/history.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/history.py
@@ -1,9 +1,9 @@
-"""What visitors, servers and operators of the arcade saw, and the troubles made: all that its checkers read."""
+"""What visitors, servers and operators of the emulator saw, and the troubles made: all that its checkers read."""
 
 from collections import defaultdict
 from typing import Any, NamedTuple, TypeVar
 
-from hoistsaddle.testbed.emulator.day import Route
+from hoistsaddle.testbed.emulator.site import Route
 
 Event = TypeVar("Event")
 
@@ -14,7 +14,7 @@
     at: float
     attempt: str
     machine: str
-    # The life of the machine's process, counted by the arcade.
+    # The life of the machine's process, counted by the emulator.
     life: int
     service: str
     route: str
@@ -84,6 +84,8 @@
     proper: bool
     # Every item with the operator's own words, to compare with what is read back.
     said: dict[str, Any]
+    # Other orders use the same version for another content: one of them may be confirmed, the others refused.
+    contested: bool = False
 
 
 class Told(NamedTuple):
@@ -95,8 +97,24 @@
     machine: str
 
 
+class Unheard(NamedTuple):
+    """A core machine's answer to an order, lost on its way: the operator knows nothing of it."""
+
+    at: float
+    order: str
+    status: int
+    machine: str
+
+
+class LastOrder(NamedTuple):
+    """The order that is sent in calm at the day's end: whoever has a majority can take it."""
+
+    at: float
+    order: str
+
+
 class Beaten(NamedTuple):
-    """A stall acknowledged what its server said."""
+    """A sidecar acknowledged what its server said."""
 
     at: float
     machine: str
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/hunt.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/hunt.py
@@ -1,4 +1,4 @@
-"""Random days over the arcade: which rules they break, and the failing day made smaller.
+"""Random days over the emulator: which rules they break, and the failing day made smaller.
 
 A library for drawn tests would shrink the numbers a day is drawn from, and with them everything else, over hundreds of
 runs of ten seconds each. Here the day is data, and whole happenings are left out one after the other.
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
@@ -1,11 +1,9 @@
-"""The arcade's machines: the product's own programs under the platform's settings, their doors, and how they end."""
+"""The emulator's machines: the product's own programs under the platform's settings, their doors, and how they end."""
 
 import asyncio
 from datetime import timedelta
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
-
-from returns.result import Failure
+from typing import Any
 
 from hoistsaddle.common.errors import Mishap, MishapKind
 from hoistsaddle.common.settings import check_params
@@ -13,64 +11,36 @@
 from hoistsaddle.registry.controller import Controller
 from hoistsaddle.registry.places import number_of_host
 from hoistsaddle.sidecar.door import Door
-from hoistsaddle.sidecar.messages import Serve
+from hoistsaddle.sidecar.messages import Serve, ServeMissed
 from hoistsaddle.sidecar.node import SidecarNode
-from hoistsaddle.sidecar.service import CLOSING, CONNECT_SPAN, QUIET
+from hoistsaddle.sidecar.service import CLOSING, QUIET
 from hoistsaddle.testbed.emulator.customs import adapter
-from hoistsaddle.testbed.emulator.day import BOUNDS, CoreMachine, StallMachine
+from hoistsaddle.testbed.emulator.disks import ledger_files
 from hoistsaddle.testbed.emulator.history import Started
+from hoistsaddle.testbed.emulator.site import BOUNDS, CoreMachine, SidecarMachine
+from hoistsaddle.testbed.emulator.stage import Stage
 from hoistsaddle.testbed.simulation.clockwork import Life
-from hoistsaddle.testbed.simulation.world import SimulatedDiskWorker, SimulatedRuntime, World, wipe
-
-if TYPE_CHECKING:
-    from hoistsaddle.testbed.emulator.arena import Arena
+from hoistsaddle.testbed.simulation.world import SimulatedDiskWorker, SimulatedRuntime, wipe
 
-# How long a line with a pulse takes to miss a machine that says nothing.
-PULSE_SECONDS = 0.9
 # What a closing door waits before it lets go of its connections, and then for what still runs on them.
 GRACE_LEFT = 0.15
 DOOR_SPAN = 0.2
-_silent = Failure(Mishap(MishapKind.SILENT, "no answer", "simulated"))
-
-
-class ArcadeWorld(World):
-    """A world whose machines may lose power: then nothing comes back, not even a reset."""
-
-    def __init__(self, **needs: Any) -> None:
-        super().__init__(**needs)
-        self.dark: set[str] = set()
-        self.slow = 0.002
-        self.repeated = 0.002
-
-    def start_call(self, life: Life, address: str, message: tuple, future: asyncio.Future, within: float) -> None:
-        if address.partition(":")[0] in self.dark:
-            span = min(within, CONNECT_SPAN.total_seconds())
-            # No listener stands there: the plain world's answer, only later.
-            self.loop.call_later(
-                span, lambda: World.start_call(self, life, address, message, future, within), context=life.context
-            )
-            return
-        super().start_call(life, address, message, future, within)
-
-    def kill(self, life: Life, *, power: bool = False) -> None:
-        waiting = self.pending.pop(life, {}) if power else {}
-        super().kill(life)
-        for future in waiting:
-            self.loop.call_later(PULSE_SECONDS, self._settle, future, _silent)
 
 
 class Process:
     """One life of a machine's program."""
 
-    def __init__(self, *, arena: "Arena", machine: CoreMachine | StallMachine, number: int) -> None:
+    def __init__(self, *, arena: Stage, machine: CoreMachine | SidecarMachine, number: int) -> None:
         self.arena = arena
         self.machine = machine
         self.number = number
-        self.service = machine.service if isinstance(machine, StallMachine) else ""
+        self.service = machine.service if isinstance(machine, SidecarMachine) else ""
         self.life = Life(name=machine.name, loop=arena.loop)
         self.runtime = SimulatedRuntime(world=arena.world, life=self.life)
         self.ended: asyncio.Future = arena.loop.create_future()
         self.pending: dict[asyncio.Task, None] = {}
+        # Connections that may be reset: of visitors here, and from here to the server beside.
+        self.connections: dict[asyncio.Future, None] = {}
         self.open = False
         self.dark = False
         self.stopping_since: float | None = None
@@ -81,9 +51,9 @@
 
     def settings(self, *, cold: bool) -> Any:
         arena, machine = self.arena, self.machine
-        core = arena.day.site.core
         # At the first start all get the same three, later whichever the operator's list begins with.
-        seeds = core[:3] if cold else arena.random.sample(core, min(3, len(core)))
+        known = arena.seeds()
+        seeds = known[:3] if cold else arena.random.sample(known, min(3, len(known)))
         written = adapter("samples").settings(
             node=machine.name,
             host=machine.host,
@@ -114,6 +84,7 @@
         if isinstance(self.machine, CoreMachine):
             params: Any = check_params(headers.market_params(settings)).unwrap()
             self.folder.mkdir(parents=True, exist_ok=True)
+            self.arena.world.disks.add(self.folder)
             disk = Disk(
                 folder=self.folder, replica=number_of_host(params.host), token=self.runtime.token, synchronous="OFF"
             )
@@ -143,8 +114,30 @@
         self.open = True
 
     async def _serve(self, serve: Serve) -> tuple:
-        server = self.arena.servers[self.machine.name]
-        return await self.arena.keep(server.serve(serve))
+        work = self.arena.keep(self.arena.servers[self.machine.name].serve(serve))
+        connection = self.connection()
+        try:
+            await asyncio.wait({work, connection}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self.close_connection(connection)
+        if work.done():
+            return work.result()
+        # The server works on, and nobody hears what comes of it.
+        return ServeMissed(serve.number, False, Mishap(MishapKind.ANSWER_BROKEN, "The connection broke.", "simulated"))
+
+    def connection(self) -> asyncio.Future:
+        """Done once this connection is reset."""
+        connection = self.arena.loop.create_future()
+        self.connections[connection] = None
+        return connection
+
+    def close_connection(self, connection: asyncio.Future) -> None:
+        self.connections.pop(connection, None)
+
+    def reset(self, share: float) -> None:
+        for connection in list(self.connections):
+            if not connection.done() and self.arena.random.random() < share:
+                connection.set_result(None)
 
     async def ready(self) -> bool:
         answer = await adapter("handlers").ready_door(self.node, None)
@@ -174,12 +167,16 @@
         if power:
             self.arena.world.dark.add(self.machine.host)
         if isinstance(self.machine, CoreMachine):
+            ledger = ledger_files(self.folder) if power else {}
             self.node.warehouse.shell.disk.close()
+            if power:
+                self.arena.world.disks.lose_power(self.folder, ledger)
         self.open = False
         if not self.ended.done():
             self.ended.set_result(None)
 
     def wipe(self) -> None:
+        self.arena.world.disks.wipe(self.folder)
         wipe(self.folder)
 
     def leads(self) -> int:
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/operators.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/operators.py
@@ -1,102 +1,67 @@
-"""The operators: the first setup, changes, races of two desks, broken orders, and what they read back at the end."""
+"""The operators: how orders are sent, sent again after lost answers, and what is read back at the end."""
 
 import asyncio
 import random
-from typing import TYPE_CHECKING, Any, NamedTuple
 
 from hoistsaddle.testbed.emulator.customs import adapter
-from hoistsaddle.testbed.emulator.day import BOUNDS, ONCE_PER_KEY, REPEATABLE, BadOrder, Change, Route
-from hoistsaddle.testbed.emulator.history import Ordered, ReadBack, Told
+from hoistsaddle.testbed.emulator.history import LastOrder, ReadBack, Told, Unheard
+from hoistsaddle.testbed.emulator.orders import Composed, Order, OrderBook
+from hoistsaddle.testbed.emulator.site import BOUNDS, Route
+from hoistsaddle.testbed.emulator.stage import Stage
+from hoistsaddle.testbed.emulator.troubles import ACKNOWLEDGED, SENT, Again, BadOrder, Change, Large, LostWords, Storm
 
-if TYPE_CHECKING:
-    from hoistsaddle.testbed.emulator.arena import Arena
-
-CONFIG = "/-/config"
 FINAL = (400, 409, 412, 413, 422)
+CONFIRMED = 200
 SILENCE = 1.0
 LONGEST = 40.0
-
-
-class Order(NamedTuple):
-    name: str
-    body: bytes
-    routes: tuple[tuple[str, int, Route | None], ...]
+# So many orders may be under way at once, as the platform's page says.
+MOST_AT_ONCE = 8
+STORM_KINDS = ("add", "drop", "split", "move", "times", "idle", "idle")
 
 
 class Operators:
-    def __init__(self, *, arena: "Arena") -> None:
+    def __init__(self, *, arena: Stage) -> None:
         self.arena = arena
         self.random = arena.random
-        self.revision = 0
-        # Every version ever sent in a proper order, newest last.
-        self.versions: dict[str, list[tuple[int, Route | None]]] = {}
-        self.added = 0
+        self.book = OrderBook(stage=arena)
         self.open: dict[asyncio.Task, None] = {}
-
-    def _revision(self) -> int:
-        self.revision += self.random.randint(1, 4)
-        return self.revision
-
-    def _told(self, route: Route, revision: int) -> dict[str, Any]:
-        return adapter("samples").route(
-            name=route.name,
-            host=route.host,
-            prefix=route.prefix,
-            kind=route.kind,
-            parts=list(route.parts),
-            hold=route.hold,
-            aim=route.aim,
-            rank=route.rank,
-            sends=route.sends,
-            revision=revision,
-        )
-
-    def standing_routes(self) -> list[Route]:
-        newest = [max(versions, key=lambda each: each[0])[1] for versions in self.versions.values()]
-        return [route for route in newest if route is not None]
-
-    def _order(
-        self, sets: list[Route], drops: tuple[str, ...] = (), *, first: bool = False, revision: int | None = None
-    ) -> Order:
-        number = self._revision() if revision is None else revision
-        samples = adapter("samples")
-        told = [self._told(route, number) for route in sets]
-        services = [samples.service(name=shape.name, revision=number) for shape in self.arena.day.site.services]
-        body = samples.call(
-            routes=told,
-            services=services if first else [],
-            constraints=samples.limits(revision=number) if first else None,
-            removed=[(name, number) for name in drops],
-        )
-        routes = (*((route.name, number, route) for route in sets), *((name, number, None) for name in drops))
-        order = Order(f"order-{next(self.arena.counter)}", body, routes)
-        said = {each["name"]: each for each in told}
-        self.arena.history.add(Ordered(self.arena.moment(), order.name, routes, True, said))
-        for name, at, route in routes:
-            self.versions.setdefault(name, []).append((at, route))
-        return order
+        # Orders with a confirmation that was heard, to be sent again.
+        self.confirmed: list[Order] = []
+        # Of the answers to operators, so many are lost now.
+        self.lost_share = 0.0
 
     async def first_setup(self) -> bool:
-        return await self._send(self._order(list(self.arena.day.site.routes), first=True)) == 200
+        return await self._send(self.book.proper(list(self.arena.day.site.routes), first=True)) == CONFIRMED
 
-    async def _send(self, order: Order, *, begin: str = "") -> int:
-        """Until there is a clear answer, to one core machine after the other, with growing pauses."""
-        arena = self.arena
-        names = [machine.name for machine in arena.day.site.core]
+    def _machines(self, begin: str) -> list[str]:
+        names = [machine.name for machine in self.arena.seeds()]
         self.random.shuffle(names)
-        if begin:
+        if begin in names:
             names.remove(begin)
             names.insert(0, begin)
+        return names
+
+    async def _send(self, order: Order, *, begin: str = "") -> int:
+        """Until there is a clear answer, to one core machine after the other, with growing pauses."""
+        arena = self.arena
+        samples = adapter("samples")
+        names = self._machines(begin)
         pause, until, odd = 0.05, arena.moment() + LONGEST, 0
+        arena.happened(SENT)
         while arena.moment() < until:
             name = names[0]
             names = [*names[1:], name]
-            answer = await arena.control(name, "PATCH", CONFIG, order.body, within=SILENCE)
+            answer = await arena.control(name, samples.CHANGE, samples.CONFIG_PATH, order.body, within=SILENCE)
             status = 0 if answer is None else answer.status
+            if answer is not None and self.random.random() < self.lost_share:
+                arena.history.add(Unheard(arena.moment(), order.name, status, name))
+                status = 0
+                await asyncio.sleep(SILENCE)
             arena.history.add(Told(arena.moment(), order.name, status, name))
             odd += 400 <= status < 500 and status not in (408, 429)
-            if status == 200:
-                arena.acknowledged(name)
+            if status == CONFIRMED:
+                self.confirmed.append(order)
+                arena.happened(ACKNOWLEDGED, name)
                 return status
             if status in FINAL or odd >= 3:
                 return status
@@ -110,20 +75,59 @@
         task.add_done_callback(lambda done: self.open.pop(done, None))
         return task
 
+    async def _room(self) -> None:
+        while len(self.open) >= MOST_AT_ONCE:
+            await asyncio.wait(list(self.open), return_when=asyncio.FIRST_COMPLETED)
+
     async def change(self, change: Change) -> None:
         draw = random.Random(change.pick)
-        probed: list[Route] = []
-        tasks = []
-        names = [machine.name for machine in self.arena.day.site.core]
-        for desk in range(change.desks):
-            order, touched = self._changed(change.how, draw)
-            probed += touched
-            tasks.append(self.spawn(order, begin=names[(change.pick + desk) % len(names)]))
-        # Two desks' calls are under way at once.
+        names = [machine.name for machine in self.arena.seeds()]
+        await self._room()
+        if change.contested:
+            composed = [Composed(order, []) for order in self.book.contest(change.desks, draw)]
+        else:
+            composed = [self.book.change(change.how, draw) for _ in range(change.desks)]
+        tasks = [
+            self.spawn(each.order, begin=names[(change.pick + desk) % len(names)]) for desk, each in enumerate(composed)
+        ]
+        # The desks' calls are under way at once.
         for task in tasks:
-            if await task != 200:
+            if await task != CONFIRMED:
                 return
-        await self._probe(probed)
+        await self._probe([route for each in composed for route in each.probed])
+
+    async def storm(self, storm: Storm) -> None:
+        draw = random.Random(storm.pick)
+        for _ in range(storm.orders):
+            await self._room()
+            self.spawn(self.book.change(draw.choice(STORM_KINDS), draw).order)
+            await asyncio.sleep(storm.gap)
+
+    async def large(self, large: Large) -> None:
+        await self._room()
+        await self.spawn(self.book.large(large.routes, random.Random(large.routes)))
+
+    async def again(self, again: Again) -> None:
+        """What was confirmed is confirmed again, however much came after it."""
+        if self.confirmed:
+            await self._room()
+            await self.spawn(self.confirmed[again.pick % len(self.confirmed)])
+
+    async def lose_words(self, lost: LostWords) -> None:
+        self.lost_share = lost.share
+        await asyncio.sleep(lost.seconds)
+        self.lost_share = 0.0
+
+    async def bad_order(self, bad: BadOrder) -> None:
+        draw = random.Random(bad.pick)
+        await self._room()
+        await self.spawn(self.book.old(draw) if bad.how == "old" else self.book.bad(bad.how, draw))
+
+    async def last_order(self) -> None:
+        """One more change in calm. A core that has lost its majority for ever can't take it."""
+        composed = self.book.change("times", random.Random(self.arena.day.seed))
+        self.arena.history.add(LastOrder(self.arena.moment(), composed.order.name))
+        await self.arena.within(self.spawn(composed.order), BOUNDS["ack_s"] + SILENCE)
 
     async def _probe(self, routes: list[Route]) -> None:
         for wait in (0.0, BOUNDS["apply_s"] + 0.05, 1.0):
@@ -134,92 +138,19 @@
                     if machine:
                         self.arena.keep(self.arena.visitors.probe(route, machine))
 
-    def _changed(self, how: str, draw: random.Random) -> tuple[Order, list[Route]]:
-        services = [shape.name for shape in self.arena.day.site.services]
-        standing = self.standing_routes()
-        extra = [route for route in standing if route.name.startswith("r-new")]
-        usual = [route for route in standing if not route.name.startswith(("r-new", "r-peek"))]
-        if how in ("drop", "idle") and not extra:
-            how = "add"
-        match how:
-            case "add":
-                self.added += 1
-                name = f"r-new-{self.added}"
-                kind = draw.choice((REPEATABLE, ONCE_PER_KEY))
-                part = ((draw.choice(services), 1.0),)
-                host = draw.choice(self.arena.day.site.routes).host
-                route = Route(name, host, f"/{name}/", kind, part, 2.0, 0.5, 2, 2)
-                return self._order([route]), [route]
-            case "drop":
-                route = draw.choice(extra)
-                return self._order([], (route.name,)), [route]
-            case "idle":
-                return self._order([draw.choice(extra)]), []
-            case "split":
-                route = draw.choice(usual)
-                some = draw.sample(services, 2)
-                route = route._replace(parts=((some[0], float(draw.randint(1, 9))), (some[1], 5.0)))
-                return self._order([route]), [route]
-            case "move":
-                route = draw.choice(usual)
-                route = route._replace(parts=((draw.choice(services), 1.0),))
-                return self._order([route]), [route]
-            case _:
-                route = draw.choice(usual)
-                route = route._replace(hold=draw.choice((1.0, 2.0, 4.0)), aim=draw.choice((0.3, 0.5, 0.8)))
-                return self._order([route]), []
-
-    async def bad_order(self, bad: BadOrder) -> None:
-        draw = random.Random(bad.pick)
-        if bad.how == "old":
-            name = draw.choice([name for name, versions in self.versions.items()])
-            revision, route = min(self.versions[name], key=lambda each: each[0])
-            order = self._order([route] if route else [], () if route else (name,), revision=revision)
-            await self.spawn(order)
-            return
-        samples = adapter("samples")
-        services = [shape.name for shape in self.arena.day.site.services]
-        number = self._revision()
-        usual = [route for route in self.standing_routes() if not route.name.startswith(("r-new", "r-peek"))]
-        # One item of it is right and would show; one is wrong, so neither may count.
-        first, second = draw.sample(usual, 2)
-        right = first._replace(parts=((draw.choice(services), 1.0),))
-        wrong = self._told(second, number)
-        match bad.how:
-            case "unknown service" if "split" in wrong and draw.random() < 0.5:
-                wrong["split"][-1]["service"] = "nobody"
-            case "unknown service":
-                # Also beside a split.
-                wrong["service"] = "nobody"
-            case "below 0":
-                wrong.pop("service", None)
-                wrong["split"] = [{"service": services[0], "gain": 2}, {"service": services[1], "gain": -1}]
-            case "no hold":
-                wrong["cutoff_s"] = 0
-            case "aim":
-                wrong["target_s"] = wrong["cutoff_s"] + 60
-            case "kind":
-                wrong["route_kind"] = "whenever"
-        body = samples.call(routes=[self._told(right, number), wrong])
-        if bad.how == "torn":
-            body = body[: len(body) * 2 // 3]
-        routes = ((right.name, number, right), (second.name, number, second))
-        order = Order(f"order-{next(self.arena.counter)}", body, routes)
-        self.arena.history.add(Ordered(self.arena.moment(), order.name, routes, False, {}))
-        await self.spawn(order)
-
     async def read_back(self, *, seconds: float) -> None:
         """Asks every core machine, again and again for this long."""
+        samples = adapter("samples")
 
         async def read(name: str) -> None:
             until = self.arena.moment() + seconds
             while True:
-                answer = await self.arena.control(name, "GET", CONFIG, b"", within=SILENCE)
-                done = answer is not None and answer.status == 200
+                answer = await self.arena.control(name, samples.READ, samples.CONFIG_PATH, b"", within=SILENCE)
+                done = answer is not None and answer.status == CONFIRMED
                 if done or self.arena.moment() >= until:
                     break
                 await asyncio.sleep(0.1)
-            routes = adapter("samples").read_whole(answer.body) if done else None
+            routes = samples.read_whole(answer.body) if done else None
             self.arena.history.add(ReadBack(self.arena.moment(), name, routes))
 
-        await asyncio.gather(*(read(machine.name) for machine in self.arena.day.site.core))
+        await asyncio.gather(*(read(name) for name in self.arena.core))
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/servers.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/servers.py
@@ -1,24 +1,20 @@
-"""The application servers beside the stalls: slots, a short queue, lives, beats, and the ways they go wrong."""
+"""The application servers beside the sidecars: slots, a short queue, lives, beats, and the ways they go wrong."""
 
 import asyncio
 import hashlib
 from collections import deque
-from typing import TYPE_CHECKING
 
 from hoistsaddle.common.errors import Mishap, MishapKind
 from hoistsaddle.sidecar.messages import Serve, Served, ServeMissed
 from hoistsaddle.sidecar.serverconnection import pack_pairs, unpack_pairs
 from hoistsaddle.testbed.emulator.customs import adapter
-from hoistsaddle.testbed.emulator.day import BOUNDS, StallMachine
 from hoistsaddle.testbed.emulator.history import Arrived, Beaten, Ran, Replied
-
-if TYPE_CHECKING:
-    from hoistsaddle.testbed.emulator.arena import Arena
+from hoistsaddle.testbed.emulator.site import BOUNDS, SidecarMachine
+from hoistsaddle.testbed.emulator.stage import Stage
 
 BEAT_SECONDS = 1.5
 # A server that just started takes twice as long for a while.
 COLD_SECONDS = 3.0
-SEAL = "Server-Seal"
 
 
 def digest_of(data: bytes) -> str:
@@ -28,7 +24,7 @@
 class Server:
     """One life of one server."""
 
-    def __init__(self, *, arena: "Arena", machine: StallMachine, service: str) -> None:
+    def __init__(self, *, arena: Stage, machine: SidecarMachine, service: str) -> None:
         self.arena = arena
         self.machine = machine
         self.service = service
@@ -65,10 +61,12 @@
             cold=cold,
             number=self.beats,
         )
-        return await self._tell("PUT", body, "decaying" if leaving else "ready")
+        samples = adapter("samples")
+        return await self._tell(samples.BEAT, body, samples.LEAVING if leaving else samples.READY)
 
     async def _tell(self, method: str, body: bytes, state: str) -> bool:
-        answer = await self.arena.control(self.machine.name, method, f"/-/instances/{self.instance}", body, within=1.0)
+        path = adapter("samples").instance_path(self.instance)
+        answer = await self.arena.control(self.machine.name, method, path, body, within=1.0)
         if answer is None or answer.status >= 300:
             return False
         self.acknowledged.add(state)
@@ -87,7 +85,7 @@
             end = self.arena.moment() + 2.0
             while self.working and self.arena.moment() < end:
                 await asyncio.sleep(0.02)
-            await self._tell("DELETE", b"", "gone")
+            await self._tell(adapter("samples").LEAVE, b"", "gone")
         self.end()
 
     def end(self) -> None:
@@ -103,7 +101,7 @@
         return ServeMissed(serve.number, unsent, Mishap(kind, "The server broke off.", "simulated"))
 
     def _not_run(self, serve: Serve, status: int) -> Served:
-        headers = pack_pairs([(b"Not-Run", b"1"), (b"Attempt-Id", serve.call.send_id.encode())])
+        headers = pack_pairs(adapter("samples").not_run(attempt=serve.call.send_id))
         return Served(serve.number, status, headers, b"", True)
 
     async def _slot(self, within: float) -> bool:
@@ -128,7 +126,7 @@
         self.working -= 1
 
     async def serve(self, serve: Serve) -> tuple:
-        """One request from the stall; runs outside the stall's life, as a server is a process of its own."""
+        """One request from the sidecar; runs outside the sidecar's life, as a server is a process of its own."""
         arena, call = self.arena, serve.call
         if self.ended:
             return self._missed(serve, unsent=True)
@@ -150,7 +148,6 @@
         arena, call = self.arena, serve.call
         run = f"run-{next(arena.counter)}"
         path = call.path.decode()
-        headers = {name.decode().lower(): value.decode() for name, value in unpack_pairs(call.headers)}
         arena.history.add(
             Ran(
                 arena.moment(),
@@ -163,7 +160,7 @@
                 call.method,
                 path,
                 digest_of(call.body),
-                headers.get("operation-key", ""),
+                adapter("samples").key_of(unpack_pairs(call.headers)),
             )
         )
         visit = arena.visit_of(path)
@@ -194,8 +191,8 @@
         if self.ended or how == "cut":
             return self._missed(serve)
         if how == "lost":
-            # Silence until the stall's own bound; the server is long done.
+            # Silence until the sidecar's own bound; the server is long done.
             await asyncio.sleep(max(0.0, until - arena.moment()))
             return ServeMissed(serve.number, False, Mishap(MishapKind.BUDGET_SPENT, "No answer came.", "simulated"))
-        sealed = [(SEAL.encode(), run.encode()), (b"Attempt-Id", call.send_id.encode())]
-        return Served(serve.number, status, pack_pairs(sealed), body, False)
+        headers = pack_pairs(adapter("samples").sealed(run=run, attempt=call.send_id))
+        return Served(serve.number, status, headers, body, False)
--- /dev/null
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/stage.py
@@ -0,0 +1,75 @@
+"""What machines, servers, visitors and operators see of the day that is played round them."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+from hoistsaddle.testbed.emulator.day import Day
+from hoistsaddle.testbed.emulator.history import History
+from hoistsaddle.testbed.emulator.site import CoreMachine, Route, SidecarMachine, Visit
+from hoistsaddle.testbed.simulation.clockwork import ClockworkLoop
+
+
+class Stage(Protocol):
+    """The day as its parts see it; the arena is the one that there is."""
+
+    day: Day
+    loop: ClockworkLoop
+    random: random.Random
+    # The simulated network and disks.
+    world: Any
+    history: History
+    counter: "itertools.count[int]"
+    # By machine: its process of now, and the server beside it.
+    processes: dict[str, Any]
+    servers: dict[str, Any]
+    visitors: Any
+    # Core machines of now by name; replaced ones are gone from it.
+    core: dict[str, CoreMachine]
+    machines: dict[str, SidecarMachine]
+
+    def moment(self) -> float: ...
+
+    def keep(self, work: Coroutine) -> asyncio.Task: ...
+
+    def fault(self, what: str) -> None: ...
+
+    def listen(self, counters: Any) -> None: ...
+
+    async def within(self, task: asyncio.Task, seconds: float) -> None: ...
+
+    def seeds(self) -> list[CoreMachine]: ...
+
+    def route_of(self, name: str) -> Route: ...
+
+    def visit_of(self, path: str) -> Visit: ...
+
+    def manner_of(self, service: str) -> str: ...
+
+    def open_machine(self, zone: str) -> str: ...
+
+    async def control(self, machine: str, method: str, path: str, body: bytes, *, within: float) -> Any: ...
+
+    def happened(self, when: str, machine: str = "") -> None: ...
+
+
+class Machines(Stage, Protocol):
+    """What carries out the troubles may do to the machines."""
+
+    ready: dict[str, bool]
+    # By service: the share of its answers that go wrong, and how.
+    manners: dict[str, tuple[float, str]]
+
+    def leader(self) -> str: ...
+
+    def name_now(self, name: str) -> str: ...
+
+    def start(self, name: str, *, cold: bool = False) -> None: ...
+
+    def add_machine(self, machine: SidecarMachine, *, cold: bool = False) -> None: ...
+
+    def add_successor(self, name: str) -> None: ...
+
+    def new_server(self, machine: SidecarMachine) -> None: ...
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/touch.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/touch.py
@@ -3,8 +3,8 @@
 import bisect
 from typing import NamedTuple
 
-from hoistsaddle.testbed.emulator.day import BOUNDS, Site
 from hoistsaddle.testbed.emulator.history import Closed, Harm, Healed, History
+from hoistsaddle.testbed.emulator.site import BOUNDS, Site, is_core
 
 # A request's own bounds begin a little after a trouble's end is written down.
 FOR_EVER = 1e9
@@ -21,7 +21,8 @@
 class Touch:
     def __init__(self, *, history: History, site: Site) -> None:
         self.contact = BOUNDS["contact_s"]
-        self.core = [machine.name for machine in site.core]
+        # A replaced machine's successor takes its place: their number stays.
+        self.core_size = len(site.core)
         ends = {healed.number: healed.at for healed in history.of(Healed)}
         self.spans = [
             Span(harm.at, ends.get(harm.number, FOR_EVER), harm.machine, harm.kind, harm.planned)
@@ -31,7 +32,7 @@
         for span in self.spans:
             self.by_machine.setdefault(span.machine, []).append(span)
         # A disk's trouble is its machine's alone; every other trouble of a core machine moves the core.
-        core = [span for span in self.spans if span.machine in self.core and span.kind != "disk"]
+        core = [span for span in self.spans if is_core(span.machine) and span.kind != "disk"]
         self.core_spans = core
         self.core_moments = sorted({moment for span in core for moment in (span.start, span.end)})
         self.closed = [closed.at for closed in history.of(Closed)]
@@ -54,7 +55,7 @@
         if place < len(self.core_moments) and self.core_moments[place] <= moment:
             return False
         out = {span.machine for span in self.core_spans if span.start <= moment <= span.end}
-        return (len(self.core) - len(out)) * 2 > len(self.core)
+        return (self.core_size - len(out)) * 2 > self.core_size
 
     def settled_over(self, start: float, end: float) -> bool:
         """Settled all the while: it changes only where something happens to the core."""
--- /dev/null
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/troubles.py
@@ -0,0 +1,204 @@
+"""What may happen on a day: plain data, so that a failing day can be made smaller."""
+
+from typing import NamedTuple
+
+# What happens. `at` counts from the start of traffic.
+
+
+class Kill(NamedTuple):
+    """Processes end at once; power also takes what a disk had not synced, and the machine says nothing while down."""
+
+    at: float
+    machines: tuple[str, ...]
+    seconds: float
+    power: bool = False
+    wipe: bool = False
+
+
+class Freeze(NamedTuple):
+    at: float
+    machines: tuple[str, ...]
+    seconds: float
+
+
+class Cut(NamedTuple):
+    """Nothing passes from these machines to the others, nor back unless it is one way."""
+
+    at: float
+    machines: tuple[str, ...]
+    others: tuple[str, ...]
+    seconds: float
+    one_way: bool = False
+
+
+class DiskTrouble(NamedTuple):
+    at: float
+    machine: str
+    seconds: float
+    how: str
+
+
+class Stop(NamedTuple):
+    """SIGTERM, and a new start."""
+
+    at: float
+    machine: str
+    seconds: float
+
+
+class Misbehave(NamedTuple):
+    """A share of a service's answers is lost, cut short or a failure."""
+
+    at: float
+    service: str
+    share: float
+    seconds: float
+    how: str
+
+
+class Release(NamedTuple):
+    """A server leaves in order and a new life of it comes, on the same machine."""
+
+    at: float
+    machine: str
+
+
+class Replace(NamedTuple):
+    """A server leaves in order or crashes, its machine is stopped, and its address goes to another service's server."""
+
+    at: float
+    machine: str
+    service: str
+    crash: bool = False
+
+
+class Crash(NamedTuple):
+    """A server ends without a word."""
+
+    at: float
+    machine: str
+    seconds: float
+
+
+class Change(NamedTuple):
+    """A proper order: add, drop, split, move, times or idle. Several at once are a race of desks.
+
+    contested: all desks use one version for contents of their own, so that only one of them may be confirmed.
+    """
+
+    at: float
+    how: str
+    pick: int
+    desks: int = 1
+    contested: bool = False
+
+
+class Storm(NamedTuple):
+    """Many proper orders one after the other, as many under way at once as the platform allows."""
+
+    at: float
+    orders: int
+    gap: float
+    pick: int
+
+
+class Large(NamedTuple):
+    """One order with many new routes."""
+
+    at: float
+    routes: int
+
+
+class Again(NamedTuple):
+    """An order that was confirmed before is sent once more, to any machine."""
+
+    at: float
+    pick: int
+
+
+class LostWords(NamedTuple):
+    """A share of the answers to the operators is lost on its way: they send the same again, elsewhere first."""
+
+    at: float
+    share: float
+    seconds: float
+
+
+class BadOrder(NamedTuple):
+    at: float
+    how: str
+    pick: int
+
+
+class Rewrite(NamedTuple):
+    """The settings files change under the running programs."""
+
+    at: float
+
+
+class ReplaceCore(NamedTuple):
+    """A core machine goes for good, and an empty one takes its place at another address.
+
+    planned: the new one starts first, then the old one gets SIGTERM. Otherwise it comes `seconds` after the loss.
+    """
+
+    at: float
+    machine: str
+    seconds: float
+    planned: bool = False
+
+
+class Reset(NamedTuple):
+    """A share of the connections of these machines is reset: to other machines, to servers, to visitors."""
+
+    at: float
+    machines: tuple[str, ...]
+    share: float
+
+
+# When a fault that waits for something strikes: right after the core's word to an operator, a moment after an order
+# was sent, acknowledged or not, or right after a keyed request was answered.
+ACKNOWLEDGED, SENT, TAKEN = "acknowledged", "sent", "taken"
+
+
+class AfterWord(NamedTuple):
+    """The core machine that acknowledges the next order is harmed right after; otherwise the one that leads."""
+
+    at: float
+    how: str
+    seconds: float
+    when: str = ACKNOWLEDGED
+
+
+class Closing(NamedTuple):
+    """The day's last fault: kill, power, or wipe: as many disks as may be lost, the other machines' power now and then.
+
+    "wipe and power" takes their power always.
+    """
+
+    at: float
+    how: str
+    seconds: float
+    when: str = ACKNOWLEDGED
+
+
+Trouble = (
+    Kill
+    | Freeze
+    | Cut
+    | DiskTrouble
+    | Stop
+    | Misbehave
+    | Release
+    | Replace
+    | Crash
+    | ReplaceCore
+    | Reset
+    | Rewrite
+    | AfterWord
+)
+# The operators' own doings.
+Doing = Change | Storm | Large | Again | LostWords | BadOrder
+Happening = Trouble | Doing | Closing
+# A core machine that is named when its time comes.
+LEADER = "leader"
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/visitors.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/visitors.py
@@ -3,16 +3,16 @@
 import asyncio
 from collections import deque
 from types import SimpleNamespace
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from multidict import CIMultiDict
 
-from hoistsaddle.testbed.emulator.day import ONCE_PER_KEY, REPEATABLE, Route, Visit
+from hoistsaddle.testbed.emulator.customs import adapter
 from hoistsaddle.testbed.emulator.history import Got, Sent
-from hoistsaddle.testbed.emulator.servers import SEAL, Server, digest_of
-
-if TYPE_CHECKING:
-    from hoistsaddle.testbed.emulator.arena import Arena
+from hoistsaddle.testbed.emulator.servers import Server, digest_of
+from hoistsaddle.testbed.emulator.site import ONCE_PER_KEY, REPEATABLE, Route, Visit
+from hoistsaddle.testbed.emulator.stage import Stage
+from hoistsaddle.testbed.emulator.troubles import TAKEN
 
 PROMISES = (408, 421, 429, 503)
 NEVER_AGAIN = (400, 401, 404, 413, 431)
@@ -38,7 +38,7 @@
 
 
 class Visitors:
-    def __init__(self, *, arena: "Arena") -> None:
+    def __init__(self, *, arena: Stage) -> None:
         self.arena = arena
         self.random = arena.random
         # Keys of good answers, to be sent again after the day's last fault.
@@ -123,9 +123,7 @@
         left = until - arena.moment()
         body = b"" if route.kind == REPEATABLE else f"{path} {key} ".encode() * 4
         method = "POST" if body else "GET"
-        headers = [("Host", route.host), ("Attempt-Id", attempt), ("Deadline-Ms", f"{left * 1000:.0f}")]
-        # What a client says of its service must not count.
-        headers += [("Operation-Key", key)] if key else [("Caller-Service", "somebody")]
+        headers = adapter("samples").request_headers(host=route.host, attempt=attempt, left=left, key=key)
         process = arena.processes[machine]
         arena.history.add(
             Sent(
@@ -146,6 +144,8 @@
         answer = await self._carry(machine, Call(method=method, path=path, headers=headers, body=body), until, route)
         got = self._read(attempt, answer)
         arena.history.add(got)
+        if key and got.outcome == "answered" and got.status == 200:
+            arena.happened(TAKEN, machine)
         return got
 
     async def _carry(self, machine: str, call: Call, until: float, route: Route) -> Any:
@@ -165,9 +165,12 @@
         task = process.life.spawn(process.door.handle(call))
         process.pending[task] = None
         task.add_done_callback(lambda done: process.pending.pop(done, None))
-        await asyncio.wait({task, process.ended}, timeout=max(0.0, patience), return_when=asyncio.FIRST_COMPLETED)
+        connection = process.connection()
+        ways = {task, process.ended, connection}
+        await asyncio.wait(ways, timeout=max(0.0, patience), return_when=asyncio.FIRST_COMPLETED)
+        process.close_connection(connection)
         if not task.done():
-            return "broken" if process.ended.done() else "given up"
+            return "broken" if process.ended.done() or connection.done() else "given up"
         if task.cancelled():
             # The door lets go of the connection.
             return "broken"
@@ -181,6 +184,6 @@
         if isinstance(answer, str):
             return Got(moment, attempt, answer)
         after = answer.headers.get("Retry-After")
-        seal = answer.headers.get(SEAL, "")
+        seal = answer.headers.get(adapter("samples").SEAL, "")
         body = digest_of(bytes(answer.body or b""))
         return Got(moment, attempt, "answered", answer.status, seal, body, float(after) if after else None)
--- a/tests/arcade_plants.py
+++ b/tests/arcade_plants.py
@@ -22,17 +22,17 @@
 from hoistsaddle.statemachine.commands import Outcome
 from hoistsaddle.statemachine.state import READY
 from hoistsaddle.testbed.emulator.customs import adapter
-from hoistsaddle.testbed.emulator.day import (
+from hoistsaddle.testbed.emulator.day import Day
+from hoistsaddle.testbed.emulator.site import draw_site
+from hoistsaddle.testbed.emulator.troubles import (
     BadOrder,
     Change,
     Closing,
-    Day,
     Happening,
     Kill,
     Misbehave,
     Release,
     Stop,
-    draw_site,
 )
 
 
--- a/tests/test_arcade.py
+++ b/tests/test_arcade.py
@@ -20,8 +20,9 @@
 from hoistsaddle.testbed.emulator.arena import play
 from hoistsaddle.testbed.emulator.checkers import RULES, check
 from hoistsaddle.testbed.emulator.customs import adapter
-from hoistsaddle.testbed.emulator.day import Day, Kill, draw_day
+from hoistsaddle.testbed.emulator.day import Day, draw_day
 from hoistsaddle.testbed.emulator.hunt import Hunted, Verdict, day_of, hunt, make_smaller
+from hoistsaddle.testbed.emulator.troubles import Kill
 
 sys.path.insert(0, str(Path(__file__).parent))
 from arcade_plants import DAYS, PLANTS  # noqa: E402
