--- a/packages/testbed/src/hoistsaddle/testbed/emulator/account.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/account.py
@@ -9,6 +9,8 @@
 from hoistsaddle.testbed.emulator.touch import Touch
 
 CONFIRMED = 200
+# Answers after which nothing of an order counts.
+REFUSED = (400, 409, 412, 413, 422)
 
 
 class Version:
@@ -21,6 +23,8 @@
         # When the operator heard of it, and when a core machine said so first, heard or not.
         self.acknowledged: float | None = None
         self.given: float | None = None
+        # Every order that holds it was refused.
+        self.refused = True
 
     def allows(self, service: str) -> bool:
         return self.route is not None and any(name == service and weight > 0 for name, weight in self.route.parts)
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/arena.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/arena.py
@@ -23,9 +23,7 @@
 from hoistsaddle.testbed.emulator.servers import Server
 from hoistsaddle.testbed.emulator.site import BOUNDS, CORE, CoreMachine, Route, SidecarMachine, Visit
 from hoistsaddle.testbed.emulator.troubles import (
-    ACKNOWLEDGED,
     SENT,
-    TAKEN,
     Again,
     BadOrder,
     Change,
@@ -278,12 +276,10 @@
         """Everything at once: right after the core's word, soon after an order was sent, or after a keyed answer."""
         self.keep(self.operators.change(Change(0.0, "split", self.day.seed)))
         match closing.when:
-            case when if when == TAKEN:
-                await self._until(TAKEN, most=1.0)
             case when if when == SENT:
                 await asyncio.sleep(self.random.uniform(*SOON_AFTER))
-            case _:
-                await self._until(ACKNOWLEDGED, most=1.0)
+            case when:
+                await self._until(when, most=1.0)
         struck = self.moment()
         await self.harms.everything(closing.how, closing.seconds)
         self.history.add(Closed(struck, self.moment()))
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/controldays.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/controldays.py
@@ -7,6 +7,7 @@
     ACKNOWLEDGED,
     LEADER,
     SENT,
+    SNAPSHOT,
     TAKEN,
     AfterWord,
     Again,
@@ -106,7 +107,7 @@
         case "replace" | "planned":
             # Half of the time down: what stays of the span is its successor's.
             return [ReplaceCore(at, one, span / 2, planned=kind == "planned")]
-    when = draw.choice((ACKNOWLEDGED, ACKNOWLEDGED, SENT, TAKEN))
+    when = draw.choice((ACKNOWLEDGED, ACKNOWLEDGED, SENT, TAKEN, SNAPSHOT, SNAPSHOT))
     # Whatever it waits for comes about soon: a change of its own goes with it.
     harm = AfterWord(at, draw.choice(("kill", "power", "wipe")), span, when)
     return [harm, Change(at + 0.1, "times", draw.randrange(1000))]
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/day.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/day.py
@@ -165,6 +165,7 @@
         found = [each for each in found if not isinstance(each, CORE_TROUBLES) or not _of_core(each)]
         found += control_lane(control, site, seconds)
         found += orders_lane(control, seconds)
+        site = site._replace(snapshot_records=control.choice((40, 150, 600)))
     more = random.Random(f"more {seed}")
     sidecars = [machine.name for machine in site.sidecars]
     if more.random() < 0.3:
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/harms.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/harms.py
@@ -10,6 +10,7 @@
     ACKNOWLEDGED,
     LEADER,
     SENT,
+    SNAPSHOT,
     AfterWord,
     Crash,
     Cut,
@@ -244,7 +245,7 @@
         struck = [each for each in self.after_word if each.when == when]
         self.after_word = [each for each in self.after_word if each.when != when]
         for after in struck:
-            self.stage.keep(self._strike(after, machine if when == ACKNOWLEDGED else ""))
+            self.stage.keep(self._strike(after, machine if when in (ACKNOWLEDGED, SNAPSHOT) else ""))
 
     async def _strike(self, after: AfterWord, machine: str) -> None:
         if after.when == SENT:
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from hoistsaddle.common.errors import Mishap, MishapKind
 from hoistsaddle.common.settings import check_params
 from hoistsaddle.raft.disk import Disk
@@ -15,12 +17,13 @@
 from hoistsaddle.sidecar.node import SidecarNode
 from hoistsaddle.sidecar.service import CLOSING, QUIET
 from hoistsaddle.testbed.emulator.customs import adapter
-from hoistsaddle.testbed.emulator.disks import ledger_files
+from hoistsaddle.testbed.emulator.disks import EmulatedDiskWorker, ledger_files
 from hoistsaddle.testbed.emulator.history import Started
 from hoistsaddle.testbed.emulator.site import BOUNDS, CoreMachine, SidecarMachine
 from hoistsaddle.testbed.emulator.stage import Stage
+from hoistsaddle.testbed.emulator.troubles import SNAPSHOT
 from hoistsaddle.testbed.simulation.clockwork import Life
-from hoistsaddle.testbed.simulation.world import SimulatedDiskWorker, SimulatedRuntime, wipe
+from hoistsaddle.testbed.simulation.world import SimulatedRuntime, wipe
 
 # What a closing door waits before it lets go of its connections, and then for what still runs on them.
 GRACE_LEFT = 0.15
@@ -45,6 +48,7 @@
         self.dark = False
         self.stopping_since: float | None = None
         self.node: Any = None
+        self.worker: EmulatedDiskWorker | None = None
         self.door: Any = None
         self.control: Any = None
         arena.history.add(Started(arena.moment(), machine.name, self.service, number))
@@ -82,15 +86,21 @@
     def _make(self, settings: Any) -> None:
         handlers, headers = adapter("handlers"), adapter("headers")
         if isinstance(self.machine, CoreMachine):
-            params: Any = check_params(headers.market_params(settings)).unwrap()
+            params: Any = check_params(self._core_params(headers.market_params(settings))).unwrap()
             self.folder.mkdir(parents=True, exist_ok=True)
             self.arena.world.disks.add(self.folder)
             disk = Disk(
                 folder=self.folder, replica=number_of_host(params.host), token=self.runtime.token, synchronous="OFF"
             )
 
-            def make_worker(**needs: Any) -> SimulatedDiskWorker:
-                return SimulatedDiskWorker(world=self.arena.world, life=self.life, **needs)
+            def make_worker(**needs: Any) -> EmulatedDiskWorker:
+                self.worker = EmulatedDiskWorker(
+                    world=self.arena.world,
+                    life=self.life,
+                    snapshot=lambda: self.arena.happened(SNAPSHOT, self.machine.name),
+                    **needs,
+                )
+                return self.worker
 
             self.node = Controller(params=params, runtime=self.runtime, disk=disk, make_worker=make_worker)
             self.control = handlers.OperatorDoor(market=self.node)
@@ -106,8 +116,15 @@
         if self.life.dead or self.life.frozen or not self.open:
             return
         settings, headers = self.settings(cold=False), adapter("headers")
-        read = headers.market_params if isinstance(self.machine, CoreMachine) else headers.broker_params
-        self.life.context.run(self.node.revise, check_params(read(settings)).unwrap())
+        if isinstance(self.machine, CoreMachine):
+            params = self._core_params(headers.market_params(settings))
+        else:
+            params = headers.broker_params(settings)
+        self.life.context.run(self.node.revise, check_params(params).unwrap())
+
+    def _core_params(self, params: Any) -> Any:
+        """On some days snapshots come often, so that machines are lost, and catch up, in their midst."""
+        return msgspec.structs.replace(params, checkpoint_records=self.arena.day.site.snapshot_records)
 
     async def _boot(self) -> None:
         await self.node.start()
@@ -167,6 +184,8 @@
         if power:
             self.arena.world.dark.add(self.machine.host)
         if isinstance(self.machine, CoreMachine):
+            if power and self.worker is not None:
+                self.arena.world.disks.tear(self.worker)
             ledger = ledger_files(self.folder) if power else {}
             self.node.warehouse.shell.disk.close()
             if power:
@@ -176,7 +195,7 @@
             self.ended.set_result(None)
 
     def wipe(self) -> None:
-        self.arena.world.disks.wipe(self.folder)
+        self.arena.world.disks.forget(self.folder)
         wipe(self.folder)
 
     def leads(self) -> int:
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/site.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/site.py
@@ -94,6 +94,8 @@
     losses: int
     rate: float
     sync_seconds: tuple[float, float]
+    # A snapshot each so many records; the product's own span by default.
+    snapshot_records: int = 600
 
 
 def _names(random: random.Random, count: int, stem: str) -> list[str]:
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/troubles.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/troubles.py
@@ -157,12 +157,12 @@
 
 
 # When a fault that waits for something strikes: right after the core's word to an operator, a moment after an order
-# was sent, acknowledged or not, or right after a keyed request was answered.
-ACKNOWLEDGED, SENT, TAKEN = "acknowledged", "sent", "taken"
+# was sent, acknowledged or not, right after a keyed request was answered, or as a core machine writes a snapshot.
+ACKNOWLEDGED, SENT, TAKEN, SNAPSHOT = "acknowledged", "sent", "taken", "snapshot"
 
 
 class AfterWord(NamedTuple):
-    """The core machine that acknowledges the next order is harmed right after; otherwise the one that leads."""
+    """The core machine that acknowledges the next order, or writes a snapshot, is harmed; otherwise the leader."""
 
     at: float
     how: str
--- a/tests/arcade_plants.py
+++ b/tests/arcade_plants.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 from unittest import mock
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.errors import Mishap, MishapKind
@@ -25,14 +25,21 @@
 from hoistsaddle.testbed.emulator.day import Day
 from hoistsaddle.testbed.emulator.site import draw_site
 from hoistsaddle.testbed.emulator.troubles import (
+    SNAPSHOT,
+    AfterWord,
+    Again,
     BadOrder,
     Change,
     Closing,
     Happening,
     Kill,
+    Large,
+    LostWords,
     Misbehave,
     Release,
+    Reset,
     Stop,
+    Storm,
 )
 
 
@@ -66,7 +73,36 @@
 SWAPPED = small_day(
     Kill(0.5, ("core-1",), 0.5, power=True, wipe=True), Closing(7.0, "wipe and power", 0.5), seconds=7.0
 )
+# Eight orders at once, a large one, answers lost and connections reset, and orders that come again long after.
+REPEATED = small_day(
+    LostWords(0.5, 0.7, 6.0),
+    Change(0.6, "move", 7),
+    Change(0.7, "times", 8, desks=8),
+    Storm(1.0, 24, 0.05, 3),
+    Large(1.5, 60),
+    Reset(2.5, ("core-0", "core-1", "core-2"), 1.0),
+    Reset(3.0, ("side-00", "side-01"), 1.0),
+    Again(4.0, 0),
+    Again(5.0, 3),
+    Kill(5.5, ("core-0",), 0.5, power=True),
+    Again(7.0, 5),
+    Again(7.5, 9),
+)
+# Power goes as snapshots are written, here and there and at last everywhere.
+SNAPSHOTS = Day(
+    1,
+    draw_site(1, small=True)._replace(snapshot_records=30),
+    (
+        Storm(0.3, 40, 0.1, 3),
+        AfterWord(0.5, "power", 0.5, SNAPSHOT),
+        AfterWord(5.5, "power", 0.5, SNAPSHOT),
+        Closing(11.0, "power", 0.5, SNAPSHOT),
+    ),
+    11.0,
+)
 DAYS = {
+    "snapshots": SNAPSHOTS,
+    "repeated": REPEATED,
     "calm": CALM,
     "planned": PLANNED,
     "stops": STOPS,
@@ -238,6 +274,26 @@
     return mock.patch.multiple(Controller, patch=first_alone, planted=patch, create=True)
 
 
+def _folders_unsynced():
+    return mock.patch("hoistsaddle.raft.disk._sync_folder", lambda folder: None)
+
+
+def _repeats_are_refused():
+    """What was taken is refused when it comes again."""
+    plain, taken = Controller.patch, set()
+
+    async def once(self: Controller, patch):
+        said = repr(patch)
+        if said in taken:
+            return Failure(Mishap(MishapKind.ITEM_BROKEN, "planted", "planted"))
+        answer = await plain(self, patch)
+        if isinstance(answer, Success):
+            taken.add(said)
+        return answer
+
+    return mock.patch.object(Controller, "patch", once)
+
+
 def _an_item_is_not_read():
     plain = Controller.read_items
 
@@ -256,7 +312,7 @@
 
     def pace(**needs) -> Pace:
         starts.append(None)
-        slow = milliseconds(60000) if len(starts) > 3 else milliseconds(500)
+        slow = milliseconds(600000) if len(starts) > 3 else milliseconds(500)
         return Pace(election_least=slow, election_most=slow * 1.5, **needs)
 
     return mock.patch.object(controller, "Pace", pace)
@@ -295,6 +351,9 @@
     Plant("entries are unchecked", "CONFIG orders", "planned", _entries_unchecked),
     Plant("patches go unanswered", "CONFIG orders", "planned", _patches_unanswered),
     Plant("an item is not read", "CONFIG read-back", "calm", _an_item_is_not_read),
+    Plant("folders are not synced", "CONFIG read-back", "snapshots", _folders_unsynced),
+    Plant("repeats are refused", "CONFIG taken", "repeated", _repeats_are_refused),
+    Plant("elections are slow", "CONFIG majority", "ended", _slow_elections_after_the_first),
     Plant("further sends are unbounded", "BUDGET", "failures", _further_sends_unbounded),
     Plant("elections are slow", "RECOVER", "ended", _slow_elections_after_the_first),
     Plant("some answers raise", "FAULT", "calm", _some_answers_raise),
--- /dev/null
+++ b/tests/test_emulator_disks.py
@@ -0,0 +1,83 @@
+"""Folders of the emulator after a loss of power: what a sync covers stays, every other name goes its own way."""
+
+import os
+import random
+import tempfile
+from pathlib import Path
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from hoistsaddle.raft.disk import Disk
+from hoistsaddle.raft.events import Mark
+from hoistsaddle.statemachine.state import found_state
+from hoistsaddle.testbed.emulator.disks import Disks, PowerLostError
+
+SEEDS = range(40)
+
+
+def sync(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY)
+    os.fsync(descriptor)
+    os.close(descriptor)
+
+
+class LossOfPower(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        print("seeds", SEEDS)
+        temporary = tempfile.TemporaryDirectory()
+        self.addCleanup(temporary.cleanup)
+        self.root = Path(temporary.name)
+
+    def after(self, seed: int) -> frozenset[tuple[str, str]]:
+        """Two files are synced; one is removed, one replaced and one made before the power goes."""
+        folder = self.root / str(seed)
+        folder.mkdir()
+        disks = Disks(draw=random.Random(seed))
+        disks.add(folder)
+        with disks.watched():
+            (folder / "kept").write_text("old")
+            (folder / "removed").write_text("old")
+            (folder / "replaced").write_text("old")
+            sync(folder)
+            (folder / "removed").unlink()
+            (folder / "new").write_text("new")
+            (folder / "part").write_text("new")
+            (folder / "part").rename(folder / "replaced")
+            disks.lose_power(folder, {})
+        return frozenset((path.name, path.read_text()) for path in folder.iterdir())
+
+    def test_every_mix_of_kept_and_lost_names_comes_about(self) -> None:
+        found = {self.after(seed) for seed in SEEDS}
+        for names in found:
+            self.assertIn(("kept", "old"), names)
+            # A name stands for the old or the new file, never for neither.
+            self.assertThat(len({("replaced", "old"), ("replaced", "new")} & names), Equals(1))
+        self.assertThat(len(found), Equals(2**3))
+
+    def test_a_power_loss_in_a_snapshot_leaves_a_folder_that_boots(self) -> None:
+        state = found_state(mesh="m", voters={1: "a"}, operators={})
+        names = set()
+        for seed in SEEDS:
+            folder = self.root / f"data-{seed}"
+            folder.mkdir()
+            disks = Disks(draw=random.Random(seed))
+            disks.add(folder)
+            with disks.watched():
+                disk = Disk(folder=folder, replica=1, synchronous="OFF")
+                disk.boot()
+                disk.found(mesh="m", voters={1: "a"}, operators={})
+                disks.fuse = seed % 3
+                try:
+                    disk.store_checkpoint(mark=Mark(5, 1), state=state._replace(offset=5, epoch=1))
+                except PowerLostError:
+                    names.add(disks.fuse)
+                disks.fuse = None
+                ledger = {path: path.read_bytes() for path in folder.glob("ledger*")}
+                disk.close()
+                disks.lose_power(folder, ledger)
+                boot = Disk(folder=folder, replica=1, synchronous="OFF").boot()
+            self.assertThat(boot.mesh, Equals("m"), f"seed {seed}")
+            self.assertIn(boot.checkpoint.offset, (0, 5), f"seed {seed}")
+        self.assertThat(names, Equals({0}))
