--- a/packages/testbed/src/hoistsaddle/testbed/benchdays/writer.py
+++ b/packages/testbed/src/hoistsaddle/testbed/benchdays/writer.py
@@ -27,7 +27,7 @@
 
 def _value(told: Any) -> str:
     if isinstance(told, float):
-        return f"{told:.3f}".rstrip("0") + ("0" if told == int(told) else "")
+        return str(round(told, 3))
     return f'"{told}"' if isinstance(told, str) else str(told)
 
 
