--- a/tests/arcade_plants.py
+++ b/tests/arcade_plants.py
@@ -294,6 +294,18 @@
     return mock.patch.object(Controller, "patch", once)
 
 
+def _valid_orders_are_refused():
+    plain = Controller.patch
+
+    async def refusing(self: Controller, patch):
+        # The first setup goes through, so that there is a day.
+        if len(patch.sets) > 4:
+            return await plain(self, patch)
+        return Failure(Mishap(MishapKind.ITEM_BROKEN, "planted", "planted"))
+
+    return mock.patch.object(Controller, "patch", refusing)
+
+
 def _an_item_is_not_read():
     plain = Controller.read_items
 
@@ -352,6 +364,7 @@
     Plant("patches go unanswered", "CONFIG orders", "planned", _patches_unanswered),
     Plant("an item is not read", "CONFIG read-back", "calm", _an_item_is_not_read),
     Plant("folders are not synced", "CONFIG read-back", "snapshots", _folders_unsynced),
+    Plant("valid orders are refused", "CONFIG one content", "planned", _valid_orders_are_refused),
     Plant("repeats are refused", "CONFIG taken", "repeated", _repeats_are_refused),
     Plant("elections are slow", "CONFIG majority", "ended", _slow_elections_after_the_first),
     Plant("further sends are unbounded", "BUDGET", "failures", _further_sends_unbounded),
