--- a/tests/arcade_plants.py
+++ b/tests/arcade_plants.py
@@ -20,6 +20,7 @@
 from hoistsaddle.sidecar.messages import Reply
 from hoistsaddle.sidecar.node import SidecarNode
 from hoistsaddle.statemachine.commands import Outcome
+from hoistsaddle.statemachine.orders import OrderCheck
 from hoistsaddle.statemachine.state import READY
 from hoistsaddle.testbed.emulator.customs import adapter
 from hoistsaddle.testbed.emulator.day import Day
@@ -100,7 +101,18 @@
     ),
     11.0,
 )
+# Desks with other contents under one version, their answers lost half of the time, and old orders again.
+CONTESTED = small_day(
+    LostWords(0.4, 0.5, 5.0),
+    Change(0.5, "move", 7, desks=2, contested=True),
+    Change(1.5, "move", 8, desks=4, contested=True),
+    Change(2.5, "times", 9),
+    Again(3.5, 1),
+    Change(4.0, "move", 10, desks=2, contested=True),
+    Again(6.0, 3),
+)
 DAYS = {
+    "contested": CONTESTED,
     "snapshots": SNAPSHOTS,
     "repeated": REPEATED,
     "calm": CALM,
@@ -294,6 +306,10 @@
     return mock.patch.object(Controller, "patch", once)
 
 
+def _contents_are_not_compared():
+    return mock.patch("hoistsaddle.statemachine.items.check_order", lambda *needs: OrderCheck(None))
+
+
 def _valid_orders_are_refused():
     plain = Controller.patch
 
@@ -364,6 +380,7 @@
     Plant("patches go unanswered", "CONFIG orders", "planned", _patches_unanswered),
     Plant("an item is not read", "CONFIG read-back", "calm", _an_item_is_not_read),
     Plant("folders are not synced", "CONFIG read-back", "snapshots", _folders_unsynced),
+    Plant("contents are not compared", "CONFIG one content", "contested", _contents_are_not_compared),
     Plant("valid orders are refused", "CONFIG one content", "planned", _valid_orders_are_refused),
     Plant("repeats are refused", "CONFIG taken", "repeated", _repeats_are_refused),
     Plant("elections are slow", "CONFIG majority", "ended", _slow_elections_after_the_first),
