--- a/packages/testbed/src/hoistsaddle/testbed/emulator/controldays.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/controldays.py
@@ -60,7 +60,7 @@
     found: list[Happening] = []
     at = draw.uniform(1.5, 4)
     if draw.random() < LONG_DAYS:
-        return [_long(draw, core, at)]
+        return [_long(draw, site, at)]
     while at < _calm_from(seconds) - 3:
         span = draw.uniform(0.8, 3)
         found += _loss(draw, draw.choice(KINDS), at, span, core)
@@ -69,11 +69,17 @@
     return found
 
 
-def _long(draw: random.Random, core: tuple[str, ...], at: float) -> Happening:
+def _long(draw: random.Random, site: Site, at: float) -> Happening:
+    core = tuple(machine.name for machine in site.core)
     one, span = draw.choice([LEADER, LEADER, *core]), draw.uniform(*LONG)
-    match draw.choice(("cut", "cut", "one way", "freeze", "disk")):
+    match draw.choice(("cut", "sides", "one way", "freeze", "disk")):
         case "cut":
             return Cut(at, (one,), core, span)
+        case "sides":
+            # Some sidecars are on its side: it alone could tell them of anything new.
+            sidecars = tuple(machine.name for machine in site.sidecars)
+            beside = draw.sample(sidecars, max(1, len(sidecars) // 3))
+            return Cut(at, (one, *beside), (*core, *sidecars), span)
         case "one way":
             return Cut(at, (one,), core, span, one_way=True)
         case "freeze":
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/harms.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/harms.py
@@ -128,7 +128,7 @@
     async def _cut(self, cut: Cut) -> None:
         world = self.stage.world
         names, others = self.there(cut.machines), [self.stage.name_now(name) for name in cut.others]
-        pairs = {(name, other) for name in names for other in others if name != other}
+        pairs = {(name, other) for name in names for other in others if other not in names}
         if not cut.one_way:
             pairs |= {(other, name) for name, other in pairs}
         numbers = [self._harm(name, "cut") for name in names]
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/troubles.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/troubles.py
@@ -22,7 +22,7 @@
 
 
 class Cut(NamedTuple):
-    """Nothing passes from these machines to the others, nor back unless it is one way."""
+    """Nothing passes from these machines to the others, nor back unless it is one way; among themselves it does."""
 
     at: float
     machines: tuple[str, ...]
