--- a/packages/common/src/hoistsaddle/common/settings.py
+++ b/packages/common/src/hoistsaddle/common/settings.py
@@ -94,6 +94,8 @@
     settle_seconds: float = 4.0
     # After its stop it goes on for so long at most.
     grace_seconds: float = 6.0
+    # For how long a patch may be sent again after a lost answer, and is told apart from another under its revisions.
+    resend_seconds: float = 600.0
 
 
 class SidecarParams(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -144,6 +146,7 @@
     "operators_port": (1, 65535),
     "uptake_seconds": (0, 60),
     "write_seconds": (0.05, 60),
+    "resend_seconds": (1, 86400),
     "further_percent": (0, 100),
     "further_margin": (0, 100000),
     "key_seconds": (1, 86400),
