--- a/packages/statemachine/src/hoistsaddle/statemachine/commands.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/commands.py
@@ -36,6 +36,15 @@
     incarnation: str
 
 
+class ReplaceVoter(NamedTuple):
+    """One voter out and a whole, caught-up successor in, in one step: the number of voters never sinks."""
+
+    replica: int
+    incarnation: str
+    successor: int
+    successor_incarnation: str
+
+
 class PatchItems(NamedTuple):
     """Part of a setup: items with revisions of their own, one numbered bundle under a standing sign-off."""
 
@@ -193,6 +202,7 @@
     | SwapVoter
     | AddVoter
     | DropVoter
+    | ReplaceVoter
     | PatchItems
     | SubmitBundle
     | SignBundle
@@ -221,6 +231,7 @@
     AddVoter: 3,
     DropVoter: 3,
     PatchItems: 3,
+    ReplaceVoter: 4,
 }
 COMMANDS: dict[str, Any] = {kind.__name__: kind for kind in Command.__args__}
 _encoder = msgspec.msgpack.Encoder()
