--- a/packages/raft/src/hoistsaddle/raft/disk.py
+++ b/packages/raft/src/hoistsaddle/raft/disk.py
@@ -1,11 +1,11 @@
 """A replica's data folder: the log, epoch and vote in sqlite3, checkpoints as files. Used from the disk thread only.
 
 Something lasts once it is synced: sqlite3 runs with full synchronisation, and a checkpoint is synced under a temporary
-name, renamed, and then its folder is synced.
+name, renamed, and then its folder is synced. What every mix of kept and lost files boots into is enumerated by
+tests/test_disk_model.py; docs/design/control-under-faults/snapshots.md says why each step stands where it does.
 """
 
 import errno
-import os
 import secrets
 import sqlite3
 from collections.abc import Callable
@@ -20,30 +20,45 @@
 from hoistsaddle.raft.checkpoint import mark_of, name_of, pack_checkpoint, unpack_checkpoint
 from hoistsaddle.raft.core import OFFSET_OUT_OF_RANGE, SNAPSHOT_NOT_FOUND
 from hoistsaddle.raft.events import Boot, Mark, Write
+from hoistsaddle.raft.files import Files
 from hoistsaddle.rpc.messages import Record
 from hoistsaddle.statemachine.state import State, found_state
 
+# Damaged files are kept for whoever looks into them, but only so many: a small disk must not fill up with them.
+MOST_ASIDE = 8
+ASIDE = ".aside-"
+LEDGER = "ledger.sqlite3"
+# A checkpoint that is being written, and one that is being pulled from the leader.
+PART = ".part"
+PULLED = ".pulled"
+# The library's own pages in the write-ahead file before it moves them into the database.
+WRITE_AHEAD_PAGES = 1000
 
-def _sync_folder(folder: Path) -> None:
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
 
-
-def _set_aside(path: Path) -> None:
-    place = 1
-    while (aside := path.with_name(f"{path.name}.aside-{place}")).exists():
-        place += 1
-    path.rename(aside)
+def _holds(*, begin: Mark, records: tuple[Record, ...], mark: Mark) -> bool:
+    """Whether the log goes on from the checkpoint: without a gap, and with its own record of that epoch in place."""
+    if any(record.offset != begin.offset + place for place, record in enumerate(records, start=1)):
+        return False
+    if mark.offset == begin.offset:
+        return mark.epoch == begin.epoch
+    place = mark.offset - begin.offset - 1
+    return place < len(records) and records[place].epoch == mark.epoch
 
 
 class Disk:
     def __init__(
-        self, *, folder: Path, replica: int, token: Callable[[int], str] = secrets.token_hex, synchronous: str = "FULL"
+        self,
+        *,
+        folder: Path,
+        replica: int,
+        token: Callable[[int], str] = secrets.token_hex,
+        synchronous: str = "FULL",
+        files: Files | None = None,
+        write_ahead_pages: int = WRITE_AHEAD_PAGES,
     ) -> None:
         self.folder = folder
+        self.files = files or Files()
+        self.write_ahead_pages = write_ahead_pages
         self.token = token
         # Only the simulator, which models lost writes itself, runs without syncs.
         self.synchronous = synchronous
@@ -67,21 +82,39 @@
             # A database that can't be read has lost its votes: lay the folder anew, under a new incarnation.
             self.remarks.append("the ledger could not be read and was set aside")
             self.close()
-            for part in sorted(self.folder.glob("ledger.sqlite3*")):
-                if ".aside-" not in part.name:
-                    _set_aside(part)
+            # The database last: while it is there, the folder is as damaged as it was and this is done again.
+            for part in sorted(self.folder.glob(f"{LEDGER}*"), key=lambda each: each.name == LEDGER):
+                if ASIDE not in part.name:
+                    self._set_aside(part)
+            self.files.sync_folder(self.folder)
             self._open()
             return self._read()
 
     def _open(self) -> None:
-        self.checkpoints.mkdir(parents=True, exist_ok=True)
-        self._connect(self.folder / "ledger.sqlite3")
-        _sync_folder(self.folder)
+        self.files.make_folder(self.checkpoints)
+        self._tidy()
+        self._connect(self.folder / LEDGER)
+        self.files.sync_folder(self.folder)
+
+    def _tidy(self) -> None:
+        """Pieces that a former life left half-made name nothing; they would only take up room."""
+        for path in sorted(self.checkpoints.iterdir()):
+            if path.suffix in (PART, PULLED):
+                self.files.remove(path)
+
+    def _set_aside(self, path: Path) -> None:
+        """Moves what is damaged out of the way; the oldest of such files go first when there are too many."""
+        found = sorted(path.parent.glob(f"*{ASIDE}*"), key=lambda each: int(each.name.rpartition("-")[2]))
+        place = int(found[-1].name.rpartition("-")[2]) + 1 if found else 1
+        for old in found[: max(0, len(found) - MOST_ASIDE + 1)]:
+            self.files.remove(old)
+        self.files.rename(path, path.with_name(f"{path.name}{ASIDE}{place}"))
 
     def _connect(self, path: Path) -> None:
         self.connection = sqlite3.connect(path, check_same_thread=False, isolation_level=None)
         self.connection.execute("PRAGMA journal_mode=WAL")
         self.connection.execute(f"PRAGMA synchronous={self.synchronous}")
+        self.connection.execute(f"PRAGMA wal_autocheckpoint={self.write_ahead_pages}")
         # Bounds the write-ahead file, so that the folder of a small disk doesn't grow.
         self.connection.execute("PRAGMA journal_size_limit=4194304")
         self.connection.execute(
@@ -92,6 +125,14 @@
             self._lay()
 
     def _lay(self) -> None:
+        """Lays the folder anew: a blank disk under a new incarnation."""
+        # Checkpoints of a former life first: kept beside a new one, a newer mark of theirs would be taken at a later
+        # start for this life's state.
+        former = [path for path in sorted(self.checkpoints.iterdir()) if mark_of(path.name)]
+        for path in former:
+            self._set_aside(path)
+        if former:
+            self.files.sync_folder(self.checkpoints)
         self.connection.execute("BEGIN")
         self.connection.execute("DELETE FROM log")
         self.connection.execute("DELETE FROM facts")
@@ -127,7 +168,7 @@
             for offset, epoch, stamp, payload in self.connection.execute("SELECT * FROM log ORDER BY place")
         )
         records = tuple(record for record in records if record.offset > known.begin.offset)
-        found = self._newest_checkpoint(least=known.begin.offset)
+        found = self._newest_checkpoint(least=known.begin.offset, mesh=mesh)
         if found is None:
             # No checkpoint in range: the log counts as empty, and votes kept beside such damage can't be trusted.
             self.remarks.append(
@@ -136,27 +177,30 @@
             self._lay()
             return Boot(replica=self.replica, incarnation=self._fact("incarnation"))
         mark, state = found
-        last = records[-1].offset if records else known.begin.offset
         begin = known.begin
-        if mark.offset > last:
-            # The checkpoint was synced, the log's tail was not: the committed state in the checkpoint stands.
+        if not _holds(begin=begin, records=records, mark=mark):
+            # The checkpoint was synced and the log up to it was not, or the log parts from what was agreed below it:
+            # the committed state in the checkpoint stands, and nothing above it in such a log was ever agreed.
             records, begin = (), mark
         return known._replace(begin=begin, records=records, checkpoint=mark, state=state)
 
-    def _newest_checkpoint(self, *, least: int) -> tuple[Mark, State] | None:
+    def _newest_checkpoint(self, *, least: int, mesh: str) -> tuple[Mark, State] | None:
         marks = sorted((mark for path in self.checkpoints.iterdir() if (mark := mark_of(path.name))), reverse=True)
         for mark in marks:
             if mark.offset < least:
                 break
             path = self.checkpoints / name_of(mark)
             match unpack_checkpoint(mark=mark, data=path.read_bytes()):
-                case Success(state):
+                case Success(state) if state.mesh == mesh:
                     return mark, state
+                case Success(state):
+                    self.remarks.append(f"{path.name} belongs to mesh {state.mesh} and was set aside")
+                    self._set_aside(path)
                 case Failure(mishap) if mishap.kind == MishapKind.OTHER_RELEASE:
                     raise OSError(errno.EPROTO, str(mishap))
                 case Failure(mishap):
                     self.remarks.append(str(mishap))
-                    _set_aside(path)
+                    self._set_aside(path)
         return None
 
     def found(self, *, mesh: str, voters: dict[int, str], operators: dict[str, str], level: int = 1) -> None:
@@ -206,13 +250,16 @@
             raise
 
     def _store(self, mark: Mark, data: bytes) -> None:
-        temporary = self.checkpoints / (name_of(mark) + ".part")
-        with temporary.open("wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        temporary.rename(self.checkpoints / name_of(mark))
-        _sync_folder(self.checkpoints)
+        temporary = self.checkpoints / (name_of(mark) + PART)
+        try:
+            self.files.write(temporary, data)
+            self.files.sync(temporary)
+        except OSError:
+            # On a full disk half a file would take the room that the log needs.
+            self.files.remove(temporary)
+            raise
+        self.files.rename(temporary, self.checkpoints / name_of(mark))
+        self.files.sync_folder(self.checkpoints)
 
     def store_checkpoint(self, *, mark: Mark, state: State) -> int:
         data = pack_checkpoint(mark=mark, state=state)
@@ -221,15 +268,16 @@
 
     def store_chunk(self, *, mark: Mark, position: int, data: bytes, last: bool) -> State | None:
         """Puts a pulled piece in its place; after the last one the whole file is checked, synced and named."""
-        partial = self.checkpoints / (name_of(mark) + ".pulled")
-        with partial.open("r+b" if position else "wb") as file:
-            file.seek(position)
-            file.write(data)
-            file.truncate()
+        partial = self.checkpoints / (name_of(mark) + PULLED)
+        if not position:
+            # A pull that was given up for a newer checkpoint leaves its pieces behind.
+            for path in sorted(self.checkpoints.glob(f"*{PULLED}")):
+                self.files.remove(path)
+        self.files.write(partial, data, position=position)
         if not last:
             return None
         whole = partial.read_bytes()
-        partial.unlink()
+        self.files.remove(partial)
         match unpack_checkpoint(mark=mark, data=whole):
             case Success(state):
                 self._store(mark, whole)
@@ -251,11 +299,11 @@
         return "", data, position + len(data) < size
 
     def drop_checkpoints(self, *, below: int) -> None:
-        for path in self.checkpoints.iterdir():
-            mark = mark_of(path.name.removesuffix(".part").removesuffix(".pulled"))
+        for path in sorted(self.checkpoints.iterdir()):
+            mark = mark_of(path.name.removesuffix(PART).removesuffix(PULLED))
             if mark is not None and mark.offset < below:
-                path.unlink()
-        _sync_folder(self.checkpoints)
+                self.files.remove(path)
+        self.files.sync_folder(self.checkpoints)
 
     def close(self) -> None:
         if self.connection is not None:
--- /dev/null
+++ b/packages/testbed/src/hoistsaddle/testbed/diskmodel/check.py
@@ -0,0 +1,228 @@
+"""Plays a data folder's life, loses the power at every moment of it in every mix, and boots what is left.
+
+What a call wrote before it returned must be there; what a call was at may be there or not, but nothing between. A
+blank folder is right only before the first start has told its incarnation.
+"""
+
+import hashlib
+import itertools
+import random
+import shutil
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import NamedTuple
+
+from hoistsaddle.raft.disk import Disk
+from hoistsaddle.raft.events import Boot
+from hoistsaddle.testbed.diskmodel.model import FolderModel, Mix, lay_out
+from hoistsaddle.testbed.diskmodel.operations import FileSynced, FolderSynced, Operation, Returned
+from hoistsaddle.testbed.diskmodel.recorder import Recorder
+
+REPLICA = 1
+# Small, so that moving pages into the database happens often in a short life.
+WRITE_AHEAD_PAGES = 6
+
+
+class Broken(NamedTuple):
+    """A mix that booted into what never was."""
+
+    moment: int
+    after: str
+    files: tuple[tuple[str, int], ...]
+    problem: str
+
+
+class Findings(NamedTuple):
+    moments: int
+    mixes: int
+    broken: tuple[Broken, ...]
+
+
+class Player:
+    """Lives the life that is recorded: a disk and the moments at which its calls returned."""
+
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        seed: int,
+        make_recorder: Callable[..., Recorder] = Recorder,
+        synchronous: str = "FULL",
+    ) -> None:
+        self.folder = folder
+        self.synchronous = synchronous
+        self.recorder = make_recorder(folder=folder)
+        self.tokens = (f"incarnation-{seed}-{number}" for number in itertools.count())
+        self.disk = self._new_disk()
+
+    def _new_disk(self) -> Disk:
+        return Disk(
+            folder=self.folder,
+            replica=REPLICA,
+            token=lambda size: next(self.tokens),
+            synchronous=self.synchronous,
+            files=self.recorder,
+            write_ahead_pages=WRITE_AHEAD_PAGES,
+        )
+
+    def do(self, name: str, *arguments, **named):
+        result = getattr(self.disk, name)(*arguments, **named)
+        self.recorder.returned(name)
+        return result
+
+    def start_again(self, *, cleanly: bool) -> Boot:
+        if cleanly:
+            self.do("close")
+        self.disk = self._new_disk()
+        return self.do("boot")
+
+
+def record(
+    life: Callable[[Player], None], *, folder: Path, seed: int, start: Mix | None = None, **how
+) -> list[Operation]:
+    """What a life did to its folder; how: a recorder or a synchronisation with a fault in it."""
+    lay_out(start or {}, folder)
+    player = Player(folder=folder, seed=seed, **how)
+    with player.recorder.recording():
+        life(player)
+        operations = list(player.recorder.operations)
+        player.disk.close()
+    return operations
+
+
+def _boot(mix: Mix, folder: Path) -> Boot:
+    lay_out(mix, folder)
+    disk = Disk(folder=folder, replica=REPLICA, token=lambda size: "blank", synchronous="OFF")
+    try:
+        return disk.boot()
+    finally:
+        disk.close()
+        shutil.rmtree(folder)
+
+
+def _moments(operations: list[Operation]) -> Iterator[int]:
+    # What is pending only grows between two syncs, and any part of it may be missing: the moments before a sync, and
+    # those at which a call returned, hold all others.
+    for place, operation in enumerate(operations):
+        if isinstance(operation, FileSynced | FolderSynced | Returned):
+            yield place
+    yield len(operations)
+
+
+def _digest(mix: Mix) -> str:
+    digest = hashlib.sha256()
+    for name, content in mix.items():
+        digest.update(f"{name}:{-1 if content is None else len(content)}:".encode())
+        digest.update(content or b"")
+    return digest.hexdigest()
+
+
+class _Milestones:
+    """The states that a start has to find: one for each call that returned."""
+
+    def __init__(self, *, operations: list[Operation], start: Mix, folder: Path) -> None:
+        model = FolderModel(files={name: content for name, content in start.items() if content is not None})
+        self.places = [0]
+        self.calls = ["nothing"]
+        self.boots = [_boot(start, folder / "milestone")]
+        for place, operation in enumerate(operations):
+            model.do(operation)
+            if isinstance(operation, Returned):
+                self.places.append(place + 1)
+                self.calls.append(operation.call)
+                self.boots.append(_boot(model.whole(), folder / "milestone"))
+
+    def at(self, moment: int) -> tuple[str, list[Boot]]:
+        """The last call that had returned, and what may be booted: what it left, or what the next one would."""
+        last = max(place for place, each in enumerate(self.places) if each <= moment)
+        return self.calls[last], self.boots[last : last + 2]
+
+
+def check(
+    operations: list[Operation],
+    *,
+    folder: Path,
+    seed: int,
+    start: Mix | None = None,
+    boot: Callable[[Mix, Path], Boot] = _boot,
+    known: bool = False,
+) -> Findings:
+    """Boots every mix of every moment. known: an incarnation was told already before the first operation."""
+    chance = random.Random(seed)
+    milestones = _Milestones(operations=operations, start=start or {}, folder=folder)
+    model = FolderModel(files={name: content for name, content in (start or {}).items() if content is not None})
+    seen: set[tuple[int, str]] = set()
+    broken: list[Broken] = []
+    done = moments = 0
+    for moment in _moments(operations):
+        for operation in operations[done:moment]:
+            model.do(operation)
+        done = moment
+        moments += 1
+        after, allowed = milestones.at(moment)
+        told = known or after != "nothing"
+        for mix in model.mixes(seed=chance):
+            key = (id(allowed[0]), _digest(mix))
+            if key in seen:
+                continue
+            seen.add(key)
+            problem = _problem(mix, folder / "mix", allowed, told, boot)
+            if problem:
+                sizes = tuple((name, -1 if content is None else len(content)) for name, content in mix.items())
+                broken.append(Broken(moment, after, sizes, problem))
+    return Findings(moments, len(seen), tuple(broken))
+
+
+def _problem(mix: Mix, folder: Path, allowed: list[Boot], told: bool, boot: Callable[[Mix, Path], Boot]) -> str:
+    try:
+        found = boot(mix, folder)
+    except Exception as error:  # noqa: BLE001
+        shutil.rmtree(folder, ignore_errors=True)
+        return f"it does not start: {error!r}"
+    if unsound := _unsound(found):
+        return f"{unsound}: {summary(found)}"
+    if found in allowed or (not told and not found.mesh):
+        return ""
+    if not found.mesh:
+        return "a blank folder, though its incarnation was told"
+    return f"a state that never was: {summary(found)}; right were {[summary(each) for each in allowed]}"
+
+
+def _unsound(boot: Boot) -> str:
+    """What no start may ever find, whatever was written before."""
+    if boot.state is None:
+        return ""
+    for place, each in enumerate(boot.records, start=1):
+        if each.offset != boot.begin.offset + place:
+            return "a log with a gap"
+        if each.offset == boot.checkpoint.offset and each.epoch != boot.checkpoint.epoch:
+            return "a log that parts from its checkpoint"
+    if boot.checkpoint.offset < boot.begin.offset or boot.checkpoint.offset > boot.begin.offset + len(boot.records):
+        return "a checkpoint beside a log that doesn't reach it"
+    return ""
+
+
+def mixes_of(operations: list[Operation], *, seed: int) -> Iterator[Mix]:
+    """One drawn mix for each moment, to go on from."""
+    chance = random.Random(seed)
+    model = FolderModel()
+    done = 0
+    for moment in _moments(operations):
+        for operation in operations[done:moment]:
+            model.do(operation)
+        done = moment
+        yield chance.choice(list(model.mixes(seed=chance)))
+
+
+def summary(boot: Boot) -> tuple:
+    offsets = [record.offset for record in boot.records]
+    return (
+        boot.incarnation,
+        boot.epoch,
+        boot.vote,
+        boot.begin,
+        boot.checkpoint,
+        (offsets[0], offsets[-1]) if offsets else (),
+        boot.catching,
+        boot.committed,
+    )
--- /dev/null
+++ b/packages/testbed/src/hoistsaddle/testbed/diskmodel/model.py
@@ -0,0 +1,187 @@
+"""What may be left of a data folder after a loss of power, from the operations done to it before.
+
+A file holds what its last sync covered, and each later write is there, missing or torn by itself. A name that was made,
+changed or removed lasts once its folder was synced; until then each name is kept or lost by itself.
+"""
+
+import itertools
+import random
+from collections.abc import Iterator
+from pathlib import Path
+
+from hoistsaddle.testbed.diskmodel.operations import (
+    Created,
+    FileSynced,
+    FolderMade,
+    FolderSynced,
+    Operation,
+    Removed,
+    Renamed,
+    Returned,
+    Shortened,
+    Written,
+)
+
+# Up to so many writes after a file's last sync every subset of them is taken; above, each alone and every beginning.
+ALL_SUBSETS = 5
+# So many mixes of one moment at the most; above, a drawn part of them beside the ones that are named.
+MOST_MIXES = 220
+# What stands for a folder among the names.
+FOLDER = -1
+
+Mix = dict[str, bytes | None]
+
+
+class _File:
+    def __init__(self) -> None:
+        self.lasting = b""
+        self.pending: list[Written | Shortened] = []
+
+
+def _done(content: bytes, change: Written | Shortened, *, torn: bool = False) -> bytes:
+    if isinstance(change, Shortened):
+        return content[: change.size].ljust(change.size, b"\0")
+    data = change.data[: len(change.data) // 2] if torn else change.data
+    content = content.ljust(change.position, b"\0")
+    return content[: change.position] + data + content[change.position + len(data) :]
+
+
+def _contents(file: _File) -> list[bytes]:
+    """Every content that the file may be left with, the whole one first and the lasting one second."""
+    count = len(file.pending)
+    everything = frozenset(range(count))
+    if count <= ALL_SUBSETS:
+        chosen = [frozenset(each) for size in range(count + 1) for each in itertools.combinations(range(count), size)]
+    else:
+        chosen = [frozenset(range(end)) for end in range(0, count, max(1, count // 12))]
+        chosen += [everything - {each} for each in range(0, count, max(1, count // 12))]
+    found: dict[bytes, None] = {}
+    for subset in [everything, frozenset(), *chosen]:
+        for torn in [None, *(sorted(subset)[-2:] if count > ALL_SUBSETS else sorted(subset))]:
+            content = file.lasting
+            for place in sorted(subset):
+                content = _done(content, file.pending[place], torn=place == torn)
+            found[content] = None
+            if torn is None and subset == everything:
+                found.setdefault(file.lasting)
+    return list(found)
+
+
+class FolderModel:
+    def __init__(self, *, files: dict[str, bytes] | None = None) -> None:
+        self.files: dict[int, _File] = {}
+        self.numbers = itertools.count()
+        self.names: dict[str, int | None] = {}
+        # Each name with what it lastingly stands for, and what it stood for since.
+        self.lasting: dict[str, int | None] = {}
+        self.since: dict[str, list[int | None]] = {}
+        for name, content in (files or {}).items():
+            number = self._new_file()
+            self.files[number].lasting = content
+            self.names[name] = self.lasting[name] = number
+            for folder in Path(name).parents:
+                if folder.as_posix() != ".":
+                    self.names[folder.as_posix()] = self.lasting[folder.as_posix()] = FOLDER
+
+    def _new_file(self) -> int:
+        number = next(self.numbers)
+        self.files[number] = _File()
+        return number
+
+    def _set(self, name: str, number: int | None) -> None:
+        self.names[name] = number
+        self.since.setdefault(name, []).append(number)
+
+    def do(self, operation: Operation) -> None:
+        match operation:
+            case Created(name=name):
+                if self.names.get(name) is None:
+                    self._set(name, self._new_file())
+                else:
+                    self.files[self.names[name]].pending.append(Shortened(name, 0))
+            case FolderMade(name=name):
+                self._set(name, FOLDER)
+            case Written(name=name) | Shortened(name=name):
+                self.files[self.names[name]].pending.append(operation)
+            case FileSynced(name=name):
+                file = self.files[self.names[name]]
+                for change in file.pending:
+                    file.lasting = _done(file.lasting, change)
+                file.pending = []
+            case FolderSynced(name=folder):
+                for name in [each for each in self.since if _folder_of(each) == folder]:
+                    self.lasting[name] = self.names[name]
+                    del self.since[name]
+            case Renamed(name=name, new=new):
+                number = self.names[name]
+                self._set(name, None)
+                self._set(new, number)
+            case Removed(name=name):
+                self._set(name, None)
+            case Returned():
+                pass
+
+    def whole(self) -> Mix:
+        """Everything kept, as when only the process died."""
+        return self._mix(self.names, {number: _contents(file)[0] for number, file in self.files.items()})
+
+    def _mix(self, names: dict[str, int | None], contents: dict[int, bytes]) -> Mix:
+        mix: Mix = {}
+        for name, number in sorted(names.items()):
+            folder = _folder_of(name)
+            if number is None or (folder and names.get(folder) != FOLDER):
+                continue
+            mix[name] = None if number == FOLDER else contents[number]
+        return mix
+
+    def mixes(self, *, seed: random.Random) -> Iterator[Mix]:
+        """What a loss of power at this moment may leave: all of it where that is few, else all alone and a part."""
+        names = sorted(set(self.names) | set(self.lasting))
+        name_choices = [
+            list(dict.fromkeys((self.names.get(name), self.lasting.get(name), *self.since.get(name, ()))))
+            for name in names
+        ]
+        numbers = sorted(self.files)
+        content_choices = [_contents(self.files[number]) for number in numbers]
+        choices: list[list] = [*name_choices, *content_choices]
+        total = 1
+        for each in choices:
+            total *= len(each)
+        if total <= MOST_MIXES:
+            picks: Iterator[tuple] = itertools.product(*choices)
+        else:
+            picks = iter(self._some(choices, seed))
+        for pick in picks:
+            yield self._mix(
+                dict(zip(names, pick[: len(names)], strict=True)),
+                dict(zip(numbers, pick[len(names) :], strict=True)),
+            )
+
+    @staticmethod
+    def _some(choices: list[list], seed: random.Random) -> list[tuple]:
+        """Each single choice beside all that is newest and beside all that lasts, and drawn ones up to the most."""
+        newest = tuple(each[0] for each in choices)
+        lasting = tuple(each[min(1, len(each) - 1)] for each in choices)
+        found: dict[tuple, None] = {newest: None, lasting: None}
+        for place, options in enumerate(choices):
+            for option in options:
+                for base in (newest, lasting):
+                    found[(*base[:place], option, *base[place + 1 :])] = None
+        for _ in range(MOST_MIXES):
+            found[tuple(seed.choice(each) for each in choices)] = None
+        return list(found)
+
+
+def _folder_of(name: str) -> str:
+    folder = Path(name).parent.as_posix()
+    return "" if folder == "." else folder
+
+
+def lay_out(mix: Mix, folder: Path) -> None:
+    """Makes a real folder of it."""
+    folder.mkdir(parents=True, exist_ok=True)
+    for name, content in sorted(mix.items()):
+        if content is None:
+            (folder / name).mkdir(exist_ok=True)
+        else:
+            (folder / name).write_bytes(content)
--- /dev/null
+++ b/tests/test_disk_model.py
@@ -0,0 +1,176 @@
+"""Every mix of kept and lost files that a loss of power may leave, at every moment of a data folder's life."""
+
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, GreaterThan
+
+from hoistsaddle.raft import disk
+from hoistsaddle.raft.events import Mark
+from hoistsaddle.raft.files import Files
+from hoistsaddle.testbed.diskmodel.check import Findings, Player, check, mixes_of, record
+from hoistsaddle.testbed.diskmodel.lives import LIVES, Writer, going_on, records, state_at
+from hoistsaddle.testbed.diskmodel.model import FolderModel
+from hoistsaddle.testbed.diskmodel.operations import Created, FileSynced, FolderSynced, Renamed, Written
+from hoistsaddle.testbed.diskmodel.recorder import Recorder
+
+SEED = 1
+
+
+class _Case(TestCase):
+    def folder(self) -> Path:
+        place = tempfile.TemporaryDirectory()
+        self.addCleanup(place.cleanup)
+        return Path(place.name)
+
+    def play(self, life, **how) -> Findings:
+        folder = self.folder()
+        return check(record(life, folder=folder / "life", seed=SEED, **how), folder=folder, seed=SEED)
+
+
+class TornAndMixedDisks(_Case):
+    def test_every_mix_boots_into_what_was_synced(self) -> None:
+        for name, life in LIVES.items():
+            findings = self.play(life)
+            print(name, f"seed {SEED}: {findings.moments} moments, {findings.mixes} mixes")
+            self.assertThat(findings.mixes, GreaterThan(500))
+            self.assertThat([*findings.broken[:3]], Equals([]), name)
+
+    def test_a_second_loss_during_the_start_after_the_first(self) -> None:
+        mixes = 0
+        for name, life in LIVES.items():
+            operations = record(life, folder=self.folder() / "life", seed=SEED)
+            for number, start in enumerate(mixes_of(operations, seed=SEED)):
+                folder = self.folder()
+                again = record(going_on, folder=folder / "life", seed=SEED, start=start)
+                findings = check(again, folder=folder, seed=SEED, start=start)
+                mixes += findings.mixes
+                self.assertThat([*findings.broken[:3]], Equals([]), f"{name} {number}")
+        print(f"seed {SEED}: {mixes} mixes after a second loss")
+
+
+class _NoFileSync(Recorder):
+    def sync(self, path: Path) -> None:
+        pass
+
+
+class _NoFolderSync(Recorder):
+    def sync_folder(self, folder: Path) -> None:
+        if folder.name != "checkpoints":
+            super().sync_folder(folder)
+
+
+def _drops_too_soon(player: Player) -> None:
+    boot = player.do("boot")
+    player.do("found", mesh="m", voters={1: boot.incarnation, 2: "two", 3: "three"}, operators={})
+    writer = Writer(player=player, boot=player.do("boot"))
+    writer.write(records(1, 6, epoch=1))
+    writer.begin = Mark(5, 1)
+    # Wrong: the begin offset lasts before the checkpoint that it rests on.
+    writer.write()
+    player.do("store_checkpoint", mark=Mark(5, 1), state=state_at(Mark(5, 1)))
+    player.do("drop_checkpoints", below=5)
+
+
+class InjectedFaults(_Case):
+    """The model is worth what it finds: each of these breaks one step that the disk rests on."""
+
+    def found(self, findings: Findings) -> str:
+        return "; ".join(each.problem for each in findings.broken)
+
+    def test_a_checkpoint_that_is_not_synced_before_its_name(self) -> None:
+        self.assertThat(self.found(self.play(LIVES["trimming"], make_recorder=_NoFileSync)), Contains("blank"))
+
+    def test_a_checkpoint_whose_name_does_not_last(self) -> None:
+        self.assertThat(self.found(self.play(LIVES["trimming"], make_recorder=_NoFolderSync)), Contains("blank"))
+
+    def test_a_log_that_is_not_synced_when_the_write_returns(self) -> None:
+        findings = self.play(LIVES["trimming"], synchronous="NORMAL")
+        self.assertThat(self.found(findings), Contains("a state that never was"))
+
+    def test_a_begin_offset_that_lasts_before_its_checkpoint(self) -> None:
+        self.assertThat(self.found(self.play(_drops_too_soon)), Contains("blank"))
+
+    def test_a_start_that_takes_a_log_beside_a_checkpoint_it_parts_from(self) -> None:
+        def former_rule(*, begin, records, mark) -> bool:
+            return mark.offset <= (records[-1].offset if records else begin.offset)
+
+        with mock.patch.object(disk, "_holds", former_rule):
+            findings = self.play(LIVES["catching up"])
+        self.assertThat(self.found(findings), Contains("a log that parts from its checkpoint"))
+
+
+class TheModelItself(TestCase):
+    """What the pages say of files, on the model that is to keep it."""
+
+    def left(self, *operations) -> set[tuple]:
+        model = FolderModel(files={"old": b"was"})
+        for operation in operations:
+            model.do(operation)
+        return {tuple(mix.items()) for mix in model.mixes(seed=None)}
+
+    def test_a_write_is_there_missing_or_torn_until_the_sync(self) -> None:
+        written = Written("old", 0, b"NEWS")
+        self.assertThat(self.left(written), Equals({(("old", each),) for each in (b"was", b"NEWS", b"NEs")}))
+        self.assertThat(self.left(written, FileSynced("old")), Equals({(("old", b"NEWS"),)}))
+
+    def test_a_new_name_may_be_lost_until_its_folder_is_synced(self) -> None:
+        made = (Created("new"), Written("new", 0, b"x"), FileSynced("new"))
+        kept = (("new", b"x"), ("old", b"was"))
+        self.assertThat(self.left(*made), Equals({kept, (("old", b"was"),)}))
+        self.assertThat(self.left(*made, FolderSynced("")), Equals({kept}))
+
+    def test_both_names_of_a_renamed_file_are_kept_or_lost_by_themselves(self) -> None:
+        renamed = Renamed("old", "new")
+        self.assertThat(
+            self.left(renamed),
+            Equals({(("new", b"was"),), (("old", b"was"),), (("new", b"was"), ("old", b"was")), ()}),
+        )
+        self.assertThat(self.left(renamed, FolderSynced("")), Equals({(("new", b"was"),)}))
+
+
+class Folders(_Case):
+    def test_folders_above_the_data_last_too(self) -> None:
+        synced = []
+
+        class Noted(Files):
+            def sync_folder(self, folder: Path) -> None:
+                synced.append(folder)
+                super().sync_folder(folder)
+
+        top = self.folder()
+        Noted().make_folder(top / "a" / "b")
+        self.assertThat(synced, Equals([top, top / "a"]))
+
+    def test_a_folder_laid_anew_never_takes_a_former_lifes_checkpoint(self) -> None:
+        folder = self.folder() / "data"
+        former = disk.Disk(folder=folder, replica=1)
+        boot = former.boot()
+        former.found(mesh="m", voters={1: boot.incarnation}, operators={})
+        former.store_checkpoint(mark=Mark(50, 2), state=state_at(Mark(50, 2)))
+        former.close()
+        for path in folder.glob("ledger.sqlite3*"):
+            path.unlink()
+        blank = disk.Disk(folder=folder, replica=1)
+        boot = blank.boot()
+        blank.found(mesh="m", voters={1: boot.incarnation}, operators={})
+        founded = blank.boot()
+        blank.close()
+        self.assertThat((founded.checkpoint, founded.incarnation), Equals((Mark(0, 0), boot.incarnation)))
+
+    def test_damaged_files_and_half_made_ones_stay_bounded(self) -> None:
+        folder = self.folder() / "data"
+        first = disk.Disk(folder=folder, replica=1)
+        first.boot()
+        first.close()
+        for number in range(40):
+            (folder / "ledger.sqlite3").write_bytes(b"nothing sqlite3 knows" * 100)
+            (folder / "checkpoints" / f"{number:020d}-1.checkpoint.pulled").write_bytes(b"half")
+            (folder / "checkpoints" / f"{number:020d}-1.checkpoint.part").write_bytes(b"half")
+            again = disk.Disk(folder=folder, replica=1)
+            again.boot()
+            again.close()
+        self.assertThat(len(list(folder.glob("*.aside-*"))), Equals(disk.MOST_ASIDE))
+        self.assertThat(list((folder / "checkpoints").iterdir()), Equals([]))
