--- a/packages/raft/src/hoistsaddle/raft/core.py
+++ b/packages/raft/src/hoistsaddle/raft/core.py
@@ -126,6 +126,8 @@
             case FetchAnswer():
                 if number == self.fetch_number:
                     self._fetch_answer(replica, message)
+                else:
+                    self._late_answer(number, replica, message)
             case PullAnswer():
                 if number == self.pull_number:
                     self._pull_answer(message)
--- a/packages/raft/src/hoistsaddle/raft/disk.py
+++ b/packages/raft/src/hoistsaddle/raft/disk.py
@@ -298,10 +298,10 @@
             return SNAPSHOT_NOT_FOUND, b"", False
         return "", data, position + len(data) < size
 
-    def drop_checkpoints(self, *, below: int) -> None:
+    def drop_checkpoints(self, *, below: int, keep: tuple[Mark, ...] = ()) -> None:
         for path in sorted(self.checkpoints.iterdir()):
             mark = mark_of(path.name.removesuffix(PART).removesuffix(PULLED))
-            if mark is not None and mark.offset < below:
+            if mark is not None and mark.offset < below and mark not in keep:
                 self.files.remove(path)
         self.files.sync_folder(self.checkpoints)
 
--- a/packages/raft/src/hoistsaddle/raft/elections.py
+++ b/packages/raft/src/hoistsaddle/raft/elections.py
@@ -56,9 +56,9 @@
         self.round_seen = 0
         # Hearing of a leader gives it time to answer the first fetch.
         self._announce("following", leader=leader)
-        if self.pulling is not None:
-            # KIP-630: the checkpoint being pulled was the old leader's; start over at offset and epoch zero.
-            self.pulling = None
+        # The checkpoint being pulled was the old leader's. What is held here stayed whole, so the new one is asked
+        # for the log after it; where that is gone, or nothing is held, it says where to begin.
+        self._give_up_pull("")
         self._fetch()
 
     def _stop(self) -> None:
--- a/packages/raft/src/hoistsaddle/raft/events.py
+++ b/packages/raft/src/hoistsaddle/raft/events.py
@@ -127,7 +127,10 @@
 
 
 class DropCheckpoints(NamedTuple):
+    """Those below the offset go, but for any that somebody is still pulling."""
+
     below: int
+    keep: tuple[Mark, ...] = ()
 
 
 class StoreChunk(NamedTuple):
@@ -186,4 +189,5 @@
     replace_span: timedelta = timedelta(seconds=20)
     chunk_bytes: int = 65536
     fetch_records: int = 500
-    fetch_bytes: int = 1024 * 1024
+    # An answer larger than this would take longer than a fetch waits, on a slow link shared with other traffic.
+    fetch_bytes: int = 256 * 1024
--- a/packages/raft/src/hoistsaddle/raft/fetching.py
+++ b/packages/raft/src/hoistsaddle/raft/fetching.py
@@ -1,8 +1,12 @@
 """The follower's side: fetches, what their answers say, logs that part, the search for a leader."""
 
+from hoistsaddle.raft.events import Mark
 from hoistsaddle.raft.replica import LEADER, RELEASE_OLD, WRONG_MESH, Replica
 from hoistsaddle.rpc.messages import UNSET, FetchAnswer, FetchCall
 
+# So many fetches are remembered for their late answers; more are never under way at once.
+REMEMBERED_FETCHES = 4
+
 
 class Fetching(Replica):
     """The follower's side: fetches, what their answers say, logs that part, the search for a leader."""
@@ -10,9 +14,12 @@
     def _fetch(self) -> None:
         if self.leader in (UNSET, self.replica) or self.halted:
             return
-        # While nothing is held, offset and epoch zero ask the leader where to begin.
-        waiting = not self.whole and self.pulling is None
-        offset, epoch = (0, 0) if waiting else (self.last.offset + 1, self.last.epoch)
+        if self.pulling is None and (not self.whole or self.starting_over):
+            # Offset and epoch zero ask the leader where to begin.
+            offset, epoch, whole = 0, 0, False
+        else:
+            offset, epoch = self._log_end.offset + 1, self._log_end.epoch
+            whole = self.pulling is None
         self.fetch_sent = self.now
         self.fetch_number = self._send(
             self.leader,
@@ -24,10 +31,33 @@
                 offset,
                 epoch,
                 self.round_seen,
-                self.whole,
+                whole,
                 self.level,
             ),
         )
+        self.fetched_from[self.fetch_number] = Mark(offset - 1, epoch)
+        while len(self.fetched_from) > REMEMBERED_FETCHES:
+            del self.fetched_from[next(iter(self.fetched_from))]
+
+    @property
+    def _log_end(self) -> Mark:
+        """Where the log that is being fetched ends: the one above a checkpoint on its way, or the own."""
+        if self.pulling is None:
+            return self.last
+        return Mark(self.staged[-1].offset, self.staged[-1].epoch) if self.staged else self.pulling
+
+    def _late_answer(self, number: int, replica: int, answer: FetchAnswer) -> None:
+        """Records that took longer than a fetch waits. Were they dropped, a slow link would never bring them."""
+        if (
+            replica == self.leader
+            and self.standing != LEADER
+            and answer.epoch == self.epoch
+            and not answer.mishap
+            and answer.records
+            and self.fetched_from.get(number) == self._log_end
+        ):
+            self._take_records(answer)
+            self._fetch()
 
     def _fetch_answer(self, replica: int, answer: FetchAnswer) -> None:
         self.fetch_sent = None
@@ -57,28 +87,39 @@
         self.election_at = self.now + self._election_span()
         self.round_seen = max(self.round_seen, answer.round)
         if answer.checkpoint_offset != UNSET:
-            self._discard(answer)
+            self._begin_pull(answer)
         elif answer.diverging_offset != UNSET:
-            if not self._diverge(answer):
+            if self.pulling is not None:
+                self._give_up_pull("the log above it parts from the leader's")
+            elif not self._diverge(answer):
                 # Asked to forget what was committed: say so, and ask again no sooner than the schedule does.
                 self.fetch_sent = self.now
                 return None
         else:
-            fresh = tuple(record for record in answer.records if record.offset > self.last.offset)
-            if fresh and fresh[0].offset == self.last.offset + 1:
-                self._append(fresh)
-            if self.whole:
-                self.high_watermark = max(self.high_watermark, min(answer.high_watermark, self.last.offset))
-                self._apply()
-                # Followers adopt the begin offset once their own checkpoint covers it.
-                if (
-                    answer.begin_offset - 1 > self.begin.offset
-                    and self.checkpoint
-                    and self.checkpoint.offset >= answer.begin_offset - 1
-                ):
-                    self._set_begin(answer.begin_offset - 1)
+            self._take_records(answer)
         self._fetch()
 
+    def _take_records(self, answer: FetchAnswer) -> None:
+        end = self._log_end.offset
+        fresh = tuple(record for record in answer.records if record.offset > end)
+        fits = bool(fresh) and fresh[0].offset == end + 1
+        if self.pulling is not None:
+            if fits:
+                self._stage(fresh)
+            return
+        if fits and self.whole:
+            self._append(fresh)
+        if self.whole:
+            self.high_watermark = max(self.high_watermark, min(answer.high_watermark, self.last.offset))
+            self._apply()
+            # Followers adopt the begin offset once their own checkpoint covers it.
+            if (
+                answer.begin_offset - 1 > self.begin.offset
+                and self.checkpoint
+                and self.checkpoint.offset >= answer.begin_offset - 1
+            ):
+                self._set_begin(answer.begin_offset - 1)
+
     def _diverge(self, answer: FetchAnswer) -> bool:
         offset = min(answer.diverging_offset, self.last.offset)
         while offset > self.begin.offset and self.epoch_at(offset) > answer.diverging_epoch:
--- a/packages/raft/src/hoistsaddle/raft/jobs.py
+++ b/packages/raft/src/hoistsaddle/raft/jobs.py
@@ -108,8 +108,8 @@
             case Founding(mesh=mesh, voters=voters, operators=operators, level=level):
                 self.disk.found(mesh=mesh, voters=voters, operators=operators, level=level)
                 return Founded(self.disk.boot())
-            case DropCheckpoints(below=below):
-                self.disk.drop_checkpoints(below=below)
+            case DropCheckpoints(below=below, keep=keep):
+                self.disk.drop_checkpoints(below=below, keep=keep)
         return None
 
     @staticmethod
--- a/packages/raft/src/hoistsaddle/raft/replica.py
+++ b/packages/raft/src/hoistsaddle/raft/replica.py
@@ -126,7 +126,13 @@
         self.fetch_sent: timedelta | None = None
         self.heard_leader: timedelta | None = None
         self.round_seen = 0
+        # Where each of the last fetches asked the log to go on: a late answer counts if it still goes on there.
+        self.fetched_from: dict[int, Mark] = {}
         self.pulling: Mark | None = None
+        # The log above the checkpoint that is being pulled; log and state stay what they were until that is loaded.
+        self.staged: list[Record] = []
+        # After a failed pull the leader is asked anew where to begin, whatever is held here.
+        self.starting_over = False
         self.pull_number = 0
         self.pull_sent: timedelta | None = None
         self.pull_position = 0
@@ -144,6 +150,10 @@
         self.waiting: dict[int, list] = {}
         self.ticket_of: dict[int, int] = {}
         self.capturing: Mark | None = None
+        # The checkpoint that each replica is pulling from here, and when it last asked for a piece.
+        self.pulls: dict[int, tuple[Mark, timedelta]] = {}
+        # Checkpoints that were left only because somebody was pulling them.
+        self.spared: tuple[Mark, ...] = ()
 
     # -- what is known ---------------------------------------------------------------------------------------------
 
@@ -293,7 +303,13 @@
     def _set_begin(self, offset: int) -> None:
         raise NotImplementedError
 
-    def _discard(self, answer: FetchAnswer) -> None:
+    def _begin_pull(self, answer: FetchAnswer) -> None:
+        raise NotImplementedError
+
+    def _give_up_pull(self, why: str) -> None:
+        raise NotImplementedError
+
+    def _stage(self, records: tuple[Record, ...]) -> None:
         raise NotImplementedError
 
     def _fetch(self) -> None:
--- a/packages/raft/src/hoistsaddle/raft/replication.py
+++ b/packages/raft/src/hoistsaddle/raft/replication.py
@@ -74,19 +74,17 @@
         if call.fetch_offset < self.begin_offset:
             # KIP-630: below the begin offset the answer is the latest checkpoint and where the log goes on after it.
             progress.whole = False
-            mark = self.checkpoint
-            return self._answer(
-                ticket,
-                answer._replace(
-                    checkpoint_offset=mark.offset, checkpoint_epoch=mark.epoch, next_offset=mark.offset + 1
-                ),
-            )
+            return self._answer(ticket, self._to_checkpoint(answer))
         known = self.epoch_at(call.fetch_offset - 1)
         if known != call.fetch_epoch:
             # KIP-595: the follower's log parts from ours; name the end of the newest epoch that both may share.
             offset = min(call.fetch_offset - 1, self.last.offset)
             while offset > self.begin.offset and self.epoch_at(offset) > call.fetch_epoch:
                 offset -= 1
+            if self.epoch_at(offset) > call.fetch_epoch:
+                # They part below the begin offset, where this log knows nothing to name.
+                progress.whole = False
+                return self._answer(ticket, self._to_checkpoint(answer))
             return self._answer(ticket, answer._replace(diverging_offset=offset, diverging_epoch=self.epoch_at(offset)))
         # Records above a checkpoint still being pulled don't count: without what lies below they save nothing.
         progress.whole = call.whole
@@ -101,6 +99,10 @@
             self.held[call.replica] = (ticket, call, self.now)
         self._confirm_reads()
 
+    def _to_checkpoint(self, answer: FetchAnswer) -> FetchAnswer:
+        mark = self.checkpoint
+        return answer._replace(checkpoint_offset=mark.offset, checkpoint_epoch=mark.epoch, next_offset=mark.offset + 1)
+
     def _answer_fetch(self, ticket: int, call: FetchCall) -> None:
         records = []
         size = 0
