--- /dev/null
+++ b/tests/test_catch_up.py
@@ -0,0 +1,252 @@
+"""A replica that was away: what it keeps while it pulls, what the leader keeps for it, and that rounds end."""
+
+from datetime import timedelta
+
+from immutables import Map
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from hoistsaddle.raft.events import (
+    AnswerArrived,
+    Boot,
+    CheckpointLoaded,
+    CheckpointStored,
+    DropCheckpoints,
+    Mark,
+    StoreChunk,
+    Ticked,
+)
+from hoistsaddle.raft.replica import SNAPSHOT_NOT_FOUND
+from hoistsaddle.rpc.messages import BallotCall, FetchAnswer, FetchCall, LeadCall, PullAnswer, PullCall, Record
+from hoistsaddle.statemachine.state import State, found_state
+from test_kip_630 import PACE, VOTERS, Bench, claim
+
+
+def records(first: int, last: int, *, epoch: int) -> tuple[Record, ...]:
+    return tuple(Record(offset, epoch, timedelta(seconds=offset), claim(offset)) for offset in range(first, last + 1))
+
+
+def state_at(offset: int, epoch: int, *, mesh: str = "m") -> State:
+    return State(mesh=mesh, offset=offset, epoch=epoch, voters=Map(VOTERS))
+
+
+class Behind(Bench):
+    """Replica 2 with nine records of epoch 1, three of them agreed, sent to the checkpoint of a leader of epoch 3."""
+
+    def __init__(self) -> None:
+        state = found_state(mesh="m", voters=VOTERS, operators={})
+        super().__init__(
+            replica=2,
+            boot=Boot(
+                replica=2,
+                incarnation="two",
+                epoch=1,
+                voters=tuple(VOTERS.items()),
+                mesh="m",
+                records=records(1, 9, epoch=1),
+                checkpoint=Mark(0, 0),
+                state=state,
+            ),
+        )
+        self.call(LeadCall("m", 1, 1))
+        self.answer(FetchAnswer("", 1, 1, 3, 1))
+        self.call(LeadCall("m", 3, 3))
+        self.sent_to(40)
+
+    def answer(self, answer: FetchAnswer, *, leader: int = 0) -> None:
+        self.feed(AnswerArrived(self.core.fetch_number, leader or self.core.leader, answer))
+
+    def sent_to(self, offset: int) -> None:
+        end = offset + 10
+        checkpoint = {"checkpoint_offset": offset, "checkpoint_epoch": 3, "next_offset": offset + 1}
+        self.answer(FetchAnswer("", self.core.epoch, self.core.leader, end, offset + 1, **checkpoint))
+
+    def piece(self, data: bytes = b"abc", *, continues: bool = False) -> None:
+        pull = self.sent(PullCall)[-1].message
+        answer = PullAnswer("", 3, pull.checkpoint_offset, pull.checkpoint_epoch, pull.position, data, continues)
+        self.feed(AnswerArrived(self.core.pull_number, self.core.leader, answer))
+
+    def fetched_from(self) -> tuple[int, int, bool]:
+        call = self.sent(FetchCall)[-1].message
+        return call.fetch_offset, call.fetch_epoch, call.whole
+
+
+class WhileItPulls(TestCase):
+    def test_it_stays_whole_with_all_that_it_acknowledged(self) -> None:
+        bench = Behind()
+        bench.piece(continues=True)
+        self.assertThat((bench.core.whole, bench.core.state.offset, bench.core.last), Equals((True, 3, Mark(9, 1))))
+        # It votes as the log that it holds asks for: not for one that knows less.
+        bench.feed(Ticked(), later=timedelta(seconds=3))
+        self.assertThat(bench.call(BallotCall("m", 9, 1, "one", 8, 1, False)).granted, Equals(False))
+        self.assertThat(bench.call(BallotCall("m", 10, 1, "one", 9, 1, False)).granted, Equals(True))
+
+    def test_a_new_leader_that_still_has_the_log_after_its_own_needs_no_checkpoint(self) -> None:
+        bench = Behind()
+        bench.piece(continues=True)
+        bench.call(LeadCall("m", 4, 1))
+        self.assertThat((bench.core.pulling, bench.fetched_from()), Equals((None, (10, 1, True))))
+        bench.answer(FetchAnswer("", 4, 1, 11, 1, records(10, 11, epoch=4)))
+        self.assertThat(bench.core.state.offset, Equals(11))
+
+    def test_log_fetched_meanwhile_goes_on_above_what_was_loaded(self) -> None:
+        bench = Behind()
+        bench.answer(FetchAnswer("", 3, 3, 42, 41, records(41, 42, epoch=3)))
+        self.assertThat(bench.fetched_from(), Equals((43, 3, False)))
+        bench.piece()
+        bench.feed(CheckpointLoaded(Mark(40, 3), state_at(40, 3)))
+        self.assertThat((bench.core.begin, bench.core.last), Equals((Mark(40, 3), Mark(42, 3))))
+        bench.answer(FetchAnswer("", 3, 3, 42, 41))
+        self.assertThat((bench.core.state.offset, bench.fetched_from()), Equals((42, (43, 3, True))))
+
+    def test_it_never_goes_back_to_an_older_state_nor_to_another_meshs(self) -> None:
+        for state in (state_at(2, 1), state_at(40, 3, mesh="other")):
+            bench = Behind()
+            bench.piece()
+            bench.feed(CheckpointLoaded(Mark(40, 3), state))
+            self.assertThat((bench.core.state.offset, bench.core.last, bench.core.mesh), Equals((3, Mark(9, 1), "m")))
+            self.assertThat(bench.fetched_from()[:2], Equals((41, 3)))
+            bench.feed(Ticked(), later=PACE.fetch_retry + timedelta(milliseconds=15))
+            self.assertThat(bench.fetched_from(), Equals((0, 0, False)))
+
+    def test_the_same_checkpoint_named_again_goes_on_where_it_was(self) -> None:
+        bench = Behind()
+        bench.piece(continues=True)
+        bench.answer(FetchAnswer("", 3, 3, 50, 41))
+        self.assertThat((bench.core.pull_position, bench.core.pulling), Equals((3, Mark(40, 3))))
+
+    def test_only_a_silence_of_its_own_makes_it_start_over(self) -> None:
+        bench = Behind()
+        bench.piece(continues=True)
+        # The leader trims its log twice meanwhile; the fetches beside the pull keep up, so nothing is lost.
+        for end in (60, 80):
+            bench.answer(FetchAnswer("", 3, 3, end, end - 4, records(bench.fetched_from()[0], end, epoch=3)))
+        self.assertThat((bench.core.pulling, bench.core.pull_position), Equals((Mark(40, 3), 3)))
+        bench.piece()
+        bench.feed(CheckpointLoaded(Mark(40, 3), state_at(40, 3)))
+        bench.answer(FetchAnswer("", 3, 3, 80, 77))
+        self.assertThat(bench.core.state.offset, Equals(80))
+        # Frozen for long, by contrast, it meets a log that begins above what it staged.
+        frozen = Behind()
+        frozen.piece(continues=True)
+        frozen.sent_to(90)
+        self.assertThat(
+            (frozen.core.pulling, frozen.core.pull_position, frozen.fetched_from()),
+            Equals((Mark(90, 3), 0, (91, 3, False))),
+        )
+        self.assertThat([chunk.mark for chunk in frozen.of(StoreChunk)], Equals([Mark(40, 3)]))
+
+
+class PartedLogs(TestCase):
+    def test_one_that_parts_below_the_begin_offset_is_sent_to_the_checkpoint(self) -> None:
+        """Cut off as a leader, with a tail of its own that reaches past where the others' log begins by now."""
+        bench = Bench().lead()
+        bench.write(8)
+        bench.commit()
+        bench.feed(CheckpointStored(Mark(7, 1), 100))
+        self.assertThat(bench.core.begin.offset, Equals(7))
+        answer = bench.fetch(3, 20, 0)
+        self.assertThat((answer.checkpoint_offset, answer.diverging_offset), Equals((7, -1)))
+
+    def test_it_gets_there_in_a_bounded_number_of_calls(self) -> None:
+        leading = Bench().lead()
+        leading.write(8)
+        leading.commit()
+        leading.feed(CheckpointStored(Mark(7, 1), 100))
+        state = found_state(mesh="m", voters=VOTERS, operators={})
+        boot = Boot(
+            replica=3,
+            incarnation="three",
+            voters=tuple(VOTERS.items()),
+            mesh="m",
+            records=records(1, 19, epoch=0),
+            checkpoint=Mark(0, 0),
+            state=state,
+        )
+        parted = Bench(boot=boot)
+        parted.call(LeadCall("m", 1, 1))
+        for calls in range(1, 6):
+            call = parted.sent(FetchCall)[-1].message
+            answer = leading.call(call)
+            if answer is None:
+                break
+            parted.feed(AnswerArrived(parted.core.fetch_number, 1, answer))
+        self.assertThat((calls <= 3, parted.core.pulling), Equals((True, Mark(7, 1))))
+
+
+class WhatTheLeaderKeeps(TestCase):
+    def pulled_from(self) -> Bench:
+        bench = Bench().lead()
+        bench.write(6)
+        bench.commit()
+        bench.feed(CheckpointStored(Mark(6, 1), 100))
+        self.assertThat(bench.core.begin.offset, Equals(6))
+        bench.fetch(3, 1, 0)
+        bench.call(PullCall(3, 1, 6, 1, 0, 100))
+        return bench
+
+    def trim_again(self, bench: Bench) -> Mark:
+        bench.write(6)
+        bench.commit()
+        mark = Mark(bench.core.state.offset, 1)
+        bench.feed(CheckpointStored(mark, 100))
+        for _ in range(int(PACE.lag_wait / timedelta(milliseconds=500)) + 1):
+            bench.fetch(2, bench.core.last.offset + 1, 1, later=timedelta(milliseconds=250))
+            bench.fetch(3, bench.core.last.offset + 1, 1, whole=False, later=timedelta(milliseconds=250))
+            bench.call(PullCall(3, 1, 6, 1, 50, 100))
+            bench.feed(Ticked())
+        self.assertThat(bench.core.begin, Equals(mark))
+        return mark
+
+    def test_a_checkpoint_that_is_being_pulled_outlives_the_next(self) -> None:
+        bench = self.pulled_from()
+        mark = self.trim_again(bench)
+        self.assertThat(bench.of(DropCheckpoints)[-1], Equals(DropCheckpoints(mark.offset, (Mark(6, 1),))))
+
+    def test_it_goes_when_the_pull_is_done_or_its_puller_is_silent(self) -> None:
+        for done in (True, False):
+            bench = self.pulled_from()
+            mark = self.trim_again(bench)
+            if done:
+                bench.fetch(3, bench.core.last.offset + 1, 1)
+                bench.feed(Ticked())
+            else:
+                for _ in range(int(PACE.alive_span / timedelta(milliseconds=500)) + 2):
+                    bench.fetch(2, bench.core.last.offset + 1, 1, later=timedelta(milliseconds=500))
+                    bench.feed(Ticked())
+            self.assertThat(bench.of(DropCheckpoints)[-1], Equals(DropCheckpoints(mark.offset)), str(done))
+            drops = len(bench.of(DropCheckpoints))
+            bench.feed(Ticked())
+            self.assertThat(len(bench.of(DropCheckpoints)), Equals(drops))
+
+
+class SlowLinks(TestCase):
+    def test_records_that_came_later_than_a_fetch_waits_still_count(self) -> None:
+        bench = Bench(replica=2)
+        bench.call(LeadCall("m", 1, 1))
+        first = bench.core.fetch_number
+        bench.feed(Ticked(), later=PACE.fetch_retry + timedelta(milliseconds=15))
+        self.assertThat(bench.core.fetch_number != first, Equals(True))
+        bench.feed(AnswerArrived(first, 1, FetchAnswer("", 1, 1, 2, 1, records(1, 2, epoch=1))))
+        self.assertThat(bench.core.state.offset, Equals(2))
+        # The answer to the second fetch brings the same records once more.
+        bench.feed(AnswerArrived(first + 1, 1, FetchAnswer("", 1, 1, 2, 1, records(1, 2, epoch=1))))
+        self.assertThat(bench.core.last, Equals(Mark(2, 1)))
+
+    def test_late_records_never_go_on_a_log_other_than_the_one_they_were_asked_for(self) -> None:
+        bench = Behind()
+        bench.piece(continues=True)
+        asked = bench.core.fetch_number
+        bench.call(LeadCall("m", 4, 3))
+        self.assertThat(bench.core.pulling, Equals(None))
+        bench.feed(AnswerArrived(asked, 3, FetchAnswer("", 3, 3, 50, 41, records(41, 42, epoch=3))))
+        bench.feed(AnswerArrived(asked, 3, FetchAnswer("", 4, 3, 50, 41, records(41, 42, epoch=3))))
+        self.assertThat(bench.core.last, Equals(Mark(9, 1)))
+
+    def test_a_failed_pull_asks_anew_where_to_begin(self) -> None:
+        bench = Behind()
+        bench.feed(AnswerArrived(bench.core.pull_number, 3, PullAnswer(SNAPSHOT_NOT_FOUND, 3, 40, 3)))
+        bench.feed(Ticked(), later=PACE.fetch_retry + timedelta(milliseconds=15))
+        self.assertThat(bench.fetched_from(), Equals((0, 0, False)))
+        bench.sent_to(60)
+        self.assertThat((bench.core.pulling, bench.core.whole), Equals((Mark(60, 3), True)))
