--- a/packages/testbed/src/hoistsaddle/testbed/simulation/catalogue.py
+++ b/packages/testbed/src/hoistsaddle/testbed/simulation/catalogue.py
@@ -2,6 +2,7 @@
 
 from hoistsaddle.testbed.simulation import hardships
 from hoistsaddle.testbed.simulation import scenarios as plain
+from hoistsaddle.testbed.simulation.manyorders import many_orders
 from hoistsaddle.testbed.simulation.orders import orders_sent_again
 from hoistsaddle.testbed.simulation.rules import (
     keys_travel,
@@ -14,7 +15,7 @@
 # On core machines alone; these run with the deployments "three" and "five".
 CORE_SCENARIOS: dict[str, Scenario] = {
     scenario.__name__: scenario
-    for scenario in (plain.core_chaos, plain.power_lost, plain.agreed_then_wiped, orders_sent_again)
+    for scenario in (plain.core_chaos, plain.power_lost, plain.agreed_then_wiped, orders_sent_again, many_orders)
 }
 SCENARIOS: dict[str, Scenario] = {
     scenario.__name__: scenario
--- a/tests/test_disk_model.py
+++ b/tests/test_disk_model.py
@@ -1,6 +1,7 @@
 """Every mix of kept and lost files that a loss of power may leave, at every moment of a data folder's life."""
 
 import itertools
+import shutil
 import tempfile
 from pathlib import Path
 from unittest import mock
@@ -9,7 +10,7 @@
 from testtools.matchers import Contains, Equals, GreaterThan
 
 from hoistsaddle.raft import disk
-from hoistsaddle.raft.events import Mark
+from hoistsaddle.raft.events import Boot, Mark
 from hoistsaddle.raft.files import Files
 from hoistsaddle.testbed.diskmodel.check import Findings, Player, check, mixes_of, record
 from hoistsaddle.testbed.diskmodel.lives import LIVES, Writer, going_on, records, state_at
@@ -141,6 +142,35 @@
         self.assertThat(self.left(renamed, FolderSynced("")), Equals({(("new", b"was"),)}))
 
 
+class FormerRelease(_Case):
+    """Data folders written by the release of commit 6b0c8b3, before any of this; made by that release's own disk."""
+
+    def boot(self, name: str) -> tuple[Path, Boot]:
+        folder = self.folder() / name
+        shutil.copytree(Path(__file__).parent / "fixtures" / "release-6b0c8b3" / name, folder)
+        opened = disk.Disk(folder=folder, replica=1)
+        self.addCleanup(opened.close)
+        return folder, opened.boot()
+
+    def test_a_whole_one_is_read_as_it_was_left(self) -> None:
+        _, boot = self.boot("whole")
+        self.assertThat(
+            (boot.incarnation, boot.mesh, boot.epoch, boot.vote, boot.begin, boot.checkpoint, boot.committed),
+            Equals(("0123456789abcdef", "former", 3, (3, "three"), Mark(2, 2), Mark(2, 2), 3)),
+        )
+        self.assertThat([record.offset for record in boot.records], Equals([3, 4]))
+        self.assertThat(sorted(boot.state.holds), Equals(["scope-1", "scope-2"]))
+
+    def test_one_that_had_thrown_its_log_away_stays_who_it_is_and_is_not_whole(self) -> None:
+        folder, boot = self.boot("catching")
+        self.assertThat(
+            (boot.incarnation, boot.catching, boot.epoch, boot.vote, boot.records, boot.state),
+            Equals(("0123456789abcdef", True, 3, (3, "three"), (), None)),
+        )
+        # What it had pulled so far is worth nothing: the pull starts over.
+        self.assertThat(list((folder / "checkpoints").iterdir()), Equals([]))
+
+
 class Folders(_Case):
     def test_folders_above_the_data_last_too(self) -> None:
         synced = []
