--- a/packages/testbed/src/hoistsaddle/testbed/diskmodel/check.py
+++ b/packages/testbed/src/hoistsaddle/testbed/diskmodel/check.py
@@ -160,8 +160,12 @@
     seed: int,
     start: Mix | None = None,
     most: int = MOST_MIXES,
+    enough: int = 0,
 ) -> Findings:
-    """Boots every mix of every moment, or where there are more than the most of one moment, a part of them."""
+    """Boots every mix of every moment, or where there are more than the most of one moment, a part of them.
+
+    enough: so many broken ones end it; 0 goes on to the end.
+    """
     chance = random.Random(seed)
     milestones = _Milestones(operations=operations, start=start or {}, folder=folder)
     model = FolderModel(files={name: content for name, content in (start or {}).items() if content is not None})
@@ -173,6 +177,8 @@
             model.do(operation)
         done = moment
         moments += 1
+        if enough and len(broken) >= enough:
+            break
         after, allowed = milestones.at(moment)
         told = after != "nothing"
         founded = milestones.founded(moment)
