--- a/packages/testbed/src/hoistsaddle/testbed/simulation/manyorders.py
+++ b/packages/testbed/src/hoistsaddle/testbed/simulation/manyorders.py
@@ -35,6 +35,7 @@
         self.whole = whole
         self.applied: dict[object, int] = {}
         self.agreed = 0
+        self.epoch = 0
         self.longest_log = 0
 
     async def look(self) -> None:
@@ -52,10 +53,12 @@
         if core.state.offset < self.applied.get(key, 0):
             self.whole.promise(f"{name} never goes back", False)
         self.applied[key] = core.state.offset
-        if core.standing == "leader" and core.high_watermark >= core.epoch_began:
-            # It leads and has agreed something: all that was ever agreed lies in its log.
+        if core.standing == "leader" and core.epoch >= self.epoch:
+            # The newest leader: all that was ever agreed lies in its log. One of an older epoch that doesn't know yet
+            # agrees nothing any more.
             if core.last.offset < self.agreed:
                 self.whole.promise(f"{name} never leads with old state", False)
+            self.epoch = core.epoch
             self.agreed = max(self.agreed, core.high_watermark)
         self.longest_log = max(self.longest_log, len(core.log))
 
