--- a/packages/raft/src/hoistsaddle/raft/replication.py
+++ b/packages/raft/src/hoistsaddle/raft/replication.py
@@ -88,7 +88,8 @@
                 offset -= 1
             if self.epoch_at(offset) > call.fetch_epoch:
                 # They part below the begin offset, where this log knows nothing to name.
-                progress.whole = False
+                progress.whole = progress.keeps_up = False
+                progress.committed = None
                 return self._answer(ticket, self._to_checkpoint(answer))
             return self._answer(ticket, answer._replace(diverging_offset=offset, diverging_epoch=self.epoch_at(offset)))
         # Records above a checkpoint still being pulled don't count: without what lies below they save nothing.
