--- a/packages/cli/src/hoistsaddle/cli/commands.py
+++ b/packages/cli/src/hoistsaddle/cli/commands.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+from datetime import timedelta
 
 import click
 from aiohttp.http_exceptions import HttpProcessingError
@@ -12,6 +13,7 @@
 from hoistsaddle.cli.fleet_commands import fleet
 from hoistsaddle.cli.item_commands import items
 from hoistsaddle.cli.operator_commands import OPERATOR_COMMANDS
+from hoistsaddle.common.ending import LastResort
 from hoistsaddle.common.errors import Mishap, MishapKind
 from hoistsaddle.common.settings import (
     ControllerParams,
@@ -22,6 +24,9 @@
     read_params,
 )
 
+# The grace, in seconds, of programs whose settings name none: longer than any of their own bounds.
+UNNAMED_GRACE = 60.0
+
 
 def _not_a_visitors_fault(record: logging.LogRecord) -> bool:
     """Bytes that are no HTTP were answered with 400 by the library; they are no mishap of this process's."""
@@ -40,6 +45,8 @@
     logger.add(sys.stderr, format="{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {message}", level="INFO")
     try:
         with entrypoint(service(params=params), log_config=False) as loop:
+            grace = timedelta(seconds=getattr(params, "grace_seconds", UNNAMED_GRACE))
+            LastResort(grace=lambda: grace).watch()
             loop.run_forever()
     except OSError as problem:
         mishap = Mishap(
--- a/packages/proxy/src/hoistsaddle/proxy/node.py
+++ b/packages/proxy/src/hoistsaddle/proxy/node.py
@@ -99,6 +99,8 @@
         self.tickets = 0
         self.work: set[asyncio.Task] = set()
         self.ticked_at = self.thawed_at = runtime.now()
+        # How long the last standstill was.
+        self.stood = timedelta()
         self.bourses: list[str] = list(params.seeds)
         self.parent = params.seeds[0]
         self.vitals_due = asyncio.Event()
@@ -198,6 +200,7 @@
                 self.counters.happen("stood still", seconds=round((now - self.ticked_at).total_seconds(), 3))
                 # What came in meanwhile is read over the next moments, in pieces; none of it is young.
                 self.thawed_at = now + FROZEN_GAP
+                self.stood = now - self.ticked_at
             self.ticked_at = now
             self.feed(Ticked())
             await asyncio.sleep(self.tick.total_seconds())
@@ -206,6 +209,13 @@
         now = self.runtime.now()
         return now - self.ticked_at > FROZEN_GAP or now < self.thawed_at
 
+    def unread(self) -> timedelta:
+        """For how long at most this process may have left unread what it reads now, because it stood still."""
+        now = self.runtime.now()
+        if (gap := now - self.ticked_at) > FROZEN_GAP:
+            return gap
+        return self.stood + now - (self.thawed_at - FROZEN_GAP) if now < self.thawed_at else timedelta()
+
     # -- calls from the mesh -----------------------------------------------------------------------------------------
 
     async def answer(self, message: tuple) -> tuple | None:
--- a/packages/rpc/src/hoistsaddle/rpc/connection.py
+++ b/packages/rpc/src/hoistsaddle/rpc/connection.py
@@ -5,6 +5,7 @@
 import struct
 from collections import defaultdict
 from collections.abc import Awaitable, Callable
+from contextvars import ContextVar
 from datetime import timedelta
 from pathlib import Path
 from typing import NamedTuple
@@ -24,6 +25,17 @@
 IN = "in"
 OUT = "out"
 _length = struct.Struct("!I")
+# When the connection was accepted that the call under way came on, by the loop's clock.
+_accepted: ContextVar[float | None] = ContextVar("accepted", default=None)
+
+
+def since_accepted() -> timedelta:
+    """For how long the connection has stood that the call under way came on; nothing for a process's call to itself.
+
+    What is read on a connection was written after it came up, so no call on it is older.
+    """
+    moment = _accepted.get()
+    return timedelta() if moment is None else timedelta(seconds=asyncio.get_running_loop().time() - moment)
 
 
 class Traffic:
@@ -226,7 +238,7 @@
             if not still():
                 return unreachable
             # As on a line, whoever stops waiting doesn't stop the work.
-            work = asyncio.ensure_future(self.home[address](message))
+            work = asyncio.ensure_future(self._at_home(address, message))
             try:
                 async with asyncio.timeout_at(deadline):
                     home_answer = await asyncio.shield(work)
@@ -265,6 +277,11 @@
             return silent
         return silent if answer is None else Success(answer)
 
+    async def _at_home(self, address: str, message: tuple) -> tuple | None:
+        # Whoever calls may itself be answering a call that came on a connection.
+        _accepted.set(None)
+        return await self.home[address](message)
+
     def close(self) -> None:
         for connection in self._connections.values():
             connection.close()
@@ -285,6 +302,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
+        _accepted.set(asyncio.get_running_loop().time())
         try:
             while True:
                 number, _, message = await _read_frame(reader, self.traffic)
--- a/packages/rpc/src/hoistsaddle/rpc/mesh.thrift
+++ b/packages/rpc/src/hoistsaddle/rpc/mesh.thrift
@@ -46,8 +46,10 @@
 struct PassAnswer { 1: string send, 2: string outcome, 3: string mishap, 4: string detail, 5: i64 status, 6: map<string, string> headers, 7: binary body, 8: string digest }
 
 // A request under items, on its way to the stall beside the server that is to run it. Headers are packed name, value pairs.
-struct DealCall { 1: string send, 2: string service_name, 3: string target, 4: string instance, 5: i64 budget, 6: i64 aim, 7: i64 rank, 8: string entry, 9: string method, 10: binary path, 11: binary headers, 12: binary body, 13: string caller, 14: string send_id, 15: i64 ordinal, 16: bool repeatable }
+struct DealCall { 1: string send, 2: string service_name, 3: string target, 4: string instance, 5: i64 budget, 6: i64 aim, 7: i64 rank, 8: string entry, 9: string method, 10: binary path, 11: binary headers, 12: binary body, 13: string caller, 14: string send_id, 15: i64 ordinal, 16: bool repeatable, 17: i64 sent }
 struct DealAnswer { 1: string send, 2: string outcome, 3: string mishap, 4: i64 status, 5: binary headers, 6: binary body, 7: i64 load, 8: i64 room, 9: i64 took }
+// What became of an attempt whose connection broke: send is its id, life the life of the sidecar that it went to.
+struct FollowCall { 1: string send, 2: string life, 3: i64 budget }
 struct RecallCall { 1: string claim }
 struct RecallAnswer { 1: string standing, 2: i64 status, 3: binary headers, 4: binary body }
 struct PulseCall { 1: string asker }
@@ -63,7 +65,8 @@
   24: ProbeCall probe_call, 25: ProbeAnswer probe_answer, 26: ProbeForCall probe_for_call, 27: ProbeForAnswer probe_for_answer,
   28: PassCall pass_call, 29: PassAnswer pass_answer, 30: RaiseCall raise_call, 31: RaiseAnswer raise_answer,
   32: DealCall deal_call, 33: DealAnswer deal_answer, 34: RecallCall recall_call, 35: RecallAnswer recall_answer,
-  36: PulseCall pulse_call, 37: PulseAnswer pulse_answer
+  36: PulseCall pulse_call, 37: PulseAnswer pulse_answer,
+  38: FollowCall follow_call
 }
 
 // One frame on a line: number pairs an answer with its call.
--- a/packages/rpc/src/hoistsaddle/rpc/messages.py
+++ b/packages/rpc/src/hoistsaddle/rpc/messages.py
@@ -325,6 +325,8 @@
     send_id: str
     ordinal: int = 1
     repeatable: bool = False
+    # The sender's monotonic clock as it was written; a former release says nothing.
+    sent: timedelta = timedelta()
 
 
 class DealAnswer(NamedTuple):
@@ -340,6 +342,15 @@
     took: timedelta = timedelta()
 
 
+class FollowCall(NamedTuple):
+    """What became of an attempt whose connection broke. Answered as the attempt itself would be."""
+
+    send: str
+    # The life of the sidecar that it went to: another one can't know.
+    life: str
+    budget: timedelta
+
+
 class RecallCall(NamedTuple):
     claim: str
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/core.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/core.py
@@ -12,6 +12,8 @@
     DealAnswered,
     DealArrived,
     DealMissed,
+    FollowArrived,
+    Followed,
     Gone,
     RecallAnswered,
     RecallArrived,
@@ -52,6 +54,10 @@
                 self._recall(event)
             case RecallAnswered():
                 self._recall_answered(event)
+            case FollowArrived():
+                self._follow_arrived(event)
+            case Followed():
+                self._followed(event)
             case Vitals():
                 self._vitals_told(event)
             case SetupChanged(view=view):
--- /dev/null
+++ b/packages/sidecar/src/hoistsaddle/sidecar/keyside.py
@@ -0,0 +1,226 @@
+"""The keyed requests of a sidecar: each key is claimed in the log, and its answer stays with the claim's sidecar."""
+
+from collections import OrderedDict
+from datetime import timedelta
+from math import ceil
+
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.errors import Mishap, MishapKind
+from hoistsaddle.proxy.messages import AskHold
+from hoistsaddle.proxy.standing import SETTLE_AGAIN, mishap_of
+from hoistsaddle.proxy.visitors import digest_of_parts
+from hoistsaddle.rpc.messages import DealAnswer, RecallAnswer, RecallCall
+from hoistsaddle.sidecar.messages import AnswerRecall, Recall, RecallAnswered, RecallArrived
+from hoistsaddle.sidecar.requests import Deal, RequestSide
+from hoistsaddle.statemachine.commands import ClaimHold, Outcome, ReleaseHold
+from hoistsaddle.statemachine.keys import handle_of
+from hoistsaddle.statemachine.state import GONE
+
+# How much of its aim a request waits for its key.
+KEY_SHARE = 0.22
+# Hex digits of a key's digest: 96 bits tell keys apart, and the log holds hundreds of them a second.
+SCOPE_LENGTH = 24
+# For how long a key that is given back is offered to the log again and again.
+RELEASE_SPAN = timedelta(seconds=10)
+# A claim that got no answer is asked again this soon, for as long as waiting costs the client little.
+CLAIM_AGAIN = milliseconds(40)
+WORKING = "working"
+KEPT = "kept"
+FREE = "free"
+UNKNOWN_RUN = "unknown"
+
+
+class Kept:
+    """What became of a claim of this sidecar's: repeats at any door ask here."""
+
+    def __init__(self, *, until: timedelta) -> None:
+        self.standing = WORKING
+        self.until = until
+        self.answer: DealAnswer | None = None
+
+
+def _no_core() -> Mishap:
+    return mishap_of(MishapKind.NO_LEADER, "No core machine could hold the key.", "Come back after the time given.")
+
+
+class KeySide(RequestSide):
+    def __init__(self, *, key_span: timedelta, **needs) -> None:
+        super().__init__(**needs)
+        self.key_span = key_span
+        self.claims: dict[int, ClaimHold] = {}
+        self.recalls: dict[int, int] = {}
+        self.releases: dict[int, tuple[ReleaseHold, timedelta]] = {}
+        self.release_again: list[tuple[timedelta, ReleaseHold, timedelta]] = []
+        self.claim_again: list[tuple[timedelta, int]] = []
+        self.kept: OrderedDict[str, Kept] = OrderedDict()
+        # Attempts whose requests were answered before they came back, to the claims they ran under.
+        self.late: dict[int, str] = {}
+        # Since when the core gives no answer about keys.
+        self.silent_since: timedelta | None = None
+
+    def _claim(self, ticket: int) -> None:
+        deal = self.deals[ticket]
+        if not deal.claim:
+            # One operation is known by its key alone, whichever door it reaches and whatever else it carries.
+            deal.scope = digest_of_parts("operation", deal.event.key)[:SCOPE_LENGTH]
+            deal.claim = f"{self.params.name}.{self.params.incarnation}.{self._number()}"
+        deal.number = self._number()
+        self.by_number[deal.number] = ticket
+        command = self.claims[deal.number] = self._claim_of(deal)
+        self._out.append(AskHold(deal.number, command))
+
+    def _claim_of(self, deal: Deal) -> ClaimHold:
+        return ClaimHold(
+            deal.scope,
+            deal.claim,
+            self.params.name,
+            "",
+            deal.scope,
+            "operation",
+            "",
+            deal.entry.name,
+            max(1, ceil(self.key_span.total_seconds())),
+            deal.after,
+        )
+
+    def _hold_answered(self, number: int, outcome: Outcome | None) -> None:
+        if outcome is not None:
+            self.silent_since = None
+        elif self.silent_since is None:
+            self.silent_since = self.now
+        if number in self.releases:
+            released, until = self.releases.pop(number)
+            if outcome is None and self.now < until:
+                self.release_again.append((self.now + SETTLE_AGAIN, released, until))
+            return None
+        command = self.claims.pop(number, None)
+        if command is None:
+            return None
+        ticket = self.by_number.pop(number, -1)
+        deal = self.deals.get(ticket)
+        granted = outcome is not None and outcome.detail.get("phase") == "granted"
+        if deal is None or deal.number != number or deal.claimed:
+            # Granted after its request was given up: nothing was sent under it, so the key goes back.
+            if granted and (deal is None or deal.claim != command.claim):
+                self._release(command)
+            return None
+        if outcome is None:
+            return self._claim_missed(ticket, deal)
+        if outcome.mishap:
+            mishap = Mishap(outcome.mishap, outcome.message, outcome.remedy, outcome.field)
+            return self._turned_back(ticket, mishap)
+        if granted:
+            deal.claimed = True
+            self._keep(deal.claim)
+            self._announce_key("key held", deal)
+            return self._place(ticket)
+        self._ask_holder(ticket, deal, outcome.detail["stall"], outcome.detail["claim"])
+
+    def _claim_missed(self, ticket: int, deal: Deal) -> None:
+        """Claiming again under the same claim is one claim: the log knows it."""
+        if self.now < self._patience(deal):
+            self.claim_again.append((self.now + CLAIM_AGAIN, ticket))
+            return
+        self._key_out_of_reach(ticket, deal)
+
+    @staticmethod
+    def _patience(deal: Deal) -> timedelta:
+        """Until when a key may be waited for: who is told by then loses little by coming back."""
+        return deal.arrived + (deal.aim_at - deal.arrived) * KEY_SHARE
+
+    def _key_out_of_reach(self, ticket: int, deal: Deal) -> None:
+        """It may be in the log for all we know: should it turn up as granted later, it is given back then."""
+        self._turned_back(ticket, _no_core())
+
+    def _ask_holder(self, ticket: int, deal: Deal, stall: str, claim: str) -> None:
+        """Somebody holds the key: only that stall knows what became of it."""
+        deal.recalled = claim
+        number = self._number()
+        self.recalls[number] = ticket
+        node = self.view.nodes.get(stall)
+        if stall == self.params.name:
+            return self._recall_answered(RecallAnswered(number, self._standing_of(claim)))
+        if node is None or node.state == GONE:
+            return self._recall_answered(RecallAnswered(number, None))
+        self._out.append(Recall(number, node.address, RecallCall(claim)))
+
+    def _recall_answered(self, event: RecallAnswered) -> None:
+        ticket = self.recalls.pop(event.number, -1)
+        deal = self.deals.get(ticket)
+        if deal is None:
+            return
+        answer = event.answer
+        match answer.standing if answer is not None else "":
+            case "kept":
+                self._reply(ticket, answer.status, headers=answer.headers, body=answer.body)
+            case "working":
+                mishap = mishap_of(
+                    MishapKind.KEY_HELD, "The first request with this key is still working.", "Ask again shortly."
+                )
+                self._reply(ticket, 409, mishap=mishap, retry_after=self._soon(deal))
+            case "free" if deal.after != deal.recalled:
+                deal.after = deal.recalled
+                self._claim(ticket)
+            case _:
+                mishap = mishap_of(
+                    MishapKind.SILENT, "What became of this key's first request is not known.", "Ask what became of it."
+                )
+                self._reply(ticket, 502, mishap=mishap)
+
+    def _recall(self, event: RecallArrived) -> None:
+        self._out.append(AnswerRecall(event.ticket, self._standing_of(event.call.claim)))
+
+    def _standing_of(self, claim: str) -> RecallAnswer:
+        kept = self.kept.get(claim)
+        if kept is None:
+            # A former life's, or forgotten: whether it ran is not known here.
+            return RecallAnswer(UNKNOWN_RUN)
+        if kept.answer is not None:
+            return RecallAnswer(KEPT, kept.answer.status, kept.answer.headers, kept.answer.body)
+        return RecallAnswer(kept.standing)
+
+    def _keep(self, claim: str) -> Kept:
+        while self.kept and next(iter(self.kept.values())).until <= self.now:
+            self.kept.popitem(last=False)
+        return self.kept.setdefault(claim, Kept(until=self.now + self.key_span))
+
+    def _let_go(self, deal: Deal) -> None:
+        """Gives a claimed key back: nothing ran under it and nothing will."""
+        if not deal.claim or deal.uncertain or deal.sends:
+            return
+        # Also a claim that was never answered: should it be in the log, a repeat that meets it may take it over.
+        self._keep(deal.claim).standing = FREE
+        self._release(self._claim_of(deal))
+
+    def _release(self, command: ClaimHold) -> None:
+        self._ask_release(ReleaseHold(handle_of(command), command.claim), self.now + RELEASE_SPAN)
+
+    def _ask_release(self, command: ReleaseHold, until: timedelta) -> None:
+        number = self._number()
+        self.releases[number] = (command, until)
+        self._out.append(AskHold(number, command))
+
+    def _announce_key(self, kind: str, deal: Deal) -> None:
+        """Keys are counted, not told one by one: there are hundreds a second."""
+
+    def _key_tick(self) -> None:
+        # A key that doesn't come: the log may answer any time, but the client is better told now.
+        keyless = [
+            (ticket, deal)
+            for ticket, deal in self.deals.items()
+            if deal.claim and not deal.claimed and not deal.recalled and self.now >= self._patience(deal)
+        ]
+        for ticket, deal in keyless:
+            self._key_out_of_reach(ticket, deal)
+        again, self.claim_again = self.claim_again, []
+        for moment, ticket in again:
+            if self.now < moment:
+                self.claim_again.append((moment, ticket))
+            elif ticket in self.deals:
+                self._claim(ticket)
+        releases, self.release_again = self.release_again, []
+        for moment, command, until in releases:
+            if self.now >= moment:
+                self._ask_release(command, until)
+            else:
+                self.release_again.append((moment, command, until))
--- a/packages/sidecar/src/hoistsaddle/sidecar/messages.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/messages.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from hoistsaddle.common.errors import Mishap
-from hoistsaddle.rpc.messages import DealAnswer, DealCall, RecallAnswer, RecallCall
+from hoistsaddle.rpc.messages import DealAnswer, DealCall, FollowCall, RecallAnswer, RecallCall
 
 
 class Asked(NamedTuple):
@@ -22,6 +22,8 @@
     budget: timedelta | None
     key: str
     send_id: str
+    # For how long this process may have left it unread, as far as it stood still itself.
+    unread: timedelta = timedelta()
 
 
 class Gone(NamedTuple):
@@ -45,6 +47,24 @@
 class DealArrived(NamedTuple):
     ticket: int
     call: DealCall
+    # For how long this process may have left it unread, as far as it stood still itself.
+    unread: timedelta = timedelta()
+    # For how long its connection has stood.
+    connected: timedelta = timedelta()
+
+
+class FollowArrived(NamedTuple):
+    ticket: int
+    call: FollowCall
+
+
+class Followed(NamedTuple):
+    """What the target's life said of the attempt; answer is None when nobody said anything."""
+
+    number: int
+    answer: DealAnswer | None
+    # Nobody listens at its address.
+    refused: bool = False
 
 
 class Served(NamedTuple):
@@ -107,6 +127,15 @@
     within: timedelta
 
 
+class Follow(NamedTuple):
+    """Asks the target's sidecar what became of an attempt."""
+
+    number: int
+    address: str
+    call: FollowCall
+    within: timedelta
+
+
 class Serve(NamedTuple):
     number: int
     address: str
--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -14,8 +14,9 @@
 from hoistsaddle.membership.member import MemberPace
 from hoistsaddle.membership.relay import select_parents
 from hoistsaddle.proxy.messages import Announce, AskHold, ReportVitals, StopAsked
-from hoistsaddle.proxy.node import ProxyNode
-from hoistsaddle.rpc.messages import DealAnswer, DealCall, RecallAnswer, RecallCall
+from hoistsaddle.proxy.node import FROZEN_GAP, ProxyNode
+from hoistsaddle.rpc.connection import since_accepted
+from hoistsaddle.rpc.messages import DealAnswer, DealCall, FollowCall, RecallAnswer, RecallCall
 from hoistsaddle.rpc.runtime import Runtime
 from hoistsaddle.sidecar.core import SidecarCore
 from hoistsaddle.sidecar.messages import (
@@ -27,6 +28,9 @@
     DealArrived,
     DealMissed,
     DealOn,
+    Follow,
+    FollowArrived,
+    Followed,
     Gone,
     Recall,
     RecallAnswered,
@@ -87,7 +91,7 @@
     async def request_items(self, make: Callable[[int], Asked]) -> Reply:
         self.asked_at = self.runtime.now()
         ticket, future = self._ticket()
-        self.feed(make(ticket))
+        self.feed(make(ticket)._replace(unread=self.unread()))
         try:
             return await future
         except asyncio.CancelledError:
@@ -102,9 +106,11 @@
                     if future is not None and not future.done():
                         future.set_result(command)
                 case DealOn():
-                    self._spawn(self._deal_on(command))
+                    self._spawn(self._deal_on(command, decided=self.runtime.now()))
                 case Serve():
-                    self._spawn(self._run_deal(command))
+                    self._spawn(self._run_deal(command, decided=self.runtime.now()))
+                case Follow():
+                    self._spawn(self._follow(command))
                 case AskHold():
                     self._spawn(self._ask_hold(command))
                 case Recall():
@@ -118,7 +124,11 @@
         match message:
             case DealCall():
                 ticket, future = self._ticket()
-                self.feed(DealArrived(ticket, message))
+                self.feed(DealArrived(ticket, message, self.unread(), since_accepted()))
+                return (await future).answer
+            case FollowCall():
+                ticket, future = self._ticket()
+                self.feed(FollowArrived(ticket, message))
                 return (await future).answer
             case RecallCall():
                 ticket, future = self._ticket()
@@ -126,9 +136,14 @@
                 return (await future).answer
         return await super().answer(message)
 
-    async def _deal_on(self, command: DealOn) -> None:
+    async def _deal_on(self, command: DealOn, *, decided: timedelta) -> None:
         self.counters.add(f"sends.{command.call.service_name}")
-        match await self.runtime.lines.call(command.address, command.call, within=command.within):
+
+        def still() -> bool:
+            # Nothing goes out that was decided before a standstill of this process: its time is told as it was then.
+            return self.runtime.now() - decided <= FROZEN_GAP
+
+        match await self.runtime.lines.call(command.address, command.call, within=command.within, still=still):
             case Success(DealAnswer() as answer):
                 self.feed(DealAnswered(command.number, answer))
             case result:
@@ -136,9 +151,20 @@
                 self.counters.add("sends.missed")
                 self.feed(DealMissed(command.number, unsent))
 
-    async def _run_deal(self, command: Serve) -> None:
+    async def _run_deal(self, command: Serve, *, decided: timedelta) -> None:
         self.counters.add("runs")
-        self.feed(await self.serve(command))
+        # A standstill may lie between deciding and now.
+        self.feed(await self.serve(command._replace(within=command.within - (self.runtime.now() - decided))))
+
+    async def _follow(self, command: Follow) -> None:
+        self.counters.add("sends.followed")
+        match await self.runtime.lines.call(command.address, command.call, within=command.within):
+            case Success(DealAnswer() as answer):
+                self.counters.add(f"sends.followed.{answer.outcome}")
+                self.feed(Followed(command.number, answer))
+            case result:
+                refused = not isinstance(result, Success) and result.failure().kind == MishapKind.UNREACHABLE
+                self.feed(Followed(command.number, None, refused))
 
     async def _recall(self, command: Recall) -> None:
         match await self.runtime.lines.call(command.address, command.call, within=RECALL_SPAN):
--- a/packages/sidecar/src/hoistsaddle/sidecar/serverconnection.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/serverconnection.py
@@ -26,6 +26,9 @@
 # Where it says nothing.
 KEPT_SECONDS = 4.0
 MOST_KEPT = 64
+# The server is on the same machine: the end of a connection that it closed before our bytes came is here by then, also
+# where both share a busy processor. One that ends later may have been read.
+STALE_SPAN = 0.02
 HEAD_END = b"\r\n\r\n"
 # An answer, and words before it.
 MOST_HEADS = 4
@@ -78,11 +81,15 @@
         # Bytes after the newest answer's head, where that is known, and the newest bytes of all.
         self.beyond: int | None = None
         self.tail = b""
+        # Whether bytes came after a whole answer that are no whole head: a surplus answer has begun.
+        self.surplus = False
         self.arrived: asyncio.Future | None = None
         # Not to be used again; and nothing more can be read from it.
         self.dirty = False
         self.lost = False
         self.uses = 0
+        # The server's life that it was opened to.
+        self.place = ""
         self.idle_since = 0.0
         self.keeps = KEPT_SECONDS
 
@@ -102,6 +109,7 @@
         self.with_body = with_body
         self.payloads = []
         self.heard = False
+        self.surplus = False
         self.uses += 1
 
     def data_received(self, data: bytes) -> None:
@@ -113,6 +121,7 @@
         self.heard = True
         # A parser that meets garbage forgets the answers before it in the same bytes: heads are fed on their own.
         for part in _heads_apart(data):
+            whole = bool(self.payloads) and self.payloads[-1].is_eof()
             try:
                 messages, upgraded, tail = self.parser.feed_data(part)
             except Exception:
@@ -124,6 +133,8 @@
                 self.dirty = True
             self.messages.extend(messages)
             self.payloads += [payload for _, payload in messages]
+            # Until a head completes it: an interim answer is followed by the real one.
+            self.surplus = whole and not messages
             if messages:
                 self.beyond = 0 if part.endswith(HEAD_END) else None
             elif self.beyond is not None:
@@ -133,10 +144,13 @@
 
     def ends_with(self, message) -> bool:
         """Whether the bytes so far end where this answer ends: the parser keeps a begun surplus answer to itself."""
+        if self.surplus:
+            return False
         if message.chunked:
             return self.tail == b"\r\n"
         told = message.headers.get("Content-Length", "0") if self.with_body and message.code not in (204, 304) else "0"
-        return self.beyond is None or self.beyond == int(told)
+        # Where the head's end isn't known, neither is the answer's: the connection is left rather than trusted.
+        return self.beyond == int(told)
 
     def _end(self) -> None:
         """Nothing more will come: a body that isn't whole by now never is."""
@@ -213,10 +227,11 @@
 
     async def _open(self, address: str) -> _Connection:
         host, port = split_address(address)
-        loop = asyncio.get_running_loop()
+        loop, place = asyncio.get_running_loop(), self.address
         async with asyncio.timeout(CONNECT_SPAN):
             _, connection = await loop.create_connection(lambda: _Connection(loop), host, port)
         self.counters.add("server.connections")
+        connection.place = place
         return connection
 
     def _request(self, serve: Serve, left: timedelta) -> bytes:
@@ -238,6 +253,24 @@
         parts += (b"\r\n", call.body)
         return b"".join(parts)
 
+    async def _obtain(self, serve: Serve, deadline: float) -> _Connection | MishapKind:
+        """A connection that may be written to now, or why there is none: then nothing was written."""
+        loop = asyncio.get_running_loop()
+        if loop.time() >= deadline:
+            # This process stood still before it came to it.
+            return MishapKind.BUDGET_SPENT
+        if (connection := self._kept_one()) is not None:
+            return connection
+        try:
+            connection = await self._open(serve.address)
+        except (OSError, TimeoutError):
+            return MishapKind.UNREACHABLE
+        if loop.time() >= deadline:
+            connection.abort()
+            return MishapKind.BUDGET_SPENT
+        # Ended before a byte was written: the server takes no more connections just now.
+        return MishapKind.BACKLOG_FULL if connection.lost else connection
+
     async def serve(self, serve: Serve) -> tuple:
         """Runs the request on the server: Served, or ServeMissed with whether anything was written."""
         call = serve.call
@@ -245,19 +278,12 @@
         deadline = loop.time() + serve.within.total_seconds()
         self._turn_to(serve.address, call.instance)
         while True:
-            connection = self._kept_one()
-            fresh = connection is None
-            if connection is None:
-                try:
-                    connection = await self._open(serve.address)
-                except (OSError, TimeoutError):
-                    return ServeMissed(
-                        serve.number,
-                        True,
-                        Mishap(MishapKind.UNREACHABLE, "The server takes no connection.", "Send it elsewhere."),
-                    )
-            left = timedelta(seconds=deadline - loop.time())
+            connection = await self._obtain(serve, deadline)
+            if isinstance(connection, MishapKind):
+                return self._unsent(serve, connection)
             connection.begin(with_body=call.method != "HEAD")
+            fresh, written = connection.uses == 1, loop.time()
+            left = timedelta(seconds=deadline - written)
             try:
                 async with asyncio.timeout_at(deadline):
                     connection.transport.write(self._request(serve, left))
@@ -268,8 +294,10 @@
                 return self._missed(serve, MishapKind.BUDGET_SPENT)
             except (_Broken, aiohttp.ClientError, OSError, ValueError):
                 connection.abort()
-                if call.repeatable and not fresh and not connection.heard and loop.time() < deadline:
-                    # A kept connection that the server closed as it was used: once more, on a new one.
+                stale = not fresh and not connection.heard and loop.time() - written <= STALE_SPAN
+                if call.repeatable and stale and loop.time() < deadline:
+                    # A kept connection that the server closed as it was used: once more, on a new one. Later than that
+                    # it may be at work on it, and a further attempt is the entry's to allow.
                     self.counters.add("server.stale_connections")
                     self.close()
                     continue
@@ -289,6 +317,12 @@
                 said or message.code in _not_run_statuses,
             )
 
+    def _unsent(self, serve: Serve, kind: MishapKind) -> ServeMissed:
+        """Not one byte of it was written."""
+        self.counters.add(f"server.unsent.{kind}")
+        mishap = Mishap(kind, "The server was not reached in time.", "Send it elsewhere.")
+        return ServeMissed(serve.number, True, mishap)
+
     def _missed(self, serve: Serve, kind: MishapKind) -> ServeMissed:
         self.counters.add(f"server.{kind}")
         return ServeMissed(
@@ -323,7 +357,8 @@
                     if key.lower() == b"timeout" and told.strip().isdigit():
                         connection.keeps = max(0.1, int(told) * KEPT_SHARE)
         surplus = bool(connection.messages) or not connection.ends_with(message)
-        if connection.dirty or connection.lost or surplus or closes or len(self.kept) >= MOST_KEPT:
+        former = connection.place != self.address
+        if connection.dirty or connection.lost or surplus or closes or former or len(self.kept) >= MOST_KEPT:
             if surplus:
                 self.counters.add("server.surplus_answers")
             connection.abort()
--- a/packages/sidecar/src/hoistsaddle/sidecar/serverside.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/serverside.py
@@ -5,15 +5,18 @@
 """
 
 import heapq
+from collections.abc import Sequence
 from datetime import timedelta
 from typing import NamedTuple
 
-from hoistsaddle.common.clock import ZERO
+from hoistsaddle.common.clock import ZERO, milliseconds
 from hoistsaddle.common.errors import MishapKind
 from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN, UNKNOWN
 from hoistsaddle.proxy.standing import OwnServer, Standing
-from hoistsaddle.rpc.messages import DealAnswer, DealCall
-from hoistsaddle.sidecar.messages import AnswerDeal, DealArrived, Serve, Served, ServeMissed, Vitals
+from hoistsaddle.rpc.messages import DealAnswer, DealCall, FollowCall
+from hoistsaddle.sidecar.ages import Ages
+from hoistsaddle.sidecar.messages import AnswerDeal, DealArrived, FollowArrived, Serve, Served, ServeMissed, Vitals
+from hoistsaddle.sidecar.taken import TakenAttempts
 from hoistsaddle.statemachine.state import GONE, READY
 
 # What a server of unknown pace is taken to need for one request, as a share of the request's aim.
@@ -31,11 +34,15 @@
 BUDGET_SHARE = 0.8
 # What a run over its usual time is taken to need still, as a share of that time.
 OVERTIME = 0.15
+# A waiting run is given up this long before its time is over: the word that it didn't run must reach its client's
+# sidecar before that one has to call it unknown. Two ticks, and a way between two regions.
+NOTICE = milliseconds(80)
 
 
 class _Run:
     def __init__(self, *, ticket: int, call: DealCall, now: timedelta) -> None:
-        self.ticket = ticket
+        # Who is to be answered: the call, and entries that asked what became of it.
+        self.tickets = [ticket]
         self.call = call
         self.arrived = now
         self.deadline = now + call.budget
@@ -81,6 +88,10 @@
         self.usual = Pace()
         self.drain_span = timedelta(seconds=2)
         self.closed_at: timedelta | None = None
+        self.ages = Ages()
+        # Of the attempts that may not be repeated, and which run or waiting call is which.
+        self.taken = TakenAttempts()
+        self.by_send: dict[str, _Run] = {}
 
     # -- the own server ----------------------------------------------------------------------------------------------
 
@@ -154,22 +165,41 @@
     # -- deals -------------------------------------------------------------------------------------------------------
 
     def _deal(self, event: DealArrived) -> None:
-        call = event.call
+        call = self._aged(event)
+        # Its entry may ask for it as long as its own words say, however old they are taken to be here.
+        ends = self.now + event.call.budget
+        if not call.repeatable and not self.taken.take(call.send, ends=ends, now=self.now):
+            # It came before, or its entry was told that it never did: it doesn't run again, and is only asked for.
+            return self._follow_arrived(
+                FollowArrived(event.ticket, FollowCall(call.send, self.params.incarnation, call.budget))
+            )
         if (kind := self._refusal(call)) is not None:
-            return self._turn_away(event.ticket, call, kind)
+            return self._turn_away((event.ticket,), call, kind)
         due = self.now + call.aim
         wait = self.wait_for(rank=call.rank, due=due)
         # Whoever comes back later finds it emptier; whoever waits here past the aim keeps others from theirs.
         if wait > self._span_of(call) * SHORT_WAIT and wait + self._safe_span_of(call) > self._limit_of(call):
-            return self._turn_away(event.ticket, call, MishapKind.BACKLOG_FULL)
+            return self._turn_away((event.ticket,), call, MishapKind.BACKLOG_FULL)
         if len(self.line) >= self.params.backlog:
-            return self._turn_away(event.ticket, call, MishapKind.BACKLOG_FULL)
+            return self._turn_away((event.ticket,), call, MishapKind.BACKLOG_FULL)
         number = self._number()
-        run = self.runs[number] = _Run(ticket=event.ticket, call=call, now=self.now)
+        run = self.runs[number] = self.by_send[call.send] = _Run(ticket=event.ticket, call=call, now=self.now)
         if len(self.running) < self.room:
             return self._start(number, run)
         heapq.heappush(self.line, Waiting(call.rank, due, run.deadline, number))
 
+    def _aged(self, event: DealArrived) -> DealCall:
+        """The call with what is really left of its time: its words may have waited in a socket."""
+        call = event.call
+        # A send's last part is its number; what is before names its sender's life.
+        sender = call.send.rpartition(".")[0]
+        if call.sent == ZERO or not sender:
+            age = event.unread
+        else:
+            unread = event.unread + event.connected
+            age = self.ages.age(sender=sender, sent=call.sent, now=self.now, unread=unread)
+        return call._replace(budget=call.budget - age, aim=max(ZERO, call.aim - age)) if age else call
+
     def _refusal(self, call: DealCall) -> MishapKind | None:
         if call.budget <= ZERO:
             return MishapKind.BUDGET_SPENT
@@ -184,10 +214,29 @@
             return MishapKind.WRONG_INSTANCE
         return None
 
-    def _turn_away(self, ticket: int, call: DealCall, kind: MishapKind) -> None:
-        self._out.append(
-            AnswerDeal(ticket, DealAnswer(call.send, NOT_RUN, str(kind), load=self.load(), room=self.room))
-        )
+    def _turn_away(self, tickets: Sequence[int], call: DealCall, kind: MishapKind) -> None:
+        answer = DealAnswer(call.send, NOT_RUN, str(kind), load=self.load(), room=self.room)
+        self._tell(tickets, call, answer)
+
+    def _tell(self, tickets: Sequence[int], call: DealCall, answer: DealAnswer) -> None:
+        """The attempt's end, to all who wait for it, and kept for an entry whose connection breaks just now."""
+        self.by_send.pop(call.send, None)
+        if not call.repeatable:
+            self.taken.answered(answer, now=self.now)
+        self._out += [AnswerDeal(ticket, answer) for ticket in tickets]
+
+    def _follow_arrived(self, event: FollowArrived) -> None:
+        call = event.call
+        if (run := self.by_send.get(call.send)) is not None:
+            run.tickets.append(event.ticket)
+            return
+        answer = self.taken.answer_of(call.send)
+        if answer is None:
+            # Another life of this sidecar can't know what the one it went to did.
+            never = call.life == self.params.incarnation and self.taken.shut_out(call.send, now=self.now)
+            outcome, kind = (NOT_RUN, MishapKind.UNREACHABLE) if never else (UNKNOWN, MishapKind.SILENT)
+            answer = DealAnswer(call.send, outcome, str(kind), load=self.load(), room=self.room)
+        self._out.append(AnswerDeal(event.ticket, answer))
 
     def _start(self, number: int, run: _Run) -> None:
         run.started = self.now
@@ -201,7 +250,8 @@
         leaving = self.closed_at is not None and self.now - self.closed_at > self.drain_span * 0.7
         if leaving or self.server is None or self.server.instance != run.call.instance or self.server_state() == GONE:
             return MishapKind.WINDING_DOWN
-        return MishapKind.BUDGET_SPENT if self.now + self._span_of(run.call) / 2 > run.deadline else None
+        needs = max(self._span_of(run.call) / 2, NOTICE)
+        return MishapKind.BUDGET_SPENT if self.now + needs > run.deadline else None
 
     def _next(self) -> None:
         while self.line and len(self.running) < self.room:
@@ -209,7 +259,7 @@
             run = self.runs[number]
             if (kind := self._in_vain(run)) is not None:
                 del self.runs[number]
-                self._turn_away(run.ticket, run.call, kind)
+                self._turn_away(run.tickets, run.call, kind)
                 continue
             self._start(number, run)
 
@@ -219,7 +269,7 @@
             if kind is not None:
                 self.line.remove(each)
                 run = self.runs.pop(each.number)
-                self._turn_away(run.ticket, run.call, kind)
+                self._turn_away(run.tickets, run.call, kind)
         heapq.heapify(self.line)
         self._next()
 
@@ -238,7 +288,7 @@
             answer = DealAnswer(
                 run.call.send, ANSWERED, "", event.status, event.headers, event.body, self.load(), self.room, took
             )
-        self._out.append(AnswerDeal(run.ticket, answer))
+        self._tell(run.tickets, run.call, answer)
         self._next()
 
     def _serve_missed(self, event: ServeMissed) -> None:
@@ -248,6 +298,7 @@
         self.running.discard(event.number)
         if (
             event.unsent
+            and event.mishap.kind == MishapKind.UNREACHABLE
             and self.server is not None
             and self.server.instance == run.call.instance
             and self.server_state() != GONE
@@ -255,10 +306,9 @@
             # Nobody listens there any more: no need to wait until its vitals run out.
             self._silence()
         outcome = NOT_RUN if event.unsent else UNKNOWN
-        kind = MishapKind.NO_SERVER if event.unsent else event.mishap.kind
-        self._out.append(
-            AnswerDeal(run.ticket, DealAnswer(run.call.send, outcome, str(kind), load=self.load(), room=self.room))
-        )
+        kind = MishapKind.NO_SERVER if event.mishap.kind == MishapKind.UNREACHABLE else event.mishap.kind
+        answer = DealAnswer(run.call.send, outcome, str(kind), load=self.load(), room=self.room)
+        self._tell(run.tickets, run.call, answer)
         self._next()
 
     def _counter_tick(self) -> None:
--- a/packages/sidecar/src/hoistsaddle/sidecar/service.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/service.py
@@ -1,9 +1,11 @@
 """A stall that serves items as a service of the house: node, server line and door, opened and closed in order."""
 
+import asyncio
 from datetime import timedelta
 
 from aiohttp import web
 from aiomisc import Service
+from loguru import logger
 
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.counters import Counters
@@ -20,8 +22,12 @@
 CONNECT_SPAN = milliseconds(350)
 # A stopping stall ends once nobody has called its door for so long: the platform then sends its visitors elsewhere.
 QUIET = milliseconds(500)
-# What closing the doors needs of the grace.
-CLOSING = milliseconds(900)
+# What closing the handlers may take of the grace.
+CLOSING_SHARE = 0.15
+# The part of that after which they are left as they are: the rest is for what follows, before the last resort acts.
+CLOSING_BOUND = 0.75
+# How long handlers stay open for a request that stood unread in a connection.
+UNREAD_WAIT = milliseconds(150)
 
 
 class SidecarService(Service):
@@ -48,10 +54,20 @@
         return [*await SideDoors(node=self.node, params=self.broker_params).open()]
 
     async def stop(self, exception: Exception | None = None) -> None:
-        grace = timedelta(seconds=self.broker_params.grace_seconds)
-        await self.node.wind_down(quiet=QUIET, most=grace - CLOSING)
-        await close_door(self.door, wait=milliseconds(150))
-        for runner in self.side_doors:
-            await runner.cleanup()
+        grace = self.grace()
+        closing = grace * CLOSING_SHARE
+        await self.node.wind_down(quiet=QUIET, most=grace - closing)
+        try:
+            async with asyncio.timeout(closing.total_seconds() * CLOSING_BOUND):
+                await self._close(wait=min(UNREAD_WAIT, closing / 4))
+        except TimeoutError:
+            logger.warning("{}: a handler did not close in its time", self.broker_params.name)
+
+    def grace(self) -> timedelta:
+        """How long a stop may take, as the settings have it now."""
+        return timedelta(seconds=self.node.broker_params.grace_seconds)
+
+    async def _close(self, *, wait: timedelta) -> None:
+        await asyncio.gather(close_door(self.door, wait=wait), *(runner.cleanup() for runner in self.side_doors))
         await self.node.stop()
         self.server_line.close()
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
@@ -15,7 +15,7 @@
 from hoistsaddle.sidecar.door import Door
 from hoistsaddle.sidecar.messages import Serve
 from hoistsaddle.sidecar.node import SidecarNode
-from hoistsaddle.sidecar.service import CLOSING, CONNECT_SPAN, QUIET
+from hoistsaddle.sidecar.service import CLOSING_SHARE, CONNECT_SPAN, QUIET
 from hoistsaddle.testbed.emulator.customs import adapter
 from hoistsaddle.testbed.emulator.day import BOUNDS, CoreMachine, StallMachine
 from hoistsaddle.testbed.emulator.history import Started
@@ -158,7 +158,7 @@
             await arena.within(self.life.spawn(self.node.stop()), BOUNDS["grace_s"])
             return
         end = arena.moment() + BOUNDS["grace_s"]
-        most = timedelta(seconds=BOUNDS["grace_s"]) - CLOSING
+        most = timedelta(seconds=BOUNDS["grace_s"]) * (1 - CLOSING_SHARE)
         await arena.within(self.life.spawn(self.node.wind_down(quiet=QUIET, most=most)), BOUNDS["grace_s"])
         self.open = False
         await asyncio.sleep(GRACE_LEFT)
--- a/tests/arcade_plants.py
+++ b/tests/arcade_plants.py
@@ -114,7 +114,9 @@
     return mock.patch.object(
         SidecarNode,
         "_deal_on",
-        lambda self, command: plain(self, command._replace(call=command.call._replace(caller="somebody"))),
+        lambda self, command, **needs: plain(
+            self, command._replace(call=command.call._replace(caller="somebody")), **needs
+        ),
     )
 
 
@@ -123,8 +125,8 @@
     return mock.patch.object(
         SidecarNode,
         "_deal_on",
-        lambda self, command: plain(
-            self, command._replace(call=command.call._replace(path=command.call.path + b"?more"))
+        lambda self, command, **needs: plain(
+            self, command._replace(call=command.call._replace(path=command.call.path + b"?more")), **needs
         ),
     )
 
--- /dev/null
+++ b/tests/stacks.py
@@ -0,0 +1,398 @@
+"""Whole sidecars on real sockets and a stepped clock: clients, handlers, lines, server connections, and wires between.
+
+Every hop goes through a wire that can hold bytes back, reset, close, or say an answer twice. What was asked, what ran
+and what was told is kept for `judge`.
+"""
+
+import asyncio
+import random
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from brokers import HOST, KINDS, entry
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.settings import SidecarParams
+from hoistsaddle.config.items import ItemSetup, ServiceItem
+from hoistsaddle.proxy.messages import SetupChanged
+from hoistsaddle.rpc.connection import Lines, LineServer, Pulse
+from hoistsaddle.rpc.messages import WriteAnswer, WriteCall
+from hoistsaddle.sidecar.door import Door, open_door
+from hoistsaddle.sidecar.messages import Vitals
+from hoistsaddle.sidecar.node import SidecarNode
+from hoistsaddle.sidecar.serverconnection import ServerLine
+from hoistsaddle.sidecar.wording import Wording
+from hoistsaddle.statemachine.apply import apply
+from hoistsaddle.statemachine.commands import pack_outcome
+from hoistsaddle.statemachine.state import READY, NodeEntry, ServerEntry, State, found_state
+from hoistsaddle.statemachine.view import View
+from stepped import Noted, step
+
+WORDING = Wording()
+PULSE = Pulse(every=milliseconds(250), span=milliseconds(900))
+CORE = "127.0.0.1:9"
+BUDGET = 3.0
+REPEATABLE = ("read",)
+
+
+class Wire:
+    """A relay on one hop. Up is towards the callee."""
+
+    def __init__(self, port: int) -> None:
+        self.target = port
+        self.port = 0
+        self.gates = {"up": asyncio.Event(), "down": asyncio.Event()}
+        self.held = {"up": Noted(), "down": Noted()}
+        self.doubled = False
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task] = set()
+        self.release()
+
+    async def start(self) -> "Wire":
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, far_writer}
+        for way, source, sink in (("up", reader, far_writer), ("down", far_reader, writer)):
+            task = asyncio.ensure_future(self._pump(way, source, sink))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _pump(self, way: str, source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
+        try:
+            while data := await source.read(65536):
+                if not self.gates[way].is_set():
+                    self.held[way].note()
+                await self.gates[way].wait()
+                sink.write(data * 2 if self.doubled and way == "down" else data)
+            await self.gates[way].wait()
+            sink.close()
+        except (OSError, asyncio.CancelledError):
+            sink.transport.abort()
+
+    def hold(self, *ways: str) -> None:
+        for way in ways or ("up", "down"):
+            self.gates[way].clear()
+
+    def release(self) -> None:
+        for gate in self.gates.values():
+            gate.set()
+
+    def reset(self) -> None:
+        """What was held is lost."""
+        for task in list(self.tasks):
+            task.cancel()
+        self._end(lambda writer: writer.transport.abort())
+
+    def close(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+        self._end(lambda writer: writer.close())
+
+    def _end(self, end: Any) -> None:
+        writers, self.writers = self.writers, set()
+        for writer in writers:
+            end(writer)
+        self.release()
+
+    def stop(self) -> None:
+        self.server.close()
+        self.reset()
+
+
+class Plant:
+    """A server: runs what names its instance, and answers when it may."""
+
+    def __init__(self, *, service: str, instance: str, history: "History") -> None:
+        self.service, self.instance, self.history = service, instance, history
+        self.go = asyncio.Event()
+        self.begun = Noted()
+        self.surplus = False
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.port = 0
+
+    async def start(self, port: int = 0) -> "Plant":
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        last = "nobody"
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                headers = dict(line.split(": ", 1) for line in head.decode().split("\r\n")[1:] if line)
+                await reader.readexactly(int(headers.get("Content-Length", 0)))
+                attempt = headers.get(WORDING.send_id, "")
+                if headers.get(WORDING.instance) != self.instance:
+                    writer.write(self.answer(attempt, "421 Other", b"another"))
+                    continue
+                self.history.runs.append((attempt, self.instance))
+                self.begun.note()
+                await self.go.wait()
+                said = self.answer(attempt, "200 OK", f"run of {attempt}".encode())
+                if self.surplus:
+                    said = self.answer(last, "200 OK", b"late") + said + self.answer("next", "200 OK", b"early")
+                writer.write(said)
+                last = attempt
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    @staticmethod
+    def answer(attempt: str, status: str, body: bytes) -> bytes:
+        head = f"HTTP/1.1 {status}\r\n{WORDING.send_id}: {attempt}\r\nContent-Length: {len(body)}\r\n\r\n"
+        return head.encode() + body
+
+    def stop(self) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class Ask(NamedTuple):
+    kind: str
+    key: str
+
+
+class History:
+    """What clients asked under which attempt, what ran where, and what they were told."""
+
+    def __init__(self) -> None:
+        self.asked: dict[str, Ask] = {}
+        self.runs: list[tuple[str, str]] = []
+        self.told: dict[str, tuple[int, bytes]] = {}
+
+
+def judge(history: History) -> list[str]:
+    """Every promise that the history breaks: an answer to the wrong caller, a second run, a refusal of what ran."""
+    broken = []
+    ran = [attempt for attempt, _ in history.runs]
+    for attempt in set(ran) - set(history.asked):
+        broken.append(f"UNASKED {attempt}")
+    for attempt, ask in history.asked.items():
+        if ask.kind not in REPEATABLE and ran.count(attempt) > 1:
+            broken.append(f"TWICE {attempt}")
+        status, body = history.told.get(attempt, (0, b""))
+        same = {attempt} | {other for other, each in history.asked.items() if ask.key and each.key == ask.key}
+        if status == 200 and body not in {f"run of {each}".encode() for each in same & set(ran)}:
+            broken.append(f"WRONG {attempt} heard {body!r}")
+        if status == 503 and ask.kind not in REPEATABLE and attempt in ran:
+            broken.append(f"REFUSED {attempt}")
+    for key in {ask.key for ask in history.asked.values() if ask.key}:
+        if sum(history.asked[attempt].key == key for attempt in ran if attempt in history.asked) > 1:
+            broken.append(f"TWICE key {key}")
+    return broken
+
+
+class SteppedRuntime:
+    def __init__(self, *, seed: int, life: int, core: Any) -> None:
+        self.random = random.Random(seed)
+        self.life = life
+        self.lines = Lines(pulse=PULSE, connect_span=milliseconds(350))
+        self.lines.home[CORE] = core
+
+    def now(self) -> timedelta:
+        return timedelta(seconds=asyncio.get_running_loop().time())
+
+    def token(self, size: int) -> str:
+        return f"life{self.life}"
+
+    async def serve(self, address: str, handler: Any) -> LineServer:
+        server = LineServer(address=address, handler=handler)
+        await server.start()
+        return server
+
+
+class Machine:
+    """One sidecar with its server, and the wires to its handler, its line and its server."""
+
+    def __init__(self, *, name: str, stack: "Stack") -> None:
+        self.name, self.stack = name, stack
+        self.ports = {"handler": 0, "line": 0}
+
+    async def start(self, *, service: str = "ledger") -> "Machine":
+        self.service = service
+        self.plant = await Plant(service=service, instance=f"i-{self.name}", history=self.stack.history).start()
+        self.to_server = await Wire(self.plant.port).start()
+        await self.boot(name=self.name)
+        self.to_line = await Wire(self.ports["line"]).start()
+        self.to_handler = await Wire(self.ports["handler"]).start()
+        return self
+
+    async def boot(self, *, name: str) -> None:
+        """A life of the sidecar, at the ports of the life before."""
+        self.stack.lives += 1
+        address = f"127.0.0.1:{self.ports['line']}"
+        params = SidecarParams(
+            name=name,
+            zone="a",
+            listen=address,
+            door="127.0.0.1:1",
+            vitals_door="127.0.0.1:1",
+            ready_door="127.0.0.1:1",
+            seeds=[CORE],
+            service=self.service,
+            server="127.0.0.1:1",
+            vitals_seconds=60,
+        )
+        runtime = SteppedRuntime(seed=self.stack.seed, life=self.stack.lives, core=self.stack.core)
+        # A line of its own: a life's kept connections die with it.
+        self.server_line = ServerLine(wording=WORDING, counters=None)  # type: ignore[arg-type]
+        self.node = SidecarNode(params=params, runtime=runtime, serve=self.server_line.serve)
+        self.server_line.counters = self.node.counters
+        self.line = await runtime.serve(address, self.node.answer)
+        self.ports["line"] = self.line._server.sockets[0].getsockname()[1]
+        handler = Door(node=self.node, wording=WORDING).handle
+        self.handler = await open_door(address=f"127.0.0.1:{self.ports['handler']}", handler=handler)
+        self.ports["handler"] = self.handler.addresses[0][1]
+        self.ticking = asyncio.ensure_future(self.node._ticks())
+
+    def tell(self) -> None:
+        """What its server and the core told it."""
+        self.node.feed(SetupChanged(self.stack.view()))
+        plant, address = self.plant, f"127.0.0.1:{self.to_server.port}"
+        self.node.feed(Vitals(plant.service, plant.instance, address, READY, 8, timedelta()))
+
+    async def die(self) -> None:
+        """All at once, as a kill does."""
+        self.ticking.cancel()
+        for task in self.node.work:
+            task.cancel()
+        await self.line.stop()
+        self.node.runtime.lines.close()
+        self.server_line.close()
+        for connection in list(self.handler.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await self.handler.cleanup()
+
+    def wires(self) -> tuple[Wire, ...]:
+        return self.to_server, self.to_line, self.to_handler
+
+    def freeze(self) -> None:
+        """Nothing comes in or goes out, and its clock's ticks are missed."""
+        self.ticking.cancel()
+        for wire in self.wires():
+            wire.hold()
+
+    def thaw(self) -> None:
+        self.ticking = asyncio.ensure_future(self.node._ticks())
+        for wire in self.wires():
+            wire.release()
+
+
+class Stack:
+    """Entry sidecar s-1, and s-2 and s-3 whose servers do the work."""
+
+    def __init__(self, *, seed: int = 1) -> None:
+        self.seed = seed
+        self.lives = 0
+        self.history = History()
+        self.log: State = found_state(mesh="m", voters={1: "one"}, operators={}, level=3)
+        self.machines: dict[str, Machine] = {}
+        self.attempts = 0
+        self.clients: set[asyncio.Task] = set()
+
+    async def start(self) -> "Stack":
+        for name in ("s-1", "s-2", "s-3"):
+            self.machines[name] = await Machine(name=name, stack=self).start()
+        for machine in self.machines.values():
+            machine.tell()
+        return self
+
+    async def stop(self) -> None:
+        for machine in self.machines.values():
+            await machine.die()
+            machine.plant.stop()
+            for wire in machine.wires():
+                wire.stop()
+        for client in self.clients:
+            client.cancel()
+
+    def view(self) -> View:
+        items: dict[str, Any] = {f"entry:{name}": entry(name, hold_seconds=BUDGET) for name in KINDS}
+        items["service:ledger"] = ServiceItem("ledger")
+        nodes = {
+            name: NodeEntry(
+                name, "stall", f"127.0.0.1:{machine.to_line.port}", "a", machine.node.incarnation, "alive", 1
+            )
+            for name, machine in self.machines.items()
+        }
+        return View(
+            revision=5,
+            items=ItemSetup(items=items),
+            item_marks=dict.fromkeys(items, 1),
+            servers={
+                name: ServerEntry(name, "ledger", f"i-{name}", "there", "a", READY, 1, "life", "", 1)
+                for name in ("s-2", "s-3")
+            },
+            nodes=nodes,
+        )
+
+    async def core(self, message: tuple) -> tuple | None:
+        if not isinstance(message, WriteCall):
+            return None
+        outcomes = []
+        for payload in message.payloads:
+            stamp = timedelta(seconds=asyncio.get_running_loop().time())
+            self.log, outcome = apply(self.log, offset=self.log.offset + 1, epoch=1, stamp=stamp, payload=payload)
+            outcomes.append(pack_outcome(outcome))
+        return WriteAnswer("", 1, tuple(outcomes), self.log.offset)
+
+    # -- clients -----------------------------------------------------------------------------------------------------
+
+    def client(self, kind: str, *, key: str = "", doors: tuple[str, ...] = ("s-1", "s-1", "s-2")) -> asyncio.Task:
+        """Tries as the platform's clients do: what may not be repeated only after a promise; keys after any failure."""
+        task = asyncio.ensure_future(self._tries(kind, key, doors))
+        self.clients.add(task)
+        return task
+
+    async def _tries(self, kind: str, key: str, doors: tuple[str, ...]) -> None:
+        for door in doors:
+            self.attempts += 1
+            attempt = f"try-{self.attempts}"
+            self.history.asked[attempt] = Ask(kind, key)
+            told = await self._try(attempt, kind, key, self.machines[door].to_handler.port)
+            if told is not None:
+                self.history.told[attempt] = told
+            status = told[0] if told is not None else 0
+            if status == 200 or (status != 503 and kind not in REPEATABLE and not key):
+                return
+            await asyncio.sleep(0.2)
+
+    async def _try(self, attempt: str, kind: str, key: str, port: int) -> tuple[int, bytes] | None:
+        body = b"x" * (20000 if kind == "pack" else 3)
+        lines = [f"POST /{kind}/x HTTP/1.1", f"Host: {HOST}", f"{WORDING.send_id}: {attempt}"]
+        lines += [f"{WORDING.budget}: {BUDGET * 1000:.0f}", f"Content-Length: {len(body)}"]
+        lines += [f"{WORDING.key}: {key}"] if key else []
+        try:
+            async with asyncio.timeout(BUDGET):
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                try:
+                    writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+                    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+                    headers = {name.lower(): value for name, _, value in (line.partition(": ") for line in head[1:])}
+                    return int(head[0].split()[1]), await reader.readexactly(int(headers["content-length"]))
+                finally:
+                    writer.transport.abort()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            return None
+
+    async def pass_time(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.1)):
+            await step(0.1)
+            await self.settle()
+
+    @staticmethod
+    async def settle() -> None:
+        """Bytes on their way over the loopback get their turns; nothing that is judged hangs on how many."""
+        for _ in range(40):
+            await asyncio.sleep(0)
--- /dev/null
+++ b/tests/test_ages.py
@@ -0,0 +1,176 @@
+"""How old a call is that is read only now, and what is left of its time."""
+
+import random
+from datetime import timedelta
+from typing import Any
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from brokers import Brokers
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.proxy.messages import NOT_RUN
+from hoistsaddle.proxy.node import FROZEN_GAP, ProxyNode
+from hoistsaddle.sidecar import ages as modules
+from hoistsaddle.sidecar.ages import OFFSET_SPAN, Ages
+from hoistsaddle.sidecar.messages import Asked, DealArrived, DealOn, Serve
+
+ZERO = timedelta()
+
+
+def seconds(amount: float) -> timedelta:
+    return timedelta(seconds=amount)
+
+
+class OfCalls(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.ages = Ages()
+        # The sender's clock is far from the own one.
+        self.offset = seconds(5000)
+
+    def age(self, *, sent: float, way: float, unread: timedelta = ZERO, sender: str = "s-1.life") -> float:
+        now = seconds(sent + way)
+        return self.ages.age(sender=sender, sent=seconds(sent) + self.offset, now=now, unread=unread).total_seconds()
+
+    def test_the_shortest_way_counts_as_none(self) -> None:
+        self.assertThat(self.age(sent=1, way=0.01), Equals(0.0))
+        self.assertThat(self.age(sent=2, way=0.03), Equals(0.02))
+        self.assertThat(self.age(sent=3, way=0.005), Equals(0.0))
+        self.assertThat(self.age(sent=4, way=3.005), Equals(3.0))
+
+    def test_a_first_call_is_as_old_as_it_may_lie_here_unread(self) -> None:
+        self.assertThat(self.age(sent=1, way=4.0, unread=seconds(4)), Equals(4.0))
+        # What that call's own age was is no part of the offset.
+        self.assertThat(self.age(sent=8, way=2.0), Equals(2.0))
+
+    def test_another_life_has_another_clock(self) -> None:
+        self.age(sent=1, way=0.01)
+        self.offset = seconds(7)
+        self.assertThat(self.age(sent=2, way=0.01, sender="s-1.next"), Equals(0.0))
+
+    def test_an_old_call_after_a_long_silence_is_known_by_what_was_before_it(self) -> None:
+        self.age(sent=1, way=0.01)
+        self.assertThat(self.age(sent=60, way=20.01), Equals(20.0))
+        self.assertThat(self.age(sent=81, way=0.01), Equals(0.0))
+
+    def test_a_clock_that_lags_after_its_machine_slept_is_believed_again(self) -> None:
+        self.age(sent=1, way=0.01)
+        self.offset -= seconds(30)
+        ages = [self.age(sent=10 + each, way=0.01) for each in range(12)]
+        self.assertThat((ages[0], ages[-1]), Equals((30.0, 0.0)))
+        self.assertThat(sum(each > 0 for each in ages) <= OFFSET_SPAN.total_seconds() + 1, Equals(True), str(ages))
+
+    def test_senders_that_are_long_gone_are_forgotten(self) -> None:
+        self.patch(modules, "MOST_SENDERS", 3)
+        for number in range(3):
+            self.age(sent=number, way=0.01, sender=f"s-{number}.life")
+        self.age(sent=5000, way=0.01, sender="s-9.life")
+        self.assertThat(list(self.ages._offsets), Equals(["s-9.life"]))
+
+    def test_no_age_is_ever_more_than_its_true_one_with_steady_clocks(self) -> None:
+        """Whatever the ways are like: a call may count as younger than it is, never as older."""
+        for seed in range(20):
+            dice = random.Random(seed)
+            self.ages, moment = Ages(), 0.0
+            for _ in range(200):
+                moment += dice.choice((0.01, 0.5, 8.0))
+                way = dice.choice((0.001, 0.05, 2.0))
+                self.assertThat(self.age(sent=moment, way=way) <= way, Equals(True), f"seed {seed}")
+
+
+class AtTheTarget(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = Brokers("s-1", "s-2")
+        servers = {name: each for name, each in self.fleet.view.servers.items() if name == "s-2"}
+        self.fleet.show(self.fleet.view._replace(servers=servers))
+
+    def held(self, **needs: Any) -> Any:
+        """A call of s-1's that is on its way to s-2."""
+        self.fleet.silent = {"s-2"}
+        self.fleet.ask("/pack/x", **needs)
+        self.fleet.silent = set()
+        return self.fleet.sent(DealOn)[-1].call
+
+    def known(self) -> None:
+        self.fleet.ask()
+        self.fleet.finish()
+
+    def test_a_call_whose_time_was_over_on_the_way_is_refused_and_not_run(self) -> None:
+        self.known()
+        call = self.held(budget=2.0)
+        self.fleet.pass_time(2.5)
+        ticket = self.fleet.arrive("s-2", call)
+        answer = self.fleet.answers[ticket]
+        self.assertThat((answer.outcome, answer.mishap), Equals((NOT_RUN, MishapKind.BUDGET_SPENT)))
+        self.assertThat(len(self.fleet.sent(Serve)), Equals(1))
+
+    def test_a_server_is_told_what_is_really_left(self) -> None:
+        self.known()
+        call = self.held(budget=3.0)
+        self.fleet.pass_time(1.0)
+        self.fleet.arrive("s-2", call)
+        left = self.fleet.sent(Serve)[-1].within
+        self.assertThat(abs(left - seconds(2)) < milliseconds(1), Equals(True), str(left))
+
+    def test_what_a_frozen_sidecar_reads_first_is_as_old_as_its_freeze(self) -> None:
+        call = self.held(budget=2.0)
+        self.fleet.tickets += 1
+        self.fleet.feed("s-2", DealArrived(self.fleet.tickets, call, seconds(2.5)))
+        self.assertThat(self.fleet.answers[self.fleet.tickets].mishap, Equals(MishapKind.BUDGET_SPENT))
+
+    def test_a_former_releases_call_says_nothing_of_its_age(self) -> None:
+        call = self.held(budget=2.0)._replace(sent=ZERO)
+        self.fleet.pass_time(5.0)
+        self.fleet.arrive("s-2", call)
+        self.assertThat(self.fleet.sent(Serve)[-1].within, Equals(seconds(2)))
+
+    def test_what_waits_is_given_up_in_time_for_its_clients_sidecar_to_hear_of_it(self) -> None:
+        """Called unknown there, it would be answered 504, though it ran nowhere and never will."""
+        for seed in range(5):
+            fleet = Brokers("s-1", "s-2", room=1, seed=seed)
+            fleet.show(fleet.view._replace(servers={"s-2": fleet.view.servers["s-2"]}))
+            fleet.ask("/pack/x", budget=3.0)
+            fleet.finish()
+            fleet.ask("/pack/x", budget=3.0)
+            second = fleet.ask("/pack/x", budget=0.9)
+            fleet.pass_time(1.0)
+            self.assertThat(fleet.replies[second].status, Equals(503), str(seed))
+
+
+class AtTheHandler(TestCase):
+    def test_what_lay_unread_has_less_left_than_it_says(self) -> None:
+        fleet = Brokers()
+        for ticket, (unread, status) in enumerate(((0.0, None), (1.0, None), (3.5, 503)), start=100):
+            asked = Asked(
+                ticket, "POST", "shop.example", "/pack/x", b"", 100, b"", seconds(3), "", "t", seconds(unread)
+            )
+            fleet.feed("s-1", asked)
+            reply = fleet.replies.get(ticket)
+            self.assertThat(reply and reply.status, Equals(status))
+        self.assertThat([each.call.budget for each in fleet.sent(DealOn)], Equals([seconds(3), seconds(2)]))
+
+
+class Standstill(TestCase):
+    class Clock:
+        moment = seconds(100)
+
+        def now(self) -> timedelta:
+            return self.moment
+
+    def unread(self, *, ticked: float, thawed: float, stood: float, now: float) -> float:
+        node: Any = ProxyNode.__new__(ProxyNode)
+        node.runtime = self.Clock()
+        node.runtime.moment = seconds(now)
+        node.ticked_at, node.thawed_at, node.stood = seconds(ticked), seconds(thawed), seconds(stood)
+        return node.unread().total_seconds()
+
+    def test_it_is_told_before_and_after_the_tick_that_sees_it(self) -> None:
+        gap = FROZEN_GAP.total_seconds()
+        self.assertThat(self.unread(ticked=100, thawed=0, stood=0, now=100.02), Equals(0.0))
+        self.assertThat(self.unread(ticked=100, thawed=0, stood=0, now=103), Equals(3.0))
+        # The tick has come; what came in meanwhile is still being read.
+        self.assertThat(round(self.unread(ticked=103, thawed=103 + gap, stood=3, now=103.1), 6), Equals(3.1))
+        self.assertThat(self.unread(ticked=103.5, thawed=103 + gap, stood=3, now=103.5), Equals(0.0))
--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,270 @@
+"""What a target's sidecar says of an attempt whose connection broke, and what the entry makes of it."""
+
+import random
+from datetime import timedelta
+from typing import Any
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from brokers import Brokers
+from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN, UNKNOWN
+from hoistsaddle.rpc.messages import DealAnswer, DealCall, FollowCall
+from hoistsaddle.sidecar import taken as modules
+from hoistsaddle.sidecar.messages import DealAnswered, DealMissed, DealOn, Follow, FollowArrived, Followed, Serve
+from hoistsaddle.sidecar.taken import ANSWER_SPAN, TakenAttempts
+
+SECOND = timedelta(seconds=1)
+
+
+class Case(TestCase):
+    """s-1 is the entry, s-2 the target; their line is the test's."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = Brokers("s-1", "s-2", "s-3")
+        self.target = self.fleet.cores["s-2"]
+        servers = {name: each for name, each in self.fleet.view.servers.items() if name == "s-2"}
+        life = self.target.params.incarnation
+        nodes = {name: each._replace(incarnation=life) for name, each in self.fleet.view.nodes.items()}
+        self.both = {name: each for name, each in self.fleet.view.servers.items() if name != "s-1"}
+        self.fleet.show(self.fleet.view._replace(servers=servers, nodes=nodes))
+
+    def broken(self, path: str = "/pack/x", **needs: Any) -> tuple[int, DealOn, Follow]:
+        """A request whose connection broke before anything came back."""
+        self.fleet.silent = {"s-2"}
+        ticket = self.fleet.ask(path, **needs)
+        self.fleet.silent = set()
+        sent = self.fleet.sent(DealOn)[-1]
+        self.fleet.feed("s-1", DealMissed(sent.number, False))
+        return ticket, sent, self.fleet.sent(Follow)[-1]
+
+    def arrive(self, call: DealCall | FollowCall) -> int:
+        if isinstance(call, DealCall):
+            return self.fleet.arrive("s-2", call)
+        self.fleet.tickets += 1
+        self.fleet.feed("s-2", FollowArrived(self.fleet.tickets, call))
+        return self.fleet.tickets
+
+    def answer(self, ticket: int) -> DealAnswer | None:
+        return self.fleet.answers.get(ticket)
+
+    def outcome(self, ticket: int) -> str:
+        return self.fleet.answers[ticket].outcome
+
+
+class TheTarget(Case):
+    def test_one_that_runs_is_answered_to_both_when_it_ends(self) -> None:
+        _, sent, follow = self.broken()
+        first = self.arrive(sent.call)
+        asked = self.arrive(follow.call)
+        self.assertThat((self.answer(first), self.answer(asked)), Equals((None, None)))
+        self.fleet.finish(body=b"done")
+        self.assertThat(self.answer(asked), Equals(self.answer(first)))
+        self.assertThat((self.outcome(asked), len(self.fleet.sent(Serve))), Equals((ANSWERED, 1)))
+
+    def test_one_that_waits_in_its_line_is_waited_for(self) -> None:
+        self.fleet.vitals("s-2", room=1)
+        self.arrive(self.broken()[1].call)
+        _, sent, follow = self.broken()
+        self.arrive(sent.call)
+        asked = self.arrive(follow.call)
+        self.fleet.finish()
+        self.assertThat(self.answer(asked), Equals(None))
+        self.fleet.finish()
+        self.assertThat(self.outcome(asked), Equals(ANSWERED))
+
+    def test_one_that_ended_is_answered_again_for_a_while_and_then_unknown(self) -> None:
+        _, sent, follow = self.broken()
+        self.arrive(sent.call)
+        self.fleet.finish(body=b"done")
+        self.assertThat(self.answer(self.arrive(follow.call)).body, Equals(b"done"))
+        self.fleet.pass_time(ANSWER_SPAN.total_seconds() + 0.1)
+        # What is over goes with the next that ends.
+        self.arrive(sent.call._replace(send="another.life.1"))
+        self.fleet.finish()
+        self.assertThat(self.outcome(self.arrive(follow.call)), Equals(UNKNOWN))
+
+    def test_one_that_never_came_is_shut_out_by_the_asking(self) -> None:
+        _, sent, follow = self.broken()
+        self.assertThat(self.outcome(self.arrive(follow.call)), Equals(NOT_RUN))
+        self.assertThat(self.outcome(self.arrive(sent.call)), Equals(NOT_RUN))
+        self.assertThat((self.fleet.sent(Serve), self.outcome(self.arrive(follow.call))), Equals(([], NOT_RUN)))
+
+    def test_another_life_cannot_know(self) -> None:
+        _, _, follow = self.broken()
+        self.assertThat(self.outcome(self.arrive(follow.call._replace(life="former"))), Equals(UNKNOWN))
+
+    def test_a_call_that_comes_twice_runs_once(self) -> None:
+        _, sent, _ = self.broken()
+        first, second = self.arrive(sent.call), self.arrive(sent.call)
+        self.fleet.finish()
+        third = self.arrive(sent.call)
+        self.assertThat([self.outcome(each) for each in (first, second, third)], Equals([ANSWERED] * 3))
+        self.assertThat(len(self.fleet.sent(Serve)), Equals(1))
+
+    def test_one_that_was_turned_away_is_told_so_again(self) -> None:
+        self.fleet.vitals("s-2", state="gone")
+        _, sent, follow = self.broken()
+        self.arrive(sent.call)
+        self.assertThat(self.outcome(self.arrive(follow.call)), Equals(NOT_RUN))
+
+
+class TheEntry(Case):
+    def test_only_what_may_not_be_repeated_is_followed(self) -> None:
+        self.fleet.silent = {"s-2"}
+        self.fleet.ask("/read/x")
+        self.fleet.feed("s-1", DealMissed(self.fleet.sent(DealOn)[-1].number, False))
+        self.assertThat(self.fleet.sent(Follow), Equals([]))
+
+    def test_its_answer_is_the_requests(self) -> None:
+        ticket, sent, follow = self.broken()
+        answer = DealAnswer(sent.call.send, ANSWERED, "", 200, b"", b"done")
+        self.fleet.feed("s-1", Followed(follow.number, answer))
+        self.assertThat(self.fleet.replies[ticket].body, Equals(b"done"))
+
+    def test_an_answer_to_another_attempt_is_no_answer(self) -> None:
+        ticket, _, follow = self.broken()
+        self.fleet.feed("s-1", Followed(follow.number, DealAnswer("another", ANSWERED, "", 200, b"", b"not mine")))
+        self.assertThat(self.fleet.replies[ticket].status, Equals(502))
+
+    def test_what_surely_ran_nowhere_goes_on_and_else_is_refused_with_when_to_come_back(self) -> None:
+        ticket, sent, follow = self.broken()
+        not_run = DealAnswer(sent.call.send, NOT_RUN, str(MishapKind.UNREACHABLE))
+        self.fleet.feed("s-1", Followed(follow.number, not_run))
+        reply = self.fleet.replies[ticket]
+        self.assertThat((reply.status, reply.retry_after is None), Equals((503, False)))
+        ticket, sent, follow = self.broken()
+        self.fleet.show(self.fleet.view._replace(servers=self.both))
+        self.fleet.feed("s-1", Followed(follow.number, not_run._replace(send=sent.call.send)))
+        self.assertThat(self.fleet.finish().call.target, Equals("s-3"))
+        self.assertThat(self.fleet.replies[ticket].status, Equals(200))
+
+    def test_what_nobody_knows_is_unknown_and_never_sent_again(self) -> None:
+        for answer, refused in ((DealAnswer("", UNKNOWN, str(MishapKind.SILENT)), False), (None, True)):
+            ticket, sent, follow = self.broken()
+            count = len(self.fleet.sent(DealOn))
+            if answer is not None:
+                answer = answer._replace(send=sent.call.send)
+            self.fleet.feed("s-1", Followed(follow.number, answer, refused))
+            self.assertThat((self.fleet.replies[ticket].status, len(self.fleet.sent(DealOn))), Equals((502, count)))
+
+    def test_silence_is_asked_again_until_the_time_is_over(self) -> None:
+        ticket, _, follow = self.broken(budget=1.0)
+        self.fleet.feed("s-1", Followed(follow.number, None))
+        self.assertThat(ticket in self.fleet.replies, Equals(False))
+        self.fleet.pass_time(0.2)
+        self.assertThat(len(self.fleet.sent(Follow)), Equals(2))
+        self.fleet.pass_time(1.0)
+        self.assertThat(self.fleet.replies[ticket].status, Equals(504))
+
+    def test_a_keys_end_that_is_told_late_is_kept_for_its_repeats(self) -> None:
+        for number, (answer, status) in enumerate(
+            (
+                (DealAnswer("", ANSWERED, "", 200, b"", b"paid"), 200),
+                (DealAnswer("", UNKNOWN, str(MishapKind.SILENT)), 502),
+                (None, 502),
+            )
+        ):
+            ticket, sent, follow = self.broken("/pay/x", key=f"k{number}", budget=0.5)
+            self.fleet.pass_time(0.6)
+            self.assertThat(self.fleet.replies[ticket].status, Equals(504))
+            again = self.fleet.ask("/pay/x", key=f"k{number}", door="s-3")
+            self.assertThat(self.fleet.replies[again].status, Equals(409))
+            if answer is not None:
+                answer = answer._replace(send=sent.call.send)
+            self.fleet.feed("s-1", Followed(follow.number, answer))
+            again = self.fleet.ask("/pay/x", key=f"k{number}", door="s-3")
+            self.assertThat(self.fleet.replies[again].status, Equals(status))
+
+    def test_a_key_whose_attempt_was_turned_away_late_is_free(self) -> None:
+        self.fleet.silent = {"s-2"}
+        ticket = self.fleet.ask("/pay/x", key="k", budget=0.5)
+        self.fleet.silent = set()
+        sent = self.fleet.sent(DealOn)[-1]
+        self.fleet.pass_time(0.6)
+        self.assertThat(self.fleet.replies[ticket].status, Equals(504))
+        not_run = DealAnswer(sent.call.send, NOT_RUN, str(MishapKind.UNREACHABLE))
+        self.fleet.feed("s-1", DealAnswered(sent.number, not_run))
+        again = self.fleet.ask("/pay/x", key="k", door="s-3")
+        self.fleet.finish(body=b"paid")
+        self.assertThat((self.fleet.replies[again].body, len(self.fleet.sent(Serve))), Equals((b"paid", 1)))
+
+    def test_that_it_never_came_counts_only_within_its_time(self) -> None:
+        """Past it the target has forgotten what came."""
+        ticket, sent, follow = self.broken("/pay/x", key="k", budget=0.5)
+        count = len(self.fleet.sent(DealOn))
+        not_run = DealAnswer(sent.call.send, NOT_RUN, str(MishapKind.UNREACHABLE))
+        # No tick came since: this process stood still.
+        self.fleet.moment += SECOND
+        self.fleet.feed("s-1", Followed(follow.number, not_run))
+        self.assertThat((self.fleet.replies[ticket].status, len(self.fleet.sent(DealOn))), Equals((504, count)))
+        again = self.fleet.ask("/pay/x", key="k", door="s-3")
+        self.assertThat(self.fleet.replies[again].status, Equals(502))
+        ticket, sent, follow = self.broken("/pay/x", key="other", budget=0.5)
+        self.fleet.pass_time(0.6)
+        self.fleet.feed("s-1", Followed(follow.number, not_run._replace(send=sent.call.send)))
+        again = self.fleet.ask("/pay/x", key="other", door="s-3")
+        self.assertThat(self.fleet.replies[again].status, Equals(502))
+
+
+class Memory(TestCase):
+    def test_what_is_long_over_is_forgotten(self) -> None:
+        taken = TakenAttempts()
+        for number in range(100):
+            self.assertThat(taken.take(f"a.b.{number}", ends=SECOND * (number + 1), now=SECOND * number), Equals(True))
+        self.assertThat(len(taken.attempts) <= 4, Equals(True))
+
+    def test_beyond_its_bound_it_knows_that_it_does_not_know(self) -> None:
+        self.patch(modules, "MOST_TAKEN", 3)
+        taken = TakenAttempts()
+        for number in range(4):
+            taken.take(f"a.b.{number}", ends=SECOND * 5, now=SECOND)
+        self.assertThat(taken.shut_out("a.b.0", now=SECOND * 2), Equals(False))
+        self.assertThat(taken.shut_out("never", now=SECOND * 2), Equals(False))
+        self.assertThat(taken.shut_out("later", now=SECOND * 8), Equals(True))
+
+    def test_it_promises_no_more_than_it_can_keep(self) -> None:
+        self.patch(modules, "MOST_TAKEN", 3)
+        taken = TakenAttempts()
+        told = [taken.shut_out(f"a.b.{number}", now=SECOND) for number in range(4)]
+        self.assertThat(told, Equals([True, True, True, False]))
+        for number in range(3):
+            self.assertThat(taken.take(f"a.b.{number}", ends=SECOND * 5, now=SECOND * 2), Equals(False))
+
+    def test_kept_answers_are_bounded_by_their_bytes(self) -> None:
+        self.patch(modules, "MOST_BYTES", 100)
+        taken = TakenAttempts()
+        for number in range(5):
+            taken.answered(DealAnswer(f"a.b.{number}", ANSWERED, "", 200, b"", b"x" * 40), now=SECOND)
+        self.assertThat((len(taken.answers), taken.octets), Equals((2, 80)))
+
+    def test_in_any_order_an_attempt_is_let_in_or_shut_out_and_never_both(self) -> None:
+        """Its entry asks for it within its time; what a socket held may come at any moment after it was written."""
+        for seed in range(30):
+            dice = random.Random(seed)
+            self.patch(modules, "MOST_TAKEN", 20)
+            taken, moment = TakenAttempts(), timedelta()
+            ends: dict[str, timedelta] = {}
+            unread: set[str] = set()
+            ran: set[str] = set()
+            refused: set[str] = set()
+            for number in range(600):
+                moment += timedelta(seconds=dice.choice((0.0, 0.02, 0.2)))
+                match dice.choice(("written", "read", "asked")):
+                    case "written":
+                        ends[f"a.b.{number}"] = moment + SECOND * dice.choice((0.3, 1, 3))
+                        unread.add(f"a.b.{number}")
+                    case "read" if unread:
+                        send = dice.choice(sorted(unread))
+                        unread.discard(send)
+                        # Its own words still say what it had as it was written.
+                        if taken.take(send, ends=moment + SECOND * 3, now=moment):
+                            ran.add(send)
+                    case "asked" if alive := [send for send, end in ends.items() if moment < end]:
+                        send = dice.choice(alive)
+                        if taken.shut_out(send, now=moment):
+                            refused.add(send)
+                self.assertThat(ran & refused, Equals(set()), f"seed {seed}")
+            self.assertThat((len(ran) > 50, len(refused) > 5), Equals((True, True)), f"{len(ran)} {len(refused)}")
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -9,7 +9,7 @@
 from hoistsaddle.proxy.further import part_of
 from hoistsaddle.proxy.messages import SetupChanged
 from hoistsaddle.proxy.standing import ProxyParamsView
-from hoistsaddle.sidecar import entry as entries
+from hoistsaddle.sidecar import selection
 from hoistsaddle.sidecar.core import SidecarCore
 from hoistsaddle.sidecar.messages import Asked, DealOn
 from hoistsaddle.statemachine.state import GONE, WINDING_DOWN, State, news_of
@@ -78,7 +78,7 @@
             worked_out.append(len(needs["stalls"]))
             return part_of(**needs)
 
-        self.patch(entries, "part_of", counted)
+        self.patch(selection, "part_of", counted)
         state = make_state(SIZE)
         core = core_with(view_of(state))
         asked(core, 20)
--- a/tests/test_serverline.py
+++ b/tests/test_serverline.py
@@ -468,6 +468,61 @@
         raw, bodies = self.stale(repeatable=True)
         self.assertThat((bodies, len(raw.asked)), Equals(([b"to s0", b"to s1"], 3)))
 
+    def test_one_whose_connection_ends_later_may_be_at_work_and_is_not_sent_again_here(self) -> None:
+        """A further attempt is the entry's to allow, within what all entries may send."""
+        go = asyncio.Event()
+
+        async def cutting(asked: Asked) -> None:
+            if asked.send == "s0":
+                return await plain(asked)
+            await go.wait()
+            asked.cut()
+
+        async def work(line: ServerLine, raw: Raw) -> None:
+            await self.send(line, raw, "s0", repeatable=True)
+            second = asyncio.ensure_future(self.send(line, raw, "s1", repeatable=True))
+            await raw.requests.reach(2)
+            await step(serverconnection.STALE_SPAN * 2)
+            go.set()
+            self.assertMissed(await second, MishapKind.ANSWER_BROKEN)
+            self.assertThat([each.send for each in raw.asked], Equals(["s0", "s1"]))
+
+        self.run_with(cutting, work)
+
+    def test_what_has_no_time_left_is_not_written(self) -> None:
+        async def work(line: ServerLine, raw: Raw) -> None:
+            await self.send(line, raw, "s0")
+            for within in (0.0, -3.0):
+                told = await self.send(line, raw, "s1", within=within)
+                self.assertMissed(told, MishapKind.BUDGET_SPENT, unsent=True)
+            self.assertServed(await self.send(line, raw, "s2"), b"to s2")
+            self.assertThat([each.send for each in raw.asked], Equals(["s0", "s2"]))
+
+        self.run_with(plain, work)
+
+    def test_a_begun_surplus_answer_ends_its_connection_wherever_the_real_one_ends(self) -> None:
+        head = answer("s0", b"", "Transfer-Encoding: chunked", length=False)
+        begun = b"HTTP/1.1 200 OK\r\n"
+        whole = answer("s0", b"ok")
+        cut = whole.index(b"\r\n\r\n") + 3
+        for parts in (
+            (head, b"2\r\nok\r\n0\r\n\r\n" + begun),
+            (head + b"2\r\nok\r\n0\r\n\r\n" + begun,),
+            (whole + begun,),
+            # The head's end is in two pieces.
+            (whole[:cut], whole[cut:] + begun),
+        ):
+
+            async def more(asked: Asked, parts: tuple[bytes, ...] = parts) -> None:
+                if asked.send != "s0":
+                    return await plain(asked)
+                for part in parts:
+                    asked.say(part)
+                    await asked.writer.drain()
+
+            raw, bodies = self.bodies(more, 2)
+            self.assertThat((bodies, raw.connections), Equals(([b"ok", b"to s1"], 2)), repr(parts))
+
     def test_nor_one_whose_answer_had_begun(self) -> None:
         async def short(asked: Asked) -> None:
             asked.say(answer(asked.send, b"ok") if asked.send == "s0" else answer(asked.send, b"0123456789")[:-4])
@@ -490,6 +545,25 @@
 
         self.run_with(plain, work)
 
+    def test_a_connection_to_a_former_life_that_answers_late_is_not_kept_for_the_next(self) -> None:
+        go = asyncio.Event()
+
+        async def slow(asked: Asked) -> None:
+            if asked.send == "s1":
+                await go.wait()
+            await plain(asked)
+
+        async def work(line: ServerLine, raw: Raw) -> None:
+            first = asyncio.ensure_future(self.send(line, raw, "s1"))
+            await raw.requests.reach(1)
+            await self.send(line, raw, "s2", instance="i-2")
+            go.set()
+            self.assertServed(await first, b"to s1")
+            await asyncio.gather(*(self.send(line, raw, f"t{number}", instance="i-2") for number in range(2)))
+            self.assertThat([each.connection for each in raw.asked], Equals([1, 2, 2, 3]))
+
+        self.run_with(slow, work)
+
     def test_what_happened_is_counted(self) -> None:
         async def more(asked: Asked) -> None:
             asked.say(answer("other", b"x") + answer(asked.send))
