Ages are a line's own knowledge: every frame of a call carries its sender's clock

Change: the clock is in the frame, so polls and probes give the offset; the age comes off a request's aim only from 0.4 s on. The time a body takes to come is part of its request's time.

--- a/packages/rpc/src/hoistsaddle/rpc/connection.py
+++ b/packages/rpc/src/hoistsaddle/rpc/connection.py
@@ -16,7 +16,8 @@
 
 from hoistsaddle.common.errors import Mishap, MishapKind
 from hoistsaddle.common.settings import split_address
-from hoistsaddle.rpc.messages import PulseAnswer, PulseCall, pack, unpack
+from hoistsaddle.rpc.ages import Ages, CallAge
+from hoistsaddle.rpc.messages import Frame, PulseAnswer, PulseCall, pack, unpack_frame
 
 Handler = Callable[[tuple], Awaitable[tuple]]
 # A peer that is there takes a connection within milliseconds. Waiting longer spends a budget on one that isn't.
@@ -25,17 +26,12 @@
 IN = "in"
 OUT = "out"
 _length = struct.Struct("!I")
-# When the connection was accepted that the call under way came on, by the loop's clock.
-_accepted: ContextVar[float | None] = ContextVar("accepted", default=None)
+_call_age: ContextVar[CallAge | None] = ContextVar("call_age", default=None)
 
 
-def since_accepted() -> timedelta:
-    """For how long the connection has stood that the call under way came on; nothing for a process's call to itself.
-
-    What is read on a connection was written after it came up, so no call on it is older.
-    """
-    moment = _accepted.get()
-    return timedelta() if moment is None else timedelta(seconds=asyncio.get_running_loop().time() - moment)
+def call_age() -> CallAge:
+    """How old the call under way was as it was read."""
+    return _call_age.get() or CallAge()
 
 
 class Traffic:
@@ -54,18 +50,19 @@
         self.octets[passed] += size
 
 
-async def _read_frame(reader: asyncio.StreamReader, traffic: Traffic) -> tuple[int, bool, tuple | None]:
+async def _read_frame(reader: asyncio.StreamReader, traffic: Traffic) -> Frame:
     (length,) = _length.unpack(await reader.readexactly(4))
     # A frame over the limit is garbage from something that isn't a hoistsaddle process.
     if length > LARGEST_FRAME:
         raise ValueError(f"frame of {length} bytes")
-    number, answer, message = unpack(await reader.readexactly(length))
-    traffic.count(IN, message, length + _length.size)
-    return number, answer, message
+    frame = unpack_frame(await reader.readexactly(length))
+    traffic.count(IN, frame.message, length + _length.size)
+    return frame
 
 
 def _write_frame(writer: asyncio.StreamWriter, traffic: Traffic, *, number: int, answer: bool, message: tuple) -> None:
-    data = pack(number=number, answer=answer, message=message)
+    sent = 0.0 if answer else asyncio.get_running_loop().time()
+    data = pack(number=number, answer=answer, message=message, sent=sent)
     traffic.count(OUT, message, len(data) + _length.size)
     writer.write(_length.pack(len(data)) + data)
 
@@ -101,7 +98,7 @@
     async def _listen(self, reader: asyncio.StreamReader) -> None:
         try:
             while True:
-                number, _, message = await _read_frame(reader, self.traffic)
+                number, _, message, _ = await _read_frame(reader, self.traffic)
                 self.heard = asyncio.get_running_loop().time()
                 future = self.pending.pop(number, None)
                 if future is not None and not future.done():
@@ -279,7 +276,7 @@
 
     async def _at_home(self, address: str, message: tuple) -> tuple | None:
         # Whoever calls may itself be answering a call that came on a connection.
-        _accepted.set(None)
+        _call_age.set(CallAge(0.0, False))
         return await self.home[address](message)
 
     def close(self) -> None:
@@ -302,10 +299,13 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
-        _accepted.set(asyncio.get_running_loop().time())
+        loop = asyncio.get_running_loop()
+        ages = Ages(accepted=loop.time())
         try:
             while True:
-                number, _, message = await _read_frame(reader, self.traffic)
+                number, _, message, sent = await _read_frame(reader, self.traffic)
+                # The task that answers it takes this along.
+                _call_age.set(ages.age(sent=sent, now=loop.time()))
                 if isinstance(message, PulseCall):
                     _write_frame(writer, self.traffic, number=number, answer=True, message=PulseAnswer(""))
                     continue
--- a/packages/rpc/src/hoistsaddle/rpc/mesh.thrift
+++ b/packages/rpc/src/hoistsaddle/rpc/mesh.thrift
@@ -46,7 +46,7 @@
 struct PassAnswer { 1: string send, 2: string outcome, 3: string mishap, 4: string detail, 5: i64 status, 6: map<string, string> headers, 7: binary body, 8: string digest }
 
 // A request under items, on its way to the stall beside the server that is to run it. Headers are packed name, value pairs.
-struct DealCall { 1: string send, 2: string service_name, 3: string target, 4: string instance, 5: i64 budget, 6: i64 aim, 7: i64 rank, 8: string entry, 9: string method, 10: binary path, 11: binary headers, 12: binary body, 13: string caller, 14: string send_id, 15: i64 ordinal, 16: bool repeatable, 17: i64 sent }
+struct DealCall { 1: string send, 2: string service_name, 3: string target, 4: string instance, 5: i64 budget, 6: i64 aim, 7: i64 rank, 8: string entry, 9: string method, 10: binary path, 11: binary headers, 12: binary body, 13: string caller, 14: string send_id, 15: i64 ordinal, 16: bool repeatable }
 struct DealAnswer { 1: string send, 2: string outcome, 3: string mishap, 4: i64 status, 5: binary headers, 6: binary body, 7: i64 load, 8: i64 room, 9: i64 took }
 // What became of an attempt whose connection broke: send is its id, life the life of the sidecar that it went to.
 struct FollowCall { 1: string send, 2: string life, 3: i64 budget }
@@ -70,4 +70,5 @@
 }
 
 // One frame on a line: number pairs an answer with its call.
-struct Frame { 1: i64 number, 2: bool answer, 3: Parcel parcel }
+// sent: the sender's monotonic clock as the frame was written, in microseconds; calls only.
+struct Frame { 1: i64 number, 2: bool answer, 3: Parcel parcel, 4: i64 sent }
--- a/packages/rpc/src/hoistsaddle/rpc/messages.py
+++ b/packages/rpc/src/hoistsaddle/rpc/messages.py
@@ -325,8 +325,6 @@
     send_id: str
     ordinal: int = 1
     repeatable: bool = False
-    # The sender's monotonic clock as it was written; a former release says nothing.
-    sent: timedelta = timedelta()
 
 
 class DealAnswer(NamedTuple):
@@ -430,15 +428,28 @@
     return kind(**values)
 
 
-def pack(*, number: int, answer: bool, message: tuple) -> bytes:
+def pack(*, number: int, answer: bool, message: tuple, sent: float = 0.0) -> bytes:
     parcel = mesh_thrift.Parcel(**{tag_of(type(message)): to_thrift(message)})
-    return serialize(mesh_thrift.Frame(number=number, answer=answer, parcel=parcel), _protocol)
+    return serialize(
+        mesh_thrift.Frame(number=number, answer=answer, parcel=parcel, sent=round(sent * 1e6) or None), _protocol
+    )
 
 
-def unpack(data: bytes) -> tuple[int, bool, tuple | None]:
-    """Number, whether it is an answer, and the message; None for one that only a newer release knows."""
+class Frame(NamedTuple):
+    number: int
+    answer: bool
+    # None for one that only a newer release knows.
+    message: tuple | None
+    # Its sender's monotonic clock in seconds; 0 where it says nothing.
+    sent: float = 0.0
+
+
+def unpack_frame(data: bytes) -> Frame:
     frame = deserialize(mesh_thrift.Frame(), data, _protocol)
-    for value in vars(frame.parcel).values():
-        if value is not None:
-            return frame.number, bool(frame.answer), from_thrift(value)
-    return frame.number, bool(frame.answer), None
+    message = next((from_thrift(value) for value in vars(frame.parcel).values() if value is not None), None)
+    return Frame(frame.number, bool(frame.answer), message, (frame.sent or 0) / 1e6)
+
+
+def unpack(data: bytes) -> tuple[int, bool, tuple | None]:
+    """Number, whether it is an answer, and the message."""
+    return unpack_frame(data)[:3]
--- a/packages/sidecar/src/hoistsaddle/sidecar/door.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/door.py
@@ -50,9 +50,14 @@
             handler: RequestHandler = request.protocol
             # The operators' limit on silence may change under an open connection.
             handler._keepalive_timeout = items.limits.idle_seconds
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         body = await request.read()
         raw = request.raw_headers
         budget = _milliseconds(request.headers.get(self.wording.budget))
+        if budget is not None:
+            # Its client's time runs from its first byte: a large body on a thin link may use up much of it.
+            budget -= timedelta(seconds=loop.time() - began)
         answer = await self.node.request_items(
             lambda ticket: Asked(
                 ticket,
--- a/packages/sidecar/src/hoistsaddle/sidecar/entry.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/entry.py
@@ -121,7 +121,6 @@
             send_id=event.send_id,
             ordinal=deal.sends + 1,
             repeatable=deal.entry.kind == REPEATABLE,
-            sent=self.now,
         )
         self._out.append(DealOn(deal.number, node.address, call, budget))
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/messages.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/messages.py
@@ -47,10 +47,8 @@
 class DealArrived(NamedTuple):
     ticket: int
     call: DealCall
-    # For how long this process may have left it unread, as far as it stood still itself.
-    unread: timedelta = timedelta()
-    # For how long its connection has stood.
-    connected: timedelta = timedelta()
+    # How old it was as it was read: its words say what time it had left as it was written.
+    age: timedelta = timedelta()
 
 
 class FollowArrived(NamedTuple):
--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -15,7 +15,7 @@
 from hoistsaddle.membership.relay import select_parents
 from hoistsaddle.proxy.messages import Announce, AskHold, ReportVitals, StopAsked
 from hoistsaddle.proxy.node import FROZEN_GAP, ProxyNode
-from hoistsaddle.rpc.connection import since_accepted
+from hoistsaddle.rpc.connection import call_age
 from hoistsaddle.rpc.messages import DealAnswer, DealCall, FollowCall, RecallAnswer, RecallCall
 from hoistsaddle.rpc.runtime import Runtime
 from hoistsaddle.sidecar.core import SidecarCore
@@ -124,7 +124,7 @@
         match message:
             case DealCall():
                 ticket, future = self._ticket()
-                self.feed(DealArrived(ticket, message, self.unread(), since_accepted()))
+                self.feed(DealArrived(ticket, message, self._age()))
                 return (await future).answer
             case FollowCall():
                 ticket, future = self._ticket()
@@ -136,6 +136,12 @@
                 return (await future).answer
         return await super().answer(message)
 
+    def _age(self) -> timedelta:
+        """How old the call may be that is being answered."""
+        known = call_age()
+        age = timedelta(seconds=known.age)
+        return age + self.unread() if known.first else age
+
     async def _deal_on(self, command: DealOn, *, decided: timedelta) -> None:
         self.counters.add(f"sends.{command.call.service_name}")
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/serverside.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/serverside.py
@@ -14,7 +14,6 @@
 from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN, UNKNOWN
 from hoistsaddle.proxy.standing import OwnServer, Standing
 from hoistsaddle.rpc.messages import DealAnswer, DealCall, FollowCall
-from hoistsaddle.sidecar.ages import Ages
 from hoistsaddle.sidecar.messages import AnswerDeal, DealArrived, FollowArrived, Serve, Served, ServeMissed, Vitals
 from hoistsaddle.sidecar.taken import TakenAttempts
 from hoistsaddle.statemachine.state import GONE, READY
@@ -37,6 +36,8 @@
 # A waiting run is given up this long before its time is over: the word that it didn't run must reach its client's
 # sidecar before that one has to call it unknown. Two ticks, and a way between two regions.
 NOTICE = milliseconds(80)
+# A call this old lay somewhere, and is due that much sooner.
+LAIN = milliseconds(400)
 
 
 class _Run:
@@ -88,7 +89,6 @@
         self.usual = Pace()
         self.drain_span = timedelta(seconds=2)
         self.closed_at: timedelta | None = None
-        self.ages = Ages()
         # Of the attempts that may not be repeated, and which run or waiting call is which.
         self.taken = TakenAttempts()
         self.by_send: dict[str, _Run] = {}
@@ -190,15 +190,13 @@
 
     def _aged(self, event: DealArrived) -> DealCall:
         """The call with what is really left of its time: its words may have waited in a socket."""
-        call = event.call
-        # A send's last part is its number; what is before names its sender's life.
-        sender = call.send.rpartition(".")[0]
-        if call.sent == ZERO or not sender:
-            age = event.unread
-        else:
-            unread = event.unread + event.connected
-            age = self.ages.age(sender=sender, sent=call.sent, now=self.now, unread=unread)
-        return call._replace(budget=call.budget - age, aim=max(ZERO, call.aim - age)) if age else call
+        call, age = event.call, event.age
+        if not age:
+            return call
+        # What a call gains or loses on an ordinary way says little of when it is due: judged by that, many would be
+        # turned away on a quiet day that are in time after all.
+        aim = call.aim if age < LAIN else max(ZERO, call.aim - age)
+        return call._replace(budget=call.budget - age, aim=aim)
 
     def _refusal(self, call: DealCall) -> MishapKind | None:
         if call.budget <= ZERO:
