--- a/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
@@ -15,7 +15,7 @@
 from hoistsaddle.sidecar.door import Door
 from hoistsaddle.sidecar.messages import Serve, ServeMissed
 from hoistsaddle.sidecar.node import SidecarNode
-from hoistsaddle.sidecar.service import CLOSING_SHARE, CONNECT_SPAN, QUIET
+from hoistsaddle.sidecar.service import CLOSING_SHARE, QUIET
 from hoistsaddle.testbed.emulator.customs import adapter
 from hoistsaddle.testbed.emulator.disks import EmulatedDiskWorker, ledger_files
 from hoistsaddle.testbed.emulator.history import Started
