--- a/tests/test_arcade.py
+++ b/tests/test_arcade.py
@@ -27,8 +27,8 @@
 sys.path.insert(0, str(Path(__file__).parent))
 from arcade_plants import DAYS, PLANTS  # noqa: E402
 
-# A plain day, and one about the control side with replaced machines, contested versions and repeated orders.
-SEEDS = (1, 5)
+# Plain days, and two about the control side with replaced machines, contested versions and repeated orders.
+SEEDS = (1, 2, 5)
 
 
 def broken(day: Day) -> dict[str, list[str]]:
