--- a/packages/raft/src/hoistsaddle/raft/disk.py
+++ b/packages/raft/src/hoistsaddle/raft/disk.py
@@ -182,8 +182,16 @@
             # The checkpoint was synced and the log up to it was not, or the log parts from what was agreed below it:
             # the committed state in the checkpoint stands, and nothing above it in such a log was ever agreed.
             records, begin = (), mark
+            self._drop_log(mark)
         return known._replace(begin=begin, records=records, checkpoint=mark, state=state)
 
+    def _drop_log(self, begin: Mark) -> None:
+        """At once: left to the next write, records above it would be found again above that write's own."""
+        self.connection.execute("BEGIN")
+        self.connection.execute("DELETE FROM log")
+        self._set_fact("begin", begin)
+        self.connection.execute("COMMIT")
+
     def _newest_checkpoint(self, *, least: int, mesh: str) -> tuple[Mark, State] | None:
         marks = sorted((mark for path in self.checkpoints.iterdir() if (mark := mark_of(path.name))), reverse=True)
         for mark in marks:
--- a/packages/raft/src/hoistsaddle/raft/elections.py
+++ b/packages/raft/src/hoistsaddle/raft/elections.py
@@ -152,6 +152,7 @@
             return
         self.standing = LEADER
         self.leader = self.replica
+        self._give_up_pull("")
         self.heard_leader = None
         self.fetch_sent = None
         self.progress = {}
--- a/packages/raft/src/hoistsaddle/raft/snapshots.py
+++ b/packages/raft/src/hoistsaddle/raft/snapshots.py
@@ -4,7 +4,7 @@
 from hoistsaddle.raft.events import DropCheckpoints, Mark, ReadChunk, StoreChunk
 from hoistsaddle.raft.replica import LEADER, NOT_LEADER_FOR_PARTITION, Progress, Replica
 from hoistsaddle.raft.voters import change_in
-from hoistsaddle.rpc.messages import FetchAnswer, PullAnswer, PullCall, Record
+from hoistsaddle.rpc.messages import UNSET, FetchAnswer, PullAnswer, PullCall, Record
 from hoistsaddle.statemachine.state import State
 
 
@@ -101,6 +101,10 @@
         self.staged.extend(records)
 
     def _pull(self) -> None:
+        if self.leader in (UNSET, self.replica):
+            # Nobody leads at this moment: the next piece is asked for once somebody does.
+            self.pull_sent = None
+            return
         self.pull_sent = self.now
         self.pull_number = self._send(
             self.leader,
@@ -116,7 +120,7 @@
 
     def _pull_answer(self, answer: PullAnswer) -> None:
         self.pull_sent = None
-        if self.pulling is None or self.loading:
+        if self.pulling is None or self.loading or self.standing == LEADER:
             return
         if answer.mishap:
             # KIP-630: on any of the three errors ask again from offset and epoch zero.
@@ -135,6 +139,10 @@
     def _loaded(self, mark: Mark, state: State | None) -> None:
         if self.pulling != mark or not self.loading:
             return
+        if self.standing == LEADER:
+            # Elected meanwhile by those who hold no more than it does: its own log is the log now.
+            self._give_up_pull("")
+            return
         staged = self.staged
         refused = self._why_not_load(state)
         self._give_up_pull(refused)
--- a/packages/testbed/src/hoistsaddle/testbed/diskmodel/check.py
+++ b/packages/testbed/src/hoistsaddle/testbed/diskmodel/check.py
@@ -213,6 +213,9 @@
     """What no start may ever find, whatever was written before."""
     if boot.state is None:
         return ""
+    epochs = [boot.begin.epoch, *(each.epoch for each in boot.records)]
+    if epochs != sorted(epochs):
+        return "a log with an older epoch above a newer one"
     for place, each in enumerate(boot.records, start=1):
         if each.offset != boot.begin.offset + place:
             return "a log with a gap"
--- a/packages/testbed/src/hoistsaddle/testbed/diskmodel/lives.py
+++ b/packages/testbed/src/hoistsaddle/testbed/diskmodel/lives.py
@@ -102,7 +102,7 @@
     writer.write(records(1, 9, epoch=1))
     writer.epoch, writer.vote = 3, None
     writer.write()
-    given_up, mark = Mark(7, 3), Mark(8, 3)
+    given_up, mark = Mark(5, 3), Mark(6, 3)
     data = pack_checkpoint(mark=given_up, state=state_at(given_up))
     player.do("store_chunk", mark=given_up, position=0, data=data[:CHUNK], last=False)
     data = pack_checkpoint(mark=mark, state=state_at(mark))
@@ -111,7 +111,7 @@
         last = place == places[-1]
         player.do("store_chunk", mark=mark, position=place, data=data[place : place + CHUNK], last=last)
     writer.begin, writer.committed = mark, 9
-    writer.write(records(9, 12, epoch=3), clear=True)
+    writer.write(records(7, 12, epoch=3), clear=True)
     player.do("drop_checkpoints", below=mark.offset)
     writer.write(records(13, 13, epoch=3))
     player.start_again(cleanly=True)
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -13,11 +13,22 @@
     CheckpointStored,
     DropCheckpoints,
     Mark,
+    Send,
     StoreChunk,
     Ticked,
 )
 from hoistsaddle.raft.replica import SNAPSHOT_NOT_FOUND
-from hoistsaddle.rpc.messages import BallotCall, FetchAnswer, FetchCall, LeadCall, PullAnswer, PullCall, Record
+from hoistsaddle.rpc.messages import (
+    UNSET,
+    BallotCall,
+    FetchAnswer,
+    FetchCall,
+    LeadCall,
+    PullAnswer,
+    PullCall,
+    Record,
+    ResignCall,
+)
 from hoistsaddle.statemachine.state import State, found_state
 from test_kip_630 import PACE, VOTERS, Bench, claim
 
@@ -136,6 +147,23 @@
         )
         self.assertThat([chunk.mark for chunk in frozen.of(StoreChunk)], Equals([Mark(40, 3)]))
 
+    def test_while_nobody_leads_no_piece_is_asked_for(self) -> None:
+        bench = Behind()
+        bench.call(ResignCall(3, 3))
+        pulls = len(bench.sent(PullCall))
+        bench.piece(continues=True)
+        self.assertThat((bench.core.leader, len(bench.sent(PullCall))), Equals((UNSET, pulls)))
+        self.assertThat([send.replica for send in bench.of(Send) if send.replica == UNSET], Equals([]))
+
+    def test_one_that_is_elected_meanwhile_keeps_its_own_log(self) -> None:
+        bench = Behind()
+        bench.piece()
+        bench.call(ResignCall(3, 3))
+        bench.lead()
+        last = bench.core.last
+        bench.feed(CheckpointLoaded(Mark(40, 3), state_at(40, 3)))
+        self.assertThat((bench.core.last, bench.core.pulling, bench.core.begin), Equals((last, None, Mark(0, 0))))
+
 
 class PartedLogs(TestCase):
     def test_one_that_parts_below_the_begin_offset_is_sent_to_the_checkpoint(self) -> None:
