--- a/packages/raft/src/hoistsaddle/raft/fetching.py
+++ b/packages/raft/src/hoistsaddle/raft/fetching.py
@@ -12,7 +12,7 @@
     """The follower's side: fetches, what their answers say, logs that part, the search for a leader."""
 
     def _fetch(self) -> None:
-        if self.leader in (UNSET, self.replica) or self.halted:
+        if self.leader in (UNSET, self.replica) or self.halted or self.ended:
             return
         if self.pulling is None and (not self.whole or self.starting_over):
             # Offset and epoch zero ask the leader where to begin.
@@ -33,6 +33,7 @@
                 self.round_seen,
                 whole,
                 self.level,
+                self.stopping,
             ),
         )
         self.fetched_from[self.fetch_number] = Mark(offset - 1, epoch)
@@ -86,6 +87,8 @@
         self.heard_leader = self.now
         self.election_at = self.now + self._election_span()
         self.round_seen = max(self.round_seen, answer.round)
+        if self.stopping:
+            self._heard_leave(answer)
         if answer.checkpoint_offset != UNSET:
             self._begin_pull(answer)
         elif answer.diverging_offset != UNSET:
