--- a/packages/raft/src/hoistsaddle/raft/replication.py
+++ b/packages/raft/src/hoistsaddle/raft/replication.py
@@ -77,9 +77,7 @@
         answer = FetchAnswer("", self.epoch, self.replica, self.high_watermark, self.begin_offset, round=self.round)
         if call.fetch_offset < self.begin_offset:
             # KIP-630: below the begin offset the answer is the latest checkpoint and where the log goes on after it.
-            progress.whole = progress.keeps_up = False
-            progress.committed = None
-            return self._answer(ticket, self._to_checkpoint(answer))
+            return self._answer(ticket, self._to_checkpoint(answer, progress))
         known = self.epoch_at(call.fetch_offset - 1)
         if known != call.fetch_epoch:
             # KIP-595: the follower's log parts from ours; name the end of the newest epoch that both may share.
@@ -88,9 +86,7 @@
                 offset -= 1
             if self.epoch_at(offset) > call.fetch_epoch:
                 # They part below the begin offset, where this log knows nothing to name.
-                progress.whole = progress.keeps_up = False
-                progress.committed = None
-                return self._answer(ticket, self._to_checkpoint(answer))
+                return self._answer(ticket, self._to_checkpoint(answer, progress))
             return self._answer(ticket, answer._replace(diverging_offset=offset, diverging_epoch=self.epoch_at(offset)))
         # Records above a checkpoint still being pulled don't count: without what lies below they save nothing.
         progress.whole = call.whole
@@ -109,7 +105,9 @@
             self.held[call.replica] = (ticket, call, self.now)
         self._confirm_reads()
 
-    def _to_checkpoint(self, answer: FetchAnswer) -> FetchAnswer:
+    def _to_checkpoint(self, answer: FetchAnswer, progress: Progress) -> FetchAnswer:
+        progress.whole = progress.keeps_up = False
+        progress.committed = None
         mark = self.checkpoint
         return answer._replace(checkpoint_offset=mark.offset, checkpoint_epoch=mark.epoch, next_offset=mark.offset + 1)
 
--- a/packages/raft/src/hoistsaddle/raft/shell.py
+++ b/packages/raft/src/hoistsaddle/raft/shell.py
@@ -101,9 +101,11 @@
             wanted_voters=self.wanted_voters,
         )
 
-    def revise(self, *, wanted_voters: int, replace_span: timedelta, seeds: tuple[int, ...]) -> None:
+    def revise(
+        self, *, wanted_voters: int, replace_span: timedelta, lag_wait: timedelta, seeds: tuple[int, ...]
+    ) -> None:
         self.wanted_voters = wanted_voters
-        self.pace = self.pace._replace(replace_span=replace_span)
+        self.pace = self.pace._replace(replace_span=replace_span, lag_wait=lag_wait)
         if self.core is not None:
             self.core.wanted_voters = wanted_voters
             self.core.pace = self.pace
--- a/packages/registry/src/hoistsaddle/registry/controller.py
+++ b/packages/registry/src/hoistsaddle/registry/controller.py
@@ -126,6 +126,11 @@
     return replace_span_of(settle=timedelta(seconds=params.settle_seconds), losses=params.losses)
 
 
+def lag_wait(params: ControllerParams) -> timedelta:
+    """How long the log stays long for a live replica that lags: as long as one that is back may take to settle."""
+    return timedelta(seconds=params.settle_seconds)
+
+
 class Controller:
     def __init__(
         self,
@@ -160,6 +165,7 @@
                 chunk_bytes=params.chunk_bytes,
                 boot_share=0.4,
                 replace_span=replace_span(params),
+                lag_wait=lag_wait(params),
             ),
             wanted_voters=2 * params.losses + 1,
         )
@@ -209,7 +215,10 @@
             self.stores.learn(number)
             self.peers.learn(number)
         self.warehouse.shell.revise(
-            wanted_voters=2 * params.losses + 1, replace_span=replace_span(self.params), seeds=tuple(numbers)
+            wanted_voters=2 * params.losses + 1,
+            replace_span=replace_span(self.params),
+            lag_wait=lag_wait(self.params),
+            seeds=tuple(numbers),
         )
         self.bourse.member.seeds = [self.peers[number] for number in numbers if number != self.replica]
 
