--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -5,11 +5,15 @@
 from typing import Any
 from unittest import mock
 
+from immutables import Map
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
 from hoistsaddle.common.errors import MishapKind
 from hoistsaddle.config.items import ENTRY, SERVICE, Dropping, Patch, Setting, content_digest, pack_patch
+from hoistsaddle.raft.core import LEADER
+from hoistsaddle.raft.events import Boot, Concluded, Mark, ProposalArrived, Ticked
+from hoistsaddle.rpc.messages import FetchCall
 from hoistsaddle.statemachine import items, orders
 from hoistsaddle.statemachine.apply import apply
 from hoistsaddle.statemachine.commands import (
@@ -27,6 +31,7 @@
 from hoistsaddle.statemachine.orders import MOST_REFUSALS
 from hoistsaddle.statemachine.state import BUNDLES_KEPT, State, found_state, pack_state, unpack_state
 from orders_model import CHECKS, ORDERS, WAIT, ModelOrder, explore
+from test_kip_630 import VOTERS, Bench
 
 SPAN = 60
 
@@ -319,6 +324,81 @@
         self.assertThat(pack_state(unpack_state(packed)), Equals(packed))
 
 
+class OrderBench(Bench):
+    """A core of three at level 4 to which orders come."""
+
+    def __init__(self) -> None:
+        state = found_state(mesh="m", voters=VOTERS, operators={}, level=4)
+        super().__init__(
+            boot=Boot(1, VOTERS[1], voters=tuple(VOTERS.items()), mesh="m", checkpoint=Mark(0, 0), state=state)
+        )
+
+    def order(self, *sets: Setting) -> int:
+        self.tickets += 1
+        payload = pack_command(PatchItems("request", "desk", "standing", pack_patch(Patch(list(sets))), SPAN, 0))
+        self.feed(ProposalArrived(self.tickets, (payload,)))
+        return self.tickets
+
+    def holds(self, offset: int) -> None:
+        """Another voter has synced the log up to there."""
+        epoch = self.core.epoch_at(offset)
+        call = FetchCall("m", 2, VOTERS[2], self.core.epoch, offset + 1, epoch, self.core.round, True, 4)
+        self.call(call)
+
+    def answers(self, ticket: int) -> list[str]:
+        """What a call was told: kinds of refusals, of the log or of the leader; empty for yes."""
+        return [
+            each.mishap or "".join(outcome.mishap for outcome in each.outcomes)
+            for each in self.of(Concluded)
+            if each.ticket == ticket
+        ]
+
+
+class Leaders(TestCase):
+    def test_a_refusal_waits_for_the_same_majority_as_a_confirmation(self) -> None:
+        bench = OrderBench().lead()
+        winner = bench.order(service(connections=1))
+        self.assertThat(bench.answers(winner), Equals([]))
+        bench.holds(bench.core.last.offset)
+        self.assertThat(bench.answers(winner), Equals([""]))
+        loser, again = bench.order(service(connections=2)), bench.order(service(connections=1))
+        bench.holds(bench.core.last.offset - 2)
+        self.assertThat((bench.answers(loser), bench.answers(again)), Equals(([], [])))
+        bench.holds(bench.core.last.offset - 1)
+        self.assertThat((bench.answers(loser), bench.answers(again)), Equals((["item-conflict"], [])))
+        bench.holds(bench.core.last.offset)
+        self.assertThat(bench.answers(again), Equals([""]))
+
+    def test_a_leader_that_is_cut_off_says_neither_yes_nor_no(self) -> None:
+        bench = OrderBench().lead()
+        bench.order(service(connections=1))
+        bench.holds(bench.core.last.offset)
+        tickets = [bench.order(service(connections=number)) for number in (1, 2)]
+        for _ in range(100):
+            bench.feed(Ticked(), later=timedelta(milliseconds=100))
+        self.assertThat(bench.core.standing == LEADER, Equals(False))
+        self.assertThat([bench.answers(each) for each in tickets], Equals([["unsure"], ["unsure"]]))
+        late = bench.order(service(connections=2))
+        self.assertThat(bench.answers(late), Equals(["not-leader"]))
+
+    def test_a_new_leader_answers_once_its_own_epoch_has_committed_and_both_copies_alike(self) -> None:
+        bench = OrderBench().lead()
+        bench.holds(bench.core.last.offset)
+        # The first copies stay uncommitted: this leader hears of another epoch.
+        first, rival = bench.order(service(connections=1)), bench.order(service(connections=2))
+        copied = bench.core.last.offset
+        bench.call(FetchCall("m", 2, VOTERS[2], bench.core.epoch + 1, 1, 0, 0, True, 4))
+        self.assertThat([bench.answers(each) for each in (first, rival)], Equals([["unsure"], ["unsure"]]))
+        bench.lead()
+        second = [bench.order(service(connections=number)) for number in (1, 2)]
+        # A majority has the copies of the epoch before: no word yet of what they came to.
+        bench.holds(copied)
+        self.assertThat((bench.core.state.items, [bench.answers(each) for each in second]), Equals((Map(), [[], []])))
+        bench.holds(bench.core.last.offset)
+        self.assertThat([bench.answers(each) for each in second], Equals([[""], ["item-conflict"]]))
+        self.assertThat(len(bench.core.state.patches), Equals(1))
+
+
 TEXT = """
 number = 1
 based_on = 0
