--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -17,9 +17,10 @@
     StoreChunk,
     Ticked,
 )
-from hoistsaddle.raft.replica import SNAPSHOT_NOT_FOUND
+from hoistsaddle.raft.replica import LEADER, SNAPSHOT_NOT_FOUND
 from hoistsaddle.rpc.messages import (
     UNSET,
+    BallotAnswer,
     BallotCall,
     FetchAnswer,
     FetchCall,
@@ -159,8 +160,13 @@
         bench = Behind()
         bench.piece()
         bench.call(ResignCall(3, 3))
-        bench.lead()
+        bench.feed(Ticked(), later=timedelta(seconds=2))
+        for trial in (True, False):
+            epoch = bench.core.epoch + trial
+            answer = BallotAnswer(bench.core.epoch, 1, "one", True, trial, epoch)
+            bench.feed(AnswerArrived(bench.sent(BallotCall)[-1].number, 1, answer))
         last = bench.core.last
+        self.assertThat(bench.core.standing, Equals(LEADER))
         bench.feed(CheckpointLoaded(Mark(40, 3), state_at(40, 3)))
         self.assertThat((bench.core.last, bench.core.pulling, bench.core.begin), Equals((last, None, Mark(0, 0))))
 
