--- a/packages/registry/src/hoistsaddle/registry/controller.py
+++ b/packages/registry/src/hoistsaddle/registry/controller.py
@@ -244,7 +244,7 @@
         bourse = self.bourse
         # Checked here before the log is troubled; the log checks again, for what stands may have moved.
         if isinstance(checked := check_patch(patch), Failure):
-            bourse.counters.happen("patch refused", mishap=checked.failure().kind, field=checked.failure().field)
+            bourse.counters.happen("patch refused", mishap=str(checked.failure().kind), field=checked.failure().field)
             return checked
         self.requests += 1
         request = f"{bourse.node}.{bourse.incarnation}.{self.requests}"
