--- a/packages/cli/src/hoistsaddle/cli/fleet_commands.py
+++ b/packages/cli/src/hoistsaddle/cli/fleet_commands.py
@@ -199,6 +199,17 @@
     click.echo(f"BROKEN seed {hunted.seed}: {told} (again: {again})")
 
 
+@fleet.command()
+@click.option("--minutes", type=click.FloatRange(0.05, 600), default=1.0, show_default=True, help="Of random walks.")
+@click.option("--workers", type=click.IntRange(1, 256), help="Processes at once; by default one for each core.")
+@_seed
+def check(minutes, seed, workers) -> None:
+    """Model check of the log, its voters and its snapshots: small spaces walked through whole, then random walks."""
+    from hoistsaddle.testbed.modelcheck import check as checking
+
+    sys.exit(1 if checking.check(minutes=minutes, seed=seed, workers=workers, say=click.echo) else 0)
+
+
 @fleet.command()
 @click.argument(
     "what", type=click.Choice(["commits", "catch-up", "growth", "news", "added-latency", "takeover", "versions"])
--- /dev/null
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/clones.py
@@ -0,0 +1,69 @@
+"""Copies and keys of cores, whatever their parts: to go several ways from one state, and to know it again."""
+
+import random
+from collections import deque
+from datetime import timedelta
+from functools import cache
+from typing import Any
+
+# Parts of a core are objects of these modules; everything else in it is a plain container or never changes.
+PARTS = "hoistsaddle.raft."
+_PLAIN = frozenset((int, float, bool, str, bytes, type(None), timedelta))
+
+
+@cache
+def _is_part(kind: type) -> bool:
+    # Records and messages of these modules are tuples, which never change.
+    return not issubclass(kind, tuple) and any(each.__module__.startswith(PARTS) for each in kind.__mro__)
+
+
+def clone(value: Any, known: dict[int, Any] | None = None) -> Any:
+    """A copy of a core and of every part in it; values that never change are shared."""
+    kind = type(value)
+    if kind in _PLAIN:
+        return value
+    known = {} if known is None else known
+    if kind is list:
+        return [clone(each, known) for each in value]
+    if kind is dict:
+        return {key: clone(each, known) for key, each in value.items()}
+    if kind is tuple:
+        return tuple([clone(each, known) for each in value])
+    if kind is set or kind is deque:
+        return value.copy()
+    if not _is_part(kind):
+        return value
+    if id(value) not in known:
+        twin = known[id(value)] = object.__new__(kind)
+        filled = twin.__dict__
+        for name, each in value.__dict__.items():
+            filled[name] = each if type(each) in _PLAIN else clone(each, known)
+    return known[id(value)]
+
+
+def key_of(value: Any, known: set[int] | None = None) -> Any:
+    """Something hashable that is equal for values that are alike."""
+    kind = type(value)
+    if kind in _PLAIN:
+        return value
+    known = set() if known is None else known
+    if kind is dict:
+        return frozenset([(key, key_of(each, known)) for key, each in value.items()])
+    if kind is set:
+        return frozenset(value)
+    if kind is list or kind is deque or kind is tuple:
+        return tuple([key_of(each, known) for each in value])
+    if isinstance(value, random.Random):
+        return None
+    if isinstance(value, tuple):
+        try:
+            hash(value)
+        except TypeError:
+            return (kind.__name__, *[key_of(each, known) for each in value])
+        return value
+    if not _is_part(kind):
+        return value
+    if id(value) in known:
+        return "known"
+    known.add(id(value))
+    return tuple([(name, key_of(each, known)) for name, each in value.__dict__.items()])
--- /dev/null
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/cluster.py
@@ -0,0 +1,374 @@
+"""Replicas of the raft core under a network, disks and a clock that the caller moves; no input or output."""
+
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from hoistsaddle.common.clock import ZERO, milliseconds
+from hoistsaddle.raft.core import LEADER, RaftCore
+from hoistsaddle.raft.events import (
+    Answer,
+    AnswerArrived,
+    Boot,
+    CallArrived,
+    CallRefused,
+    Capture,
+    Concluded,
+    DropCheckpoints,
+    Pace,
+    ProposalArrived,
+    ReadArrived,
+    ReadChunk,
+    ReadReady,
+    Send,
+    StopAsked,
+    StoreChunk,
+    Synced,
+    Ticked,
+    Write,
+)
+from hoistsaddle.statemachine.commands import LEVEL
+from hoistsaddle.statemachine.state import found_state
+from hoistsaddle.testbed.modelcheck.clones import clone
+from hoistsaddle.testbed.modelcheck.invariants import Invariants
+from hoistsaddle.testbed.modelcheck.modeldisk import ChunkRead, ModelDisk
+
+MESH = "modelled"
+# Checkpoints and pieces small enough that a walk of some dozen steps sees them taken, pulled and overtaken.
+SMALL_PACE = Pace(checkpoint_records=4, chunk_bytes=160, fetch_records=3)
+# One slice of a run: within it whatever can be delivered is, then every clock ticks once.
+SLICE = milliseconds(50)
+# So many rounds of messages and disk jobs fit into one slice at most.
+ROUNDS_IN_A_SLICE = 6
+# Messages waiting between two replicas; the oldest is lost beyond it, as a closed connection loses it.
+LINK_ROOM = 12
+
+
+class Packet(NamedTuple):
+    """One message under way. An answer belongs to the life that asked and dies with it."""
+
+    sender: int
+    receiver: int
+    # The life that made the call, or the one that an answer is for.
+    life: int
+    number: int
+    message: tuple
+    is_call: bool
+
+
+def ticket_of(packet: Packet) -> int:
+    """A call's ticket follows from who called, not from when it arrived: so states reached by other ways are alike.
+
+    Its last two digits number copies of one call; clients' tickets are below all of these.
+    """
+    return ((packet.sender * 1000 + packet.life) * 10**6 + packet.number) * 100
+
+
+class Machine:
+    """One replica's machine: its disk, and its core while the process runs."""
+
+    def __init__(self, *, disk: ModelDisk) -> None:
+        self.disk = disk
+        self.core: RaftCore | None = None
+        self.life = 0
+        self.frozen = False
+        # Its disk does nothing until it goes on; what was done before stays.
+        self.stalled = False
+        self.leaving = False
+        # Gone for good; nothing of it is ever started again.
+        self.removed = False
+        # How far its clock is before the cluster's: clocks run on by themselves, and nothing may rest on them.
+        self.ahead = ZERO
+        # The epoch and life it was last seen to lead in.
+        self.led = (0, 0)
+        self.synced = 0
+        # Of a copy that stays as it is: what its content comes to, once that was asked for.
+        self.key = 0
+        self.waiting: list[tuple[int, tuple]] = []
+        self.asked: dict[int, tuple[int, int, int]] = {}
+
+    def copy(self) -> "Machine":
+        """The same machine, to go on with apart from this one."""
+        twin = Machine(disk=self.disk.copy())
+        twin.core = clone(self.core)
+        twin.life, twin.frozen, twin.leaving, twin.removed = self.life, self.frozen, self.leaving, self.removed
+        twin.stalled = self.stalled
+        twin.ahead, twin.led, twin.synced = self.ahead, self.led, self.synced
+        twin.waiting, twin.asked = list(self.waiting), dict(self.asked)
+        return twin
+
+    @property
+    def replica(self) -> int:
+        return self.disk.replica
+
+    @property
+    def answers(self) -> bool:
+        return self.core is not None and not self.frozen
+
+
+class Twist:
+    """Where an injected fault may change what a core hears or says; this one changes nothing."""
+
+    core_class: type[RaftCore] = RaftCore
+    keeps_incarnation = False
+
+    def heard(self, machine: Machine, event: tuple) -> tuple:
+        return event
+
+    def said(self, machine: Machine, event: tuple, commands: list[tuple]) -> list[tuple]:
+        return commands
+
+
+class Cluster:
+    """All machines of one run, what is under way between them, and the checks that see every step."""
+
+    def __init__(
+        self,
+        *,
+        size: int,
+        seed: int,
+        pace: Pace = SMALL_PACE,
+        twist: Twist | None = None,
+        make_random: Callable[[int], random.Random] = random.Random,
+    ) -> None:
+        self.size = size
+        self.seed = seed
+        self.pace = pace
+        self.twist = twist or Twist()
+        self.make_random = make_random
+        self.now = timedelta(seconds=100)
+        self.flight: list[Packet] = []
+        self.cuts: set[tuple[int, int]] = set()
+        self.tickets = 0
+        self.incarnations = 0
+        self.events = 0
+        self.seeds = tuple(range(1, size + 1))
+        disks = [self._blank(replica) for replica in self.seeds]
+        voters = tuple((disk.replica, disk.incarnation) for disk in disks)
+        state = found_state(mesh=MESH, voters=dict(voters), operators={}, level=LEVEL)
+        self.checks = Invariants(founded=state, wanted=size)
+        self.machines = {disk.replica: Machine(disk=disk) for disk in disks}
+        for disk in disks:
+            disk.found(mesh=MESH, voters=voters, state=state)
+            self.checks.lay(disk)
+            self.start(disk.replica)
+
+    def copy(self, *, touching: tuple[int, ...]) -> "Cluster":
+        """The same cluster, in which the machines named may go another way; all others are shared."""
+        twin = object.__new__(Cluster)
+        twin.__dict__.update(self.__dict__)
+        twin.machines = dict(self.machines)
+        twin.flight = list(self.flight)
+        twin.cuts = set(self.cuts)
+        twin.checks = self.checks.copy()
+        for replica in touching:
+            machine = twin.machines[replica] = self.machines[replica].copy()
+            twin.checks.lay(machine.disk)
+        return twin
+
+    # -- machines ----------------------------------------------------------------------------------------------------
+
+    def _blank(self, replica: int) -> ModelDisk:
+        self.incarnations += 1
+        return ModelDisk(replica=replica, incarnation=f"disk-{self.incarnations}")
+
+    def start(self, replica: int) -> None:
+        """Starts the process from what is synced; a folder that can't be trusted is laid anew first."""
+        machine = self.machines[replica]
+        boot = machine.disk.boot()
+        if boot is None:
+            machine.disk = self._blank(replica)
+            self.checks.lay(machine.disk)
+            boot = machine.disk.boot()
+        machine.life += 1
+        machine.synced = 0
+        machine.waiting = []
+        machine.asked = {}
+        machine.frozen = machine.stalled = machine.leaving = False
+        machine.core = self._core(boot, machine)
+        self.checks.started(machine)
+
+    def _core(self, boot: Boot, machine: Machine) -> RaftCore:
+        return self.twist.core_class(
+            boot=boot,
+            replicas=self.seeds,
+            pace=self.pace,
+            seed=self.make_random(self.seed * 1000 + machine.replica * 100 + machine.life),
+            now=self.now + machine.ahead,
+            wanted_voters=self.size,
+        )
+
+    def crash(self, replica: int, *, kept: int) -> None:
+        """Power is lost: so many of the jobs not yet reported still reached the disk."""
+        machine = self.machines[replica]
+        machine.core = None
+        machine.disk.lose_power(kept=kept)
+        self.checks.disk_changed(machine)
+
+    def wipe(self, replica: int) -> None:
+        """The machine comes back with a blank disk."""
+        machine = self.machines[replica]
+        machine.core = None
+        former = machine.disk.incarnation
+        machine.disk = self._blank(replica)
+        if self.twist.keeps_incarnation:
+            machine.disk.incarnation = former
+        self.checks.lay(machine.disk)
+
+    def add_spare(self) -> int:
+        replica = max(self.machines) + 1
+        machine = self.machines[replica] = Machine(disk=self._blank(replica))
+        self.checks.lay(machine.disk)
+        self.start(replica)
+        return replica
+
+    def remove(self, replica: int) -> None:
+        machine = self.machines[replica]
+        machine.core = None
+        machine.removed = True
+
+    def ask_to_leave(self, replica: int) -> None:
+        self.machines[replica].leaving = True
+        self.feed(self.machines[replica], StopAsked())
+
+    # -- the network -------------------------------------------------------------------------------------------------
+
+    def can_pass(self, packet: Packet) -> bool:
+        receiver = self.machines[packet.receiver]
+        return (packet.sender, packet.receiver) not in self.cuts and not receiver.frozen
+
+    def post(self, packet: Packet) -> None:
+        self.flight.append(packet)
+        between = [each for each in self.flight if (each.sender, each.receiver) == (packet.sender, packet.receiver)]
+        if len(between) > LINK_ROOM:
+            self.flight.remove(between[0])
+
+    def deliver(self, packet: Packet) -> None:
+        """Hands over one message, which the caller has taken from what is under way or kept there to come again."""
+        receiver = self.machines[packet.receiver]
+        if packet.is_call:
+            sender = self.machines[packet.sender]
+            if receiver.core is not None:
+                ticket = ticket_of(packet)
+                while ticket in receiver.asked:
+                    ticket += 1
+                receiver.asked[ticket] = (packet.sender, packet.life, packet.number)
+                self.feed(receiver, CallArrived(ticket, packet.message))
+            elif sender.answers and sender.life == packet.life and (packet.receiver, packet.sender) not in self.cuts:
+                self.feed(sender, CallRefused(packet.receiver))
+        elif receiver.core is not None and receiver.life == packet.life:
+            self.feed(receiver, AnswerArrived(packet.number, packet.sender, packet.message))
+
+    def deliver_next(self) -> bool:
+        """Delivers the oldest message that can pass."""
+        for place, packet in enumerate(self.flight):
+            if self.can_pass(packet):
+                del self.flight[place]
+                self.deliver(packet)
+                return True
+        return False
+
+    # -- one core ----------------------------------------------------------------------------------------------------
+
+    def feed(self, machine: Machine, event: tuple) -> None:
+        self.events += 1
+        event = self.twist.heard(machine, event)
+        before = self.checks.before(machine)
+        commands = machine.core.handle(event, now=self.now + machine.ahead)
+        if isinstance(event, Synced):
+            machine.synced = max(machine.synced, event.sequence)
+        commands = self.twist.said(machine, event, commands)
+        self.checks.after(machine, before, commands, self.machines)
+        for command in commands:
+            self._carry_out(machine, command)
+        if isinstance(event, Synced):
+            ready = [command for after, command in machine.waiting if after <= machine.synced]
+            machine.waiting = [pair for pair in machine.waiting if pair[0] > machine.synced]
+            for command in ready:
+                self._carry_out(machine, command)
+
+    def _carry_out(self, machine: Machine, command: tuple) -> None:
+        match command:
+            case Send(after=after) | Answer(after=after) if after > machine.synced:
+                machine.waiting.append((after, command))
+            case Send(number=number, replica=replica, message=message):
+                self.checks.sent(machine, message)
+                if replica in self.machines:
+                    self.post(Packet(machine.replica, replica, machine.life, number, message, True))
+            case Answer(ticket=ticket, message=message):
+                self._answer(machine, ticket, message)
+            case Write() | Capture() | StoreChunk() | DropCheckpoints() | ReadChunk():
+                machine.disk.jobs.append(command)
+            case Concluded():
+                self.checks.concluded(command)
+            case ReadReady():
+                self.checks.read_ready(command)
+
+    def _answer(self, machine: Machine, ticket: int, message: tuple) -> None:
+        asked = machine.asked.pop(ticket, None)
+        if asked is not None:
+            self.checks.answered(machine, message)
+            replica, life, number = asked
+            self.post(Packet(machine.replica, replica, life, number, message, False))
+
+    def do_disk_job(self, replica: int) -> bool:
+        """The disk does its next job and reports it."""
+        machine = self.machines[replica]
+        if not machine.disk.jobs or not machine.answers:
+            return False
+        report = machine.disk.do_next()
+        self.checks.disk_changed(machine)
+        if isinstance(report, ChunkRead):
+            self._answer(machine, report.ticket, report.answer)
+        elif report is not None:
+            self.feed(machine, report)
+        return True
+
+    def tick(self, replica: int) -> None:
+        if self.machines[replica].answers:
+            self.feed(self.machines[replica], Ticked())
+
+    # -- clients -----------------------------------------------------------------------------------------------------
+
+    def propose(self, replica: int, payload: bytes) -> int:
+        self.tickets += 1
+        self.checks.proposed(self.tickets, payload)
+        self.feed(self.machines[replica], ProposalArrived(self.tickets, (payload,)))
+        return self.tickets
+
+    def read(self, replica: int) -> int:
+        self.tickets += 1
+        self.checks.read_asked(self.tickets)
+        self.feed(self.machines[replica], ReadArrived(self.tickets))
+        return self.tickets
+
+    def leader(self) -> int | None:
+        """The one of the newest epoch among those that lead and answer."""
+        leading = [each for each in self.machines.values() if each.answers and each.core.standing == LEADER]
+        return max(leading, key=lambda each: each.core.epoch).replica if leading else None
+
+    # -- time --------------------------------------------------------------------------------------------------------
+
+    def run(self, span: timedelta, *, until: Callable[[], Any] | None = None) -> bool:
+        """Lets everything that can go on go on for this span; true as soon as the wanted moment is there."""
+        end = self.now + span
+        while self.now < end:
+            self.now += SLICE
+            for _ in range(ROUNDS_IN_A_SLICE):
+                moved = False
+                for packet in [each for each in self.flight if self.can_pass(each)]:
+                    if packet in self.flight:
+                        self.flight.remove(packet)
+                        self.deliver(packet)
+                        moved = True
+                for replica in list(self.machines):
+                    while not self.machines[replica].stalled and self.do_disk_job(replica):
+                        moved = True
+                if not moved:
+                    break
+            for replica in list(self.machines):
+                self.tick(replica)
+            if until is not None and until():
+                return True
+        return False
--- /dev/null
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/faults.py
@@ -0,0 +1,224 @@
+"""Injected faults: each breaks one rule of the raft core in one place, and the checks have to find it.
+
+They change what a core hears or says, or one method of its interface; none reaches into how the core does its work.
+"""
+
+from hoistsaddle.raft.core import LEADER, RaftCore
+from hoistsaddle.raft.events import (
+    Answer,
+    AnswerArrived,
+    CallArrived,
+    Capture,
+    Concluded,
+    DropCheckpoints,
+    ProposalArrived,
+    ReadArrived,
+    ReadReady,
+    Send,
+    Synced,
+    Write,
+)
+from hoistsaddle.rpc.messages import BallotAnswer, BallotCall, FetchAnswer, FetchCall, LeadCall
+from hoistsaddle.testbed.modelcheck.cluster import Machine, Twist
+
+
+class _OneSetOnly(RaftCore):
+    def voter_sets(self) -> list[dict[int, str]]:
+        return super().voter_sets()[-1:]
+
+
+class CountsOneSetOnly(Twist):
+    """While a change of voters is open, only the set after it is asked."""
+
+    core_class = _OneSetOnly
+
+
+class VoteUnsynced(Twist):
+    """A vote is told before it is synced."""
+
+    def said(self, machine: Machine, event: tuple, commands: list[tuple]) -> list[tuple]:
+        return [
+            command._replace(after=0)
+            if isinstance(command, Answer) and isinstance(command.message, BallotAnswer)
+            else command
+            for command in commands
+        ]
+
+
+class FetchUnsynced(Twist):
+    """A follower claims records that it hasn't synced."""
+
+    def said(self, machine: Machine, event: tuple, commands: list[tuple]) -> list[tuple]:
+        return [
+            command._replace(after=0)
+            if isinstance(command, Send) and isinstance(command.message, FetchCall)
+            else command
+            for command in commands
+        ]
+
+
+class AppendUnsynced(Twist):
+    """A leader counts its own records before they are synced."""
+
+    def said(self, machine: Machine, event: tuple, commands: list[tuple]) -> list[tuple]:
+        core = machine.core
+        if core.standing == LEADER and any(isinstance(command, Write) for command in commands):
+            core.durable = core.last.offset
+        return commands
+
+
+class ReadWithoutRound(Twist):
+    """A leader answers a read from its own state, without asking whether it still leads."""
+
+    def said(self, machine: Machine, event: tuple, commands: list[tuple]) -> list[tuple]:
+        core = machine.core
+        if isinstance(event, ReadArrived) and core.standing == LEADER:
+            return [*commands, ReadReady(event.ticket, "", core.replica, core.state)]
+        return commands
+
+
+class CommitsOldEpoch(Twist):
+    """A leader commits the records of former epochs by counting."""
+
+    def heard(self, machine: Machine, event: tuple) -> tuple:
+        machine.core.epoch_began = 0
+        return event
+
+
+class VotesForAnybody(Twist):
+    """A vote is given without a look at how far the candidate's log goes."""
+
+    def heard(self, machine: Machine, event: tuple) -> tuple:
+        if isinstance(event, CallArrived) and isinstance(event.message, BallotCall):
+            return event._replace(message=event.message._replace(last_offset=2**40, last_epoch=2**40))
+        return event
+
+
+class VotesTwice(Twist):
+    """A vote already given in the epoch doesn't bind."""
+
+    def heard(self, machine: Machine, event: tuple) -> tuple:
+        if isinstance(event, CallArrived) and isinstance(event.message, BallotCall) and not event.message.trial:
+            machine.core.vote = None
+        return event
+
+
+class TruncatesCommitted(Twist):
+    """A follower that hears of a new leader drops its log above the checkpoint, committed or not."""
+
+    def said(self, machine: Machine, event: tuple, commands: list[tuple]) -> list[tuple]:
+        if isinstance(event, CallArrived) and isinstance(event.message, LeadCall) and commands:
+            machine.core.log = []
+        return commands
+
+
+class BlankDiskVotes(Twist):
+    """A machine that comes back with a blank disk goes by its former incarnation."""
+
+    keeps_incarnation = True
+
+
+class CountsWhatItPulls(Twist):
+    """A replica that still pulls its checkpoint claims to be whole."""
+
+    def said(self, machine: Machine, event: tuple, commands: list[tuple]) -> list[tuple]:
+        return [
+            command._replace(message=command.message._replace(whole=True))
+            if isinstance(command, Send) and isinstance(command.message, FetchCall) and command.message.fetch_offset > 0
+            else command
+            for command in commands
+        ]
+
+
+class AcknowledgesAtOnce(Twist):
+    """An order is acknowledged when it is logged, not when it commits."""
+
+    def said(self, machine: Machine, event: tuple, commands: list[tuple]) -> list[tuple]:
+        core = machine.core
+        if isinstance(event, ProposalArrived) and core.standing == LEADER:
+            return [*commands, Concluded(event.ticket, "", core.replica, core.last.offset, ())]
+        return commands
+
+
+class CapturesTooMuch(Twist):
+    """A checkpoint is named by the log's end, not by what its state holds."""
+
+    def said(self, machine: Machine, event: tuple, commands: list[tuple]) -> list[tuple]:
+        return [
+            command._replace(mark=machine.core.last) if isinstance(command, Capture) else command
+            for command in commands
+        ]
+
+
+class BelievesTheAnswer(Twist):
+    """A follower takes the leader's log end for the high-watermark."""
+
+    def heard(self, machine: Machine, event: tuple) -> tuple:
+        if isinstance(event, AnswerArrived) and isinstance(event.message, FetchAnswer) and event.message.records:
+            last = event.message.records[-1].offset
+            return event._replace(message=event.message._replace(high_watermark=last))
+        return event
+
+
+class LosesRecords(Twist):
+    """A follower skips the first record that it is sent and numbers the rest on."""
+
+    def heard(self, machine: Machine, event: tuple) -> tuple:
+        if isinstance(event, AnswerArrived) and isinstance(event.message, FetchAnswer):
+            records = event.message.records
+            if len(records) > 1:
+                moved = tuple(
+                    after._replace(offset=before.offset) for before, after in zip(records, records[1:], strict=False)
+                )
+                return event._replace(message=event.message._replace(records=moved))
+        return event
+
+
+class ForgetsItsVoteOnSync(Twist):
+    """Every write leaves the vote out."""
+
+    def said(self, machine: Machine, event: tuple, commands: list[tuple]) -> list[tuple]:
+        return [command._replace(vote=None) if isinstance(command, Write) else command for command in commands]
+
+
+class DropsNewestCheckpoint(Twist):
+    """Log cleaning also removes the checkpoint that the log begins with, and the leader's log with it."""
+
+    def said(self, machine: Machine, event: tuple, commands: list[tuple]) -> list[tuple]:
+        return [
+            command._replace(below=command.below + 1) if isinstance(command, DropCheckpoints) else command
+            for command in commands
+        ]
+
+
+class SyncsAreLies(Twist):
+    """A sync is reported before the disk has done it."""
+
+    def said(self, machine: Machine, event: tuple, commands: list[tuple]) -> list[tuple]:
+        writes = [command for command in commands if isinstance(command, Write)]
+        if not writes or isinstance(event, Synced):
+            return commands
+        machine.synced = writes[-1].sequence
+        return [*commands, *machine.core.handle(Synced(writes[-1].sequence), now=machine.core.now)]
+
+
+FAULTS: tuple[type[Twist], ...] = (
+    CountsOneSetOnly,
+    VoteUnsynced,
+    FetchUnsynced,
+    AppendUnsynced,
+    ReadWithoutRound,
+    CommitsOldEpoch,
+    VotesForAnybody,
+    VotesTwice,
+    TruncatesCommitted,
+    BlankDiskVotes,
+    CountsWhatItPulls,
+    AcknowledgesAtOnce,
+    CapturesTooMuch,
+    BelievesTheAnswer,
+    LosesRecords,
+    ForgetsItsVoteOnSync,
+    DropsNewestCheckpoint,
+    SyncsAreLies,
+)
--- /dev/null
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/modeldisk.py
@@ -0,0 +1,181 @@
+"""A disk of the model: what a replica's folder holds once synced, and the jobs that were given and not yet done.
+
+It follows raft/disk.py and raft/jobs.py without files; a test runs the same jobs on both and compares what boots.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+from returns.result import Success
+
+from hoistsaddle.raft.checkpoint import pack_checkpoint, unpack_checkpoint
+from hoistsaddle.raft.core import OFFSET_OUT_OF_RANGE, SNAPSHOT_NOT_FOUND
+from hoistsaddle.raft.events import (
+    Boot,
+    Capture,
+    CheckpointLoaded,
+    CheckpointStored,
+    DropCheckpoints,
+    Mark,
+    ReadChunk,
+    StoreChunk,
+    Synced,
+    Write,
+)
+from hoistsaddle.rpc.messages import PullAnswer, Record
+from hoistsaddle.statemachine.state import State
+
+# What a boot takes from the newest write under the same name; records are kept apart.
+_KEPT = tuple(name for name in Write._fields if name in Boot._fields and name != "records")
+
+
+class ChunkRead(NamedTuple):
+    """A piece of a checkpoint for the replica that asked with this ticket."""
+
+    ticket: int
+    answer: PullAnswer
+
+
+class ModelDisk:
+    """One incarnation of one machine's disk."""
+
+    def __init__(self, *, replica: int, incarnation: str) -> None:
+        self.replica = replica
+        self.incarnation = incarnation
+        self.newest: Write | None = None
+        self.founded: dict | None = None
+        self.log: dict[int, Record] = {}
+        self.checkpoints: dict[Mark, bytes] = {}
+        self.pulled: dict[Mark, bytes] = {}
+        self.jobs: deque = deque()
+        # What this incarnation held or promised at any moment; a truncation takes nothing away here.
+        self.ever_held: set[tuple[int, int]] = set()
+        self.ever_voted: set[tuple[int, tuple[int, str] | None]] = set()
+        self.covered = 0
+
+    def copy(self) -> "ModelDisk":
+        """The same content, on which more jobs may be done apart from this one."""
+        twin = ModelDisk(replica=self.replica, incarnation=self.incarnation)
+        twin.newest, twin.founded, twin.covered = self.newest, self.founded, self.covered
+        twin.log, twin.checkpoints, twin.pulled = dict(self.log), dict(self.checkpoints), dict(self.pulled)
+        twin.jobs = deque(self.jobs)
+        twin.ever_held, twin.ever_voted = set(self.ever_held), set(self.ever_voted)
+        return twin
+
+    def found(self, *, mesh: str, voters: tuple[tuple[int, str], ...], state: State) -> None:
+        """What founding leaves: the first checkpoint, the mesh and its voters."""
+        self.checkpoints[Mark(0, 0)] = pack_checkpoint(mark=Mark(0, 0), state=state)
+        self.founded = {"mesh": mesh, "voters": voters}
+
+    # -- reading -----------------------------------------------------------------------------------------------------
+
+    def boot(self) -> Boot | None:
+        """What a start reads; nothing where the folder has to be laid anew, under another incarnation."""
+        facts = {name: getattr(self.newest, name) for name in _KEPT} if self.newest else self.founded or {}
+        known = Boot(replica=self.replica, incarnation=self.incarnation, **facts)
+        if not known.mesh or known.catching:
+            return known
+        records = tuple(self.log[offset] for offset in sorted(self.log) if offset > known.begin.offset)
+        found = self._newest_checkpoint(least=known.begin.offset)
+        if found is None:
+            return None
+        mark, state = found
+        begin = known.begin
+        if mark.offset > (records[-1].offset if records else begin.offset):
+            records, begin = (), mark
+        return known._replace(begin=begin, records=records, checkpoint=mark, state=state)
+
+    def _newest_checkpoint(self, *, least: int) -> tuple[Mark, State] | None:
+        for mark in sorted(self.checkpoints, reverse=True):
+            if mark.offset < least:
+                break
+            match unpack_checkpoint(mark=mark, data=self.checkpoints[mark]):
+                case Success(state):
+                    return mark, state
+        return None
+
+    def holds(self, offset: int, epoch: int) -> bool:
+        """Whether this record, or a checkpoint made after it, was ever synced here."""
+        return offset <= self.covered or (offset, epoch) in self.ever_held
+
+    def holds_now(self, offset: int) -> bool:
+        """Whether a start from what is synced would find everything up to this offset."""
+        if self.newest is None or self.newest.catching:
+            return offset <= 0
+        last = max(self.log, default=self.newest.begin.offset)
+        return offset <= max(last, self.newest.begin.offset, *(mark.offset for mark in self.checkpoints), 0)
+
+    # -- jobs --------------------------------------------------------------------------------------------------------
+
+    def do_next(self) -> tuple | None:
+        """Does the first job, all writes in a row as one, and gives its report."""
+        if not isinstance(self.jobs[0], Write):
+            return self._do(self.jobs.popleft())
+        while self.jobs and isinstance(self.jobs[0], Write):
+            write = self.jobs.popleft()
+            self._write(write)
+        return Synced(write.sequence)
+
+    def lose_power(self, *, kept: int) -> None:
+        """The first so many of the waiting jobs still reached the disk; the rest never did."""
+        for job in list(self.jobs)[:kept]:
+            self._write(job) if isinstance(job, Write) else self._do(job)
+        self.jobs.clear()
+        self.pulled.clear()
+
+    def tear(self) -> None:
+        """The newest checkpoint is found torn at the next start."""
+        if self.checkpoints:
+            mark = max(self.checkpoints)
+            self.checkpoints[mark] = self.checkpoints[mark][:-1]
+
+    def _write(self, write: Write) -> None:
+        if write.clear:
+            self.log.clear()
+        if write.truncate_from >= 0:
+            self.log = {offset: record for offset, record in self.log.items() if offset < write.truncate_from}
+        for record in write.records:
+            self.log[record.offset] = record
+        if not write.catching:
+            # What lies above a checkpoint that is still being pulled saves nothing, so it isn't held yet.
+            fresh = self.log.values() if self.newest is not None and self.newest.catching else write.records
+            self.ever_held.update((record.offset, record.epoch) for record in fresh)
+        if any(offset <= write.begin.offset for offset in self.log):
+            self.log = {offset: record for offset, record in self.log.items() if offset > write.begin.offset}
+        self.newest = write
+        self.ever_voted.add((write.epoch, write.vote))
+        if not write.catching:
+            self.covered = max(self.covered, write.begin.offset)
+
+    def _do(self, job: tuple) -> tuple | None:
+        match job:
+            case Capture(mark=mark, state=state):
+                self.checkpoints[mark] = pack_checkpoint(mark=mark, state=state)
+                return CheckpointStored(mark, len(self.checkpoints[mark]))
+            case StoreChunk(mark=mark, position=position, data=data, last=last):
+                self.pulled[mark] = self.pulled.get(mark, b"")[:position] + data
+                if not last:
+                    return None
+                whole = self.pulled.pop(mark)
+                match unpack_checkpoint(mark=mark, data=whole):
+                    case Success(state):
+                        self.checkpoints[mark] = whole
+                        return CheckpointLoaded(mark, state)
+                return CheckpointLoaded(mark, None)
+            case ReadChunk(ticket=ticket, epoch=epoch, call=call, max_bytes=most):
+                mark = Mark(call.checkpoint_offset, call.checkpoint_epoch)
+                mishap, data, continues = self._read_chunk(mark, call.position, most)
+                return ChunkRead(ticket, PullAnswer(mishap, epoch, *mark, call.position, data, continues))
+            case DropCheckpoints(below=below):
+                self.checkpoints = {mark: data for mark, data in self.checkpoints.items() if mark.offset >= below}
+                self.pulled = {mark: data for mark, data in self.pulled.items() if mark.offset >= below}
+        return None
+
+    def _read_chunk(self, mark: Mark, position: int, most: int) -> tuple[str, bytes, bool]:
+        if mark not in self.checkpoints:
+            return SNAPSHOT_NOT_FOUND, b"", False
+        data = self.checkpoints[mark]
+        if not 0 <= position <= len(data):
+            return OFFSET_OUT_OF_RANGE, b"", False
+        piece = data[position : position + most]
+        return "", piece, position + len(piece) < len(data)
--- /dev/null
+++ b/tests/test_modelcheck.py
@@ -0,0 +1,181 @@
+"""The model check: walks and small spaces hold, each check finds its injected fault, the modelled disk is like ours."""
+
+import tempfile
+from collections import defaultdict
+from datetime import timedelta
+from pathlib import Path
+from unittest import mock
+
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, Is
+
+from hoistsaddle.raft.disk import Disk
+from hoistsaddle.raft.events import Capture, DropCheckpoints, StoreChunk, Write
+from hoistsaddle.statemachine.commands import LEVEL
+from hoistsaddle.testbed.modelcheck import faults
+from hoistsaddle.testbed.modelcheck.cluster import MESH, Cluster, Twist
+from hoistsaddle.testbed.modelcheck.exhaustive import SPACES, explore
+from hoistsaddle.testbed.modelcheck.modeldisk import ModelDisk
+from hoistsaddle.testbed.modelcheck.steps import Kind, Step, Walk
+from hoistsaddle.testbed.modelcheck.walks import Script, broken_by, make_smaller, play, walk_randomly
+
+SEED = 630
+WALKS = 60
+# Walks in which a fault must show itself.
+FAULT_WALKS = 150
+
+# Each fault and the rules of which it must break one.
+FAULTS: dict[type[Twist], tuple[str, ...]] = {
+    faults.CountsOneSetOnly: ("commits by majorities that meet", "leaders by majorities that meet"),
+    faults.VoteUnsynced: ("a vote leaves only once it is synced",),
+    faults.ForgetsItsVoteOnSync: ("a vote leaves only once it is synced",),
+    faults.FetchUnsynced: ("a fetch claims only what is synced",),
+    faults.SyncsAreLies: ("a vote leaves only once it is synced", "a fetch claims only what is synced"),
+    faults.CountsWhatItPulls: ("a fetch claims only what is synced",),
+    faults.AppendUnsynced: ("commits by majorities that meet",),
+    faults.CommitsOldEpoch: ("only a record of the leader's epoch commits by counting",),
+    faults.ReadWithoutRound: ("confirmed reads are linear",),
+    faults.VotesForAnybody: ("a leader holds all that is committed",),
+    faults.VotesTwice: ("one leader an epoch", "a vote leaves only once it is synced"),
+    faults.TruncatesCommitted: ("committed records are never truncated",),
+    faults.BlankDiskVotes: (
+        "committed records outlive what may be lost",
+        "a leader holds all that is committed",
+        "a fetch claims only what is synced",
+    ),
+    faults.AcknowledgesAtOnce: ("acknowledged records are committed",),
+    faults.CapturesTooMuch: ("checkpoints hold committed state",),
+    faults.BelievesTheAnswer: ("logs are equal up to the high-watermark",),
+    faults.LosesRecords: ("logs are equal up to the high-watermark",),
+    faults.DropsNewestCheckpoint: ("losses settle", "a healed cluster serves"),
+}
+
+
+class Walks(TestCase):
+    def test_every_rule_holds_on_walks_of_three_and_five(self) -> None:
+        total, found = walk_randomly(seed=SEED, walks=WALKS)
+        print(f"seed {SEED}: {total}")
+        self.assertThat(found, Is(None), str(found and make_smaller(found)))
+        figures = dict(total.figures)
+        # A walk in which nothing happens proves nothing.
+        for what in ("elections", "records committed", "reads confirmed", "checkpoints", "voter changes committed"):
+            self.assertThat(figures.get(what, 0), GreaterThan(WALKS // 10), what)
+        self.assertThat(total.losses_settled, GreaterThan(WALKS // 4))
+
+    def test_a_walk_done_again_goes_the_same_way(self) -> None:
+        script = Script(3, 7, (Step(Kind.BATCH, 0, 3), Step(Kind.WIPE, 1), Step(Kind.RUN, 30), Step(Kind.READ, 0, 1)))
+        first, again = play(script), play(script)
+        for walk in (first, again):
+            self.assertThat(walk.cluster.checks.committed, Equals(first.cluster.checks.committed))
+        self.assertThat(again.cluster.events, Equals(first.cluster.events))
+
+    def test_losses_beyond_the_tolerance_are_passed_over(self) -> None:
+        walk = Walk(Cluster(size=3, seed=1))
+        walk.take(Step(Kind.RUN, 39))
+        self.assertThat([walk.take(Step(Kind.WIPE, place)) for place in (0, 1)], Equals([True, False]))
+        # Once the first has its vote back, the second may go.
+        walk.cluster.run(timedelta(seconds=60), until=walk.is_settled)
+        self.assertThat(walk.take(Step(Kind.WIPE, 1)), Equals(True))
+
+
+class Faults(TestCase):
+    def test_each_injected_fault_is_found_by_its_check(self) -> None:
+        self.assertThat(set(FAULTS), Equals(set(faults.FAULTS)))
+        for fault, rules in FAULTS.items():
+            total, found = walk_randomly(seed=SEED, walks=FAULT_WALKS, twist=fault)
+            print(f"{fault.__name__}, seed {SEED}: {total.walks} walks, {found and found.told}")
+            self.assertThat(found is not None and found.rule in rules, Equals(True), f"{fault.__name__}: {found}")
+
+    def test_a_break_is_made_smaller_and_still_breaks(self) -> None:
+        _, found = walk_randomly(seed=SEED, walks=FAULT_WALKS, twist=faults.AppendUnsynced)
+        smaller = make_smaller(found, twist=faults.AppendUnsynced, most_tries=60)
+        print(f"seed {SEED}: {smaller.script}")
+        self.assertThat(len(found.script.steps), GreaterThan(len(smaller.script.steps)))
+        self.assertThat(broken_by(smaller.script, twist=faults.AppendUnsynced()).rule, Equals(found.rule))
+        self.assertThat(broken_by(smaller.script), Is(None))
+
+
+class Spaces(TestCase):
+    def test_small_spaces_hold_whole(self) -> None:
+        for space in SPACES:
+            explored = explore(space)
+            print(explored)
+            self.assertThat(explored.broken, Equals(""), str(explored))
+            self.assertThat(explored.states, GreaterThan(100), space.name)
+
+    def test_spaces_find_faults_by_a_shortest_way(self) -> None:
+        by_name = {space.name: space for space in SPACES}
+        for name, fault, rule in (
+            ("first election", faults.VotesTwice, "one leader an epoch"),
+            ("order unsynced", faults.AppendUnsynced, "commits by majorities that meet"),
+            ("open change of voters", faults.CountsOneSetOnly, "majorities that meet"),
+        ):
+            explored = explore(by_name[name], twist=fault)
+            print(f"{fault.__name__}: {explored}")
+            self.assertThat(rule in explored.broken, Equals(True), f"{fault.__name__}: {explored}")
+
+
+class Disks(TestCase):
+    def jobs_of(self, script: Script) -> tuple[Walk, dict[str, list[tuple]]]:
+        """A walk, and what each of its disks did in order, by incarnation."""
+        done: dict[str, list[tuple]] = defaultdict(list)
+        write, do = ModelDisk._write, ModelDisk._do
+
+        def kept_write(disk: ModelDisk, job: Write) -> None:
+            done[disk.incarnation].append(job)
+            write(disk, job)
+
+        def kept_do(disk: ModelDisk, job: tuple) -> tuple | None:
+            done[disk.incarnation].append(job)
+            return do(disk, job)
+
+        with mock.patch.object(ModelDisk, "_write", kept_write), mock.patch.object(ModelDisk, "_do", kept_do):
+            return play(script), done
+
+    def test_the_modelled_disk_boots_like_the_real_one(self) -> None:
+        script = Script(
+            3,
+            SEED,
+            (
+                *(Step(Kind.BATCH, 0, 3),) * 3,
+                Step(Kind.WIPE, 1),
+                Step(Kind.BATCH, 0, 3),
+                Step(Kind.CRASH, 0, 1),
+                Step(Kind.RUN, 39),
+                *(Step(Kind.BATCH, 0, 3),) * 2,
+                Step(Kind.START, 0),
+                Step(Kind.REPLACE, 2),
+                Step(Kind.RUN, 39),
+                Step(Kind.ALL_LOSE_POWER, 0, 2),
+            ),
+        )
+        walk, done = self.jobs_of(script)
+        for machine in walk.cluster.machines.values():
+            with self.subTest(replica=machine.replica), tempfile.TemporaryDirectory() as folder:
+                self.assertThat(self.real_boot(machine.disk, done, Path(folder)), Equals(machine.disk.boot()))
+
+    def real_boot(self, model: ModelDisk, done: dict[str, list[tuple]], folder: Path):
+        """What our disk reads after the same jobs."""
+
+        def opened() -> Disk:
+            return Disk(folder=folder, replica=model.replica, token=lambda _: model.incarnation, synchronous="OFF")
+
+        disk = opened()
+        disk.boot()
+        if model.founded is not None:
+            disk.found(mesh=MESH, voters=dict(model.founded["voters"]), operators={}, level=LEVEL)
+        for job in done[model.incarnation]:
+            match job:
+                case Write():
+                    disk.write([job])
+                case Capture(mark=mark, state=state):
+                    disk.store_checkpoint(mark=mark, state=state)
+                case StoreChunk(mark=mark, position=position, data=data, last=last):
+                    disk.store_chunk(mark=mark, position=position, data=data, last=last)
+                case DropCheckpoints(below=below):
+                    disk.drop_checkpoints(below=below)
+        disk.close()
+        again = opened()
+        boot = again.boot()
+        again.close()
+        return boot
