--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/check.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/check.py
@@ -3,8 +3,8 @@
 import os
 import time
 from collections.abc import Callable
-from concurrent.futures import ProcessPoolExecutor, as_completed
-from typing import NamedTuple
+from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
+from typing import NamedTuple, cast
 
 from hoistsaddle.testbed.modelcheck.exhaustive import SPACES, Explored, explore
 from hoistsaddle.testbed.modelcheck.walks import Found, Sum, make_smaller, walk_randomly
@@ -37,21 +37,22 @@
         walking = {pool.submit(walk_batch, seed + number, until) for number in range(workers)}
         following = seed + workers
         while exploring or walking:
-            done = next(as_completed(exploring | walking))
-            if done in exploring:
-                exploring.discard(done)
-                say(str(done.result()))
-                broken += bool(done.result().broken)
-                continue
-            walking.discard(done)
-            batch = done.result()
-            total = total.with_sum(batch.total)
-            if batch.found is not None:
-                broken += 1
-                say(f"BROKEN seed {batch.seed}: {batch.found.told} (smallest walk: {batch.found.script})")
-            if time.monotonic() < until:
-                walking.add(pool.submit(walk_batch, following, until))
-                following += 1
+            ended, _ = wait(exploring | walking, return_when=FIRST_COMPLETED)
+            for space in ended & exploring:
+                explored = cast(Future[Explored], space).result()
+                say(str(explored))
+                broken += bool(explored.broken)
+            for walked in ended & walking:
+                batch = cast(Future[Batch], walked).result()
+                total = total.with_sum(batch.total)
+                if batch.found is not None:
+                    broken += 1
+                    say(f"BROKEN seed {batch.seed}: {batch.found.told} (smallest walk: {batch.found.script})")
+                if time.monotonic() < until:
+                    walking.add(pool.submit(walk_batch, following, until))
+                    following += 1
+            exploring -= ended
+            walking -= ended
     say(f"seeds {seed}-{following - 1}: {total}")
     say(f"{broken} broken")
     return broken
--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/walks.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/walks.py
@@ -183,7 +183,7 @@
     def check(script: Script) -> None:
         nonlocal total, found
         if time.monotonic() > until:
-            raise _Enough
+            raise _Enough("no further example is wanted")
         walk = Walk(Cluster(size=script.size, seed=script.seed, twist=twist()))
         try:
             _go(walk, script)
@@ -191,7 +191,7 @@
             found = Found(broken.rule, str(broken), script)
         total = total.plus(walk)
         if found is not None:
-            raise _Enough
+            raise _Enough("no further example is wanted")
 
     with contextlib.suppress(_Enough):
         check()
