--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/walks.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/walks.py
@@ -48,7 +48,7 @@
 RAISES = "no core raises"
 
 
-class _Enough(unittest.SkipTest):
+class Enough(unittest.SkipTest):
     """Ends a run of the library early; it draws no further example after this."""
 
 
@@ -183,7 +183,7 @@
     def check(script: Script) -> None:
         nonlocal total, found
         if time.monotonic() > until:
-            raise _Enough("no further example is wanted")
+            raise Enough("no further example is wanted")
         walk = Walk(Cluster(size=script.size, seed=script.seed, twist=twist()))
         try:
             _go(walk, script)
@@ -191,9 +191,9 @@
             found = Found(broken.rule, str(broken), script)
         total = total.plus(walk)
         if found is not None:
-            raise _Enough("no further example is wanted")
+            raise Enough("no further example is wanted")
 
-    with contextlib.suppress(_Enough):
+    with contextlib.suppress(Enough):
         check()
     return total, found
 
