--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/cluster.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/cluster.py
@@ -143,12 +143,11 @@
         self.tickets = 0
         self.incarnations = 0
         self.events = 0
-        self.seeds = tuple(range(1, size + 1))
-        disks = [self._blank(replica) for replica in self.seeds]
+        disks = [self._blank(replica) for replica in range(1, size + 1)]
         voters = tuple((disk.replica, disk.incarnation) for disk in disks)
         state = found_state(mesh=MESH, voters=dict(voters), operators={}, level=LEVEL)
         self.checks = Invariants(founded=state, wanted=size)
-        self.machines = {disk.replica: Machine(disk=disk) for disk in disks}
+        self.machines: dict[int, Machine] = {disk.replica: Machine(disk=disk) for disk in disks}
         for disk in disks:
             disk.found(mesh=MESH, voters=voters, state=state)
             self.checks.lay(disk)
@@ -192,7 +191,7 @@
     def _core(self, boot: Boot, machine: Machine) -> RaftCore:
         return self.twist.core_class(
             boot=boot,
-            replicas=self.seeds,
+            replicas=self.seeds(),
             pace=self.pace,
             seed=self.make_random(self.seed * 1000 + machine.replica * 100 + machine.life),
             now=self.now + machine.ahead,
@@ -221,8 +220,19 @@
         machine = self.machines[replica] = Machine(disk=self._blank(replica))
         self.checks.lay(machine.disk)
         self.start(replica)
+        self._tell_seeds()
         return replica
 
+    def seeds(self) -> tuple[int, ...]:
+        """Those whom a starting replica is told of: the machines there are."""
+        return tuple(sorted(replica for replica, machine in self.machines.items() if not machine.removed))
+
+    def _tell_seeds(self) -> None:
+        """Settings with new seeds reach every process, as RaftShell.revise does it."""
+        for machine in self.machines.values():
+            if machine.core is not None:
+                machine.core.seeds = tuple(dict.fromkeys((*self.seeds(), *machine.core.seeds)))
+
     def remove(self, replica: int) -> None:
         machine = self.machines[replica]
         machine.core = None
--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/steps.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/steps.py
@@ -20,6 +20,8 @@
 SERVED_SPAN = timedelta(seconds=15)
 # What it may take until every loss has settled: a voter's long silence, an election, a catch-up.
 SETTLED_SPAN = timedelta(seconds=60)
+# What a replica that was away may take until it holds all that is committed, with nothing in its way any more.
+CAUGHT_UP_SPAN = timedelta(seconds=15)
 
 
 class Kind(StrEnum):
@@ -325,6 +327,8 @@
             raise Broken("a healed cluster serves", f"{self._told()} within {SERVED_SPAN}")
         if self.lost and not cluster.run(SETTLED_SPAN - (cluster.now - began), until=self.is_settled):
             raise Broken("losses settle", f"{sorted(self.lost)} did not within {SETTLED_SPAN}: {self._told()}")
+        if not cluster.run(CAUGHT_UP_SPAN, until=self._all_hold_all):
+            raise Broken("everybody catches up", f"not within {CAUGHT_UP_SPAN}: {self._told()}")
 
     def _commits_new(self):
         asked: list[int] = []
@@ -346,6 +350,11 @@
         asked_at: list[int] = []
         return committed
 
+    def _all_hold_all(self) -> bool:
+        top = self.cluster.checks.top
+        running = [machine for machine in self.cluster.machines.values() if machine.core is not None]
+        return all(machine.core.whole and machine.core.state.offset >= top for machine in running)
+
     def is_settled(self) -> bool:
         self.settle()
         return not self.lost
