--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/invariants.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/invariants.py
@@ -72,6 +72,8 @@
         self.wanted = wanted
         self.committed: list[Record] = []
         self.states: list[State] = [founded]
+        # The newest committed record that changed the voters.
+        self.changed_at = 0
         self.leaders: dict[int, tuple[int, int]] = {}
         self.disks: dict[tuple[int, str], ModelDisk] = {}
         self.checked: dict[tuple[int, int], int] = {}
@@ -255,6 +257,7 @@
         )
         if state.voters != self.states[-1].voters:
             self._count("voter changes committed")
+            self.changed_at = record.offset
         self.committed.append(record)
         if state.items is not self.states[-1].items:
             self._check_items(state)
--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/steps.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/steps.py
@@ -122,8 +122,12 @@
             self.lost.add(machine.replica)
 
     def settle(self) -> None:
-        """Forgets losses whose return or successor votes and holds all that is committed."""
-        if not self.lost:
+        """Forgets losses whose return or successor votes and holds all that is committed.
+
+        Until a majority knows that the last change of voters is committed, elections ask the set before it too, and
+        who is lost in that set counts on.
+        """
+        if not self.lost or not self._majority_knows_the_voters():
             return
         checks = self.cluster.checks
         voters, top = checks.voters, checks.top
@@ -145,6 +149,19 @@
                 self.lost.discard(replica)
                 self.settled += 1
 
+    def _majority_knows_the_voters(self) -> bool:
+        checks, machines = self.cluster.checks, self.cluster.machines
+        knowing = 0
+        for replica, incarnation in checks.voters.items():
+            machine = machines[replica]
+            if machine.removed or machine.disk.incarnation != incarnation:
+                continue
+            newest, core = machine.disk.newest, machine.core
+            kept = newest is not None and not newest.catching and newest.committed >= checks.changed_at
+            told = core is not None and core.whole and core.high_watermark >= checks.changed_at
+            knowing += kept or told
+        return knowing * 2 > len(checks.voters)
+
     # -- steps -------------------------------------------------------------------------------------------------------
 
     def take(self, step: Step) -> bool:
