--- a/packages/cli/src/hoistsaddle/cli/fleet_commands.py
+++ b/packages/cli/src/hoistsaddle/cli/fleet_commands.py
@@ -200,6 +200,7 @@
 
 
 @fleet.command()
+<<<<<<< HEAD
 @click.option("--minutes", type=click.FloatRange(0.05, 600), default=1.0, show_default=True, help="Of random walks.")
 @click.option("--workers", type=click.IntRange(1, 256), help="Processes at once; by default one for each core.")
 @_seed
@@ -208,6 +209,25 @@
     from hoistsaddle.testbed.modelcheck import check as checking
 
     sys.exit(1 if checking.check(minutes=minutes, seed=seed, workers=workers, say=click.echo) else 0)
+=======
+@click.option("--point", required=True, type=click.Choice(["cutoff", "orders", "losses", "changes", "answers", "all"]))
+@click.option("--site", type=click.Path(exists=True, dir_okay=False, path_type=Path), help="The site file to fit.")
+@click.option("--count", type=click.IntRange(1, 1000), default=5, show_default=True, help="How many days.")
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), required=True, help="Folder for the files.")
+@_seed
+def days(point, site, count, out, seed) -> None:
+    """Draws days of our own for the users' bench, one TOML file each."""
+    from hoistsaddle.testbed.benchdays.site import BenchSite, read_site
+    from hoistsaddle.testbed.benchdays.writer import write
+
+    try:
+        known = read_site(site) if site else BenchSite()
+    except (ValueError, KeyError) as problem:
+        click.echo(f"refused: params: {site} is no site file ({problem}). Remedy: name one of the bench's.", err=True)
+        sys.exit(2)
+    for path in write(site=known, point=point, seed=seed, count=count, folder=out):
+        click.echo(str(path))
+>>>>>>> main
 
 
 @fleet.command()
