--- a/packages/cli/src/hoistsaddle/cli/fleet_commands.py
+++ b/packages/cli/src/hoistsaddle/cli/fleet_commands.py
@@ -200,7 +200,6 @@
 
 
 @fleet.command()
-<<<<<<< HEAD
 @click.option("--minutes", type=click.FloatRange(0.05, 600), default=1.0, show_default=True, help="Of random walks.")
 @click.option("--workers", type=click.IntRange(1, 256), help="Processes at once; by default one for each core.")
 @_seed
@@ -209,7 +208,9 @@
     from hoistsaddle.testbed.modelcheck import check as checking
 
     sys.exit(1 if checking.check(minutes=minutes, seed=seed, workers=workers, say=click.echo) else 0)
-=======
+
+
+@fleet.command()
 @click.option("--point", required=True, type=click.Choice(["cutoff", "orders", "losses", "changes", "answers", "all"]))
 @click.option("--site", type=click.Path(exists=True, dir_okay=False, path_type=Path), help="The site file to fit.")
 @click.option("--count", type=click.IntRange(1, 1000), default=5, show_default=True, help="How many days.")
@@ -227,7 +228,6 @@
         sys.exit(2)
     for path in write(site=known, point=point, seed=seed, count=count, folder=out):
         click.echo(str(path))
->>>>>>> main
 
 
 @fleet.command()
