--- a/packages/registry/src/hoistsaddle/registry/controller.py
+++ b/packages/registry/src/hoistsaddle/registry/controller.py
@@ -20,7 +20,7 @@
 from hoistsaddle.membership.member import MemberPace
 from hoistsaddle.raft.core import LEADER
 from hoistsaddle.raft.disk import Disk
-from hoistsaddle.raft.events import Pace
+from hoistsaddle.raft.events import Pace, replace_span_of
 from hoistsaddle.raft.jobs import DiskThread, DiskWorker
 from hoistsaddle.registry.founding import Found, Founding, Look
 from hoistsaddle.registry.places import Places, number_of_host
@@ -121,6 +121,16 @@
             self.news.notify_all()
 
 
+def replace_span(params: ControllerParams) -> timedelta:
+    """How long a voter must be silent to be replaced, as the settings ask for it."""
+    return replace_span_of(settle=timedelta(seconds=params.settle_seconds), losses=params.losses)
+
+
+def lag_wait(params: ControllerParams) -> timedelta:
+    """How long the log stays long for a live replica that lags: as long as one that is back may take to settle."""
+    return timedelta(seconds=params.settle_seconds)
+
+
 class Controller:
     def __init__(
         self,
@@ -144,12 +154,19 @@
                 listen=self.stores[self.replica],
                 data_folder=params.data_folder,
                 core=[],
+                grace_seconds=params.grace_seconds,
             ),
             runtime=runtime,
             disk=disk or Disk(folder=Path(params.data_folder), replica=self.replica),
             make_worker=make_worker,
             addresses=self.stores,
-            pace=Pace(checkpoint_records=params.checkpoint_records, chunk_bytes=params.chunk_bytes, boot_share=0.4),
+            pace=Pace(
+                checkpoint_records=params.checkpoint_records,
+                chunk_bytes=params.chunk_bytes,
+                boot_share=0.4,
+                replace_span=replace_span(params),
+                lag_wait=lag_wait(params),
+            ),
             wanted_voters=2 * params.losses + 1,
         )
         self.bourse = ControllerRegistry(
@@ -177,7 +194,7 @@
 
     async def stop(self) -> None:
         self.founding.cancel()
-        # The leader's resignation leaves first: the others needn't wait for its silence.
+        # First what hangs on this replica goes to the others; orders meanwhile go through its new leader.
         await self.warehouse.stop()
         await self.bourse.stop()
 
@@ -190,13 +207,19 @@
             losses=params.losses,
             uptake_seconds=params.uptake_seconds,
             write_seconds=params.write_seconds,
+            settle_seconds=params.settle_seconds,
             resend_seconds=params.resend_seconds,
         )
         numbers = [number_of_host(seed) for seed in params.seeds]
         for number in numbers:
             self.stores.learn(number)
             self.peers.learn(number)
-        self.warehouse.shell.revise(wanted_voters=2 * params.losses + 1, seeds=tuple(numbers))
+        self.warehouse.shell.revise(
+            wanted_voters=2 * params.losses + 1,
+            replace_span=replace_span(self.params),
+            lag_wait=lag_wait(self.params),
+            seeds=tuple(numbers),
+        )
         self.bourse.member.seeds = [self.peers[number] for number in numbers if number != self.replica]
 
     async def _found(self) -> None:
--- a/packages/rpc/src/hoistsaddle/rpc/messages.py
+++ b/packages/rpc/src/hoistsaddle/rpc/messages.py
@@ -36,6 +36,14 @@
     whole: bool
     # The highest release level the replica supports; a former release doesn't say.
     level: int = 1
+    # Its process was told to stop: it goes once the leader says that it may.
+    leaving: bool = False
+
+
+# What a leader says to a replica that leaves; a former release says nothing.
+LEAVE_UNSAID = 0
+LEAVE_WAIT = 1
+LEAVE_GO = 2
 
 
 class FetchAnswer(NamedTuple):
@@ -51,6 +59,7 @@
     checkpoint_epoch: int = UNSET
     next_offset: int = UNSET
     round: int = 0
+    leave: int = LEAVE_UNSAID
 
 
 class PullCall(NamedTuple):
@@ -81,6 +90,8 @@
     last_epoch: int
     trial: bool
     level: int = 1
+    # The leader named this replica for its place: whoever still hears that leader may vote all the same.
+    handed: bool = False
 
 
 class BallotAnswer(NamedTuple):
@@ -101,6 +112,8 @@
 class ResignCall(NamedTuple):
     epoch: int
     leader: int
+    # Whom the leader calls to stand at once; UNSET if it names nobody.
+    successor: int = UNSET
 
 
 class Heard(NamedTuple):
@@ -340,6 +353,15 @@
     took: timedelta = timedelta()
 
 
+class FollowCall(NamedTuple):
+    """What became of an attempt whose connection broke. Answered as the attempt itself would be."""
+
+    send: str
+    # The life of the sidecar that it went to: another one can't know.
+    life: str
+    budget: timedelta
+
+
 class RecallCall(NamedTuple):
     claim: str
 
@@ -419,15 +441,28 @@
     return kind(**values)
 
 
-def pack(*, number: int, answer: bool, message: tuple) -> bytes:
+def pack(*, number: int, answer: bool, message: tuple, sent: float = 0.0) -> bytes:
     parcel = mesh_thrift.Parcel(**{tag_of(type(message)): to_thrift(message)})
-    return serialize(mesh_thrift.Frame(number=number, answer=answer, parcel=parcel), _protocol)
+    return serialize(
+        mesh_thrift.Frame(number=number, answer=answer, parcel=parcel, sent=round(sent * 1e6) or None), _protocol
+    )
 
 
-def unpack(data: bytes) -> tuple[int, bool, tuple | None]:
-    """Number, whether it is an answer, and the message; None for one that only a newer release knows."""
+class Frame(NamedTuple):
+    number: int
+    answer: bool
+    # None for one that only a newer release knows.
+    message: tuple | None
+    # Its sender's monotonic clock in seconds; 0 where it says nothing.
+    sent: float = 0.0
+
+
+def unpack_frame(data: bytes) -> Frame:
     frame = deserialize(mesh_thrift.Frame(), data, _protocol)
-    for value in vars(frame.parcel).values():
-        if value is not None:
-            return frame.number, bool(frame.answer), from_thrift(value)
-    return frame.number, bool(frame.answer), None
+    message = next((from_thrift(value) for value in vars(frame.parcel).values() if value is not None), None)
+    return Frame(frame.number, bool(frame.answer), message, (frame.sent or 0) / 1e6)
+
+
+def unpack(data: bytes) -> tuple[int, bool, tuple | None]:
+    """Number, whether it is an answer, and the message."""
+    return unpack_frame(data)[:3]
