--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/cluster.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/cluster.py
@@ -16,6 +16,7 @@
     Capture,
     Concluded,
     DropCheckpoints,
+    Ended,
     Pace,
     ProposalArrived,
     ReadArrived,
@@ -75,7 +76,7 @@
         self.frozen = False
         # Its disk does nothing until it goes on; what was done before stays.
         self.stalled = False
-        self.leaving = False
+        self.leaving = self.ended = False
         # Gone for good; nothing of it is ever started again.
         self.removed = False
         # How far its clock is before the cluster's: clocks run on by themselves, and nothing may rest on them.
@@ -93,7 +94,7 @@
         twin = Machine(disk=self.disk.copy())
         twin.core = clone(self.core)
         twin.life, twin.frozen, twin.leaving, twin.removed = self.life, self.frozen, self.leaving, self.removed
-        twin.stalled = self.stalled
+        twin.stalled, twin.ended = self.stalled, self.ended
         twin.ahead, twin.led, twin.synced = self.ahead, self.led, self.synced
         twin.waiting, twin.asked = list(self.waiting), dict(self.asked)
         return twin
@@ -104,6 +105,7 @@
 
     @property
     def answers(self) -> bool:
+        """Whether its process runs and hears what comes."""
         return self.core is not None and not self.frozen
 
 
@@ -238,9 +240,10 @@
         machine.core = None
         machine.removed = True
 
-    def ask_to_leave(self, replica: int) -> None:
+    def ask_to_leave(self, replica: int, *, span: timedelta) -> None:
+        """Its process is told to end and has this span to hand over; the machine is gone for good after it."""
         self.machines[replica].leaving = True
-        self.feed(self.machines[replica], StopAsked())
+        self.feed(self.machines[replica], StopAsked(span))
 
     # -- the network -------------------------------------------------------------------------------------------------
 
@@ -297,6 +300,9 @@
             machine.waiting = [pair for pair in machine.waiting if pair[0] > machine.synced]
             for command in ready:
                 self._carry_out(machine, command)
+        if machine.ended:
+            # What it has sent is on its way; the process is gone.
+            self.remove(machine.replica)
 
     def _carry_out(self, machine: Machine, command: tuple) -> None:
         match command:
@@ -310,6 +316,9 @@
                 self._answer(machine, ticket, message)
             case Write() | Capture() | StoreChunk() | DropCheckpoints() | ReadChunk():
                 machine.disk.jobs.append(command)
+            case Ended(why=why):
+                machine.ended = True
+                self.checks.left(machine, why)
             case Concluded():
                 self.checks.concluded(command)
             case ReadReady():
--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/invariants.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/invariants.py
@@ -16,6 +16,8 @@
     from hoistsaddle.testbed.modelcheck.cluster import Machine
 
 Voters = dict[int, str]
+# Why a replica says it ended, when nothing hangs on it any more.
+HANDED_OVER = "handed over"
 
 
 class Broken(AssertionError):
@@ -354,6 +356,23 @@
     def _refuse_vote(machine: "Machine", epoch: int) -> None:
         raise Broken("a vote leaves only once it is synced", f"{machine.replica} tells one of epoch {epoch}")
 
+    def left(self, machine: "Machine", why: str) -> None:
+        """Who ends with everything handed over leaves all that is committed on a majority without it."""
+        if why != HANDED_OVER:
+            return
+        self._count("leaves handed over")
+        me = (machine.replica, machine.disk.incarnation)
+        holders = [
+            voter
+            for voter in self.voters.items()
+            if voter != me and voter in self.disks and self.disks[voter].holds(self.top, self._epoch(self.top))
+        ]
+        if len(holders) * 2 <= len(self.voters):
+            raise Broken(
+                "who leaves hands over first",
+                f"{me} left, {self.top} is committed and on {holders} of {sorted(self.voters.items())}",
+            )
+
     def proposed(self, ticket: int, payload: bytes) -> None:
         self.orders[ticket] = payload
 
--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/steps.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/steps.py
@@ -313,7 +313,9 @@
                 if not machine.answers or machine.leaving:
                     return False
                 self._lose(machine)
-                cluster.ask_to_leave(machine.replica)
+                cluster.ask_to_leave(machine.replica, span=UNIT * (1 + second) * 2)
+                if second % 2:
+                    cluster.add_spare()
         return True
 
     def _tear(self, machine: Machine, kept: int) -> None:
--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/turns.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/turns.py
@@ -95,7 +95,7 @@
     def _lose(self, loss: Loss) -> timedelta:
         victim = self._victim(loss.who)
         self.walk.lost.add(victim.replica)
-        self._begin(loss.way, victim)
+        self._begin(loss.way, victim, loss.away)
         self._pass(UNIT * loss.away)
         self._end(loss.way, victim)
         began = self.cluster.now
@@ -115,7 +115,7 @@
         leader = self.cluster.leader()
         return self.cluster.machines[leader if who == 0 and leader is not None else voters[who % len(voters)]]
 
-    def _begin(self, way: Way, victim: Machine) -> None:
+    def _begin(self, way: Way, victim: Machine, away: int) -> None:
         cluster, replica = self.cluster, victim.replica
         match way:
             case Way.WIPED | Way.POWER:
@@ -123,7 +123,7 @@
             case Way.REPLACED:
                 cluster.remove(replica)
             case Way.LEAVES:
-                cluster.ask_to_leave(replica)
+                cluster.ask_to_leave(replica, span=UNIT * away)
             case Way.FROZEN:
                 victim.frozen = True
             case Way.CUT_OFF:
