--- a/packages/raft/src/hoistsaddle/raft/elections.py
+++ b/packages/raft/src/hoistsaddle/raft/elections.py
@@ -4,6 +4,7 @@
 
 from hoistsaddle.common.clock import ZERO
 from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.raft.contact import Rounds
 from hoistsaddle.raft.events import Concluded, ReadReady
 from hoistsaddle.raft.replica import CANDIDATE, FOLLOWER, LEADER, NOT_LEADER_FOR_PARTITION, Replica
 from hoistsaddle.rpc.messages import UNSET, BallotAnswer, BallotCall, FetchAnswer, LeadCall, ResignCall
@@ -177,7 +178,7 @@
         self.progress = {}
         self.held = {}
         self.reads = []
-        self.round = 0
+        self.rounds = Rounds(now=self.now)
         self.lead_since = self.now
         self.lead_sent = self.now
         # Mesh time goes on from the newest stamp in the log: it stood still while nobody led.
--- a/packages/registry/src/hoistsaddle/registry/operators.py
+++ b/packages/registry/src/hoistsaddle/registry/operators.py
@@ -30,6 +30,7 @@
     # Neither taken nor refused.
     MishapKind.ORDER_UNSURE: 503,
     MishapKind.NO_LEADER: 503,
+    MishapKind.UNSURE: 503,
     MishapKind.NOT_FOUNDED: 503,
     MishapKind.UNREACHABLE: 503,
     MishapKind.BUNDLE_UNKNOWN: 404,
