--- a/packages/raft/src/hoistsaddle/raft/fetching.py
+++ b/packages/raft/src/hoistsaddle/raft/fetching.py
@@ -84,6 +84,7 @@
             self.leader = UNSET
         if answer.mishap or answer.epoch < self.epoch or replica != self.leader or self.standing == LEADER:
             return None
+        end = self.last
         self.heard_leader = self.now
         self.election_at = self.now + self._election_span()
         self.round_seen = max(self.round_seen, answer.round)
@@ -94,8 +95,9 @@
         elif answer.diverging_offset != UNSET:
             if self.pulling is not None:
                 self._give_up_pull("the log above it parts from the leader's")
-            elif not self._diverge(answer):
-                # Asked to forget what was committed: say so, and ask again no sooner than the schedule does.
+            elif not self._diverge(answer) or self.last == end:
+                # Asked to forget what was committed, or for nothing that is here: ask again no sooner than the
+                # schedule does, or two that don't agree would send without end.
                 self.fetch_sent = self.now
                 return None
         else:
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -208,6 +208,22 @@
         self.assertThat((calls <= 3, parted.core.pulling), Equals((True, Mark(7, 1))))
 
 
+    def test_an_answer_that_cuts_nothing_is_not_followed_by_the_same_fetch_at_once(self) -> None:
+        """As a leader of the former release gives it."""
+        state = found_state(mesh="m", voters=VOTERS, operators={})
+        voters = tuple(VOTERS.items())
+        log = records(1, 7, epoch=0)
+        boot = Boot(3, "three", voters=voters, mesh="m", records=log, checkpoint=Mark(0, 0), state=state)
+        parted = Bench(boot=boot)
+        parted.call(LeadCall("m", 1, 1))
+        fetches = len(parted.sent(FetchCall))
+        answer = FetchAnswer("", 1, 1, 9, 8, diverging_offset=7, diverging_epoch=1)
+        parted.feed(AnswerArrived(parted.core.fetch_number, 1, answer))
+        self.assertThat(len(parted.sent(FetchCall)), Equals(fetches))
+        parted.feed(Ticked(), later=PACE.fetch_retry + timedelta(milliseconds=15))
+        self.assertThat(len(parted.sent(FetchCall)), Equals(fetches + 1))
+
+
 class WhatTheLeaderKeeps(TestCase):
     def pulled_from(self) -> Bench:
         bench = Bench().lead()
