--- a/packages/raft/src/hoistsaddle/raft/replica.py
+++ b/packages/raft/src/hoistsaddle/raft/replica.py
@@ -9,6 +9,7 @@
 
 from hoistsaddle.common.clock import ZERO
 from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.raft.contact import Rounds
 from hoistsaddle.raft.events import Announce, Answer, Boot, Mark, Pace, Send, Write
 from hoistsaddle.raft.voters import change_in, changed
 from hoistsaddle.rpc.messages import (
@@ -143,6 +144,8 @@
         self.round_seen = 0
         # Where each of the last fetches asked the log to go on: a late answer counts if it still goes on there.
         self.fetched_from: dict[int, Mark] = {}
+        # A moment at which this replica's applied state held all that was committed anywhere; None while none is known.
+        self.newest: timedelta | None = None
         self.pulling: Mark | None = None
         # The log above the checkpoint that is being pulled; log and state stay what they were until that is loaded.
         self.staged: list[Record] = []
@@ -160,7 +163,7 @@
         self.lead_sent = ZERO
         self.base_stamp = ZERO
         self.epoch_began = 0
-        self.round = 0
+        self.rounds = Rounds(now=self.lead_since)
         self.reads: list[tuple[int, int]] = []
         self.waiting: dict[int, list] = {}
         self.ticket_of: dict[int, int] = {}
@@ -170,6 +173,10 @@
         # Checkpoints that were left only because somebody was pulling them.
         self.spared: tuple[Mark, ...] = ()
 
+    @property
+    def round(self) -> int:
+        return self.rounds.newest
+
     # -- what is known ---------------------------------------------------------------------------------------------
 
     @property
@@ -312,6 +319,12 @@
     def _apply(self) -> None:
         raise NotImplementedError
 
+    def _contact_age(self) -> timedelta:
+        raise NotImplementedError
+
+    def _note_newest(self, moment: timedelta | None) -> None:
+        raise NotImplementedError
+
     def _confirm_reads(self) -> None:
         raise NotImplementedError
 
--- a/packages/raft/src/hoistsaddle/raft/replication.py
+++ b/packages/raft/src/hoistsaddle/raft/replication.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import Any
 
+from hoistsaddle.common.clock import ZERO
 from hoistsaddle.common.errors import MishapKind
 from hoistsaddle.raft.events import Concluded
 from hoistsaddle.raft.replica import LEADER, NOT_LEADER_FOR_PARTITION, RELEASE_OLD, WRONG_MESH, Progress, Replica
@@ -99,7 +100,9 @@
             self._answer(old[0], answer)
         self._advance()
         may_leave = call.leaving and self._leave_word((call.replica, call.incarnation)) == LEAVE_GO
-        if call.fetch_offset <= self.last.offset or call.round < self.round or may_leave:
+        # Only a read hurries: the rounds that date this leader's contact go along with what is sent anyway.
+        hurries = any(call.round < number for _, number in self.reads)
+        if call.fetch_offset <= self.last.offset or hurries or may_leave:
             self._answer_fetch(ticket, call)
         else:
             self.held[call.replica] = (ticket, call, self.now)
@@ -111,7 +114,11 @@
         mark = self.checkpoint
         return answer._replace(checkpoint_offset=mark.offset, checkpoint_epoch=mark.epoch, next_offset=mark.offset + 1)
 
-    def _answer_fetch(self, ticket: int, call: FetchCall) -> None:
+    def _answer_fetch(self, ticket: int, call: FetchCall, *, held: timedelta = ZERO) -> None:
+        age = self._contact_age()
+        if self.now - self.rounds.latest() >= self.pace.fetch_wait / 4:
+            # The fetch that follows this answer proves that the follower still followed at this moment.
+            self.rounds.begin(now=self.now)
         records = []
         size = 0
         place = max(0, call.fetch_offset - self.begin_offset)
@@ -131,6 +138,8 @@
                 tuple(records),
                 round=self.round,
                 leave=self._tell_leaving(call) if call.leaving else LEAVE_UNSAID,
+                # The follower counts from when it sent the fetch: it was here for that long already.
+                contact_age=age - held,
             ),
         )
         # A leader's answer carries records it may not have synced itself: only its own count waits for that.
@@ -150,7 +159,7 @@
                         ),
                     )
                 else:
-                    self._answer_fetch(ticket, call)
+                    self._answer_fetch(ticket, call, held=self.now - arrived)
 
     def _advance(self) -> None:
         """Raises the high-watermark to what a majority of every voter set has synced."""
