--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -207,7 +207,6 @@
             parted.feed(AnswerArrived(parted.core.fetch_number, 1, answer))
         self.assertThat((calls <= 3, parted.core.pulling), Equals((True, Mark(7, 1))))
 
-
     def test_an_answer_that_cuts_nothing_is_not_followed_by_the_same_fetch_at_once(self) -> None:
         """As a leader of the former release gives it."""
         state = found_state(mesh="m", voters=VOTERS, operators={})
