--- a/tests/arcade_plants.py
+++ b/tests/arcade_plants.py
@@ -12,6 +12,7 @@
 from hoistsaddle.config.items import ItemSetup
 from hoistsaddle.proxy.further import FurtherSends
 from hoistsaddle.raft.events import Pace
+from hoistsaddle.raft.files import Files
 from hoistsaddle.registry import controller
 from hoistsaddle.registry.controller import Controller
 from hoistsaddle.sidecar.core import SidecarCore
@@ -89,14 +90,14 @@
     Again(7.0, 5),
     Again(7.5, 9),
 )
-# Power goes as snapshots are written, here and there and at last everywhere.
+# Power goes as a snapshot is written, then everywhere, and at last everywhere again as one is written.
 SNAPSHOTS = Day(
     1,
     draw_site(1, small=True)._replace(snapshot_records=30),
     (
         Storm(0.3, 40, 0.1, 3),
         AfterWord(0.5, "power", 0.5, SNAPSHOT),
-        AfterWord(5.5, "power", 0.5, SNAPSHOT),
+        Kill(5.5, ("core-0", "core-1", "core-2"), 0.3, power=True),
         Closing(11.0, "power", 0.5, SNAPSHOT),
     ),
     11.0,
@@ -290,7 +291,7 @@
 
 
 def _folders_unsynced():
-    return mock.patch("hoistsaddle.raft.disk._sync_folder", lambda folder: None)
+    return mock.patch.object(Files, "sync_folder", lambda self, folder: None)
 
 
 def _repeats_are_refused():
