--- a/tests/arcade_plants.py
+++ b/tests/arcade_plants.py
@@ -13,6 +13,7 @@
 from hoistsaddle.proxy.further import FurtherSends
 from hoistsaddle.raft.events import Pace
 from hoistsaddle.raft.files import Files
+from hoistsaddle.raft.voterchanges import VoterChanges
 from hoistsaddle.registry import controller
 from hoistsaddle.registry.controller import Controller
 from hoistsaddle.sidecar.core import SidecarCore
@@ -39,6 +40,7 @@
     LostWords,
     Misbehave,
     Release,
+    ReplaceCore,
     Reset,
     Stop,
     Storm,
@@ -112,7 +114,12 @@
     Change(4.0, "move", 10, desks=2, contested=True),
     Again(6.0, 3),
 )
+# Two core machines are gone for good, one after the other, and empty ones come at other addresses.
+REPLACED = small_day(
+    ReplaceCore(0.5, "core-1", 0.5), Change(3.0, "times", 3), ReplaceCore(6.0, "core-0", 0.5), seconds=9.0
+)
 DAYS = {
+    "replaced": REPLACED,
     "contested": CONTESTED,
     "snapshots": SNAPSHOTS,
     "repeated": REPEATED,
@@ -294,6 +301,10 @@
     return mock.patch.object(Files, "sync_folder", lambda self, folder: None)
 
 
+def _nobody_is_replaced():
+    return mock.patch.object(VoterChanges, "_growth_or_replacement", lambda self: None)
+
+
 def _repeats_are_refused():
     """What was taken is refused when it comes again."""
     plain, taken = Controller.patch, set()
@@ -386,6 +397,7 @@
     Plant("folders are not synced", ("CONFIG read-back",), "snapshots", _folders_unsynced),
     Plant("contents are not compared", ("CONFIG one content",), "contested", _contents_are_not_compared),
     Plant("valid orders are refused", ("CONFIG one content",), "planned", _valid_orders_are_refused),
+    Plant("nobody is replaced", ("CONFIG majority",), "replaced", _nobody_is_replaced),
     Plant("repeats are refused", ("CONFIG taken",), "repeated", _repeats_are_refused),
     Plant("further sends are unbounded", ("BUDGET",), "failures", _further_sends_unbounded),
     Plant("elections are slow", ("RECOVER", "CONFIG majority"), "ended", _slow_elections_after_the_first),
