--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -11,8 +11,11 @@
 
 from coremesh import SETTLE, CoreMesh, Node
 from hoistsaddle.common.clock import milliseconds
-from hoistsaddle.raft.events import StopAsked, replace_span_of
-from hoistsaddle.statemachine.commands import LEVEL_OF, ReplaceVoter
+from hoistsaddle.raft.events import AnswerArrived, StopAsked, Ticked, replace_span_of
+from hoistsaddle.rpc.messages import BallotCall, FetchAnswer, LeadCall
+from hoistsaddle.statemachine.commands import LEVEL, LEVEL_OF, ReplaceVoter
+from test_kip_630 import PACE
+from test_voters import TWO, Growing
 
 SECOND = timedelta(seconds=1)
 SEEDS = range(1, 13)
@@ -140,7 +143,9 @@
         mesh = begun(1)
         frozen = follower(mesh).replica
         mesh.freeze(frozen, 6 * SECOND)
-        mesh.run(8 * SECOND)
+        mesh.run(5 * SECOND)
+        self.assertThat((sorted(mesh.voters()), mesh.told[-1][1]), Equals(([1, 2, 3], "following")))
+        mesh.run(3 * SECOND)
         self.assertThat((mesh.votes(frozen), len(mesh.voters())), Equals((True, 3)))
 
     def test_below_the_level_that_knows_it_two_steps_do_it(self) -> None:
@@ -151,8 +156,26 @@
         kinds = [kind for _, kind, _ in mesh.told if "voter" in kind]
         self.assertThat(list(dict.fromkeys(kinds)), Equals(["voter dropped", "voter added"]))
 
+    def test_a_machine_that_came_back_blank_keeps_no_vote_alive_while_it_still_pulls(self) -> None:
+        bench = Growing({**TWO, 3: "three"}, wanted=3, level=LEVEL_OF[ReplaceVoter]).lead()
+        until = bench.moment + PACE.replace_span + SECOND
+        while bench.moment < until:
+            bench.fetch_from(2)
+            bench.fetch_from(3, incarnation="three-again", whole=False)
+            bench.fetch_from(4)
+            bench.feed(Ticked(), later=milliseconds(200))
+        self.assertThat(bench.voters(), Equals({1: "one", 2: "two", 4: "four"}))
+
 
 class PlannedLeaves(TestCase):
+    def test_a_ballot_that_the_leader_asked_for_is_granted_although_it_was_heard_just_now(self) -> None:
+        for handed in (False, True):
+            bench = Growing({**TWO, 3: "three"}, replica=3)
+            bench.call(LeadCall("m", 1, 1))
+            bench.feed(AnswerArrived(bench.core.fetch_number, 1, FetchAnswer("", 1, 1, 0, 1)))
+            ballot = BallotCall("m", 2, 2, "two", 0, 0, False, LEVEL, handed)
+            self.assertThat(bench.call(ballot, later=milliseconds(50)).granted, Equals(handed))
+
     def test_a_plain_restart_stays_quick(self) -> None:
         for seed in SEEDS:
             mesh = begun(seed, **SLOW)
--- a/tests/test_voters.py
+++ b/tests/test_voters.py
@@ -11,7 +11,7 @@
 from hoistsaddle.raft.events import Announce, AnswerArrived, Boot, Mark, ProposalArrived, Ticked
 from hoistsaddle.rpc.messages import BallotCall, FetchAnswer, FetchCall, LeadCall, Record
 from hoistsaddle.statemachine.apply import apply
-from hoistsaddle.statemachine.commands import AddVoter, DropVoter, pack_command
+from hoistsaddle.statemachine.commands import LEVEL, AddVoter, DropVoter, pack_command
 from hoistsaddle.statemachine.state import State, found_state
 from test_kip_630 import PACE, Bench, claim
 
@@ -65,7 +65,7 @@
                 last.epoch,
                 self.core.round,
                 whole,
-                3,
+                LEVEL,
             )
         )
 
@@ -121,7 +121,7 @@
         bench = Growing({**TWO, 3: "three"}, wanted=3).lead()
         bench.go_on(2, 3, 4, span=timedelta(seconds=5))
         self.assertThat(sorted(bench.voters()), Equals([1, 2, 3]))
-        bench.go_on(2, 4, span=PACE.replace_span - timedelta(seconds=2))
+        bench.go_on(2, 4, span=PACE.replace_span / 2)
         # Not for a while's silence: a machine that restarts comes back.
         self.assertThat(sorted(bench.voters()), Equals([1, 2, 3]))
         bench.go_on(2, 4, span=timedelta(seconds=5))
@@ -136,8 +136,10 @@
 
     def test_a_new_leader_waits_its_own_span_before_it_calls_anyone_silent(self) -> None:
         bench = Growing({**TWO, 3: "three"}, wanted=3).lead()
-        bench.go_on(2, 4, span=PACE.replace_span - timedelta(seconds=1))
+        bench.go_on(2, 4, span=PACE.replace_span - STEP)
         self.assertThat(sorted(bench.voters()), Equals([1, 2, 3]))
+        bench.go_on(2, 4, span=STEP * 4)
+        self.assertThat(sorted(bench.voters()), Equals([1, 2, 4]))
 
 
 class Majorities(TestCase):
