--- a/packages/raft/src/hoistsaddle/raft/core.py
+++ b/packages/raft/src/hoistsaddle/raft/core.py
@@ -123,6 +123,8 @@
             case FetchAnswer():
                 if number == self.fetch_number:
                     self._fetch_answer(replica, message)
+                else:
+                    self._late_answer(number, replica, message)
             case PullAnswer():
                 if number == self.pull_number:
                     self._pull_answer(message)
@@ -184,6 +186,7 @@
             self._announce("majority lost", heard=sorted(replica for replica, _ in recent))
             self._step_down(self.epoch, UNSET)
             return
+        self._note_newest(self._contact())
         if self.now - self.lead_sent >= self.pace.lead_every:
             self._call_to_follow(everyone=False)
         self._answer_held()
--- a/packages/raft/src/hoistsaddle/raft/elections.py
+++ b/packages/raft/src/hoistsaddle/raft/elections.py
@@ -4,6 +4,7 @@
 
 from hoistsaddle.common.clock import ZERO
 from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.raft.contact import Rounds
 from hoistsaddle.raft.events import Concluded, ReadReady
 from hoistsaddle.raft.replica import CANDIDATE, FOLLOWER, LEADER, NOT_LEADER_FOR_PARTITION, Replica
 from hoistsaddle.rpc.messages import UNSET, BallotAnswer, BallotCall, FetchAnswer, LeadCall, ResignCall
@@ -56,9 +57,9 @@
         self.round_seen = 0
         # Hearing of a leader gives it time to answer the first fetch.
         self._announce("following", leader=leader)
-        if self.pulling is not None:
-            # KIP-630: the checkpoint being pulled was the old leader's; start over at offset and epoch zero.
-            self.pulling = None
+        # The checkpoint being pulled was the old leader's. What is held here stayed whole, so the new one is asked
+        # for the log after it; where that is gone, or nothing is held, it says where to begin.
+        self._give_up_pull("")
         self._fetch()
 
     def _resign(self, *, successor: int = UNSET) -> None:
@@ -171,12 +172,13 @@
             return
         self.standing = LEADER
         self.leader = self.replica
+        self._give_up_pull("")
         self.heard_leader = None
         self.fetch_sent = None
         self.progress = {}
         self.held = {}
         self.reads = []
-        self.round = 0
+        self.rounds = Rounds(now=self.now)
         self.lead_since = self.now
         self.lead_sent = self.now
         # Mesh time goes on from the newest stamp in the log: it stood still while nobody led.
--- a/packages/raft/src/hoistsaddle/raft/events.py
+++ b/packages/raft/src/hoistsaddle/raft/events.py
@@ -129,7 +129,10 @@
 
 
 class DropCheckpoints(NamedTuple):
+    """Those below the offset go, but for any that somebody is still pulling."""
+
     below: int
+    keep: tuple[Mark, ...] = ()
 
 
 class StoreChunk(NamedTuple):
@@ -195,7 +198,8 @@
     replace_span: timedelta = timedelta(seconds=1)
     chunk_bytes: int = 65536
     fetch_records: int = 500
-    fetch_bytes: int = 1024 * 1024
+    # An answer larger than this would take longer than a fetch waits, on a slow link shared with other traffic.
+    fetch_bytes: int = 256 * 1024
 
 
 def replace_span_of(*, settle: timedelta, losses: int) -> timedelta:
--- a/packages/raft/src/hoistsaddle/raft/replication.py
+++ b/packages/raft/src/hoistsaddle/raft/replication.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import Any
 
+from hoistsaddle.common.clock import ZERO
 from hoistsaddle.common.errors import MishapKind
 from hoistsaddle.raft.events import Concluded
 from hoistsaddle.raft.replica import LEADER, NOT_LEADER_FOR_PARTITION, RELEASE_OLD, WRONG_MESH, Progress, Replica
@@ -77,21 +78,16 @@
         answer = FetchAnswer("", self.epoch, self.replica, self.high_watermark, self.begin_offset, round=self.round)
         if call.fetch_offset < self.begin_offset:
             # KIP-630: below the begin offset the answer is the latest checkpoint and where the log goes on after it.
-            progress.whole = progress.keeps_up = False
-            progress.committed = None
-            mark = self.checkpoint
-            return self._answer(
-                ticket,
-                answer._replace(
-                    checkpoint_offset=mark.offset, checkpoint_epoch=mark.epoch, next_offset=mark.offset + 1
-                ),
-            )
+            return self._answer(ticket, self._to_checkpoint(answer, progress))
         known = self.epoch_at(call.fetch_offset - 1)
         if known != call.fetch_epoch:
             # KIP-595: the follower's log parts from ours; name the end of the newest epoch that both may share.
             offset = min(call.fetch_offset - 1, self.last.offset)
             while offset > self.begin.offset and self.epoch_at(offset) > call.fetch_epoch:
                 offset -= 1
+            if self.epoch_at(offset) > call.fetch_epoch:
+                # They part below the begin offset, where this log knows nothing to name.
+                return self._answer(ticket, self._to_checkpoint(answer, progress))
             return self._answer(ticket, answer._replace(diverging_offset=offset, diverging_epoch=self.epoch_at(offset)))
         # Records above a checkpoint still being pulled don't count: without what lies below they save nothing.
         progress.whole = call.whole
@@ -104,13 +100,25 @@
             self._answer(old[0], answer)
         self._advance()
         may_leave = call.leaving and self._leave_word((call.replica, call.incarnation)) == LEAVE_GO
-        if call.fetch_offset <= self.last.offset or call.round < self.round or may_leave:
+        # Only a read hurries: the rounds that date this leader's contact go along with what is sent anyway.
+        hurries = any(call.round < number for _, number in self.reads)
+        if call.fetch_offset <= self.last.offset or hurries or may_leave:
             self._answer_fetch(ticket, call)
         else:
             self.held[call.replica] = (ticket, call, self.now)
         self._confirm_reads()
 
-    def _answer_fetch(self, ticket: int, call: FetchCall) -> None:
+    def _to_checkpoint(self, answer: FetchAnswer, progress: Progress) -> FetchAnswer:
+        progress.whole = progress.keeps_up = False
+        progress.committed = None
+        mark = self.checkpoint
+        return answer._replace(checkpoint_offset=mark.offset, checkpoint_epoch=mark.epoch, next_offset=mark.offset + 1)
+
+    def _answer_fetch(self, ticket: int, call: FetchCall, *, held: timedelta = ZERO) -> None:
+        age = self._contact_age()
+        if self.now - self.rounds.latest() >= self.pace.fetch_wait / 4:
+            # The fetch that follows this answer proves that the follower still followed at this moment.
+            self.rounds.begin(now=self.now)
         records = []
         size = 0
         place = max(0, call.fetch_offset - self.begin_offset)
@@ -130,6 +138,8 @@
                 tuple(records),
                 round=self.round,
                 leave=self._tell_leaving(call) if call.leaving else LEAVE_UNSAID,
+                # The follower counts from when it sent the fetch: it was here for that long already.
+                contact_age=age - held,
             ),
         )
         # A leader's answer carries records it may not have synced itself: only its own count waits for that.
@@ -149,7 +159,7 @@
                         ),
                     )
                 else:
-                    self._answer_fetch(ticket, call)
+                    self._answer_fetch(ticket, call, held=self.now - arrived)
 
     def _advance(self) -> None:
         """Raises the high-watermark to what a majority of every voter set has synced."""
--- a/packages/rpc/src/hoistsaddle/rpc/messages.py
+++ b/packages/rpc/src/hoistsaddle/rpc/messages.py
@@ -16,6 +16,8 @@
 _protocol = TCyBinaryProtocolFactory()
 
 UNSET = -1
+# An age that nobody told: from a former release, or where nothing is known.
+UNSAID = timedelta(microseconds=-1)
 
 
 class Record(NamedTuple):
@@ -60,6 +62,8 @@
     next_offset: int = UNSET
     round: int = 0
     leave: int = LEAVE_UNSAID
+    # How long ago, when this was made, the leader last knew that a majority followed it and its state was the newest.
+    contact_age: timedelta = UNSAID
 
 
 class PullCall(NamedTuple):
@@ -192,6 +196,8 @@
     content: bytes = b""
     # Of every range of the news at this revision, as the log has it.
     digests: tuple[int, ...] = ()
+    # Of the leader that confirmed the read; 0 from a former release.
+    epoch: int = 0
 
 
 class Uptake(NamedTuple):
@@ -226,6 +232,8 @@
     ranges: tuple[int, ...] = ()
     items: tuple[NewsItem, ...] = ()
     vouched: tuple[int, ...] = ()
+    # Under which leader's epoch the news was confirmed; 0 from a former release.
+    epoch: int = 0
 
 
 class UptakeCall(NamedTuple):
@@ -353,6 +361,15 @@
     took: timedelta = timedelta()
 
 
+class FollowCall(NamedTuple):
+    """What became of an attempt whose connection broke. Answered as the attempt itself would be."""
+
+    send: str
+    # The life of the sidecar that it went to: another one can't know.
+    life: str
+    budget: timedelta
+
+
 class RecallCall(NamedTuple):
     claim: str
 
@@ -432,15 +449,28 @@
     return kind(**values)
 
 
-def pack(*, number: int, answer: bool, message: tuple) -> bytes:
+def pack(*, number: int, answer: bool, message: tuple, sent: float = 0.0) -> bytes:
     parcel = mesh_thrift.Parcel(**{tag_of(type(message)): to_thrift(message)})
-    return serialize(mesh_thrift.Frame(number=number, answer=answer, parcel=parcel), _protocol)
+    return serialize(
+        mesh_thrift.Frame(number=number, answer=answer, parcel=parcel, sent=round(sent * 1e6) or None), _protocol
+    )
 
 
-def unpack(data: bytes) -> tuple[int, bool, tuple | None]:
-    """Number, whether it is an answer, and the message; None for one that only a newer release knows."""
+class Frame(NamedTuple):
+    number: int
+    answer: bool
+    # None for one that only a newer release knows.
+    message: tuple | None
+    # Its sender's monotonic clock in seconds; 0 where it says nothing.
+    sent: float = 0.0
+
+
+def unpack_frame(data: bytes) -> Frame:
     frame = deserialize(mesh_thrift.Frame(), data, _protocol)
-    for value in vars(frame.parcel).values():
-        if value is not None:
-            return frame.number, bool(frame.answer), from_thrift(value)
-    return frame.number, bool(frame.answer), None
+    message = next((from_thrift(value) for value in vars(frame.parcel).values() if value is not None), None)
+    return Frame(frame.number, bool(frame.answer), message, (frame.sent or 0) / 1e6)
+
+
+def unpack(data: bytes) -> tuple[int, bool, tuple | None]:
+    """Number, whether it is an answer, and the message."""
+    return unpack_frame(data)[:3]
