--- a/packages/sidecar/src/hoistsaddle/sidecar/keyside.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/keyside.py
@@ -162,13 +162,10 @@
                 deal.after = deal.recalled
                 self._claim(ticket)
             case _:
-                # This repeat ran nowhere and never will, which is all that 503 says; of the first it says nothing.
                 mishap = mishap_of(
-                    MishapKind.SILENT,
-                    "What became of this key's first request is not known; this one did not run.",
-                    "Come back with the same key, and ask what became of the first before using another one.",
+                    MishapKind.SILENT, "What became of this key's first request is not known.", "Ask what became of it."
                 )
-                self._reply(ticket, 503, mishap=mishap, retry_after=self._soon(deal))
+                self._reply(ticket, 502, mishap=mishap)
 
     def _recall(self, event: RecallArrived) -> None:
         self._out.append(AnswerRecall(event.ticket, self._standing_of(event.call.claim)))
