--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/cluster.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/cluster.py
@@ -133,12 +133,14 @@
         pace: Pace = SMALL_PACE,
         twist: Twist | None = None,
         make_random: Callable[[int], random.Random] = random.Random,
+        slice_span: timedelta = SLICE,
     ) -> None:
         self.size = size
         self.seed = seed
         self.pace = pace
         self.twist = twist or Twist()
         self.make_random = make_random
+        self.slice_span = slice_span
         self.now = timedelta(seconds=100)
         self.flight: list[Packet] = []
         self.cuts: set[tuple[int, int]] = set()
@@ -373,7 +375,7 @@
         """Lets everything that can go on go on for this span; true as soon as the wanted moment is there."""
         end = self.now + span
         while self.now < end:
-            self.now += SLICE
+            self.now += self.slice_span
             for _ in range(ROUNDS_IN_A_SLICE):
                 moved = False
                 for packet in [each for each in self.flight if self.can_pass(each)]:
--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/turns.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/turns.py
@@ -13,6 +13,7 @@
 from hypothesis import seed as seeded
 
 from hoistsaddle.common.clock import ZERO, milliseconds
+from hoistsaddle.raft.shell import TICK
 from hoistsaddle.testbed.modelcheck.cluster import Cluster, Machine
 from hoistsaddle.testbed.modelcheck.invariants import Broken
 from hoistsaddle.testbed.modelcheck.steps import UNIT, Walk
@@ -70,7 +71,7 @@
 class _Run:
     def __init__(self, turns: Turns) -> None:
         self.turns = turns
-        self.cluster = Cluster(size=turns.size, seed=turns.seed)
+        self.cluster = Cluster(size=turns.size, seed=turns.seed, slice_span=TICK)
         self.walk = Walk(self.cluster)
         self.ordered_at = ZERO
         self.orders = 0
--- a/tests/test_modelcheck.py
+++ b/tests/test_modelcheck.py
@@ -14,14 +14,17 @@
 from hoistsaddle.raft.events import Capture, DropCheckpoints, StoreChunk, Write
 from hoistsaddle.statemachine.commands import LEVEL
 from hoistsaddle.testbed.modelcheck import faults
+from hoistsaddle.testbed.modelcheck.check import SETTLE, told_spans
 from hoistsaddle.testbed.modelcheck.cluster import MESH, Cluster, Twist
 from hoistsaddle.testbed.modelcheck.exhaustive import SPACES, explore
 from hoistsaddle.testbed.modelcheck.modeldisk import ModelDisk
 from hoistsaddle.testbed.modelcheck.steps import Kind, Step, Walk
+from hoistsaddle.testbed.modelcheck.turns import losses_in_turn
 from hoistsaddle.testbed.modelcheck.walks import Script, broken_by, make_smaller, play, walk_randomly
 
 SEED = 630
 WALKS = 60
+TURNS = 10
 # Walks in which a fault must show itself.
 FAULT_WALKS = 150
 FAULT_SIZES = (3,)
@@ -91,6 +94,15 @@
         self.assertThat(walk.take(Step(Kind.WIPE, 1)), Equals(True))
 
 
+class LossesInTurn(TestCase):
+    def test_each_loss_settles_within_its_span(self) -> None:
+        """The shortest span the platform gives; whoever is lost next may be anybody, the leader too."""
+        spans, found = losses_in_turn(seed=SEED, runs=TURNS, settle=SETTLE)
+        print(f"seed {SEED}, losses settled: {told_spans(spans)}")
+        self.assertThat(found, Is(None), str(found))
+        self.assertThat(len(spans), GreaterThan(TURNS))
+
+
 class Faults(TestCase):
     def test_each_injected_fault_is_found_by_its_check(self) -> None:
         self.assertThat({injected.fault for injected in INJECTED}, Equals(set(faults.FAULTS)))
