--- a/packages/raft/src/hoistsaddle/raft/fetching.py
+++ b/packages/raft/src/hoistsaddle/raft/fetching.py
@@ -1,8 +1,10 @@
 """The follower's side: fetches, what their answers say, logs that part, the search for a leader."""
 
+from datetime import timedelta
+
 from hoistsaddle.raft.events import Mark
 from hoistsaddle.raft.replica import LEADER, RELEASE_OLD, WRONG_MESH, Replica
-from hoistsaddle.rpc.messages import UNSET, FetchAnswer, FetchCall
+from hoistsaddle.rpc.messages import UNSAID, UNSET, FetchAnswer, FetchCall
 
 # So many fetches are remembered for their late answers; more are never under way at once.
 REMEMBERED_FETCHES = 4
@@ -61,7 +63,7 @@
             self._fetch()
 
     def _fetch_answer(self, replica: int, answer: FetchAnswer) -> None:
-        self.fetch_sent = None
+        sent, self.fetch_sent = self.fetch_sent, None
         if answer.mishap == WRONG_MESH:
             self._announce("wrong mesh", leader=replica)
             return None
@@ -100,6 +102,8 @@
                 return None
         else:
             self._take_records(answer)
+            if self.whole and self.pulling is None:
+                self._date_state(answer, sent)
         self._fetch()
 
     def _take_records(self, answer: FetchAnswer) -> None:
@@ -123,6 +127,14 @@
             ):
                 self._set_begin(answer.begin_offset - 1)
 
+    def _date_state(self, answer: FetchAnswer, sent: timedelta | None) -> None:
+        """As of when the state here is the newest, once all that the leader has committed is applied."""
+        if sent is None or self.state.epoch != self.epoch or self.state.offset < answer.high_watermark:
+            return
+        # No clocks are compared: the age was taken after this fetch was sent. A leader of a former release says none;
+        # it steps down after so long a silence of the others.
+        self._note_newest(sent - (self.pace.quorum_silence if answer.contact_age == UNSAID else answer.contact_age))
+
     def _diverge(self, answer: FetchAnswer) -> bool:
         offset = min(answer.diverging_offset, self.last.offset)
         while offset > self.begin.offset and self.epoch_at(offset) > answer.diverging_epoch:
--- a/packages/raft/src/hoistsaddle/raft/reads.py
+++ b/packages/raft/src/hoistsaddle/raft/reads.py
@@ -1,6 +1,9 @@
-"""Confirmed reads: a majority must have fetched after the read began."""
+"""Confirmed reads, and how old the state here is: what fetches prove that heard of a round after it began."""
+
+from datetime import timedelta
 
 from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.raft.contact import NEVER, majority_contact
 from hoistsaddle.raft.events import ReadReady
 from hoistsaddle.raft.replica import LEADER, Replica
 
@@ -13,8 +16,7 @@
             self._out.append(ReadReady(ticket, str(MishapKind.NOT_LEADER), self.leader, None))
             return
         # Only fetches sent after this round was announced prove that nobody else led when the read began.
-        self.round += 1
-        self.reads.append((ticket, self.round))
+        self.reads.append((ticket, self.rounds.begin(now=self.now)))
         self._answer_held(everyone=True)
         self._confirm_reads()
 
@@ -31,3 +33,22 @@
             else:
                 left.append((ticket, number))
         self.reads = left
+
+    def _contact(self) -> timedelta | None:
+        """Leader: the newest moment at which nobody else can have led, and this state held all that was committed."""
+        if self.high_watermark < self.epoch_began or self.state.offset < self.high_watermark:
+            return None
+        return majority_contact(
+            voter_sets=self.voter_sets(),
+            me=(self.replica, self.incarnation),
+            now=self.now,
+            heard={key: self.rounds.began(progress.round) for key, progress in self.progress.items()},
+        )
+
+    def _contact_age(self) -> timedelta:
+        contact = self._contact()
+        return NEVER if contact is None else self.now - contact
+
+    def _note_newest(self, moment: timedelta | None) -> None:
+        if moment is not None and (self.newest is None or moment > self.newest):
+            self.newest = moment
