--- a/packages/raft/src/hoistsaddle/raft/replica.py
+++ b/packages/raft/src/hoistsaddle/raft/replica.py
@@ -41,6 +41,12 @@
         self.heard = ZERO
         self.round = -1
         self.level = 1
+        # What was committed when it fetched last: whoever has that by its next fetch keeps up, however much is written.
+        self.committed: int | None = None
+        self.keeps_up = False
+        self.leaving = False
+        # It was told that it may go.
+        self.gone = False
 
 
 class Replica:
@@ -90,6 +96,15 @@
         self.unsynced: list[tuple[int, int, timedelta]] = []
         self.number = 0
         self.stopping = False
+        self.stop_asked_at = now
+        self.stop_by = now
+        self.ended = False
+        # Answers in a row that said nothing to its leaving.
+        self.unsaid = 0
+        # Since when this leader takes no more orders, as it hands the lead over.
+        self.handing_since: timedelta | None = None
+        # Since when this leader, which leaves, has had no vote any more.
+        self.voteless_since: timedelta | None = None
         self._out: list[tuple] = []
         self._begin_log(boot)
         self._begin_following()
@@ -127,9 +142,15 @@
         self.fetch_sent: timedelta | None = None
         self.heard_leader: timedelta | None = None
         self.round_seen = 0
+        # Where each of the last fetches asked the log to go on: a late answer counts if it still goes on there.
+        self.fetched_from: dict[int, Mark] = {}
         # A moment at which this replica's applied state held all that was committed anywhere; None while none is known.
         self.newest: timedelta | None = None
         self.pulling: Mark | None = None
+        # The log above the checkpoint that is being pulled; log and state stay what they were until that is loaded.
+        self.staged: list[Record] = []
+        # After a failed pull the leader is asked anew where to begin, whatever is held here.
+        self.starting_over = False
         self.pull_number = 0
         self.pull_sent: timedelta | None = None
         self.pull_position = 0
@@ -147,6 +168,10 @@
         self.waiting: dict[int, list] = {}
         self.ticket_of: dict[int, int] = {}
         self.capturing: Mark | None = None
+        # The checkpoint that each replica is pulling from here, and when it last asked for a piece.
+        self.pulls: dict[int, tuple[Mark, timedelta]] = {}
+        # Checkpoints that were left only because somebody was pulling them.
+        self.spared: tuple[Mark, ...] = ()
 
     @property
     def round(self) -> int:
@@ -279,7 +304,7 @@
     def _follow(self, epoch: int, leader: int) -> None:
         raise NotImplementedError
 
-    def _resign(self) -> None:
+    def _resign(self, *, successor: int = UNSET) -> None:
         raise NotImplementedError
 
     def _record(self, payload: bytes) -> Record:
@@ -306,8 +331,29 @@
     def _set_begin(self, offset: int) -> None:
         raise NotImplementedError
 
-    def _discard(self, answer: FetchAnswer) -> None:
+    def _begin_pull(self, answer: FetchAnswer) -> None:
+        raise NotImplementedError
+
+    def _give_up_pull(self, why: str) -> None:
+        raise NotImplementedError
+
+    def _stage(self, records: tuple[Record, ...]) -> None:
         raise NotImplementedError
 
     def _fetch(self) -> None:
         raise NotImplementedError
+
+    def _heir(self) -> int | None:
+        raise NotImplementedError
+
+    def _successors_to_come(self) -> bool:
+        raise NotImplementedError
+
+    def _leave_word(self, life: tuple[int, str]) -> int:
+        raise NotImplementedError
+
+    def _tell_leaving(self, call: FetchCall) -> int:
+        raise NotImplementedError
+
+    def _heard_leave(self, answer: FetchAnswer) -> None:
+        raise NotImplementedError
