--- a/tests/test_modelcheck.py
+++ b/tests/test_modelcheck.py
@@ -19,7 +19,7 @@
 from hoistsaddle.testbed.modelcheck.exhaustive import SPACES, explore
 from hoistsaddle.testbed.modelcheck.modeldisk import ModelDisk
 from hoistsaddle.testbed.modelcheck.steps import Kind, Step, Walk
-from hoistsaddle.testbed.modelcheck.turns import losses_in_turn
+from hoistsaddle.testbed.modelcheck.turns import Loss, Turns, Way, lose_in_turn, losses_in_turn
 from hoistsaddle.testbed.modelcheck.walks import Script, broken_by, make_smaller, play, walk_randomly
 
 SEED = 630
@@ -38,7 +38,7 @@
 
 
 class Injected(NamedTuple):
-    """A fault, the rule (or one of several) it must break, and where: on walks of some kinds of steps, or in a space."""
+    """A fault, the rule (or one of several) it must break, and where: on walks of some kinds, or in a space."""
 
     fault: type[Twist]
     rule: str
@@ -98,6 +98,56 @@
         self.assertThat(walk.take(Step(Kind.WIPE, 1)), Equals(True))
 
 
+class Found(TestCase):
+    """Walks that once broke a rule, as small as they could be made; later code may go another way on them."""
+
+    def test_a_successor_votes_before_it_has_the_record_that_makes_it_a_voter(self) -> None:
+        """The old set and the new were both open, and the one vote that was missing was refused for ever."""
+        self.hold(
+            Script(
+                5,
+                496,
+                (
+                    Step(Kind.CRASH, 34),
+                    Step(Kind.CUT_ONE_WAY, 0, 14),
+                    Step(Kind.ALL_LOSE_POWER),
+                    Step(Kind.RUN, 27),
+                    Step(Kind.READ),
+                    Step(Kind.DELIVER, 2),
+                    Step(Kind.DELIVER, 35),
+                    Step(Kind.PROPOSE),
+                    Step(Kind.DROP),
+                    Step(Kind.REPLACE, 21),
+                    Step(Kind.RUN, 24),
+                    Step(Kind.CRASH, 19),
+                    Step(Kind.TEAR, 3),
+                    Step(Kind.RUN, 15),
+                    Step(Kind.BATCH),
+                ),
+            )
+        )
+
+    def test_a_committed_change_of_voters_is_known_after_a_loss_of_power(self) -> None:
+        """Known in memory alone, it was forgotten, and elections asked the set before it, whose disks were gone."""
+        steps = (
+            Step(Kind.WIPE),
+            Step(Kind.RUN, 31),
+            Step(Kind.WIPE, 39),
+            Step(Kind.ALL_LOSE_POWER),
+            Step(Kind.FREEZE, 19),
+            Step(Kind.WIPE, 39),
+        )
+        self.hold(Script(5, 4014, steps))
+
+    def test_a_log_that_parts_below_the_leaders_begin_catches_up(self) -> None:
+        """The leader named a place that both couldn't share, and the follower asked again without end."""
+        losses = (Loss(Way.WIPED, 4, 7, 15), Loss(Way.CUT_OFF, 0, 25, 4))
+        lose_in_turn(Turns(3, 9999, SETTLE, losses))
+
+    def hold(self, script: Script) -> None:
+        self.assertThat(broken_by(script), Is(None), str(script))
+
+
 class LossesInTurn(TestCase):
     def test_each_loss_settles_within_its_span(self) -> None:
         """The shortest span the platform gives; whoever is lost next may be anybody, the leader too."""
