--- a/packages/raft/src/hoistsaddle/raft/elections.py
+++ b/packages/raft/src/hoistsaddle/raft/elections.py
@@ -132,8 +132,8 @@
         mark = self.vote_mark
         complete = (call.last_epoch, call.last_offset) >= (mark.epoch, mark.offset)
         # A blank or foreign disk never votes: it can't know what its predecessor promised.
-        # A whole replica that its own log doesn't show as a voter may be one by a record that it hasn't fetched yet; its
-        # vote is kept on its disk and counts in those sets alone that name this disk.
+        # A whole replica that its own log doesn't show as a voter may be one by a record that it hasn't fetched yet;
+        # its vote is kept on its disk and counts in those sets alone that name this disk.
         if (
             not (self.is_voter() or self.whole)
             or call.mesh != self.mesh
