--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -96,7 +96,7 @@
         with ProcessPoolExecutor(1) as pool:
             told = pool.submit(watch, NO_MAJORITY, count_from=COUNT_FROM).result()
         print("seed", NO_MAJORITY.seed, dict(told.calls), dict(told.octets))
-        machines = len(NO_MAJORITY.site.stalls) + 1
+        machines = len(NO_MAJORITY.site.sidecars) + 1
         span = NO_MAJORITY.seconds + 5.0 - COUNT_FROM + 5.0
         # The lost don't come back; what the machines send each other that isn't a request's own way.
         control = {kind: count for kind, count in told.calls.items() if kind != "DealCall"}
