--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -12,7 +12,7 @@
 from coremesh import SETTLE, CoreMesh, Node
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.raft.core import CANDIDATE
-from hoistsaddle.raft.events import AnswerArrived, Boot, Mark, StopAsked, Ticked, replace_span_of
+from hoistsaddle.raft.events import AnswerArrived, Boot, Mark, StopAsked, Synced, Ticked, replace_span_of
 from hoistsaddle.rpc.messages import BallotCall, FetchAnswer, LeadCall
 from hoistsaddle.statemachine.commands import LEVEL, LEVEL_OF, ReplaceVoter
 from hoistsaddle.statemachine.state import found_state
@@ -173,6 +173,7 @@
         bench.core.standing = CANDIDATE
         bench.core.trial, bench.core.granted = False, {(1, "one"), (2, "two"), (4, "four")}
         bench.core._count_ballots()
+        bench.feed(Synced(bench.core.sequence))
         bench.go_on(2, 3, 4, 5, span=2 * SECOND)
         bench.go_on(2, 3, 4, span=SECOND / 2)
         bench.go_on(2, 4, span=PACE.replace_span * 2)
