--- a/tests/watched.py
+++ b/tests/watched.py
@@ -114,13 +114,16 @@
         if held[0] < before[0] or held[1] < before[1]:
             self.back.append(f"{process.machine.name} went back from {before} to {held}")
         self.held[process.number] = held
-        if not process.life.frozen and relay.lease_start is not None and process.machine.name not in self.busy:
+        if not process.life.frozen and relay.lease_start is not None and process.machine.name not in self.harms.busy:
             age = self.moment() - relay.lease_start.total_seconds()
             self.longest[process.machine.name] = max(self.longest.get(process.machine.name, 0.0), age)
 
     async def play(self) -> None:
-        self.keep(self.witness())
+        looking = self.keep(self.witness())
         await super().play()
+        # A witness that ended early saw nothing: its day shows nothing either.
+        if looking.done():
+            looking.result()
 
 
 def watch(day: Day, *, count_from: float = 0.0) -> Seen:
