--- a/packages/registry/src/hoistsaddle/registry/writer.py
+++ b/packages/registry/src/hoistsaddle/registry/writer.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from datetime import timedelta
 
 from returns.result import Failure, Result, Success
@@ -156,17 +156,31 @@
         if self.pause.failing:
             if self.backlog and not self.retrying:
                 self.retrying = True
-                self._spawn(self._retry())
+                self._spawn(self._retry(), at_end=self._retry_ended)
             return
         # A few batches in flight at most: what arrives meanwhile goes together into the next.
         while self.backlog and self.in_flight < MOST_IN_FLIGHT:
             self.in_flight += 1
-            self._spawn(self._carry(self._next_batch()))
+            self._spawn(self._carry(self._next_batch()), at_end=self._carry_ended)
 
-    def _spawn(self, work: Coroutine) -> None:
+    def _spawn(self, work: Coroutine, *, at_end: Callable[[], None]) -> None:
+        """Runs `work` as a task. `at_end` follows in a callback, which a task that is only collected never runs."""
         task = asyncio.ensure_future(work)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+
+        def ended(task: asyncio.Task) -> None:
+            self.tasks.discard(task)
+            at_end()
+
+        task.add_done_callback(ended)
+
+    def _carry_ended(self) -> None:
+        self.in_flight -= 1
+        self._flush()
+
+    def _retry_ended(self) -> None:
+        self.retrying = False
+        self._flush()
 
     def _next_batch(self) -> list[_Entry]:
         waiting = [entry for entry in self.backlog if not entry.future.done()]
@@ -174,25 +188,17 @@
         return batch
 
     async def _carry(self, batch: list[_Entry]) -> None:
-        try:
-            if not await self._try(batch):
-                self.backlog = [*batch, *self.backlog]
-        finally:
-            self.in_flight -= 1
-            self._flush()
+        if not await self._try(batch):
+            self.backlog = [*batch, *self.backlog]
 
     async def _retry(self) -> None:
         """While tries fail, this one goes on for all that wait, with those that are still waited for at its moment."""
-        try:
-            while self.pause.failing:
-                await self._rest()
-                if not (batch := self._next_batch()):
-                    return
-                if not await self._try(batch):
-                    self.backlog = [*batch, *self.backlog]
-        finally:
-            self.retrying = False
-            self._flush()
+        while self.pause.failing:
+            await self._rest()
+            if not (batch := self._next_batch()):
+                return
+            if not await self._try(batch):
+                self.backlog = [*batch, *self.backlog]
 
     async def _try(self, batch: list[_Entry]) -> bool:
         """One call with the whole batch; true once all of it is concluded."""
--- a/tests/test_writer.py
+++ b/tests/test_writer.py
@@ -1,6 +1,7 @@
 """The writer at a machine that reaches no leader: it answers inside the asker's span, truly, and sends little."""
 
 import asyncio
+import gc
 import random
 import sys
 from collections.abc import Callable
@@ -136,6 +137,35 @@
         self.assertThat(payloads, LessThan(span * 100 * 3))
         self.assertThat(left, LessThan(100))
 
+    def test_a_retry_that_is_collected_with_its_loop_starts_nothing_on_the_next_one(self) -> None:
+        async def left_behind() -> None:
+            writer = Writer(
+                name="w",
+                warehouses={1: "a"},
+                home=1,
+                runtime=SimpleNamespace(now=former.now, lines=Lines(loop=former, rule=lambda address, now: NOT_LEADER)),
+                counters=Counters(owner="w"),
+            )
+            # Held by its own task alone: the order still waits when its process is gone.
+            asyncio.ensure_future(writer.write(Tick(1), within=timedelta(seconds=60)))
+            await asyncio.sleep(1)
+
+        async def tasks_after_collection() -> int:
+            gc.collect()
+            return len(asyncio.all_tasks())
+
+        former, later = ClockworkLoop(), ClockworkLoop()
+        asyncio.set_event_loop(former)
+        former.run_until_complete(left_behind())
+        former.close()
+        asyncio.set_event_loop(later)
+        del former
+        try:
+            self.assertThat(later.run_until_complete(tasks_after_collection()), Equals(1))
+        finally:
+            later.close()
+            asyncio.set_event_loop(None)
+
     def test_a_leader_newly_known_ends_the_pause(self) -> None:
         async def work(writer: Writer, lines: Lines) -> tuple[str, float]:
             asyncio.ensure_future(timed(writer, within=9.0))
