--- a/packages/proxy/src/hoistsaddle/proxy/core.py
+++ b/packages/proxy/src/hoistsaddle/proxy/core.py
@@ -116,6 +116,7 @@
         self._unready()
         for ticket in [ticket for ticket, request in self.requests.items() if self.now >= request.deadline]:
             self._spent(ticket)
+        self._give_up_late_claims()
         self.waiting = deque(ticket for ticket in self.waiting if ticket in self.requests)
         self._retry_waiting()
         self._retry_parked()
--- a/packages/proxy/src/hoistsaddle/proxy/entry.py
+++ b/packages/proxy/src/hoistsaddle/proxy/entry.py
@@ -27,6 +27,9 @@
 DEFAULT_BUDGET = timedelta(seconds=5)
 RELEASE_SPAN = timedelta(seconds=60)
 COME_BACK = timedelta(seconds=1)
+# The longest that a request waits for its key, from its arrival on: one claim that finds the core silent, and the gap
+# that is waited out after it. A claim that is still under way then is overtaken by the final answer.
+KEY_PATIENCE = 2 * GAP
 
 
 class _Request:
@@ -241,6 +244,16 @@
         )
         self._out.append(AskHold(request.asked, command))
 
+    def _give_up_late_claims(self) -> None:
+        """Answers requests whose claim goes on past their patience; a grant that comes later is given back."""
+        late = [
+            ticket
+            for ticket, request in self.requests.items()
+            if request.phase == "claiming" and self.now - request.arrived >= KEY_PATIENCE
+        ]
+        for ticket in late:
+            self._not_run(ticket, _no_core())
+
     def _hold_answered(self, number: int, outcome: Outcome | None) -> None:
         if number in self.releases:
             released, until = self.releases.pop(number)
--- a/tests/test_stall.py
+++ b/tests/test_stall.py
@@ -9,6 +9,7 @@
 from hoistsaddle.common.errors import Mishap, MishapKind
 from hoistsaddle.config.bundle import read_bundle
 from hoistsaddle.proxy.core import ProxyCore
+from hoistsaddle.proxy.entry import KEY_PATIENCE
 from hoistsaddle.proxy.messages import (
     AnswerPass,
     AnswerVisitor,
@@ -230,6 +231,23 @@
             (answer.outcome, answer.mishap.kind, answer.retry_after is not None), Equals(("not-run", "no-leader", True))
         )
 
+    def test_a_claim_that_is_still_under_way_after_its_patience_is_given_up(self) -> None:
+        bench = Bench()
+        ticket = bench.ask("POST", "/payments", key="k")
+        claim = bench.newest(AskHold)
+        bench.renew()
+        bench.feed(Ticked(), later=KEY_PATIENCE.total_seconds() - 0.1)
+        self.assertThat(bench.answer(ticket), Equals(None))
+        bench.renew()
+        bench.feed(Ticked(), later=0.1)
+        answer = bench.answer(ticket)
+        self.assertThat(
+            (answer.outcome, answer.mishap.kind, answer.retry_after is not None), Equals(("not-run", "no-leader", True))
+        )
+        # A grant that comes after the answer is given back, and nothing is sent under it.
+        bench.feed(HoldAnswered(claim.number, Outcome(detail={"phase": "granted"})))
+        self.assertThat((type(bench.newest(AskHold).command), bench.count(PassOn)), Equals((ReleaseHold, 0)))
+
     def test_a_claim_granted_too_late_is_given_back(self) -> None:
         bench = Bench()
         ticket = bench.ask("POST", "/payments", key="k")
