--- a/tests/test_writer.py
+++ b/tests/test_writer.py
@@ -138,14 +138,9 @@
         self.assertThat(left, LessThan(100))
 
     def test_a_retry_that_is_collected_with_its_loop_starts_nothing_on_the_next_one(self) -> None:
-        async def left_behind() -> None:
-            writer = Writer(
-                name="w",
-                warehouses={1: "a"},
-                home=1,
-                runtime=SimpleNamespace(now=former.now, lines=Lines(loop=former, rule=lambda address, now: NOT_LEADER)),
-                counters=Counters(owner="w"),
-            )
+        async def left_behind(loop: ClockworkLoop) -> None:
+            runtime = SimpleNamespace(now=loop.now, lines=Lines(loop=loop, rule=lambda address, now: NOT_LEADER))
+            writer = Writer(name="w", warehouses={1: "a"}, home=1, runtime=runtime, counters=Counters(owner="w"))
             # Held by its own task alone: the order still waits when its process is gone.
             asyncio.ensure_future(writer.write(Tick(1), within=timedelta(seconds=60)))
             await asyncio.sleep(1)
@@ -156,7 +151,7 @@
 
         former, later = ClockworkLoop(), ClockworkLoop()
         asyncio.set_event_loop(former)
-        former.run_until_complete(left_behind())
+        former.run_until_complete(left_behind(former))
         former.close()
         asyncio.set_event_loop(later)
         del former
