Distribution sends the changes since a child's revision; ranges are for repair

Cause: a poll's answer held every range that differs, a sixteenth of the configuration each, so one change of five items sent a third of it to each of eight children. On links of 2 Mbit/s a storm of changes outran the polls' 0.8 s; the answer was thrown away, the child turned to the next parent and asked for more. Change: items carry the revision of their last change, so what was set since travels alone; a relay remembers what it removed and when. The log's digests are checked as before; what does not add up is refused and asked for in ranges.

--- a/packages/membership/src/hoistsaddle/membership/relay.py
+++ b/packages/membership/src/hoistsaddle/membership/relay.py
@@ -7,6 +7,7 @@
 
 from hoistsaddle.common.clock import ZERO
 from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.membership.changes import RemovalHistory
 from hoistsaddle.rpc.messages import NewsItem, PollAnswer, PollCall, Uptake
 from hoistsaddle.statemachine.digests import RANGES, digests_of, range_of
 
@@ -24,6 +25,7 @@
         self._digests: tuple[int, ...] | None = None
         # Of what the digests were taken from.
         self._print = b""
+        self.removals = RemovalHistory()
 
     def digests(self) -> tuple[int, ...]:
         if self._digests is None:
@@ -46,8 +48,18 @@
         return self.digests()
 
     def replace(self, *, mesh: str, revision: int, items: dict[str, tuple[int, bytes]]) -> None:
+        if self.revision < 0 or mesh != self.mesh or revision < self.revision:
+            self.removals.restart(revision=revision)
+        else:
+            self.removals.note(before=self.items, after=items, revision=revision)
         self.mesh, self.revision, self.items, self._digests = mesh, revision, items, None
 
+    def changes_after(self, revision: int) -> tuple[NewsItem, ...]:
+        """What was set after that revision: each item carries the revision of its last change."""
+        return tuple(
+            NewsItem(key, changed, value) for key, (changed, value) in self.items.items() if changed > revision
+        )
+
     def differing(self, digests: tuple[int, ...]) -> tuple[int, ...]:
         mine = self.digests()
         if len(digests) != RANGES:
@@ -74,6 +86,8 @@
         self.uptakes: dict[str, tuple[Uptake, timedelta]] = {}
         # The digests the log has for the copy's revision, as the leader said them; empty from a former release.
         self.vouched: tuple[int, ...] = ()
+        # Set when a parent's changes did not add up with this copy: the next answer has to hold whole ranges.
+        self.needs_ranges = False
 
     def lease_age(self, *, now: timedelta) -> timedelta | None:
         return None if self.lease_start is None else now - self.lease_start
@@ -140,6 +154,7 @@
             self.copy.revision,
             self.copy.audit(),
             (own, *self.known_uptakes(now=now)),
+            not self.needs_ranges,
         )
 
     def polled(self, answer: PollAnswer, *, sent: timedelta) -> bool:
@@ -149,16 +164,14 @@
         # A parent behind this copy has nothing to teach, and its lease speaks of an older setup.
         if self.is_older(revision=answer.revision, epoch=answer.epoch):
             return False
-        changed = bool(answer.ranges)
-        if changed or answer.revision > self.copy.revision:
-            items = {key: item for key, item in self.copy.items.items() if range_of(key) not in answer.ranges}
-            items.update({item.key: (item.revision, item.value) for item in answer.items})
-        else:
-            items = self.copy.items
+        changed = bool(answer.ranges) or answer.only_changes
+        items = self._taught_by(answer)
         # Both sides may be damaged: only what adds up to the log's own digests is taken, whoever sends it.
         held = items is self.copy.items
         if answer.vouched and (self.copy.audit() if held else digests_of(items)) != answer.vouched:
+            self.needs_ranges = True
             return False
+        self.needs_ranges = False
         if items is not self.copy.items:
             self.copy.replace(mesh=answer.mesh, revision=answer.revision, items=items)
         self.vouched = answer.vouched
@@ -167,6 +180,18 @@
         self._renew(sent - answer.lease_age)
         return changed
 
+    def _taught_by(self, answer: PollAnswer) -> dict[str, tuple[int, bytes]]:
+        """The copy's items with what the answer teaches; the very same map where it teaches nothing."""
+        if answer.only_changes:
+            removed = frozenset(answer.removed)
+            items = {key: item for key, item in self.copy.items.items() if key not in removed}
+        elif answer.ranges or answer.revision > self.copy.revision:
+            items = {key: item for key, item in self.copy.items.items() if range_of(key) not in answer.ranges}
+        else:
+            return self.copy.items
+        items.update({item.key: (item.revision, item.value) for item in answer.items})
+        return items
+
     def must_wait(self, call: PollCall) -> bool:
         """Whether a child knows all there is, so that its poll is held a while."""
         return call.revision >= self.copy.revision and not self.copy.differing(call.digests)
@@ -181,9 +206,34 @@
         if not self.sound():
             # A damaged copy teaches nobody; its own next poll mends it.
             return PollAnswer(str(MishapKind.COPY_DAMAGED), self.copy.mesh, self.copy.revision, timedelta())
-        ranges = self.copy.differing(call.digests)
-        items = self.copy.items_in(ranges)
-        return PollAnswer("", self.copy.mesh, self.copy.revision, age - held, ranges, items, self.vouched, self.epoch)
+        only_changes = self._may_send_changes(call)
+        ranges = () if only_changes else self.copy.differing(call.digests)
+        return PollAnswer(
+            "",
+            self.copy.mesh,
+            self.copy.revision,
+            age - held,
+            ranges,
+            self.copy.changes_after(call.revision) if only_changes else self.copy.items_in(ranges),
+            self.vouched,
+            self.epoch,
+            only_changes,
+            self.copy.removals.removed_after(call.revision) if only_changes else (),
+        )
+
+    def _may_send_changes(self, call: PollCall) -> bool:
+        """Whether the changes since the child's revision are all that it lacks, and can be checked there.
+
+        On a thin link whole ranges are too much for a storm of changes: each holds a sixteenth of the configuration,
+        and a relay sends them to every child.
+        """
+        return (
+            call.takes_changes
+            and bool(self.vouched)
+            and call.mesh == self.copy.mesh
+            and call.revision < self.copy.revision
+            and self.copy.removals.reaches_back_to(call.revision)
+        )
 
     def heard(self, uptakes: tuple[Uptake, ...], *, now: timedelta) -> bool:
         """Notes what is taken up below; true if any of it is new."""
--- a/packages/rpc/src/hoistsaddle/rpc/mesh.thrift
+++ b/packages/rpc/src/hoistsaddle/rpc/mesh.thrift
@@ -28,8 +28,8 @@
 
 struct Uptake { 1: string node, 2: i64 revision, 3: i64 bundle, 4: string refusal, 5: string incarnation, 6: i64 refused_bundle }
 struct NewsItem { 1: string key, 2: i64 revision, 3: binary value }
-struct PollCall { 1: string node, 2: string incarnation, 3: string mesh, 4: i64 revision, 5: list<i64> digests, 6: list<Uptake> uptakes }
-struct PollAnswer { 1: string mishap, 2: string mesh, 3: i64 revision, 4: i64 lease_age, 5: list<i64> ranges, 6: list<NewsItem> items, 7: list<i64> vouched, 8: i64 epoch }
+struct PollCall { 1: string node, 2: string incarnation, 3: string mesh, 4: i64 revision, 5: list<i64> digests, 6: list<Uptake> uptakes, 7: bool takes_changes }
+struct PollAnswer { 1: string mishap, 2: string mesh, 3: i64 revision, 4: i64 lease_age, 5: list<i64> ranges, 6: list<NewsItem> items, 7: list<i64> vouched, 8: i64 epoch, 9: bool only_changes, 10: list<string> removed }
 struct UptakeCall { 1: string asker }
 struct UptakeAnswer { 1: list<Uptake> uptakes, 2: i64 level }
 
--- a/packages/rpc/src/hoistsaddle/rpc/messages.py
+++ b/packages/rpc/src/hoistsaddle/rpc/messages.py
@@ -222,6 +222,8 @@
     revision: int
     digests: tuple[int, ...]
     uptakes: tuple[Uptake, ...]
+    # Whether the answer may hold the changes since `revision` alone; a former release takes whole ranges only.
+    takes_changes: bool = False
 
 
 class PollAnswer(NamedTuple):
@@ -234,6 +236,9 @@
     vouched: tuple[int, ...] = ()
     # Under which leader's epoch the news was confirmed; 0 from a former release.
     epoch: int = 0
+    # The items are what was set since the asker's revision, and `removed` what was removed since; no range is whole.
+    only_changes: bool = False
+    removed: tuple[str, ...] = ()
 
 
 class UptakeCall(NamedTuple):
--- a/tests/test_crier.py
+++ b/tests/test_crier.py
@@ -7,6 +7,7 @@
 from testtools.matchers import Contains, Equals
 
 from hoistsaddle.membership import relay as relays
+from hoistsaddle.membership.changes import MOST_REMOVALS, RemovalHistory
 from hoistsaddle.membership.membership import (
     ALIVE,
     DEAD,
@@ -22,7 +23,7 @@
     Ticked,
 )
 from hoistsaddle.membership.relay import Relay, SetupCopy, select_parents
-from hoistsaddle.rpc.messages import Rumour, Uptake
+from hoistsaddle.rpc.messages import PollAnswer, Rumour, Uptake
 from hoistsaddle.statemachine.digests import RANGES, digests_of, range_of
 
 SPAN = timedelta(seconds=1.5)
@@ -131,6 +132,112 @@
         self.assertThat(root.answer(child.poll(own=OWN, now=at(1)), now=at(1)).mishap, Equals("wrong-mesh"))
 
 
+class Changes(TestCase):
+    """What was set or removed since a child's revision travels alone; whole ranges are for those that can't be told."""
+
+    def confirm(self, root: Relay, revision: int, found: dict[str, tuple[int, bytes]]) -> None:
+        root.confirmed(asked=at(revision), mesh="m", revision=revision, items=found, vouched=digests_of(found))
+
+    def taught(self, child: Relay, parent: Relay, moment: float) -> PollAnswer:
+        answer = parent.answer(child.poll(own=OWN, now=at(moment)), now=at(moment))
+        child.polled(answer, sent=at(moment))
+        return answer
+
+    def family(self, count: int = 200) -> tuple[Relay, Relay]:
+        root, child = relay("root"), relay("child")
+        self.confirm(root, 5, items(count, revision=5))
+        self.taught(child, root, 5)
+        return root, child
+
+    def test_one_item_set_and_one_removed_travel_alone(self) -> None:
+        root, child = self.family()
+        later = items(199, revision=5) | {"server:stall-3": (6, b"new"), "server:another": (6, b"x")}
+        self.confirm(root, 6, later)
+        answer = self.taught(child, root, 6)
+        self.assertThat(
+            (answer.only_changes, sorted(item.key for item in answer.items), answer.removed, answer.ranges),
+            Equals((True, ["server:another", "server:stall-3"], ("server:stall-199",), ())),
+        )
+        self.assertThat((child.copy.items, child.copy.revision), Equals((later, 6)))
+
+    def test_a_child_that_is_behind_by_several_revisions_is_told_all_of_them(self) -> None:
+        root, child = self.family(20)
+        found = items(20, revision=5)
+        for revision in range(6, 12):
+            found = {key: item for key, item in found.items() if key != f"server:stall-{revision}"}
+            found |= {f"server:stall-{revision - 6}": (revision, b"new")}
+            self.confirm(root, revision, found)
+        answer = self.taught(child, root, 11)
+        self.assertThat((answer.only_changes, child.copy.items), Equals((True, found)))
+
+    def test_a_damaged_copy_refuses_changes_and_is_mended_by_ranges(self) -> None:
+        root, child = self.family()
+        child.copy.items["server:stall-9"] = (5, b"damage")
+        later = items(200, revision=5) | {"server:stall-3": (6, b"new")}
+        self.confirm(root, 6, later)
+        self.assertThat((self.taught(child, root, 6).only_changes, child.copy.revision), Equals((True, 5)))
+        self.assertThat((self.taught(child, root, 6).only_changes, child.copy.items), Equals((False, later)))
+        # Mended, it takes changes again.
+        later = later | {"server:stall-4": (7, b"newer")}
+        self.confirm(root, 7, later)
+        self.assertThat((self.taught(child, root, 7).only_changes, child.copy.items), Equals((True, later)))
+
+    def test_whoever_is_behind_the_history_or_of_a_former_release_gets_ranges(self) -> None:
+        root, child = self.family()
+        young = relay("young")
+        self.confirm(root, 6, items(199, revision=5) | {"server:stall-3": (6, b"new")})
+        # This parent was filled after the removal, so it can't tell a child of revision 5 about it.
+        self.taught(young, root, 6)
+        self.assertThat((self.taught(child, young, 6).only_changes, child.copy.items), Equals((False, root.copy.items)))
+        former = relay("former")
+        call = former.poll(own=OWN, now=at(6))._replace(revision=5, mesh="m", takes_changes=False)
+        self.assertThat(root.answer(call, now=at(6)).only_changes, Equals(False))
+
+    def test_changes_to_an_older_poll_that_come_late_do_no_harm(self) -> None:
+        root, child = self.family(20)
+        early = child.poll(own=OWN, now=at(5))
+        self.confirm(root, 6, items(19, revision=5))
+        self.taught(child, root, 6)
+        self.confirm(root, 7, items(18, revision=5) | {"server:stall-19": (7, b"back")})
+        child.polled(root.answer(early, now=at(7)), sent=at(5))
+        self.assertThat((child.copy.items, child.copy.revision), Equals((root.copy.items, 7)))
+
+    def test_more_removals_than_are_remembered_send_ranges(self) -> None:
+        history = RemovalHistory()
+        history.restart(revision=1)
+        found = {f"key-{number}": (1, b"") for number in range(MOST_REMOVALS + 2)}
+        for number in range(MOST_REMOVALS + 2):
+            fewer = {key: item for key, item in found.items() if key != f"key-{number}"}
+            history.note(before=found, after=fewer, revision=number + 2)
+            found = fewer
+        self.assertThat(
+            (history.reaches_back_to(1), history.reaches_back_to(3), len(history.removed_after(3))),
+            Equals((False, True, MOST_REMOVALS)),
+        )
+
+    def test_random_trees_always_hold_what_the_log_held_at_their_revision(self) -> None:
+        for seed in range(30):
+            drawn = random.Random(seed)
+            nodes = [relay(f"node-{number}") for number in range(6)]
+            held, told_changes = {1: items(12)}, 0
+            self.confirm(nodes[0], 1, held[1])
+            for revision in range(2, 60):
+                found = dict(held[revision - 1])
+                for _ in range(drawn.randint(1, 3)):
+                    key = f"server:stall-{drawn.randint(0, 15)}"
+                    found.pop(key, None) if drawn.random() < 0.4 else found.update({key: (revision, b"%d" % revision)})
+                held[revision] = found
+                if drawn.random() < 0.7:
+                    self.confirm(nodes[0], revision, found)
+                for _ in range(drawn.randint(0, 6)):
+                    child = drawn.randint(1, 5)
+                    answer = self.taught(nodes[child], nodes[drawn.randrange(child)], revision)
+                    told_changes += answer.only_changes
+                for each in nodes:
+                    self.assertThat(each.copy.items, Equals(held.get(each.copy.revision, {})), f"seed {seed}")
+            self.assertThat(told_changes > 20, Equals(True), f"seed {seed}: {told_changes}")
+
+
 class Tree(TestCase):
     def test_everyone_has_a_way_to_a_root_and_no_parent_feeds_many(self) -> None:
         roots = [(f"bourse-{number}", f"root-{number}") for number in range(3)]
