A stopping sidecar answers what still waits before its grace is over

Cause: at the end of its grace a sidecar closed its handlers with requests still under way (uploads that crossed a thin link for seconds): their connections ended with no answer. Change: when the time for what was taken is over, each request left gets its final answer: 503 with when to come back if nothing was sent, 502 if a server may still work on it.

--- a/packages/sidecar/src/hoistsaddle/sidecar/core.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/core.py
@@ -15,6 +15,7 @@
     FollowArrived,
     Followed,
     Gone,
+    GraceSpent,
     RecallAnswered,
     RecallArrived,
     Served,
@@ -70,6 +71,8 @@
                 self.stopping = True
             case CloseAsked():
                 self.closing = True
+            case GraceSpent():
+                self._end_all()
             case Ticked():
                 self._entry_tick()
                 self._counter_tick()
--- a/packages/sidecar/src/hoistsaddle/sidecar/entry.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/entry.py
@@ -256,14 +256,24 @@
         self._reply(ticket, 504 if self.now >= deal.deadline else 502, mishap=deal.why or _no_answer())
 
     def _spent(self, ticket: int) -> None:
+        mishap = mishap_of(MishapKind.BUDGET_SPENT, "Its time ran out before it was sent.", "Give it more time.")
+        self._end(ticket, mishap)
+
+    def _end_all(self) -> None:
+        """The process ends: a closed connection would tell its clients nothing, so each is told what is known."""
+        for ticket in list(self.deals):
+            mishap = mishap_of(MishapKind.WINDING_DOWN, "This sidecar ends now.", "Send it to another machine.")
+            self._end(ticket, mishap)
+
+    def _end(self, ticket: int, unsent: Mishap) -> None:
+        """The final answer now, whatever is still under way; `unsent` is why if nothing was sent."""
         deal = self.deals[ticket]
         under_way = deal.number is not None and deal.number in self.by_number and deal.target is not None
         if under_way and deal.number not in self.claims:
             deal.uncertain = True
         if deal.uncertain or deal.best is not None:
             return self._give_up(ticket)
-        mishap = mishap_of(MishapKind.BUDGET_SPENT, "Its time ran out before it was sent.", "Give it more time.")
-        self._turned_back(ticket, deal.why or mishap)
+        self._turned_back(ticket, deal.why or unsent)
 
     def _reply(
         self,
--- a/packages/sidecar/src/hoistsaddle/sidecar/messages.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/messages.py
@@ -107,6 +107,10 @@
     """Nothing more comes through this stall: what runs is finished, and no more taken."""
 
 
+class GraceSpent(NamedTuple):
+    """The process ends in a moment: every request that still waits here gets its final answer now."""
+
+
 class Reply(NamedTuple):
     """The final answer at the door; headers are only the server's own."""
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -32,6 +32,7 @@
     FollowArrived,
     Followed,
     Gone,
+    GraceSpent,
     Recall,
     RecallAnswered,
     RecallArrived,
@@ -229,3 +230,6 @@
         self.feed(CloseAsked())
         while self.runtime.now() - began < most and not self.core.idle():
             await asyncio.sleep(self.tick.total_seconds())
+        if self.core.deals:
+            self.counters.happen("requests ended with the grace", count=len(self.core.deals))
+            self.feed(GraceSpent())
--- a/tests/test_wind_down.py
+++ b/tests/test_wind_down.py
@@ -8,10 +8,11 @@
 from testtools.matchers import Equals
 
 from brokers import Brokers
+from hoistsaddle.common.counters import Counters
 from hoistsaddle.common.errors import MishapKind
 from hoistsaddle.proxy.messages import StopAsked
 from hoistsaddle.sidecar import node as nodes
-from hoistsaddle.sidecar.messages import CloseAsked
+from hoistsaddle.sidecar.messages import CloseAsked, GraceSpent
 from hoistsaddle.sidecar.node import OPEN_SHARE, SidecarNode
 
 MOST = timedelta(seconds=5)
@@ -34,6 +35,7 @@
             core=core,
             feed=self.feed,
             asked_at=self.moment,
+            counters=Counters(owner="s-1"),
             tick=SidecarNode.tick,
         )
 
@@ -86,3 +88,25 @@
         while fleet.serves:
             fleet.finish()
         self.assertThat(fleet.replies[before].status, Equals(200))
+
+    def test_requests_left_at_the_end_of_the_grace_are_ended_just_before_it(self) -> None:
+        """Uploads on a thin link outlasted the grace: their connections closed with no answer."""
+        stopping = Stopping(busy=True, works=timedelta(seconds=60))
+        took = stopping.run()
+        self.assertThat(
+            [name for name, _ in stopping.told],
+            Equals([StopAsked.__name__, CloseAsked.__name__, GraceSpent.__name__]),
+        )
+        self.assertThat(MOST <= took <= MOST + SidecarNode.tick, Equals(True), str(took))
+
+    def test_each_request_left_is_told_what_is_known_of_it(self) -> None:
+        fleet = Brokers("s-1", "s-2")
+        sent = fleet.ask("/pack/x", budget=30.0)
+        fleet.core_up = False
+        claiming = fleet.ask("/pay/x", key="k", budget=30.0)
+        self.assertThat(fleet.replies, Equals({}))
+        fleet.feed("s-1", GraceSpent())
+        # A server may still work on the one; the other waited for its key, so it ran nowhere and never will.
+        self.assertThat([fleet.replies[each].status for each in (sent, claiming)], Equals([502, 503]))
+        self.assertThat(fleet.replies[claiming].retry_after is not None, Equals(True))
+        self.assertThat(fleet.cores["s-1"].deals, Equals({}))
