Configuration crosses thin links as compressed blocks, from the roots; clients that leave end their work

Digests taken to check an update are not taken again to hold it. Change: a handler whose client leaves tells the sidecar that has the attempt (AbandonCall): it drops what waits and breaks off what runs, if it may be repeated and has no key. Uploads and keyed work go on as before.

--- a/packages/membership/src/hoistsaddle/membership/relay.py
+++ b/packages/membership/src/hoistsaddle/membership/relay.py
@@ -8,6 +8,7 @@
 from hoistsaddle.common.clock import ZERO
 from hoistsaddle.common.errors import MishapKind
 from hoistsaddle.membership.changes import RemovalHistory
+from hoistsaddle.membership.packing import pack_items, unpack_items
 from hoistsaddle.rpc.messages import NewsItem, PollAnswer, PollCall, Uptake
 from hoistsaddle.statemachine.digests import RANGES, digests_of, range_of
 
@@ -47,12 +48,22 @@
             self._digests = None
         return self.digests()
 
-    def replace(self, *, mesh: str, revision: int, items: dict[str, tuple[int, bytes]]) -> None:
+    def replace(
+        self,
+        *,
+        mesh: str,
+        revision: int,
+        items: dict[str, tuple[int, bytes]],
+        digests: tuple[int, ...] | None = None,
+    ) -> None:
+        """Holds other items from now on; `digests` are theirs, where they were taken just now."""
         if self.revision < 0 or mesh != self.mesh or revision < self.revision:
             self.removals.restart(revision=revision)
         else:
             self.removals.note(before=self.items, after=items, revision=revision)
-        self.mesh, self.revision, self.items, self._digests = mesh, revision, items, None
+        self.mesh, self.revision, self.items, self._digests = mesh, revision, items, digests
+        if digests is not None:
+            self._print = self._print_of_all()
 
     def changes_after(self, revision: int) -> tuple[NewsItem, ...]:
         """What was set after that revision: each item carries the revision of its last change."""
@@ -88,6 +99,9 @@
         self.vouched: tuple[int, ...] = ()
         # Set when a parent's changes did not add up with this copy: the next answer has to hold whole ranges.
         self.needs_ranges = False
+        # Blocks packed for children, by what they lacked, and of which copy: dropped as it changes.
+        self.blocks: dict[tuple[tuple[int, ...], int | None], bytes] = {}
+        self.blocks_of = ("", -1)
 
     def lease_age(self, *, now: timedelta) -> timedelta | None:
         return None if self.lease_start is None else now - self.lease_start
@@ -118,11 +132,12 @@
         if self.is_older(revision=revision, epoch=epoch) or (self.copy.mesh and mesh and mesh != self.copy.mesh):
             return False
         # What doesn't add up to the log's own digests is no news, and renews nothing.
-        if vouched and digests_of(self.copy.items if items is None else items) != vouched:
+        found = digests_of(self.copy.items if items is None else items) if vouched else None
+        if found is not None and found != vouched:
             return False
         changed = items is not None and (revision > self.copy.revision or not self.sound())
         if changed:
-            self.copy.replace(mesh=mesh, revision=revision, items=items)
+            self.copy.replace(mesh=mesh, revision=revision, items=items, digests=found)
         self.vouched = vouched
         self.epoch = max(self.epoch, epoch)
         self._renew(asked)
@@ -154,7 +169,8 @@
             self.copy.revision,
             self.copy.audit(),
             (own, *self.known_uptakes(now=now)),
-            not self.needs_ranges,
+            takes_changes=not self.needs_ranges,
+            takes_block=True,
         )
 
     def polled(self, answer: PollAnswer, *, sent: timedelta) -> bool:
@@ -165,15 +181,20 @@
         if self.is_older(revision=answer.revision, epoch=answer.epoch):
             return False
         changed = bool(answer.ranges) or answer.only_changes
-        items = self._taught_by(answer)
+        try:
+            items = self._taught_by(answer)
+        except ValueError:
+            self.needs_ranges = True
+            return False
         # Both sides may be damaged: only what adds up to the log's own digests is taken, whoever sends it.
         held = items is self.copy.items
-        if answer.vouched and (self.copy.audit() if held else digests_of(items)) != answer.vouched:
+        found = self.copy.audit() if held else digests_of(items)
+        if answer.vouched and found != answer.vouched:
             self.needs_ranges = True
             return False
         self.needs_ranges = False
-        if items is not self.copy.items:
-            self.copy.replace(mesh=answer.mesh, revision=answer.revision, items=items)
+        if not held:
+            self.copy.replace(mesh=answer.mesh, revision=answer.revision, items=items, digests=found)
         self.vouched = answer.vouched
         self.epoch = max(self.epoch, answer.epoch)
         # No clocks are compared: the age was taken when the answer was made, so it counts from this poll's sending.
@@ -181,7 +202,10 @@
         return changed
 
     def _taught_by(self, answer: PollAnswer) -> dict[str, tuple[int, bytes]]:
-        """The copy's items with what the answer teaches; the very same map where it teaches nothing."""
+        """The copy's items with what the answer teaches; the very same map where it teaches nothing.
+
+        Raises ValueError for an answer that is damaged.
+        """
         if answer.only_changes:
             removed = frozenset(answer.removed)
             items = {key: item for key, item in self.copy.items.items() if key not in removed}
@@ -189,7 +213,8 @@
             items = {key: item for key, item in self.copy.items.items() if range_of(key) not in answer.ranges}
         else:
             return self.copy.items
-        items.update({item.key: (item.revision, item.value) for item in answer.items})
+        told = unpack_items(answer.block) if answer.block else answer.items
+        items.update({item.key: (item.revision, item.value) for item in told})
         return items
 
     def must_wait(self, call: PollCall) -> bool:
@@ -208,18 +233,33 @@
             return PollAnswer(str(MishapKind.COPY_DAMAGED), self.copy.mesh, self.copy.revision, timedelta())
         only_changes = self._may_send_changes(call)
         ranges = () if only_changes else self.copy.differing(call.digests)
-        return PollAnswer(
+        answer = PollAnswer(
             "",
             self.copy.mesh,
             self.copy.revision,
             age - held,
             ranges,
-            self.copy.changes_after(call.revision) if only_changes else self.copy.items_in(ranges),
-            self.vouched,
-            self.epoch,
-            only_changes,
-            self.copy.removals.removed_after(call.revision) if only_changes else (),
+            vouched=self.vouched,
+            epoch=self.epoch,
+            only_changes=only_changes,
+            removed=self.copy.removals.removed_after(call.revision) if only_changes else (),
         )
+        after = call.revision if only_changes else None
+        if call.takes_block:
+            return answer._replace(block=self._block(ranges=ranges, after=after))
+        return answer._replace(items=self._lacking(ranges=ranges, after=after))
+
+    def _lacking(self, *, ranges: tuple[int, ...], after: int | None) -> tuple[NewsItem, ...]:
+        return self.copy.items_in(ranges) if after is None else self.copy.changes_after(after)
+
+    def _block(self, *, ranges: tuple[int, ...], after: int | None) -> bytes:
+        """What a child lacks, packed once for all children that lack the same."""
+        if self.blocks_of != (self.copy.mesh, self.copy.revision):
+            self.blocks_of, self.blocks = (self.copy.mesh, self.copy.revision), {}
+        lacking = (ranges, after)
+        if lacking not in self.blocks:
+            self.blocks[lacking] = pack_items(self._lacking(ranges=ranges, after=after))
+        return self.blocks[lacking]
 
     def _may_send_changes(self, call: PollCall) -> bool:
         """Whether the changes since the child's revision are all that it lacks, and can be checked there.
@@ -254,10 +294,17 @@
 
 
 def select_parents(
-    *, node: str, stalls: list[tuple[str, str]], roots: list[tuple[str, str]], fan_out: int = FAN_OUT
+    *,
+    node: str,
+    stalls: list[tuple[str, str]],
+    roots: list[tuple[str, str]],
+    fan_out: int = FAN_OUT,
+    root_fan_out: int = 0,
 ) -> list[str]:
     """Addresses to poll, best first: the place in the tree, then the roots as the way out when it fails.
 
+    A parent feeds `fan_out` children, a root `root_fan_out` (as many as any other parent where that is 0).
+
     Every node computes the tree from the members it knows, so nobody hands out places. Nodes with different views may
     form a ring for a moment; its leases only grow older, so it starves and its nodes turn to the roots.
     """
@@ -267,7 +314,7 @@
     parents: list[str] = []
     if node in names and roots:
         place = names.index(node)
-        direct = len(roots) * fan_out
+        direct = len(roots) * (root_fan_out or fan_out)
         if place < direct:
             parents.append(roots[place % len(roots)][1])
         else:
--- a/packages/proxy/src/hoistsaddle/proxy/node.py
+++ b/packages/proxy/src/hoistsaddle/proxy/node.py
@@ -1,7 +1,7 @@
 """One stall without its HTTP doors: the line to other processes, the relay, vitals, and the schedule of its core."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from datetime import timedelta
 from typing import Any
 
@@ -198,10 +198,11 @@
                 case Announce(kind=kind, detail=detail):
                     self.counters.happen(kind, **detail)
 
-    def _spawn(self, work) -> None:
+    def _spawn(self, work: Coroutine) -> asyncio.Task:
         task = asyncio.ensure_future(work)
         self.work.add(task)
         task.add_done_callback(self.work.discard)
+        return task
 
     def _ticket(self) -> tuple[int, asyncio.Future]:
         self.tickets += 1
--- a/packages/rpc/src/hoistsaddle/rpc/mesh.thrift
+++ b/packages/rpc/src/hoistsaddle/rpc/mesh.thrift
@@ -28,8 +28,8 @@
 
 struct Uptake { 1: string node, 2: i64 revision, 3: i64 bundle, 4: string refusal, 5: string incarnation, 6: i64 refused_bundle }
 struct NewsItem { 1: string key, 2: i64 revision, 3: binary value }
-struct PollCall { 1: string node, 2: string incarnation, 3: string mesh, 4: i64 revision, 5: list<i64> digests, 6: list<Uptake> uptakes, 7: bool takes_changes }
-struct PollAnswer { 1: string mishap, 2: string mesh, 3: i64 revision, 4: i64 lease_age, 5: list<i64> ranges, 6: list<NewsItem> items, 7: list<i64> vouched, 8: i64 epoch, 9: bool only_changes, 10: list<string> removed }
+struct PollCall { 1: string node, 2: string incarnation, 3: string mesh, 4: i64 revision, 5: list<i64> digests, 6: list<Uptake> uptakes, 7: bool takes_changes, 8: bool takes_block }
+struct PollAnswer { 1: string mishap, 2: string mesh, 3: i64 revision, 4: i64 lease_age, 5: list<i64> ranges, 6: list<NewsItem> items, 7: list<i64> vouched, 8: i64 epoch, 9: bool only_changes, 10: list<string> removed, 11: binary block }
 struct UptakeCall { 1: string asker }
 struct UptakeAnswer { 1: list<Uptake> uptakes, 2: i64 level }
 
@@ -50,6 +50,8 @@
 struct DealAnswer { 1: string send, 2: string outcome, 3: string mishap, 4: i64 status, 5: binary headers, 6: binary body, 7: i64 load, 8: i64 room, 9: i64 took }
 // What became of an attempt whose connection broke: send is its id, life the life of the sidecar that it went to.
 struct FollowCall { 1: string send, 2: string life, 3: i64 budget }
+struct AbandonCall { 1: string send }
+struct AbandonAnswer { 1: bool known }
 struct RecallCall { 1: string claim }
 struct RecallAnswer { 1: string standing, 2: i64 status, 3: binary headers, 4: binary body }
 struct PulseCall { 1: string asker }
@@ -66,7 +68,7 @@
   28: PassCall pass_call, 29: PassAnswer pass_answer, 30: RaiseCall raise_call, 31: RaiseAnswer raise_answer,
   32: DealCall deal_call, 33: DealAnswer deal_answer, 34: RecallCall recall_call, 35: RecallAnswer recall_answer,
   36: PulseCall pulse_call, 37: PulseAnswer pulse_answer,
-  38: FollowCall follow_call
+  38: FollowCall follow_call, 39: AbandonCall abandon_call, 40: AbandonAnswer abandon_answer
 }
 
 // One frame on a line: number pairs an answer with its call.
--- a/packages/rpc/src/hoistsaddle/rpc/messages.py
+++ b/packages/rpc/src/hoistsaddle/rpc/messages.py
@@ -223,8 +223,10 @@
     revision: int
     digests: tuple[int, ...]
     uptakes: tuple[Uptake, ...]
-    # Whether the answer may hold the changes since `revision` alone; a former release takes whole ranges only.
+    # Whether the answer may hold the changes since `revision` alone, and its items in one block. A former release knows
+    # neither.
     takes_changes: bool = False
+    takes_block: bool = False
 
 
 class PollAnswer(NamedTuple):
@@ -240,6 +242,8 @@
     # The items are what was set since the asker's revision, and `removed` what was removed since; no range is whole.
     only_changes: bool = False
     removed: tuple[str, ...] = ()
+    # The items, compressed, for an asker that takes them so.
+    block: bytes = b""
 
 
 class UptakeCall(NamedTuple):
@@ -376,6 +380,17 @@
     budget: timedelta
 
 
+class AbandonCall(NamedTuple):
+    """The client of a repeatable attempt has left: nobody waits for its answer any more."""
+
+    send: str
+
+
+class AbandonAnswer(NamedTuple):
+    # Whether the attempt was waiting or running there.
+    known: bool
+
+
 class RecallCall(NamedTuple):
     claim: str
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/core.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/core.py
@@ -7,6 +7,7 @@
 from hoistsaddle.proxy.standing import OwnServer
 from hoistsaddle.sidecar.entry import EntrySide
 from hoistsaddle.sidecar.messages import (
+    AbandonArrived,
     Asked,
     CloseAsked,
     DealAnswered,
@@ -59,6 +60,8 @@
                 self._follow_arrived(event)
             case Followed():
                 self._followed(event)
+            case AbandonArrived():
+                self._abandoned(event)
             case Vitals():
                 self._vitals_told(event)
             case SetupChanged(view=view):
@@ -66,7 +69,7 @@
             case LeaseRenewed(start=start):
                 self.lease_start = start if self.lease_start is None else max(start, self.lease_start)
             case Gone(ticket=ticket):
-                self._visitor_gone(ticket)
+                self._client_gone(ticket)
             case StopAsked():
                 self.stopping = True
             case CloseAsked():
--- a/packages/sidecar/src/hoistsaddle/sidecar/door.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/door.py
@@ -27,6 +27,8 @@
         max_field_size=LARGEST_HEADER,
         keepalive_timeout=idle.total_seconds(),
         lingering_time=0.5,
+        # A client that leaves ends its handler: what it asked for is given up where that is allowed.
+        handler_cancellation=True,
     )
     # What still runs when a door closes had its time before: closing itself is quick.
     runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.2)
--- a/packages/sidecar/src/hoistsaddle/sidecar/entry.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/entry.py
@@ -11,10 +11,10 @@
 from hoistsaddle.config.items import ONCE_PER_KEY, REPEATABLE, EntryItem, aim_of, hold_of
 from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN
 from hoistsaddle.proxy.standing import mishap_of
-from hoistsaddle.rpc.messages import DealAnswer, DealCall
+from hoistsaddle.rpc.messages import AbandonCall, DealAnswer, DealCall
 from hoistsaddle.sidecar.following import FollowSide
 from hoistsaddle.sidecar.keyside import FREE, UNKNOWN_RUN, WORKING, KeySide
-from hoistsaddle.sidecar.messages import Asked, DealAnswered, DealMissed, DealOn, Reply
+from hoistsaddle.sidecar.messages import Abandon, Asked, DealAnswered, DealMissed, DealOn, Reply
 from hoistsaddle.sidecar.requests import Deal
 from hoistsaddle.sidecar.selection import SelectionSide
 
@@ -285,14 +285,26 @@
         mishap: Mishap | None = None,
         retry_after: timedelta | None = None,
     ) -> None:
+        self._forget(ticket)
+        self._out.append(Reply(ticket, status, headers, body, mishap, retry_after))
+
+    def _forget(self, ticket: int) -> None:
         deal = self.deals.pop(ticket)
         if deal.number is not None and deal.target is not None and self.by_number.pop(deal.number, None) is not None:
             seen = self.seen_of(deal.target.stall)
             seen.mine = max(0, seen.mine - 1)
-        self._out.append(Reply(ticket, status, headers, body, mishap, retry_after))
 
-    def _visitor_gone(self, ticket: int) -> None:
-        """What was sent is followed to its end, so that its key's answer is kept."""
+    def _client_gone(self, ticket: int) -> None:
+        """Nobody waits for the answer: it is given up, but for work under a key and what may not be repeated."""
+        deal = self.deals.get(ticket)
+        if deal is None or deal.claim:
+            return
+        under_way = deal.number is not None and deal.number in self.by_number
+        if under_way and deal.entry.kind != REPEATABLE:
+            return
+        if under_way:
+            self._out.append(Abandon(deal.address, AbandonCall(deal.send)))
+        self._forget(ticket)
 
     def _entry_tick(self) -> None:
         for ticket in [ticket for ticket, deal in self.deals.items() if self.now >= deal.deadline]:
--- a/packages/sidecar/src/hoistsaddle/sidecar/messages.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/messages.py
@@ -4,7 +4,15 @@
 from typing import NamedTuple
 
 from hoistsaddle.common.errors import Mishap
-from hoistsaddle.rpc.messages import DealAnswer, DealCall, FollowCall, RecallAnswer, RecallCall
+from hoistsaddle.rpc.messages import (
+    AbandonAnswer,
+    AbandonCall,
+    DealAnswer,
+    DealCall,
+    FollowCall,
+    RecallAnswer,
+    RecallCall,
+)
 
 
 class Asked(NamedTuple):
@@ -27,7 +35,7 @@
 
 
 class Gone(NamedTuple):
-    """The visitor hung up; what was sent is still followed to its end."""
+    """The client hung up. What may not be repeated is followed to its end; the rest is given up."""
 
     ticket: int
 
@@ -65,6 +73,11 @@
     refused: bool = False
 
 
+class AbandonArrived(NamedTuple):
+    ticket: int
+    call: AbandonCall
+
+
 class Served(NamedTuple):
     number: int
     status: int
@@ -111,6 +124,24 @@
     """The process ends in a moment: every request that still waits here gets its final answer now."""
 
 
+class Abandon(NamedTuple):
+    """Tell the sidecar at this address that nobody waits for the attempt."""
+
+    address: str
+    call: AbandonCall
+
+
+class AnswerAbandon(NamedTuple):
+    ticket: int
+    answer: AbandonAnswer
+
+
+class AbortServe(NamedTuple):
+    """Break off what runs on the own server under this number: its connection closes, and its end isn't told."""
+
+    number: int
+
+
 class Reply(NamedTuple):
     """The final answer at the door; headers are only the server's own."""
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -16,10 +16,14 @@
 from hoistsaddle.proxy.messages import Announce, AskHold, ReportVitals, StopAsked
 from hoistsaddle.proxy.node import FROZEN_GAP, ProxyNode
 from hoistsaddle.rpc.connection import call_age
-from hoistsaddle.rpc.messages import DealAnswer, DealCall, FollowCall, RecallAnswer, RecallCall
+from hoistsaddle.rpc.messages import AbandonCall, DealAnswer, DealCall, FollowCall, RecallAnswer, RecallCall
 from hoistsaddle.rpc.runtime import Runtime
 from hoistsaddle.sidecar.core import SidecarCore
 from hoistsaddle.sidecar.messages import (
+    Abandon,
+    AbandonArrived,
+    AbortServe,
+    AnswerAbandon,
     AnswerDeal,
     AnswerRecall,
     Asked,
@@ -46,7 +50,11 @@
 # a platform that sends it visitors to the end must not have them cut off.
 OPEN_SHARE = 0.55
 RECALL_SPAN = milliseconds(400)
+# Whoever doesn't hear within this that a client has left finds out by the attempt's deadline.
+ABANDON_SPAN = milliseconds(400)
 FAN_OUT = 8
+# The roots' links are far wider than a sidecar's: they feed a zone of this size themselves.
+ROOT_FAN_OUT = 24
 Server = Callable[[Serve], Awaitable[tuple]]
 
 
@@ -71,6 +79,8 @@
         # The tree's places follow from the view alone: looked up anew with each view, not with each poll.
         self.parents_of: View | None = None
         self.parents: list[str] = []
+        # What runs on the own server, by its number.
+        self.serving: dict[int, asyncio.Task] = {}
         # When the door was last called.
         self.asked_at = runtime.now()
         super().__init__(params=params, runtime=runtime, run_server=serve)
@@ -102,14 +112,26 @@
     def feed(self, event: tuple) -> None:
         for command in self.core.handle(event, now=self.runtime.now()):
             match command:
-                case Reply(ticket=ticket) | AnswerDeal(ticket=ticket) | AnswerRecall(ticket=ticket):
+                case (
+                    Reply(ticket=ticket)
+                    | AnswerDeal(ticket=ticket)
+                    | AnswerRecall(ticket=ticket)
+                    | AnswerAbandon(ticket=ticket)
+                ):
                     future = self.answers.pop(ticket, None)
                     if future is not None and not future.done():
                         future.set_result(command)
                 case DealOn():
                     self._spawn(self._deal_on(command, decided=self.runtime.now()))
                 case Serve():
-                    self._spawn(self._run_deal(command, decided=self.runtime.now()))
+                    task = self._spawn(self._run_deal(command, decided=self.runtime.now()))
+                    self.serving[command.number] = task
+                    task.add_done_callback(lambda _, number=command.number: self.serving.pop(number, None))
+                case AbortServe(number=number):
+                    if (task := self.serving.pop(number, None)) is not None:
+                        task.cancel()
+                case Abandon():
+                    self._spawn(self._abandon(command))
                 case Follow():
                     self._spawn(self._follow(command))
                 case AskHold():
@@ -131,6 +153,10 @@
                 ticket, future = self._ticket()
                 self.feed(FollowArrived(ticket, message))
                 return (await future).answer
+            case AbandonCall():
+                ticket, future = self._ticket()
+                self.feed(AbandonArrived(ticket, message))
+                return (await future).answer
             case RecallCall():
                 ticket, future = self._ticket()
                 self.feed(RecallArrived(ticket, message))
@@ -173,6 +199,10 @@
                 refused = not isinstance(result, Success) and result.failure().kind == MishapKind.UNREACHABLE
                 self.feed(Followed(command.number, None, refused))
 
+    async def _abandon(self, command: Abandon) -> None:
+        self.counters.add("sends.abandoned")
+        await self.runtime.lines.call(command.address, command.call, within=ABANDON_SPAN)
+
     async def _recall(self, command: Recall) -> None:
         match await self.runtime.lines.call(command.address, command.call, within=RECALL_SPAN):
             case Success(RecallAnswer() as answer):
@@ -193,7 +223,9 @@
             for node in nodes
             if node.kind == "stall" and (not near or node.zone == self.params.zone)
         ]
-        parents = select_parents(node=self.params.name, stalls=stalls, roots=near or roots, fan_out=FAN_OUT)
+        parents = select_parents(
+            node=self.params.name, stalls=stalls, roots=near or roots, fan_out=FAN_OUT, root_fan_out=ROOT_FAN_OUT
+        )
         parents += [address for _, address in roots if address not in parents]
         self.parents_of = view
         self.parents = parents + [seed for seed in self.params.seeds if seed not in parents]
--- a/packages/sidecar/src/hoistsaddle/sidecar/serverside.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/serverside.py
@@ -13,8 +13,19 @@
 from hoistsaddle.common.errors import MishapKind
 from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN, UNKNOWN
 from hoistsaddle.proxy.standing import OwnServer, Standing
-from hoistsaddle.rpc.messages import DealAnswer, DealCall, FollowCall
-from hoistsaddle.sidecar.messages import AnswerDeal, DealArrived, FollowArrived, Serve, Served, ServeMissed, Vitals
+from hoistsaddle.rpc.messages import AbandonAnswer, DealAnswer, DealCall, FollowCall
+from hoistsaddle.sidecar.messages import (
+    AbandonArrived,
+    AbortServe,
+    AnswerAbandon,
+    AnswerDeal,
+    DealArrived,
+    FollowArrived,
+    Serve,
+    Served,
+    ServeMissed,
+    Vitals,
+)
 from hoistsaddle.sidecar.taken import TakenAttempts
 from hoistsaddle.statemachine.state import GONE, READY
 
@@ -236,6 +247,25 @@
             answer = DealAnswer(call.send, outcome, str(kind), load=self.load(), room=self.room)
         self._out.append(AnswerDeal(event.ticket, answer))
 
+    def _abandoned(self, event: AbandonArrived) -> None:
+        """Its client has left: what waits is dropped, what runs is broken off, and the next one takes its place."""
+        run = self.by_send.get(event.call.send)
+        known = run is not None and run.call.repeatable
+        self._out.append(AnswerAbandon(event.ticket, AbandonAnswer(known)))
+        if not known:
+            return None
+        number = next(found for found, each in self.runs.items() if each is run)
+        del self.runs[number]
+        if run.started is None:
+            self.line = [each for each in self.line if each.number != number]
+            heapq.heapify(self.line)
+            return self._turn_away(run.tickets, run.call, MishapKind.SILENT)
+        self.running.discard(number)
+        self._out.append(AbortServe(number))
+        answer = DealAnswer(run.call.send, UNKNOWN, str(MishapKind.SILENT), load=self.load(), room=self.room)
+        self._tell(run.tickets, run.call, answer)
+        self._next()
+
     def _start(self, number: int, run: _Run) -> None:
         run.started = self.now
         self.running.add(number)
--- a/packages/statemachine/src/hoistsaddle/statemachine/digests.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/digests.py
@@ -3,10 +3,14 @@
 import hashlib
 import zlib
 from collections.abc import Mapping
+from functools import lru_cache
 
 RANGES = 16
+# Keys whose range is remembered: those of a large mesh, with room for what comes and goes.
+KEYS_REMEMBERED = 16384
 
 
+@lru_cache(maxsize=KEYS_REMEMBERED)
 def range_of(key: str) -> int:
     return zlib.crc32(key.encode()) % RANGES
 
--- a/tests/brokers.py
+++ b/tests/brokers.py
@@ -10,6 +10,9 @@
 from hoistsaddle.proxy.standing import ProxyParamsView
 from hoistsaddle.sidecar.core import SidecarCore
 from hoistsaddle.sidecar.messages import (
+    Abandon,
+    AbandonArrived,
+    AbortServe,
     AnswerDeal,
     AnswerRecall,
     Asked,
@@ -17,6 +20,7 @@
     DealArrived,
     DealMissed,
     DealOn,
+    Gone,
     Recall,
     RecallAnswered,
     RecallArrived,
@@ -88,6 +92,8 @@
         self.answers: dict[int, Any] = {}
         # What runs on servers now.
         self.serves: dict[tuple[str, int], Serve] = {}
+        # What was broken off on a server, as its client had left.
+        self.aborted: list[Serve] = []
         self._deals: dict[tuple[str, int], tuple[str, int]] = {}
         self._recalls: dict[tuple[str, int], tuple[str, int]] = {}
         self.tickets = 0
@@ -164,6 +170,10 @@
         )
         return ticket
 
+    def leave(self, ticket: int, *, door: str = "s-1") -> None:
+        """The client of this request closes its connection."""
+        self.feed(door, Gone(ticket))
+
     def arrive(self, name: str, call: Any) -> int:
         """A deal straight to a stall, its answer kept under the ticket."""
         self.tickets += 1
@@ -215,6 +225,13 @@
                     self.feed(source, DealAnswered(number, answer))
             case Serve(number=number):
                 self.serves[name, number] = command
+            case Abandon(address=address, call=call):
+                target = address.removeprefix("at-")
+                if target not in self.silent and target not in self.refusing:
+                    self.tickets += 1
+                    self.feed(target, AbandonArrived(self.tickets, call))
+            case AbortServe(number=number):
+                self.aborted.append(self.serves.pop((name, number)))
             case AskHold(number=number, command=record):
                 self.feed(name, HoldAnswered(number, self.write(record) if self.core_up else None))
             case Recall(number=number, address=address, call=call):
--- a/tests/test_crier.py
+++ b/tests/test_crier.py
@@ -22,8 +22,9 @@
     RumoursArrived,
     Ticked,
 )
+from hoistsaddle.membership.packing import pack_items, unpack_items
 from hoistsaddle.membership.relay import Relay, SetupCopy, select_parents
-from hoistsaddle.rpc.messages import PollAnswer, Rumour, Uptake
+from hoistsaddle.rpc.messages import NewsItem, PollAnswer, Rumour, Uptake
 from hoistsaddle.statemachine.digests import RANGES, digests_of, range_of
 
 SPAN = timedelta(seconds=1.5)
@@ -90,7 +91,7 @@
         damaged["server:never-was"] = (1, b"x")
         child.copy.replace(mesh="m", revision=5, items=damaged)
         answer = root.answer(child.poll(own=OWN, now=at(1)), now=at(1))
-        self.assertThat(0 < len(answer.items) < 100, Equals(True))
+        self.assertThat(0 < len(unpack_items(answer.block)) < 100, Equals(True))
         child.polled(answer, sent=at(1))
         self.assertThat(child.copy.items, Equals(root.copy.items))
 
@@ -155,7 +156,12 @@
         self.confirm(root, 6, later)
         answer = self.taught(child, root, 6)
         self.assertThat(
-            (answer.only_changes, sorted(item.key for item in answer.items), answer.removed, answer.ranges),
+            (
+                answer.only_changes,
+                sorted(item.key for item in unpack_items(answer.block)),
+                answer.removed,
+                answer.ranges,
+            ),
             Equals((True, ["server:another", "server:stall-3"], ("server:stall-199",), ())),
         )
         self.assertThat((child.copy.items, child.copy.revision), Equals((later, 6)))
@@ -190,8 +196,30 @@
         self.taught(young, root, 6)
         self.assertThat((self.taught(child, young, 6).only_changes, child.copy.items), Equals((False, root.copy.items)))
         former = relay("former")
-        call = former.poll(own=OWN, now=at(6))._replace(revision=5, mesh="m", takes_changes=False)
-        self.assertThat(root.answer(call, now=at(6)).only_changes, Equals(False))
+        call = former.poll(own=OWN, now=at(6))._replace(takes_changes=False, takes_block=False)
+        answer = root.answer(call, now=at(6))
+        self.assertThat((answer.only_changes, answer.block, len(answer.items)), Equals((False, b"", 199)))
+        # What a parent of a former release says is taken as ever.
+        former.polled(answer, sent=at(6))
+        self.assertThat(former.copy.items, Equals(root.copy.items))
+
+    def test_a_damaged_block_teaches_nothing_and_whole_ranges_are_asked_for(self) -> None:
+        root, child = self.family()
+        self.confirm(root, 6, items(199, revision=5))
+        good = root.answer(child.poll(own=OWN, now=at(6)), now=at(6))
+        other = pack_items([NewsItem("server:x", 6, b"x")])
+        for block in (good.block[:-3] or b"cut", b"garbage", other[:-4], other + b"more"):
+            child.polled(good._replace(block=block), sent=at(6))
+            self.assertThat((child.copy.revision, child.needs_ranges), Equals((5, True)), str(block))
+        self.assertThat((self.taught(child, root, 6).only_changes, child.copy.items), Equals((False, root.copy.items)))
+
+    def test_children_that_lack_the_same_share_one_block(self) -> None:
+        root, child = self.family()
+        other = relay("other")
+        self.taught(other, root, 5)
+        self.confirm(root, 6, items(200, revision=5) | {"server:stall-3": (6, b"new")})
+        blocks = [self.taught(each, root, 6).block for each in (child, other)]
+        self.assertThat((blocks[0] is blocks[1], len(root.blocks)), Equals((True, 1)))
 
     def test_changes_to_an_older_poll_that_come_late_do_no_harm(self) -> None:
         root, child = self.family(20)
