--- a/packages/store/src/hoistsaddle/store/service.py
+++ b/packages/store/src/hoistsaddle/store/service.py
@@ -1,5 +1,7 @@
 """The store: one ledger replica behind its mesh address."""
 
+import asyncio
+import errno
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
@@ -7,8 +9,10 @@
 import msgspec
 from aiomisc import Service
 
+from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.counters import Counters
 from hoistsaddle.common.errors import MishapKind
+from hoistsaddle.common.pause import GrowingPause
 from hoistsaddle.common.settings import StoreParams
 from hoistsaddle.raft.disk import Disk
 from hoistsaddle.raft.events import Pace
@@ -40,6 +44,10 @@
 
 # Of the grace: closing the files and the doors needs the rest, on a slow processor too.
 HAND_OVER_SHARE = 0.5
+# Between two tries to start on a disk that refuses.
+PASSING_ERRORS = (errno.EIO, errno.ENOSPC)
+START_PAUSE_LEAST = milliseconds(100)
+START_PAUSE_MOST = timedelta(seconds=1)
 
 
 def pace_of(params: StoreParams) -> Pace:
@@ -83,8 +91,23 @@
         # Of the newest news, so that a read costs no digests while nothing changes.
         self.vouched: tuple[int, tuple[int, ...]] = (UNSET, ())
 
+    async def _start_shell(self) -> None:
+        """Starts the replica once its disk can be read: one that is full lets go again, and the votes on it remain."""
+        pause = GrowingPause(least=START_PAUSE_LEAST, most=START_PAUSE_MOST)
+        while True:
+            try:
+                return self.shell.start()
+            except OSError as problem:
+                if problem.errno not in PASSING_ERRORS:
+                    raise
+                if not pause.failing:
+                    self.counters.happen("disk refuses the start", why=str(problem), remedy="Make room, or mend it.")
+                self.counters.add("disk.starts_refused")
+                pause.failed(now=self.runtime.now())
+                await asyncio.sleep(pause.span.total_seconds())
+
     async def start(self) -> None:
-        self.shell.start()
+        await self._start_shell()
         self.server = await self.runtime.serve(self.params.listen, self.answer)
         self.counters.happen(
             "warehouse up",
--- /dev/null
+++ b/tests/test_store_start.py
@@ -0,0 +1,47 @@
+"""A store whose disk refuses its start: the process stays, says so once, and starts when the disk lets it."""
+
+import asyncio
+import errno
+from types import SimpleNamespace
+
+from testtools import TestCase
+from testtools.matchers import Equals, raises
+
+from hoistsaddle.common.counters import Counters
+from hoistsaddle.store.service import Store
+from hoistsaddle.testbed.simulation.clockwork import ClockworkLoop
+
+
+class RefusedStarts(TestCase):
+    def start(self, *problems: OSError) -> tuple[Counters, int, float]:
+        """Counters, starts tried and seconds spent, on a disk that refuses with these and then lets go."""
+        loop = ClockworkLoop()
+        counters = Counters(owner="store")
+        left, tried = list(problems), []
+
+        def start() -> None:
+            tried.append(loop.time())
+            if left:
+                raise left.pop(0)
+
+        store = SimpleNamespace(
+            counters=counters, runtime=SimpleNamespace(now=loop.now), shell=SimpleNamespace(start=start)
+        )
+        asyncio.set_event_loop(loop)
+        try:
+            loop.run_until_complete(Store._start_shell(store))
+        finally:
+            loop.close()
+            asyncio.set_event_loop(None)
+        return counters, len(tried), tried[-1] - tried[0]
+
+    def test_a_full_or_failing_disk_is_tried_again_and_told_once(self) -> None:
+        full, failing = OSError(errno.ENOSPC, "no room"), OSError(errno.EIO, "the ledger can't be used now")
+        counters, tried, spent = self.start(full, failing, full, full)
+        told = [each["kind"] for each in counters.happenings(after=0)["happenings"]]
+        self.assertThat((tried, told), Equals((5, ["disk refuses the start"])))
+        # 0.1, 0.2, 0.4 and 0.8 s.
+        self.assertThat(round(spent, 3), Equals(1.5))
+
+    def test_another_releases_files_end_the_start(self) -> None:
+        self.assertThat(lambda: self.start(OSError("another release wrote it")), raises(OSError))
