Lines on thin links: progress counts as heard, and a connection opens though its first caller left

Change: bytes that waited here and went on count as heard; who stops waiting for a connection leaves it to be opened, for three seconds in all, for the next call.

--- a/packages/raft/src/hoistsaddle/raft/disk.py
+++ b/packages/raft/src/hoistsaddle/raft/disk.py
@@ -76,7 +76,8 @@
                 self._open()
             return self._read()
         except sqlite3.OperationalError as problem:
-            # Full, locked or failing: the votes may still be there, so nothing is thrown away; it is opened anew next time.
+            # Full, locked or failing: the votes may still be there, so nothing is thrown away.
+            # The next try opens it anew, as what was opened may be half laid.
             self.close()
             raise OSError(errno.EIO, f"the ledger can't be used now: {problem}") from problem
         except sqlite3.DatabaseError:
--- a/packages/rpc/src/hoistsaddle/rpc/connection.py
+++ b/packages/rpc/src/hoistsaddle/rpc/connection.py
@@ -22,6 +22,8 @@
 Handler = Callable[[tuple], Awaitable[tuple]]
 # A peer that is there takes a connection within milliseconds. Waiting longer spends a budget on one that isn't.
 CONNECT_SPAN = timedelta(seconds=1)
+# Where packets wait for longer than that, a connection is still opened for those that call within this.
+OPEN_SPAN = timedelta(seconds=3)
 LARGEST_FRAME = 64 * 1024 * 1024
 IN = "in"
 OUT = "out"
@@ -60,17 +62,20 @@
     return frame
 
 
-def _write_frame(writer: asyncio.StreamWriter, traffic: Traffic, *, number: int, answer: bool, message: tuple) -> None:
+def _write_frame(writer: asyncio.StreamWriter, traffic: Traffic, *, number: int, answer: bool, message: tuple) -> int:
+    """Writes one frame; gives its size in bytes."""
     sent = 0.0 if answer else asyncio.get_running_loop().time()
     data = pack(number=number, answer=answer, message=message, sent=sent)
     traffic.count(OUT, message, len(data) + _length.size)
     writer.write(_length.pack(len(data)) + data)
+    return len(data) + _length.size
 
 
 class Pulse(NamedTuple):
     """How a line with calls under way is felt: asked after this long a silence, given up after that long a one.
 
-    A machine without power says nothing. Without pulses a call to it would wait out its whole budget.
+    A machine without power says nothing. Without pulses a call to it would wait out its whole budget. Bytes that the
+    other side takes count as heard: on a thin link a pulse stands behind large calls for longer than the span.
     """
 
     every: timedelta
@@ -90,6 +95,11 @@
         self.traffic = traffic
         self.pulse = pulse
         self.heard = 0.0
+        # Bytes written to the line; how many of them had left this process when it was felt last, and whether others
+        # waited here for the other side to take them.
+        self.written = 0
+        self.left = 0
+        self.waited = False
         self.felt: asyncio.TimerHandle | None = None
         self.pending: dict[int, asyncio.Future] = {}
         self.closed = False
@@ -108,6 +118,10 @@
         finally:
             self.close()
 
+    def write(self, *, number: int, message: tuple) -> None:
+        """Writes one call."""
+        self.written += _write_frame(self.writer, self.traffic, number=number, answer=False, message=message)
+
     def feel(self) -> None:
         """Called with each call: a line that nobody waits on needs no pulse."""
         if self.pulse is not None and self.felt is None:
@@ -121,6 +135,7 @@
         self.felt = None
         if self.closed or not self.pending:
             return None
+        self._feel_progress()
         silence = asyncio.get_running_loop().time() - self.heard
         # A process that was late itself reads what came in meanwhile before it gives anyone up.
         if silence >= (self.pulse.span + self.pulse.every * 2).total_seconds():
@@ -130,11 +145,19 @@
         if silence >= self.pulse.every.total_seconds() * 0.9:
             try:
                 # Number 0 is no call's: its answer only shows that somebody is there.
-                _write_frame(self.writer, self.traffic, number=0, answer=False, message=PulseCall(""))
+                self.write(number=0, message=PulseCall(""))
             except OSError:
                 return self.close()
         self._feel_later()
 
+    def _feel_progress(self) -> None:
+        """Counts bytes that waited here and went on since as heard: the other side takes them."""
+        waiting = self.writer.transport.get_write_buffer_size()
+        left = self.written - waiting
+        if self.waited and left > self.left:
+            self.heard = asyncio.get_running_loop().time()
+        self.left, self.waited = left, waiting > 0
+
     def close(self) -> None:
         self.closed = True
         self.writer.close()
@@ -202,20 +225,33 @@
         # Addresses that this very process serves: a call to one of them is a call of a function.
         self.home: dict[str, Handler] = {}
         self._connections: dict[str, _Connection] = {}
-        self._opening: dict[str, asyncio.Lock] = {}
+        self._opening: dict[str, asyncio.Task] = {}
         self._numbers = itertools.count(1)
         self.faults = faults
 
     async def _connect(self, address: str) -> _Connection:
-        lock = self._opening.setdefault(address, asyncio.Lock())
-        async with lock:
-            connection = self._connections.get(address)
-            if connection is None or connection.closed:
-                host, port = split_address(address)
-                reader, writer = await asyncio.open_connection(host, port)
-                connection = self._connections[address] = _Connection(
-                    reader=reader, writer=writer, traffic=self.traffic, pulse=self.pulse
-                )
+        """The connection to the address. Whoever stops waiting for it leaves it to be opened for the next call."""
+        connection = self._connections.get(address)
+        if connection is not None and not connection.closed:
+            return connection
+        opening = self._opening.get(address)
+        if opening is None:
+            opening = self._opening[address] = asyncio.ensure_future(self._open(address))
+            opening.add_done_callback(lambda task: self._opened(address, task))
+        return await asyncio.shield(opening)
+
+    def _opened(self, address: str, task: asyncio.Task) -> None:
+        del self._opening[address]
+        if not task.cancelled():
+            # Read here, as nobody may wait for it any more.
+            task.exception()
+
+    async def _open(self, address: str) -> _Connection:
+        host, port = split_address(address)
+        async with asyncio.timeout(OPEN_SPAN.total_seconds()):
+            reader, writer = await asyncio.open_connection(host, port)
+        connection = _Connection(reader=reader, writer=writer, traffic=self.traffic, pulse=self.pulse)
+        self._connections[address] = connection
         return connection
 
     async def call(
@@ -258,7 +294,7 @@
         future = connection.pending[number] = loop.create_future()
         silent = Failure(silent_at(address))
         try:
-            _write_frame(connection.writer, self.traffic, number=number, answer=False, message=message)
+            connection.write(number=number, message=message)
             connection.feel()
             async with asyncio.timeout_at(deadline):
                 answer = await future
@@ -280,6 +316,8 @@
         return await self.home[address](message)
 
     def close(self) -> None:
+        for opening in list(self._opening.values()):
+            opening.cancel()
         for connection in self._connections.values():
             connection.close()
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -7,6 +7,7 @@
 import struct
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from types import SimpleNamespace
 from typing import Any
 
 from returns.result import Failure, Success
@@ -14,7 +15,7 @@
 from testtools.matchers import Equals, IsInstance
 
 from hoistsaddle.common.errors import MishapKind
-from hoistsaddle.rpc.connection import OUT, Lines, LineServer, Pulse, Traffic
+from hoistsaddle.rpc.connection import OUT, Lines, LineServer, Pulse, Traffic, _Connection
 from hoistsaddle.rpc.messages import ProbeAnswer, ProbeCall, PulseAnswer, PulseCall, pack, unpack
 from hoistsaddle.rpc.runtime import RealRuntime
 from stepped import Noted, run_stepped, step
@@ -316,3 +317,82 @@
                 await server.stop()
 
         run_stepped(work())
+
+
+class ThinLinks(TestCase):
+    """Large calls fill a thin link: a line whose bytes go on is alive, and a connection may take long to open."""
+
+    def test_a_line_is_given_up_only_once_its_bytes_stand_still(self) -> None:
+        waiting = [10000]
+
+        def write(data: bytes) -> None:
+            waiting[0] += len(data)
+
+        writer = SimpleNamespace(
+            write=write,
+            close=lambda: None,
+            transport=SimpleNamespace(get_write_buffer_size=lambda: waiting[0]),
+        )
+
+        async def work() -> list[bool]:
+            line = _Connection(reader=asyncio.StreamReader(), writer=writer, traffic=Traffic(), pulse=PULSE)
+            line.pending[1] = asyncio.get_running_loop().create_future()
+            line.write(number=1, message=CALL)
+            line.feel()
+            closed = []
+            for second in range(12):
+                # They go on for eight seconds, which is far more than the span, and then no more.
+                waiting[0] -= 1000 if second < 8 else 0
+                await step(1)
+                closed.append(line.closed)
+            return closed
+
+        self.assertThat(run_stepped(work()), Equals([False] * 10 + [True] * 2))
+
+    def test_a_connection_that_opens_late_serves_the_next_call(self) -> None:
+        go, opened = asyncio.Event(), []
+        open_connection = asyncio.open_connection
+
+        async def slowly(host: str, port: int) -> tuple:
+            opened.append(port)
+            await go.wait()
+            return await open_connection(host, port)
+
+        async def answering(number: int, message: Any, writer: asyncio.StreamWriter) -> None:
+            say(writer, number, ANSWER)
+
+        async def work() -> None:
+            lines = Lines(connect_span=timedelta(seconds=1))
+            async with Raw(answering) as raw:
+                first = asyncio.ensure_future(lines.call(raw.address, CALL, within=timedelta(seconds=30)))
+                await asyncio.sleep(0)
+                await step(1)
+                self.assertThat((await first).failure().kind, Equals(MishapKind.UNREACHABLE))
+                go.set()
+                second = await lines.call(raw.address, CALL, within=timedelta(seconds=30))
+                self.assertThat((second, len(opened), len(raw.heard)), Equals((Success(ANSWER), 1, 1)))
+            lines.close()
+
+        self.patch(asyncio, "open_connection", slowly)
+        run_stepped(work())
+
+    def test_an_opening_that_takes_too_long_is_begun_anew(self) -> None:
+        opened: list[int] = []
+
+        async def never(host: str, port: int) -> tuple:
+            opened.append(port)
+            await asyncio.Event().wait()
+            raise AssertionError
+
+        async def work() -> None:
+            lines = Lines(connect_span=timedelta(seconds=1))
+            for _ in range(5):
+                call = asyncio.ensure_future(lines.call("127.0.0.1:9", CALL, within=timedelta(seconds=30)))
+                await asyncio.sleep(0)
+                await step(1)
+                self.assertThat((await call).failure().kind, Equals(MishapKind.UNREACHABLE))
+            lines.close()
+
+        self.patch(asyncio, "open_connection", never)
+        run_stepped(work())
+        self.assertThat(len(opened), Equals(2))
