--- a/packages/raft/src/hoistsaddle/raft/disk.py
+++ b/packages/raft/src/hoistsaddle/raft/disk.py
@@ -77,6 +77,8 @@
             return self._read()
         except sqlite3.OperationalError as problem:
             # Full, locked or failing: the votes may still be there, so nothing is thrown away.
+            # The next try opens it anew, as what was opened may be half laid.
+            self.close()
             raise OSError(errno.EIO, f"the ledger can't be used now: {problem}") from problem
         except sqlite3.DatabaseError:
             # A database that can't be read has lost its votes: lay the folder anew, under a new incarnation.
