A sidecar whose lease is over says 503, not 404, for a route it does not know

Change: without a lease 'not declared' isn't said; the request is turned back with when to come back. Known routes go on. The new test fails without it.

--- a/packages/sidecar/src/hoistsaddle/sidecar/entry.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/entry.py
@@ -49,6 +49,12 @@
             )
         path = event.path.partition("?")[0]
         entry = items.select_entry(host=event.host, path=path)
+        if entry is None and not self.fresh():
+            # It may have been added since: "not declared" is a word about now, and this configuration is older.
+            mishap = mishap_of(
+                MishapKind.LEASE_LAPSED, "No such entry in a configuration that may have been overtaken.", "Come back."
+            )
+            return self._turned_back(event.ticket, mishap)
         if entry is None:
             mishap = mishap_of(MishapKind.NO_ENTRY, f"No entry for {event.host} {path[:80]}.", "Call a declared entry.")
             return self._reply(event.ticket, 404, mishap=mishap)
--- a/tests/brokers.py
+++ b/tests/brokers.py
@@ -87,6 +87,8 @@
         # Stalls that give no answer at all, and those whose ports refuse.
         self.silent: set[str] = set()
         self.refusing: set[str] = set()
+        # Whether each sidecar has heard from the core just now.
+        self.leased = True
         self.commands: list[tuple[str, tuple]] = []
         self.replies: dict[int, Reply] = {}
         self.answers: dict[int, Any] = {}
@@ -200,6 +202,8 @@
     # -- carrying out ------------------------------------------------------------------------------------------------
 
     def feed(self, name: str, event: tuple) -> None:
+        if self.leased:
+            self.cores[name].lease_start = self.moment
         for command in self.cores[name].handle(event, now=self.moment):
             self.commands.append((name, command))
             self._carry_out(name, command)
--- a/tests/test_broker_entry.py
+++ b/tests/test_broker_entry.py
@@ -39,6 +39,23 @@
 
 
 class Admitting(Case):
+    def test_not_declared_is_no_word_of_a_configuration_that_may_have_been_overtaken(self) -> None:
+        fleet = Brokers()
+        fleet.pass_time(0.1)
+        fleet.leased = False
+        fleet.pass_time(1.3)
+        self.assertThat(self.replied(fleet, fleet.ask("/nothing/")).status, Equals(404))
+        fleet.pass_time(0.2)
+        reply = self.replied(fleet, fleet.ask("/nothing/"))
+        self.assertThat(
+            (reply.status, reply.mishap.kind, reply.retry_after is not None),
+            Equals((503, MishapKind.LEASE_LAPSED, True)),
+        )
+        # What it declares goes on being served.
+        ticket = fleet.ask("/read/x")
+        fleet.finish()
+        self.assertThat(self.replied(fleet, ticket).status, Equals(200))
+
     def test_what_is_not_declared_or_over_a_limit_is_refused_and_goes_nowhere(self) -> None:
         fleet = Brokers(limits=LimitsItem(header_bytes=500, body_bytes=10))
         for path, changes, status in (
