--- a/tests/arcade_plants.py
+++ b/tests/arcade_plants.py
@@ -63,7 +63,8 @@
     Stop(4.0, "side-03", 0.3),
     Release(4.0, "side-02"),
 )
-LOSSES = small_day(Misbehave(0.5, SERVICES[1], 0.6, 6.0, "cut"))
+# Long enough that the margin for further sends has come up and is used many times over.
+LOSSES = small_day(Misbehave(0.5, SERVICES[1], 0.6, 14.0, "cut"), seconds=16.0)
 FAILURES = small_day(Misbehave(0.5, SERVICES[0], 0.8, 9.0, "failure"))
 # Many requests, so that some are under way wherever a machine stops.
 STOPS = Day(
