--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -9,6 +9,7 @@
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from hoistsaddle.membership.membership import ALIVE, DEAD, FORGET, Membership, RumoursArrived, Ticked
+from hoistsaddle.membership.packing import pack_items, unpack_items
 from hoistsaddle.membership.relay import Relay
 from hoistsaddle.proxy.further import FurtherSends, part_of
 from hoistsaddle.proxy.visitors import KnownBy, known_by
@@ -352,10 +353,15 @@
         self.assertThat(child.copy.items, Equals(items))
         # Changed on its way: what doesn't add up is not taken, and renews nothing.
         child.copy.items = {}
-        answer = root.answer(child.poll(own=own, now=now), now=now)
-        spoilt = answer._replace(items=(answer.items[0]._replace(value=b"x"), *answer.items[1:]))
         before = child.lease_start
-        self.assertThat((child.polled(spoilt, sent=now * 2), child.lease_start), Equals((False, before)))
+        call = child.poll(own=own, now=now)
+        for takes_block in (True, False):
+            answer = root.answer(call._replace(takes_block=takes_block), now=now)
+            told = unpack_items(answer.block) if takes_block else answer.items
+            spoilt = (told[0]._replace(value=b"x"), *told[1:])
+            changed = {"block": pack_items(spoilt)} if takes_block else {"items": spoilt}
+            self.assertThat(child.polled(answer._replace(**changed), sent=now * 2), Equals(False))
+            self.assertThat((child.copy.items, child.lease_start), Equals(({}, before)))
 
 
 class Margins(TestCase):
