A request that a newer bundle judged waits for that bundle's news, for a gap at most

The target had the next bundle 20 ms earlier and refused, the others too, and the visitor was told 'no-entry' though both bundles let it in. Ruled out: the distribution of changes (the news came within 0.12 s of the commit).

--- a/packages/proxy/src/hoistsaddle/proxy/entry.py
+++ b/packages/proxy/src/hoistsaddle/proxy/entry.py
@@ -27,6 +27,8 @@
 DEFAULT_BUDGET = timedelta(seconds=5)
 RELEASE_SPAN = timedelta(seconds=60)
 COME_BACK = timedelta(seconds=1)
+# What a target says whose bundle doesn't let the request to its server, though the one here does.
+JUDGED_OTHERWISE = (MishapKind.NO_ENTRY, MishapKind.NOT_ALLOWED)
 # The longest that a request waits for its key, from its arrival on: one claim that finds the core silent, and the gap
 # that is waited out after it. A claim that is still under way then is overtaken by the final answer.
 KEY_PATIENCE = 2 * GAP
@@ -49,6 +51,9 @@
         self.send = ""
         self.target: ServerEntry | None = None
         self.refused_by: set[str] = set()
+        # The revision here, and when, as a target whose bundle is newer judged it otherwise; None while none did.
+        self.judged_under: int | None = None
+        self.judged_at: timedelta | None = None
         self.sends = 0
         # Set once a send may have run and nobody can say.
         self.uncertain = False
@@ -362,12 +367,19 @@
     def _send(self, ticket: int) -> None:
         request = self.requests[ticket]
         entry, event = request.entry, request.event
+        if request.judged_under is not None and request.judged_under < self.view.revision:
+            # The news that the target had is here by now, and says who takes it.
+            request.judged_under = None
+            request.refused_by.clear()
         open_servers = self._open_for(request)
         target = self._select(request, open_servers)
         if target is None:
             none = mishap_of(
                 MishapKind.NO_SERVER, f"No server of {entry.service} takes work.", "Come back after the time given."
             )
+            if request.judged_under is not None:
+                # A bundle that isn't here yet decides: it is on its way.
+                return self._wait(ticket, request.why, since=request.judged_at)
             if request.refused_by:
                 # Everyone open has refused it: give the final answer now, not near the deadline.
                 return self._not_run(ticket, request.why or none)
@@ -502,6 +514,9 @@
         request = self.requests[ticket]
         request.refused_by.add(request.target.stall)
         request.why = mishap
+        if mishap.kind in JUDGED_OTHERWISE:
+            request.judged_under = self.view.revision
+            request.judged_at = request.judged_at or self.now
         self._go_on(ticket)
 
     def _uncertain(self, ticket: int, mishap: Mishap) -> None:
--- a/packages/rpc/src/hoistsaddle/rpc/messages.py
+++ b/packages/rpc/src/hoistsaddle/rpc/messages.py
@@ -475,7 +475,7 @@
 
 
 def to_thrift(message: Any) -> object:
-    kind = type(message)
+    kind: Any = type(message)
     struct = getattr(mesh_thrift, kind.__name__)()
     for field, value in zip(_fields_of(kind), message, strict=True):
         setattr(struct, field.name, value if field.write is None else field.write(value))
--- a/tests/test_stall.py
+++ b/tests/test_stall.py
@@ -30,7 +30,7 @@
     Ticked,
     VitalsArrived,
 )
-from hoistsaddle.proxy.standing import ProxyParamsView, digest_of_body
+from hoistsaddle.proxy.standing import GAP, ProxyParamsView, digest_of_body
 from hoistsaddle.rpc.messages import PassAnswer, PassCall
 from hoistsaddle.statemachine.commands import ClaimHold, Outcome, ReleaseHold, SettleHold
 from hoistsaddle.statemachine.state import NodeEntry, ServerEntry
@@ -184,6 +184,41 @@
         answer = bench.answer(ticket)
         self.assertThat((answer.outcome, answer.status, answer.retry_after is not None), Equals(("not-run", 503, True)))
 
+    def judged(self, bench: Bench) -> int:
+        """A request that every open server's stall refused, as a newer bundle is in force there."""
+        ticket = bench.ask()
+        sent = bench.newest(PassOn)
+        # Tokens for further sends are earned by first ones.
+        for _ in range(20):
+            bench.ask()
+        for _ in range(2):
+            bench.feed(PassAnswered(sent.number, PassAnswer(sent.call.send, "not-run", "no-entry", "not here")))
+            sent = bench.newest(PassOn)
+        return ticket
+
+    def test_a_bundle_that_is_on_its_way_is_waited_for(self) -> None:
+        """Thimble, rules_change, seed 1: a target that had the next bundle refused, and the visitor was told so."""
+        bench = Bench(backlog=50)
+        ticket = self.judged(bench)
+        before = bench.count(PassOn)
+        bench.feed(Ticked(), later=0.1)
+        self.assertThat((bench.answer(ticket), bench.count(PassOn)), Equals((None, before)))
+        for _ in range(10):
+            bench.ask()
+        before = bench.count(PassOn)
+        bench.feed(SetupChanged(setup()._replace(revision=6)))
+        self.assertThat((bench.answer(ticket), bench.count(PassOn)), Equals((None, before + 1)))
+
+    def test_a_bundle_that_does_not_come_is_not_waited_for_any_longer_than_a_gap(self) -> None:
+        bench = Bench(backlog=50)
+        ticket = self.judged(bench)
+        for _ in range(2):
+            self.assertThat(bench.answer(ticket), Equals(None))
+            bench.renew()
+            bench.feed(Ticked(), later=GAP.total_seconds() / 2)
+        answer = bench.answer(ticket)
+        self.assertThat((answer.outcome, answer.mishap.kind), Equals(("not-run", "no-entry")))
+
     def test_waiting_ends_with_the_budget_and_nothing_is_sent_after(self) -> None:
         bench = Bench(fresh=False)
         ticket = bench.ask()
