A vote that only an open change gives is not shown as a standing

Two of three disks are lost; on a fast machine both processes are back within the second in which the old leader still leads. It logs a swap that can't commit, and the swapped-in replica showed itself as a candidate: the page counted two voters' disks and did not say that no majority is left. Ruled out: lines that open late (looks arrived all the while); the swap itself never commits. Change: a replica's standing counts the committed set alone.

--- a/packages/store/src/hoistsaddle/store/service.py
+++ b/packages/store/src/hoistsaddle/store/service.py
@@ -184,7 +184,9 @@
         self.counters.gauge("ledger.high_watermark", core.high_watermark)
         self.counters.gauge("ledger.begin_offset", core.begin_offset)
         self.counters.gauge("ledger.holds", len(core.state.holds))
-        standing = core.standing if core.is_voter() else "observer"
+        # A vote that only an open change gives counts for nothing yet: with a majority gone it never may.
+        votes = core.is_voter() and core.state.voters.get(core.replica) == core.incarnation
+        standing = core.standing if votes else "observer"
         if not core.whole:
             standing = "catching up" if core.mesh or core.pulling else "blank"
         if core.halted:
--- a/tests/test_store_start.py
+++ b/tests/test_store_start.py
@@ -1,4 +1,4 @@
-"""A store whose disk refuses its start: the process stays, says so once, and starts when the disk lets it."""
+"""A store whose disk refuses its start stays and says so; and what a store says of its own vote."""
 
 import asyncio
 import errno
@@ -45,3 +45,36 @@
 
     def test_another_releases_files_end_the_start(self) -> None:
         self.assertThat(lambda: self.start(OSError("another release wrote it")), raises(OSError))
+
+
+class OwnStanding(TestCase):
+    """Two of three disks lost at once: a swap that was logged and can't commit gives nobody a vote."""
+
+    def standing(self, *, voters: dict[int, str], is_voter: bool = True) -> str:
+        core = SimpleNamespace(
+            mesh="m",
+            replica=1,
+            incarnation="new",
+            epoch=1,
+            leader=-1,
+            standing="candidate",
+            last=SimpleNamespace(offset=6),
+            high_watermark=5,
+            begin_offset=1,
+            state=SimpleNamespace(voters=voters, holds={}),
+            is_voter=lambda: is_voter,
+            whole=True,
+            halted="",
+            level=4,
+            unsynced=[],
+        )
+        return Store._look(SimpleNamespace(shell=SimpleNamespace(core=core), counters=Counters(owner="s")), 0).standing
+
+    def test_a_vote_that_only_an_open_change_gives_is_no_standing(self) -> None:
+        self.assertThat(self.standing(voters={1: "old", 2: "two", 3: "three"}), Equals("observer"))
+
+    def test_a_committed_vote_is(self) -> None:
+        self.assertThat(self.standing(voters={1: "new", 2: "two", 3: "three"}), Equals("candidate"))
+
+    def test_no_vote_at_all_is_not(self) -> None:
+        self.assertThat(self.standing(voters={1: "new"}, is_voter=False), Equals("observer"))
