--- a/tests/test_broker_entry.py
+++ b/tests/test_broker_entry.py
@@ -422,6 +422,20 @@
         fleet.pass_time(1.0)
         self.assertThat((len(fleet.log.holds), fleet.sent(DealOn)), Equals((0, [])))
 
+    def test_a_claim_that_was_never_answered_is_given_back_later_and_no_sooner_again(self) -> None:
+        """A busy log was asked for a release of each such claim at once, and again four times a second."""
+        fleet = Brokers()
+        fleet.core_up = False
+        self.assertThat(self.status(fleet, self.after(fleet, self.pay(fleet), 0.5)), Equals(503))
+
+        def releases() -> int:
+            return sum(isinstance(each.command, ReleaseHold) for each in fleet.sent(AskHold))
+
+        # Given up after 0.22 s: a second later it is asked, and a second after that again.
+        for seconds, asked in ((0.5, 0), (0.4, 1), (0.7, 1), (0.3, 2)):
+            fleet.pass_time(seconds)
+            self.assertThat(releases(), Equals(asked))
+
     def test_a_claim_that_overtakes_its_own_release_is_given_back_once_more(self) -> None:
         fleet = Brokers()
         fleet.core_up = False
