Sight: numbers of health reports, assumed servers, lapsed leases, how answers are framed

Events: server told (with its report's number), server assumed, lease fresh and lease lapsed (with age); counters server.framing.*. No decision changes: an answer's framing is named in one place, and counts as before.

--- a/packages/sidecar/src/hoistsaddle/sidecar/core.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/core.py
@@ -73,6 +73,7 @@
             retry_margin=retry_margin,
         )
         self.upstream = UpstreamCore(state=self, drain_timeout=drain_timeout)
+        self._lease_reported = False
 
     def handle(self, event: tuple, *, now: timedelta) -> list[tuple]:
         """Take one event.
@@ -117,6 +118,7 @@
                 self._configuration_changed(view)
             case LeaseRenewed(start=start):
                 self.renew_lease(start)
+                self._report_lease()
             case ClientDisconnected(ticket=ticket):
                 self.ingress.client_disconnected(ticket)
             case StopRequested():
@@ -126,6 +128,7 @@
             case GraceExpired():
                 self.ingress.end_all()
             case Ticked():
+                self._report_lease()
                 self.ingress.tick()
                 self.upstream.tick()
         return self.out
@@ -146,6 +149,15 @@
         self.contradict_record()
         self.ingress.servers.forget_removed(view)
 
+    def _report_lease(self) -> None:
+        """Record that the lease came or lapsed: from then on the configuration here may have been overtaken."""
+        fresh = self.has_lease()
+        if fresh == self._lease_reported or self.lease_start is None:
+            return
+        self._lease_reported = fresh
+        age = round((self.now - self.lease_start).total_seconds() * 1000)
+        self.announce("lease fresh" if fresh else "lease lapsed", revision=self.view.revision, age_milliseconds=age)
+
     def ready(self) -> MeshError | None:
         """Return why the platform should send nothing here, if so. A configuration stays in force without a core."""
         if self.stopping:
--- a/packages/sidecar/src/hoistsaddle/sidecar/messages.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/messages.py
@@ -130,6 +130,8 @@
     capacity: int
     # For how long it still is slow after its start.
     warm_up: timedelta
+    # The report's number at its server, rising with each; 0 where reports carry none.
+    sequence: int = 0
 
 
 class CloseRequested(NamedTuple):
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import deque
+from enum import StrEnum
 
 import aiohttp
 from aiohttp.base_protocol import BaseProtocol
@@ -17,6 +18,29 @@
 HEAD_END = b"\r\n\r\n"
 # Heads that are looked for in one read: an answer's, and those of interim ones before it.
 MAX_HEADS = 4
+# Statuses of answers that have no body, whatever their headers say.
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+class AnswerFraming(StrEnum):
+    """What tells where an answer's body ends, as RFC 9112 section 6.3 has it."""
+
+    BODILESS = "bodiless"
+    CHUNKED = "chunked"
+    LENGTH = "length"
+    # Wherever the connection ends: a server that broke off looks the same.
+    CONNECTION_END = "connection_end"
+
+
+def framing_of(message: RawResponseMessage, *, with_body: bool) -> AnswerFraming:
+    """Return how an answer's body is framed; `with_body` is False where its request allows none."""
+    if not with_body or message.code in BODILESS_STATUSES:
+        return AnswerFraming.BODILESS
+    if message.chunked:
+        return AnswerFraming.CHUNKED
+    if "Content-Length" in message.headers:
+        return AnswerFraming.LENGTH
+    return AnswerFraming.CONNECTION_END
 
 
 class BrokenAnswer(Exception):
@@ -110,13 +134,15 @@
         """Whether the bytes so far end where this answer ends: the parser keeps a begun surplus answer to itself."""
         if self.surplus:
             return False
-        if message.chunked:
-            return self.tail == b"\r\n"
-        length = (
-            message.headers.get("Content-Length", "0") if self.with_body and message.code not in (204, 304) else "0"
-        )
+        match framing_of(message, with_body=self.with_body):
+            case AnswerFraming.CHUNKED:
+                return self.tail == b"\r\n"
+            case AnswerFraming.LENGTH:
+                length = int(message.headers["Content-Length"])
+            case AnswerFraming.BODILESS | AnswerFraming.CONNECTION_END:
+                length = 0
         # Where the head's end isn't known, neither is the answer's: the connection is left rather than trusted.
-        return self.beyond == int(length)
+        return self.beyond == length
 
     def _end(self) -> None:
         """Nothing more will come: a body that isn't complete by now never is."""
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
@@ -18,7 +18,7 @@
 from hoistsaddle.sidecar.header_names import HeaderNames
 from hoistsaddle.sidecar.header_pairs import pack_pairs, unpack_pairs
 from hoistsaddle.sidecar.messages import RunOnServer, ServerAnswered, ServerFailed
-from hoistsaddle.sidecar.server_connection import BrokenAnswer, ServerConnection
+from hoistsaddle.sidecar.server_connection import AnswerFraming, BrokenAnswer, ServerConnection, framing_of
 
 CONNECT_SECONDS = 0.4
 # Used again only within this share of the time the server says it keeps a connection, so that the two never meet.
@@ -187,9 +187,9 @@
                 continue
             carried = [value for name, value in message.raw_headers if name.lower() == self.client_attempt_id]
             if carried == [client_attempt_id.encode()]:
-                length = [value for name, value in message.raw_headers if name.lower() == b"content-length"]
-                unmarked = bool(body) and not length and not message.chunked
-                if unmarked:
+                framing = framing_of(message, with_body=connection.with_body)
+                self.counters.add(f"server.framing.{framing}")
+                if framing is AnswerFraming.CONNECTION_END and body:
                     # It ends where its connection ends, which may be anywhere.
                     raise BrokenAnswer
                 return message, body
--- a/packages/sidecar/src/hoistsaddle/sidecar/upstream.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/upstream.py
@@ -106,7 +106,13 @@
         elif self._draining_since is None or (before is not None and before.instance != event.instance):
             self._draining_since = state.now
         if before is None or not before.same_as(server) or state_before != state.server_state():
-            state.announce("server told", service=event.service, instance=event.instance, state=event.state)
+            state.announce(
+                "server told",
+                service=event.service,
+                instance=event.instance,
+                state=event.state,
+                sequence=event.sequence,
+            )
             state.report_health()
         # There may be more capacity now, or what is queued may wait for a server that has ended.
         self._review_queue()
@@ -115,6 +121,7 @@
         """After a restart, take the server that the log names here until its next report. A wrong one runs nothing."""
         if self._state.server is None:
             self._state.server = server
+            self._state.announce("server assumed", service=server.service, instance=server.instance)
             self._state.report_health()
 
     # -- admission ---------------------------------------------------------------------------------------------------
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -371,7 +371,7 @@
         self.assertThat(self.put(), Equals(200))
         self.assertThat(
             self.node.reports,
-            Equals([HealthReported("huvo11a", "i-7f3a91c2", "10.128.0.9:8080", READY, 9, timedelta())]),
+            Equals([HealthReported("huvo11a", "i-7f3a91c2", "10.128.0.9:8080", READY, 9, timedelta(), 4)]),
         )
 
     def test_a_late_beat_says_nothing_new(self) -> None:
