Failing tests: a server taken back after its sign-off, a cut answer that looks whole

An answer without a length whose connection ends right after its head comes back as 200 with an empty body.

--- a/packages/testbed/src/hoistsaddle/testbed/emulator/day.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/day.py
@@ -21,6 +21,7 @@
     Freeze,
     InvalidChange,
     Kill,
+    LateHeartbeats,
     Misbehave,
     Partition,
     ReassignAddress,
@@ -136,6 +137,22 @@
     return events
 
 
+def _server_reports(seed: int, site: Site, seconds: float) -> list[ScheduledEvent]:
+    """On half of the days heartbeats of some servers come late, and servers sign off without a word before.
+
+    Drawn apart, so that the other events of a seed stay as they are.
+    """
+    rng = random.Random(f"heartbeats {seed}")
+    events: list[ScheduledEvent] = []
+    if rng.random() < 0.5:
+        return events
+    for machine in rng.sample([machine.name for machine in site.sidecars], min(4, len(site.sidecars))):
+        at = rng.uniform(1, seconds - 6)
+        events.append(LateHeartbeats(max(0.0, at - rng.uniform(0.5, 3)), machine, rng.uniform(1, 4), rng.uniform(1, 4)))
+        events.append(RestartServer(at, machine, announced=rng.random() < 0.4))
+    return events
+
+
 def draw_day(seed: int, *, small: bool = False, seconds: float = 26.0) -> Day:
     """Three sequences side by side: faults of the core, faults of the sidecars, and planned work.
 
@@ -155,6 +172,7 @@
         events += control_plane_events(control, site, seconds)
         events += change_events(control, seconds)
         site = site._replace(snapshot_records=control.choice((40, 150, 600)))
+    events += _server_reports(seed, site, seconds)
     more = random.Random(f"more {seed}")
     sidecars = [machine.name for machine in site.sidecars]
     if more.random() < 0.3:
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/fault_injector.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/fault_injector.py
@@ -14,6 +14,7 @@
     DiskFault,
     Freeze,
     Kill,
+    LateHeartbeats,
     Misbehave,
     Partition,
     ReassignAddress,
@@ -88,8 +89,11 @@
                 self.environment.misbehaviours[service] = Misbehaviour(share, how)
                 await asyncio.sleep(seconds)
                 self.environment.misbehaviours.pop(service, None)
-            case RestartServer(machine=name):
-                await self._restart_server(name)
+            case RestartServer(machine=name, announced=announced):
+                await self._restart_server(name, announced=announced)
+            case LateHeartbeats(machine=name, seconds=seconds, latest=latest):
+                if name in self.environment.machines:
+                    self.environment.servers[name].delay_heartbeats(seconds, latest=latest)
             case ReassignAddress(machine=name, service=service, crash=crash):
                 await self._reassign_address(name, service, crash=crash)
             case CrashServer(machine=name, seconds=seconds):
@@ -196,10 +200,11 @@
         for number in numbers:
             self._record_end(number)
 
-    async def _restart_server(self, name: str) -> None:
+    async def _restart_server(self, name: str, *, announced: bool) -> None:
         environment = self.environment
         if name in environment.machines and not environment.servers[name].leaving and name not in self.busy:
-            await environment.servers[name].leave()
+            server = environment.servers[name]
+            await (server.leave() if announced else server.leave_unannounced())
             await asyncio.sleep(SERVER_RESTART_SECONDS)
             if name in environment.machines:
                 environment.new_server(environment.machines[name])
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/scheduled_events.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/scheduled_events.py
@@ -63,10 +63,23 @@
 
 
 class RestartServer(NamedTuple):
-    """A server drains and leaves, and a new instance of it starts on the same machine."""
+    """A server drains and leaves, and a new instance of it starts on the same machine.
+
+    announced: it says that it leaves before it signs off. Otherwise it signs off first and serves on for as long.
+    """
+
+    at: float
+    machine: str
+    announced: bool = True
+
+
+class LateHeartbeats(NamedTuple):
+    """Heartbeats that the server beside a machine sends in these seconds arrive up to `latest` seconds late."""
 
     at: float
     machine: str
+    seconds: float
+    latest: float
 
 
 class ReassignAddress(NamedTuple):
@@ -199,6 +212,7 @@
     | Stop
     | Misbehave
     | RestartServer
+    | LateHeartbeats
     | ReassignAddress
     | CrashServer
     | ReplaceCore
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/servers.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/servers.py
@@ -18,6 +18,8 @@
 SLOW_START_SECONDS, SLOW_START_FACTOR = 3.0, 2.0
 # How long a leaving server tries to say so, and then how long its last requests may take.
 LEAVE_TIMEOUT_SECONDS, LEAVE_RETRY_SECONDS, LAST_RUNS_SECONDS = 4.0, 0.3, 2.0
+# The longest time that a server that signed off first serves on beyond the drain time.
+MAX_SERVE_ON_SECONDS = 4.0
 HEARTBEAT_TIMEOUT_SECONDS = 1.0
 POLL_SECONDS = 0.02
 # Run times vary by a log-normal factor, up to this one.
@@ -44,21 +46,40 @@
         self.slots, self.queue = service_spec.slots, service_spec.queue
         self.began = environment.now()
         self.leaving = False
+        self.signed_off = False
         self.ended = False
         self.heartbeats = 0
+        # Heartbeats sent until then arrive up to so many seconds late.
+        self.late_until, self.latest = 0.0, 0.0
         self.working = 0
         self.waiting: deque[asyncio.Future] = deque()
         # Runs under way: a future of each, done once the server ends.
         self.runs: dict[asyncio.Future, None] = {}
 
     async def send_heartbeats(self) -> None:
-        """A heartbeat every HEARTBEAT_SECONDS, more or less, until the server ends."""
-        while not self.ended:
-            await self.send_heartbeat()
+        """A heartbeat every HEARTBEAT_SECONDS, more or less, until the server signs off or ends."""
+        while not (self.ended or self.signed_off):
+            if self.environment.now() < self.late_until:
+                self.environment.create_task(self._send_late_heartbeat())
+            else:
+                await self.send_heartbeat()
             await asyncio.sleep(HEARTBEAT_SECONDS * self.environment.random.uniform(0.9, 1.1))
 
+    def delay_heartbeats(self, seconds: float, *, latest: float) -> None:
+        """For so many seconds, each heartbeat spends up to `latest` seconds on its way."""
+        self.late_until, self.latest = self.environment.now() + seconds, latest
+
     async def send_heartbeat(self) -> bool:
         """Tells the sidecar the server's state; True if it was acknowledged."""
+        return await self._report(*self._compose_heartbeat())
+
+    async def _send_late_heartbeat(self) -> None:
+        """A heartbeat that says what holds now and arrives later, perhaps when the server has ended."""
+        heartbeat = self._compose_heartbeat()
+        await asyncio.sleep(self.environment.random.uniform(0.0, self.latest))
+        await self._report(*heartbeat)
+
+    def _compose_heartbeat(self) -> tuple[str, bytes, str]:
         self.heartbeats += 1
         cold = max(0.0, self.began + SLOW_START_SECONDS - self.environment.now())
         leaving = self.leaving
@@ -72,7 +93,7 @@
             cold=cold,
             number=self.heartbeats,
         )
-        return await self._report(samples.BEAT, body, samples.LEAVING if leaving else samples.READY)
+        return samples.BEAT, body, samples.LEAVING if leaving else samples.READY
 
     async def _report(self, method: str, body: bytes, state: str) -> bool:
         path = adapter("samples").instance_path(self.instance)
@@ -99,6 +120,15 @@
             await self._report(adapter("samples").LEAVE, b"", "gone")
         self.end()
 
+    async def leave_unannounced(self) -> None:
+        """A planned end that begins with the sign-off: the server serves on for as long as if it had said so before."""
+        self.leaving = self.signed_off = True
+        deadline = self.environment.now() + LEAVE_TIMEOUT_SECONDS
+        while not await self._report(adapter("samples").LEAVE, b"", "gone") and self.environment.now() < deadline:
+            await asyncio.sleep(LEAVE_RETRY_SECONDS)
+        await asyncio.sleep(BOUNDS["drain_s"] + self.environment.random.uniform(0.5, MAX_SERVE_ON_SECONDS))
+        self.end()
+
     def end(self) -> None:
         """Ends at once; requests under way get no answer."""
         self.ended = True
--- a/tests/test_sidecar_server_connections.py
+++ b/tests/test_sidecar_server_connections.py
@@ -281,6 +281,19 @@
         head = answer("s1", b"", "Connection: close", length=False)
         self.assertMissed(self.one(self.saying(head, b"some", cut=True)), ErrorKind.ANSWER_BROKEN)
 
+    def test_nor_does_one_that_ends_there_before_its_body_has_begun(self) -> None:
+        """Found on a day of the platform: a head without a length and then nothing was passed on as an empty body."""
+        for more in ((), ("Connection: close",), ("Transfer-Encoding: identity",)):
+            for cut in (False, True):
+                head = answer("s1", b"", *more, length=False)
+
+                async def ending(asked: ServerRequest, head: bytes = head, cut: bool = cut) -> None:
+                    asked.say(head)
+                    await asked.writer.drain()
+                    asked.cut() if cut else asked.writer.close()
+
+                self.assertMissed(self.one(ending), ErrorKind.ANSWER_BROKEN)
+
     def test_garbage_is_no_answer(self) -> None:
         for garbage in (b"\x00\x01\x02\x03", b"HTTP/1.1 abc", b"SSH-2.0-x", b"HTTP/1.1 200 OK\r\n:"):
             result = self.one(self.saying(garbage + b"\r\n\r\n", cut=True))
