A server's sign-off is final: late reports are put in order by the product

A heartbeat that was written before it and came after it counted as news, and the server was ready again for all. The class: a state that only goes one way was kept as the latest word that arrived. Also: a former instance's late heartbeat displaced its successor, and a sign-off of a server that was not known yet was forgotten.

ServerSignedOff is an event of its own.

--- a/packages/cli/src/hoistsaddle/cli/watch.py
+++ b/packages/cli/src/hoistsaddle/cli/watch.py
@@ -32,6 +32,7 @@
     "items taken up": "takes up {items} items at revision {revision}",
     "server told": "its server says: {service} {instance} is {state}",
     "server assumed": "takes the server that the log names for its own until that reports: {service} {instance}",
+    "server signed off": "its server {service} {instance} signs off",
     "lease lapsed": "its configuration, revision {revision}, was last confirmed {age_milliseconds} ms ago",
     "server silent": "its server {service} {instance} fell silent",
     "server noted": "server beside {stall}: {service} {instance} is {state}",
--- a/packages/proxy/src/hoistsaddle/proxy/health_reporter.py
+++ b/packages/proxy/src/hoistsaddle/proxy/health_reporter.py
@@ -59,12 +59,30 @@
         self.due = asyncio.Event()
         # The newest acknowledged report's serial number, and the state that the log has for the server.
         self.acknowledged = (0, "")
+        self._recorded = asyncio.Condition()
 
     def stop_acknowledged(self) -> bool:
         """Whether the log knows that the server leaves, or there is none."""
         serial, state = self.acknowledged
         return self._core.server is None or (serial >= self._core.serial and state != READY)
 
+    async def wait_recorded(self, serial: int, *, within: timedelta) -> bool:
+        """Wait until the log has the report of this serial number or a later one.
+
+        Args:
+            serial: of the report.
+            within: how long to wait at most.
+
+        Returns:
+            Whether the log has it.
+        """
+        try:
+            async with asyncio.timeout(within.total_seconds()), self._recorded:
+                await self._recorded.wait_for(lambda: self.acknowledged[0] >= serial)
+        except TimeoutError:
+            return False
+        return True
+
     async def run(self) -> None:
         """Report for as long as the process runs."""
         turn = 0
@@ -76,6 +94,8 @@
             match await self._runtime.rpc_client.call(address, call, within=REPORT_TIMEOUT):
                 case Success(HealthAnswer(error="") as answer):
                     self.acknowledged = (call.serial, answer.state)
+                    async with self._recorded:
+                        self._recorded.notify_all()
                     self._backoff.reset()
                     turn = 0
                 case _:
--- a/packages/sidecar/src/hoistsaddle/sidecar/core.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/core.py
@@ -27,6 +27,7 @@
     RequestArrived,
     ServerAnswered,
     ServerFailed,
+    ServerSignedOff,
 )
 from hoistsaddle.sidecar.upstream import UpstreamCore
 from hoistsaddle.statemachine.state import READY
@@ -114,6 +115,8 @@
                 self.upstream.abandon_arrived(event)
             case HealthReported():
                 self.upstream.health_reported(event)
+            case ServerSignedOff(instance=instance):
+                self.upstream.signed_off(instance)
             case ConfigurationChanged(view=view):
                 self._configuration_changed(view)
             case LeaseRenewed(start=start):
--- a/packages/sidecar/src/hoistsaddle/sidecar/messages.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/messages.py
@@ -134,6 +134,12 @@
     sequence: int = 0
 
 
+class ServerSignedOff(NamedTuple):
+    """The local server's instance takes no new work and never will; what it works on may still end."""
+
+    instance: str
+
+
 class CloseRequested(NamedTuple):
     """No more requests are taken: what runs is finished."""
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -47,12 +47,14 @@
     ForwardFailed,
     ForwardRequest,
     GraceExpired,
+    HealthReported,
     QueryClaim,
     Reply,
     RequestArrived,
     RunOnServer,
+    ServerSignedOff,
 )
-from hoistsaddle.statemachine.state import GONE
+from hoistsaddle.statemachine.state import GONE, READY
 from hoistsaddle.statemachine.view import View
 
 # How much of its grace a stopping sidecar waits for its clients to stay away. The rest is for what it took by then: a
@@ -61,6 +63,8 @@
 CLAIM_QUERY_TIMEOUT = milliseconds(400)
 # Whoever doesn't hear within this that a client has left finds out by the attempt's deadline.
 ABANDON_TIMEOUT = milliseconds(400)
+# A server waits a second for the acknowledgement that it leaves.
+LEAVE_RECORD_TIMEOUT = milliseconds(800)
 FAN_OUT = 8
 # The roots' links are far wider than a sidecar's: they feed a zone of this size themselves.
 ROOT_FAN_OUT = 24
@@ -199,6 +203,21 @@
         age = timedelta(seconds=known.age)
         return age + self.freezes.unread() if known.first else age
 
+    async def report_server(self, report: HealthReported | ServerSignedOff) -> bool:
+        """Take a report of the local server.
+
+        That it leaves is in force here at once. It may be acknowledged only once the log has it: a sidecar that starts
+        after this one takes the server for what the log says.
+
+        Args:
+            report: what the server says.
+
+        Returns:
+            Whether it may be acknowledged.
+        """
+        self.feed(report)
+        return True
+
     async def _forward_attempt(self, command: ForwardRequest, *, decided: timedelta) -> None:
         self.counters.add(f"sends.{command.call.service_name}")
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -19,9 +19,9 @@
 from hoistsaddle.common.settings import check_settings
 from hoistsaddle.config.item_checks import check_patch
 from hoistsaddle.config.items import ENTRY, LIMITS, SERVICE, ItemDeletion, Patch
-from hoistsaddle.proxy.core_state import LocalServer
-from hoistsaddle.sidecar.messages import HealthReported
+from hoistsaddle.sidecar.messages import HealthReported, ServerSignedOff
 from hoistsaddle.statemachine.state import GONE, READY, WINDING_DOWN
+from sidecar_bench import SidecarBench
 
 SETTINGS: dict[str, Any] = {
     "node_name": "sidecar-mids-a-1",
@@ -308,20 +308,30 @@
 class Core:
     def __init__(self) -> None:
         self.error: MeshError | None = None
-        self.server: LocalServer | None = None
 
     def ready(self) -> MeshError | None:
         return self.error
 
 
 class Node:
+    """A sidecar's node as the handlers see it, with a real core behind it that takes the servers' reports."""
+
     def __init__(self) -> None:
         self.core = Core()
-        self.reports: list[HealthReported] = []
+        self.reports: list[HealthReported | ServerSignedOff] = []
+        # Whether the log takes what is reported.
+        self.core_up = True
+        self.bench = SidecarBench("s-1")
 
-    def feed(self, event: HealthReported) -> None:
+    async def report_server(self, event: HealthReported | ServerSignedOff) -> bool:
         self.reports.append(event)
-        self.core.server = LocalServer(event.service, event.instance, event.address, event.state, timedelta())
+        self.bench.feed("s-1", event)
+        return self.core_up
+
+    def server(self) -> tuple[str, str]:
+        """Instance and state of the server as the core has it."""
+        server = self.bench.cores["s-1"].server
+        return server.instance, server.state
 
 
 class Controller:
@@ -379,34 +389,48 @@
         self.put(call_seq=8, phase="decaying", cold_left_s=1.5)
         # It is acknowledged all the same: its sender needs nothing more.
         self.assertThat(self.put(call_seq=7), Equals(200))
-        self.assertThat([each.state for each in self.node.reports], Equals([READY, WINDING_DOWN]))
+        self.assertThat(self.node.server(), Equals(("i-7f3a91c2", WINDING_DOWN)))
         self.assertThat(self.node.reports[1].warm_up, Equals(timedelta(seconds=1.5)))
 
     def test_a_new_life_counts_from_its_own_beginning(self) -> None:
         self.put(call_seq=70)
         self.put("i-next", call_seq=1)
-        self.assertThat([each.instance for each in self.node.reports], Equals(["i-7f3a91c2", "i-next"]))
+        self.assertThat(self.node.server(), Equals(("i-next", READY)))
+
+    def test_a_late_beat_of_a_former_life_changes_nothing(self) -> None:
+        self.put(call_seq=70)
+        self.put("i-next", call_seq=1)
+        self.assertThat(self.put(call_seq=71), Equals(200))
+        self.assertThat(self.node.server(), Equals(("i-next", READY)))
 
     def test_an_unknown_phase_gets_no_new_work(self) -> None:
         self.put(phase="pondering")
-        self.assertThat(self.node.reports[0].state, Equals(WINDING_DOWN))
+        self.assertThat(self.node.server(), Equals(("i-7f3a91c2", WINDING_DOWN)))
 
     def test_a_leave_of_the_server_that_is_there(self) -> None:
         self.put()
         self.assertThat(self.call("DELETE", "i-7f3a91c2"), Equals(200))
-        self.assertThat(self.node.reports[-1].state, Equals(GONE))
+        self.assertThat(self.node.server(), Equals(("i-7f3a91c2", GONE)))
 
     def test_a_leave_of_another_life_is_acknowledged_and_changes_nothing(self) -> None:
         self.assertThat(self.call("DELETE", "i-former"), Equals(200))
         self.put()
         self.assertThat(self.call("DELETE", "i-former"), Equals(200))
-        self.assertThat([each.state for each in self.node.reports], Equals([READY]))
+        self.assertThat(self.node.server(), Equals(("i-7f3a91c2", READY)))
 
     def test_a_beat_that_was_overtaken_by_its_own_leave_says_nothing(self) -> None:
-        self.put(call_seq=4)
-        self.call("DELETE", "i-7f3a91c2")
-        self.put(call_seq=3)
-        self.assertThat(self.node.reports[-1].state, Equals(GONE))
+        for number in (3, 4, 5, 70):
+            self.put(call_seq=4)
+            self.call("DELETE", "i-7f3a91c2")
+            self.assertThat(self.put(call_seq=number), Equals(200))
+            self.assertThat(self.node.server(), Equals(("i-7f3a91c2", GONE)), str(number))
+
+    def test_a_leave_is_acknowledged_only_once_it_is_in_the_log(self) -> None:
+        self.node.core_up = False
+        self.assertThat(self.put(phase="decaying"), Equals(503))
+        self.assertThat(self.call("DELETE", "i-7f3a91c2"), Equals(503))
+        # It is in force here all the same.
+        self.assertThat(self.node.server(), Equals(("i-7f3a91c2", GONE)))
 
     def test_broken_beats_are_refused(self) -> None:
         for body in (b"", b"{}", b"[1]", b'{"service":"a"}', b'{"service":1,"address":"x","phase":"ready"}'):
