A leave is acknowledged once the log has it

Cause: the acknowledgement went out before the report to the core did. In force at the sidecar it is at once, as before.

--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -216,7 +216,12 @@
             Whether it may be acknowledged.
         """
         self.feed(report)
-        return True
+        if isinstance(report, HealthReported) and report.state == READY:
+            return True
+        if self.core.server is None and self.core.view.items is None:
+            # What the log says of this server is not known here yet.
+            return False
+        return await self.health.wait_recorded(self.core.serial, within=LEAVE_RECORD_TIMEOUT)
 
     async def _forward_attempt(self, command: ForwardRequest, *, decided: timedelta) -> None:
         self.counters.add(f"sends.{command.call.service_name}")
