An answer without a length counts nowhere as complete, also with no byte of body

The class: nothing received was read as nothing sent. The same line stood in the proxies' client of their servers.

Change: framing_of names how an answer ends; one that ends with its connection is broken, whatever came of it. Answers that have no body by their status or request need no length, as before.

--- a/packages/proxy/src/hoistsaddle/proxy/server_client.py
+++ b/packages/proxy/src/hoistsaddle/proxy/server_client.py
@@ -11,6 +11,8 @@
 from hoistsaddle.proxy.request_checks import clean_headers
 from hoistsaddle.rpc.messages import BundleForwardCall
 
+# Statuses of answers that have no body, whatever their headers say.
+BODILESS_STATUSES = frozenset({204, 304})
 ASK_BEFORE_RETRY = "Ask what became of the request before sending it again."
 
 
@@ -88,8 +90,9 @@
         )
     length = answer.headers.get("Content-Length")
     chunked = "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
-    # An answer that ends only where its connection ends may have been cut anywhere.
-    unmarked = bool(body) and length is None and not chunked
+    bodiless = call.method == "HEAD" or answer.status in BODILESS_STATUSES
+    # An answer that ends only where its connection ends may have been cut anywhere, also before its body began.
+    unmarked = not bodiless and length is None and not chunked
     short = length is not None and call.method != "HEAD" and length != str(len(body))
     if unmarked or short or "Content-Encoding" in answer.headers:
         return MeshError(
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
@@ -13,13 +13,13 @@
 from aiohttp.http import HttpResponseParser, RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from hoistsaddle.proxy.server_client import BODILESS_STATUSES
+
 # For how long an unused connection is kept where the server says nothing of it.
 KEPT_SECONDS = 4.0
 HEAD_END = b"\r\n\r\n"
 # Heads that are looked for in one read: an answer's, and those of interim ones before it.
 MAX_HEADS = 4
-# Statuses of answers that have no body, whatever their headers say.
-BODILESS_STATUSES = frozenset({204, 304})
 
 
 class AnswerFraming(StrEnum):
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
@@ -189,7 +189,7 @@
             if carried == [client_attempt_id.encode()]:
                 framing = framing_of(message, with_body=connection.with_body)
                 self.counters.add(f"server.framing.{framing}")
-                if framing is AnswerFraming.CONNECTION_END and body:
+                if framing is AnswerFraming.CONNECTION_END:
                     # It ends where its connection ends, which may be anywhere.
                     raise BrokenAnswer
                 return message, body
