--- a/packages/sidecar/src/hoistsaddle/sidecar/messages.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/messages.py
@@ -130,6 +130,14 @@
     capacity: int
     # For how long it still is slow after its start.
     warm_up: timedelta
+    # The report's number at its server, rising with each; 0 where reports carry none.
+    sequence: int = 0
+
+
+class ServerSignedOff(NamedTuple):
+    """The local server's instance takes no new work and never will; what it works on may still end."""
+
+    instance: str
 
 
 class CloseRequested(NamedTuple):
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/fault_injector.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/fault_injector.py
@@ -8,12 +8,14 @@
 from hoistsaddle.testbed.emulator.scheduled_events import (
     ACKNOWLEDGED,
     LEADER,
+    LEFT,
     SENT,
     SNAPSHOT,
     CrashServer,
     DiskFault,
     Freeze,
     Kill,
+    LateHeartbeats,
     Misbehave,
     Partition,
     ReassignAddress,
@@ -29,6 +31,8 @@
 
 # Least and longest time from a change's submission to a fault that strikes soon after it, in seconds.
 TRIGGER_DELAY_SECONDS = (0.005, 0.4)
+# Triggers whose faults strike the machine at which they came about.
+STRUCK_WHERE_THEY_OCCUR = (ACKNOWLEDGED, SNAPSHOT, LEFT)
 # How long a planned successor runs beside the machine that it replaces.
 SUCCESSOR_LEAD_SECONDS = 1.0
 # From a server's end to the start of its next instance.
@@ -88,8 +92,11 @@
                 self.environment.misbehaviours[service] = Misbehaviour(share, how)
                 await asyncio.sleep(seconds)
                 self.environment.misbehaviours.pop(service, None)
-            case RestartServer(machine=name):
-                await self._restart_server(name)
+            case RestartServer(machine=name, announced=announced):
+                await self._restart_server(name, announced=announced)
+            case LateHeartbeats(machine=name, seconds=seconds, latest=latest):
+                if name in self.environment.machines:
+                    self.environment.servers[name].delay_heartbeats(seconds, latest=latest)
             case ReassignAddress(machine=name, service=service, crash=crash):
                 await self._reassign_address(name, service, crash=crash)
             case CrashServer(machine=name, seconds=seconds):
@@ -196,10 +203,11 @@
         for number in numbers:
             self._record_end(number)
 
-    async def _restart_server(self, name: str) -> None:
+    async def _restart_server(self, name: str, *, announced: bool) -> None:
         environment = self.environment
         if name in environment.machines and not environment.servers[name].leaving and name not in self.busy:
-            await environment.servers[name].leave()
+            server = environment.servers[name]
+            await (server.leave() if announced else server.leave_unannounced())
             await asyncio.sleep(SERVER_RESTART_SECONDS)
             if name in environment.machines:
                 environment.new_server(environment.machines[name])
@@ -247,7 +255,7 @@
         due = [fault for fault in self.triggered_faults if fault.trigger == trigger]
         self.triggered_faults = [fault for fault in self.triggered_faults if fault.trigger != trigger]
         for fault in due:
-            self.environment.create_task(self._strike(fault, machine if trigger in (ACKNOWLEDGED, SNAPSHOT) else ""))
+            self.environment.create_task(self._strike(fault, machine if trigger in STRUCK_WHERE_THEY_OCCUR else ""))
 
     async def _strike(self, fault: TriggeredFault, machine: str) -> None:
         if fault.trigger == SENT:
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/scheduled_events.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/scheduled_events.py
@@ -63,10 +63,23 @@
 
 
 class RestartServer(NamedTuple):
-    """A server drains and leaves, and a new instance of it starts on the same machine."""
+    """A server drains and leaves, and a new instance of it starts on the same machine.
+
+    announced: it says that it leaves before it signs off. Otherwise it signs off first and serves on for as long.
+    """
+
+    at: float
+    machine: str
+    announced: bool = True
+
+
+class LateHeartbeats(NamedTuple):
+    """Heartbeats that the server beside a machine sends in these seconds arrive up to `latest` seconds late."""
 
     at: float
     machine: str
+    seconds: float
+    latest: float
 
 
 class ReassignAddress(NamedTuple):
@@ -165,12 +178,13 @@
 
 
 # What a triggered fault waits for: a confirmation was sent to an operator, a change was submitted (confirmed or not),
-# a keyed request was answered, or a core machine begins to write a snapshot.
-ACKNOWLEDGED, SENT, TAKEN, SNAPSHOT = "acknowledged", "sent", "taken", "snapshot"
+# a keyed request was answered, a core machine begins to write a snapshot, or a sidecar acknowledged that its server
+# leaves.
+ACKNOWLEDGED, SENT, TAKEN, SNAPSHOT, LEFT = "acknowledged", "sent", "taken", "snapshot", "left"
 
 
 class TriggeredFault(NamedTuple):
-    """The core machine that acknowledges the next change, or writes a snapshot, fails; otherwise the leader."""
+    """The machine that acknowledges the next change or leave, or writes a snapshot, fails; otherwise the leader."""
 
     at: float
     how: str
@@ -199,6 +213,7 @@
     | Stop
     | Misbehave
     | RestartServer
+    | LateHeartbeats
     | ReassignAddress
     | CrashServer
     | ReplaceCore
