Failing test: an overtaken configuration behind a full link

The emulator gets links that are full for some seconds: clients' requests wait, and answers of other machines come behind them. It is no fault that excuses the machine.

--- a/packages/testbed/src/hoistsaddle/testbed/emulator/clients.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/clients.py
@@ -190,6 +190,13 @@
         machine, until = request.machine, request.until
         process = environment.processes[machine]
         await asyncio.sleep(LATENCY_SECONDS)
+        if jam := environment.world.client_wait(process.machine.host):
+            patience = until - environment.now()
+            if request.route.kind == REPEATABLE:
+                patience = min(UNREAD_TIMEOUT_SECONDS, patience / 3)
+            await asyncio.sleep(max(0.0, min(jam, patience)))
+            if jam > patience:
+                return "given up"
         if not process.open or process.simulated.dead:
             # A machine without power doesn't refuse the connection: it times out.
             timeout = min(CONNECT_TIMEOUT_SECONDS, until - environment.now()) if process.powered_off else 0.0
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/fault_injector.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/fault_injector.py
@@ -14,6 +14,7 @@
     CrashServer,
     DiskFault,
     Freeze,
+    JammedLink,
     Kill,
     LateHeartbeats,
     Misbehave,
@@ -79,6 +80,10 @@
                 await self._freeze(self._available(names), seconds)
             case Partition():
                 await self._partition(fault)
+            case JammedLink(machine=name, seconds=seconds, backlog=backlog):
+                for available in self._available((name,)):
+                    host = self.environment.processes[available].machine.host
+                    self.environment.world.jam(available, host, seconds=seconds, backlog=backlog)
             case DiskFault():
                 await self._disk(fault)
             case Stop(machine=name, seconds=seconds):
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/network.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/network.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, NamedTuple
 
 from returns.result import Failure
 
@@ -16,6 +16,13 @@
 _NO_ANSWER = Failure(MeshError(ErrorKind.SILENT, "no answer", "simulated"))
 
 
+class JammedUntil(NamedTuple):
+    """When what clients sent to a machine meanwhile arrives, and when what other machines sent."""
+
+    clients: float
+    machines: float
+
+
 class EmulatedWorld(World):
     """A simulated world whose machines may lose power: then nothing comes back, not even a reset."""
 
@@ -23,6 +30,8 @@
         super().__init__(**arguments)
         self.disks: Any = None
         self.powered_off: set[str] = set()
+        # The jams of links by the machine's name and by its host.
+        self.jammed: dict[str, JammedUntil] = {}
         self.delay_probability = 0.002
         self.duplicate_probability = 0.002
         # Calls in flight: the machine that calls, and the host that is called.
@@ -33,6 +42,12 @@
     ) -> None:
         """Starts a call; one to a host without power times out."""
         host = address.partition(":")[0]
+        if (wait := self._machine_wait(host)) > 0:
+            # It waits in front of the link, also once its caller has given it up.
+            self.loop.call_later(wait, self._start_late_call, process, address, message, future, within)
+            return
+        if self.jammed:
+            future = self._behind_jam(process, future)
         self.calls[future] = (process.name, host)
         future.add_done_callback(lambda done: self.calls.pop(done, None))
         if host in self.powered_off:
@@ -46,6 +61,39 @@
             return
         super().start_call(process, address, message, future, within)
 
+    def jam(self, name: str, host: str, *, seconds: float, backlog: float) -> None:
+        """From now on, what is sent to a machine waits so long, and what other machines send `backlog` longer."""
+        link = JammedUntil(self.loop.time() + seconds, self.loop.time() + seconds + backlog)
+        self.jammed[name] = self.jammed[host] = link
+
+    def client_wait(self, host: str) -> float:
+        """How many seconds what a client sends to a machine now waits in front of its link."""
+        link = self.jammed.get(host)
+        return 0.0 if link is None else max(0.0, link.clients - self.loop.time())
+
+    def _machine_wait(self, name_or_host: str) -> float:
+        """The same for what another machine sends: free again is free for all that is sent from then on."""
+        link = self.jammed.get(name_or_host)
+        return 0.0 if link is None or self.loop.time() >= link.clients else link.machines - self.loop.time()
+
+    def _behind_jam(self, process: SimulatedProcess, future: asyncio.Future) -> asyncio.Future:
+        """A future for an answer that reaches its caller only once the caller's link is free."""
+
+        def pass_on(answered: asyncio.Future) -> None:
+            if not answered.cancelled():
+                self.loop.call_later(
+                    self._machine_wait(process.name), self._settle, future, answered.result(), context=process.context
+                )
+
+        behind = self.loop.create_future()
+        behind.add_done_callback(pass_on)
+        return behind
+
+    def _start_late_call(
+        self, process: SimulatedProcess, address: str, message: tuple, future: asyncio.Future, within: float
+    ) -> None:
+        super().start_call(process, address, message, future, within)
+
     def kill(self, process: SimulatedProcess, *, power: bool = False) -> None:
         """Ends a process; without power its callers notice only by the keep-alive."""
         waiting = self.pending.pop(process, {}) if power else {}
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/scheduled_events.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/scheduled_events.py
@@ -35,6 +35,19 @@
     one_way: bool = False
 
 
+class JammedLink(NamedTuple):
+    """All that is sent to a machine waits in front of its link for these seconds.
+
+    Then clients' requests arrive at once, and `backlog` seconds later what other machines had sent, which came behind
+    them. Its clients' own load does that: it is no fault of the machine, and excuses it from nothing.
+    """
+
+    at: float
+    machine: str
+    seconds: float
+    backlog: float = 0.0
+
+
 class DiskFault(NamedTuple):
     """A machine's disk is "full" or "stalled"."""
 
@@ -209,6 +222,7 @@
     Kill
     | Freeze
     | Partition
+    | JammedLink
     | DiskFault
     | Stop
     | Misbehave
--- /dev/null
+++ b/tests/test_emulator_full_link.py
@@ -0,0 +1,35 @@
+"""Sidecars whose links are full for seconds, in simulated time: no request is handled by an overtaken configuration."""
+
+import os
+from concurrent.futures import ProcessPoolExecutor
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from emulator_faults import small_day
+from hoistsaddle.testbed.emulator.checkers import check
+from hoistsaddle.testbed.emulator.day import Day
+from hoistsaddle.testbed.emulator.emulator import play
+from hoistsaddle.testbed.emulator.scheduled_events import Change, JammedLink
+
+SEEDS = tuple(range(1, 9))
+
+
+def broken(day: Day) -> dict[str, list[str]]:
+    return {rule: found for rule, found in check(play(day).history, day).items() if found}
+
+
+def full_link_day(seed: int) -> Day:
+    """Two links are full for some seconds while routes move to other services; many clients ask meanwhile."""
+    jams = [JammedLink(1.0, "side-00", 4.5, 1.0), JammedLink(6.0, "side-01", 6.0, 1.0)]
+    changes = [Change(1.2 + 0.7 * number, "move", seed * 20 + number) for number in range(14)]
+    day = small_day(*jams, *changes, seconds=14.0, seed=seed)
+    return day._replace(site=day.site._replace(rate=60.0))
+
+
+class FullLinks(TestCase):
+    def test_a_sidecar_behind_a_full_link_does_not_act_on_an_overtaken_configuration(self) -> None:
+        print("small days of seeds", SEEDS)
+        with ProcessPoolExecutor(os.cpu_count()) as pool:
+            found = dict(zip(SEEDS, pool.map(broken, map(full_link_day, SEEDS)), strict=True))
+        self.assertThat({seed: rules for seed, rules in found.items() if rules}, Equals({}))
