A configuration that nobody confirms is acted on only while the core is known to be away

A sidecar behind a full link got no news for seconds, could not tell that from a core that is away, and went on with an overtaken configuration. The class: silence was read as evidence of absence.

Change: requests are handled up to apply_seconds after the newest time as of which nothing newer can have been in force. Beside the lease, that is evidence of a core that is away: a controller that had this configuration and lost its own lease, or no controller answering while another sidecar does. Otherwise 503 with Retry-After. Evidence is looked for from half of the span on, by one poll a second where it can be had so.

--- a/packages/common/src/hoistsaddle/common/settings.py
+++ b/packages/common/src/hoistsaddle/common/settings.py
@@ -146,6 +146,9 @@
     service: str
     server: str
     lease_seconds: float = 1.5
+    # How long a change of the configuration may take to be in force here. What nobody has confirmed for longer is not
+    # acted on, unless the core is known to be away.
+    apply_seconds: float = 2.0
     health_seconds: float = 5.0
     backlog: int = 400
     outstanding: int = 400
@@ -169,6 +172,7 @@
 ALLOWED_RANGES: dict[str, tuple[float, float]] = {
     "replica": (1, 1000),
     "lease_seconds": (0.1, 60),
+    "apply_seconds": (0.1, 600),
     "vitals_seconds": (0.1, 60),
     "lag_wait_seconds": (0.1, 86400),
     "disk_stall_seconds": (0.05, 60),
--- a/packages/proxy/src/hoistsaddle/proxy/configuration_poller.py
+++ b/packages/proxy/src/hoistsaddle/proxy/configuration_poller.py
@@ -37,6 +37,7 @@
         parents: Callable[[], list[str]],
         on_configuration: Callable[[View], None],
         on_lease: Callable[[timedelta], None],
+        on_refusal: Callable[[str, PollAnswer, timedelta], None],
         backoff: ExponentialBackoff,
         timeout: timedelta,
         max_same_answers: int,
@@ -52,6 +53,7 @@
             parents: gives the addresses to poll, the tree's parent first.
             on_configuration: takes each newer configuration.
             on_lease: takes the time at which a configuration was confirmed.
+            on_refusal: takes a parent's address, its answer without a configuration, and when it was asked.
             backoff: between two rounds over all parents that gave nothing.
             timeout: of one poll.
             max_same_answers: how many answers in a row that renew nothing a parent may give before it is left.
@@ -63,6 +65,7 @@
         self._parents = parents
         self._on_configuration = on_configuration
         self._on_lease = on_lease
+        self._on_refusal = on_refusal
         self._backoff = backoff
         self.timeout = timeout
         self._max_same_answers = max_same_answers
@@ -126,6 +129,10 @@
         match await self._runtime.rpc_client.call(address, call, within=within):
             case Success(PollAnswer() as answer) if not answer.error:
                 pass
+            case Success(PollAnswer() as refusal):
+                self._on_refusal(address, refusal, sent)
+                self._counters.add("news.polls_missed")
+                return MISSED
             case _:
                 self._counters.add("news.polls_missed")
                 return MISSED
--- a/packages/proxy/src/hoistsaddle/proxy/mesh_node.py
+++ b/packages/proxy/src/hoistsaddle/proxy/mesh_node.py
@@ -23,7 +23,7 @@
 from hoistsaddle.proxy.hold_client import HoldClient
 from hoistsaddle.proxy.messages import ConfigurationChanged, HoldAnswered, LeaseRenewed, SubmitHold, Ticked
 from hoistsaddle.proxy.registry_addresses import RegistryAddresses
-from hoistsaddle.rpc.messages import IndirectProbeCall, MemberState, PollCall, ProbeCall
+from hoistsaddle.rpc.messages import IndirectProbeCall, MemberState, PollAnswer, PollCall, ProbeCall
 from hoistsaddle.rpc.runtime import Runtime
 from hoistsaddle.statemachine.commands import LEVEL
 from hoistsaddle.statemachine.state import GONE
@@ -115,6 +115,7 @@
             parents=self._parents,
             on_configuration=self._configuration_changed,
             on_lease=lambda start: self.feed(LeaseRenewed(start)),
+            on_refusal=self._poll_refused,
             backoff=ExponentialBackoff(least=MIN_BACKOFF, most=max_backoff),
             timeout=self.timings.poll_timeout,
             max_same_answers=self.timings.max_same_answers,
@@ -136,6 +137,9 @@
     def _make_core(self, settings: CoreSettings) -> Any:
         raise NotImplementedError
 
+    def _poll_refused(self, address: str, refusal: PollAnswer, sent: timedelta) -> None:
+        """Take that the parent at this address gave no configuration when it was asked; of no account here."""
+
     def _parents(self) -> list[str]:
         """Return the addresses to poll for the configuration, the tree's parent first."""
         raise NotImplementedError
--- a/packages/sidecar/src/hoistsaddle/sidecar/core.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/core.py
@@ -7,9 +7,10 @@
 import random
 from datetime import timedelta
 
-from hoistsaddle.common.errors import MeshError, NoConfiguration, ShuttingDown
+from hoistsaddle.common.errors import LeaseExpired, MeshError, NoConfiguration, ShuttingDown
 from hoistsaddle.proxy.core_state import CoreSettings, CoreState, LocalServer
 from hoistsaddle.proxy.messages import ConfigurationChanged, HoldAnswered, LeaseRenewed, StopRequested, Ticked
+from hoistsaddle.sidecar.configuration_freshness import ConfigurationFreshness
 from hoistsaddle.sidecar.ingress import IngressCore
 from hoistsaddle.sidecar.messages import (
     AbandonArrived,
@@ -49,6 +50,7 @@
         retry_percent: int,
         retry_margin: int,
         key_lifetime: timedelta,
+        max_configuration_age: timedelta,
     ) -> None:
         """Begin without a configuration.
 
@@ -62,12 +64,15 @@
             retry_percent: retries per hundred first attempts, over the whole fleet.
             retry_margin: retries beyond that share in ten seconds, over the whole fleet.
             key_lifetime: how long a claimed key stays claimed.
+            max_configuration_age: how long a change of the configuration may take to be in force here.
         """
         super().__init__(settings=settings, seed=seed, now=now)
         self._service = service
         self._server_address = server_address
+        self.freshness = ConfigurationFreshness(state=self, max_age=max_configuration_age)
         self.ingress = IngressCore(
             state=self,
+            freshness=self.freshness,
             service=service,
             key_lifetime=key_lifetime,
             retry_percent=retry_percent,
@@ -167,6 +172,8 @@
             return ShuttingDown("This proxy is stopping.", remedy="Send new work elsewhere.")
         if self.view.items is None:
             return NoConfiguration("No configuration is in force here yet.", remedy="Wait for the core's news.")
+        if not self.freshness.usable():
+            return LeaseExpired("The configuration here may have been overtaken.", remedy="Wait for the core's news.")
         return None
 
     def pending_count(self) -> int:
--- a/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
@@ -26,6 +26,7 @@
 from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN
 from hoistsaddle.rpc.messages import AbandonCall, ForwardAnswer, ForwardCall
 from hoistsaddle.sidecar.attempt_follower import AttemptFollower, AttemptOutcome
+from hoistsaddle.sidecar.configuration_freshness import ConfigurationFreshness
 from hoistsaddle.sidecar.errors import HeadersTooLarge, KeyOutcomeUnknown, attempt_rejected
 from hoistsaddle.sidecar.key_claims import (
     KeyAnswered,
@@ -74,18 +75,27 @@
     """Owns every request that came in at this sidecar, from its arrival to its final answer."""
 
     def __init__(
-        self, *, state: CoreState, service: str, key_lifetime: timedelta, retry_percent: int, retry_margin: int
+        self,
+        *,
+        state: CoreState,
+        freshness: ConfigurationFreshness,
+        service: str,
+        key_lifetime: timedelta,
+        retry_percent: int,
+        retry_margin: int,
     ) -> None:
         """Begin without requests.
 
         Args:
             state: of the core that the commands go out from.
+            freshness: whether the configuration may be acted on.
             service: the service of the local server, as the settings name it.
             key_lifetime: how long a claimed key stays claimed.
             retry_percent: retries per hundred first attempts, over the whole fleet.
             retry_margin: retries beyond that share in ten seconds, over the whole fleet.
         """
         self._state = state
+        self._freshness = freshness
         self._service = service
         self.requests = RequestTable()
         self.servers = ServerSelection(state=state)
@@ -105,6 +115,10 @@
         items = self._state.view.items
         if items is None:
             return self._reject_arrival(event, deadline, NoConfiguration("No configuration is in force here yet."))
+        if not self._freshness.usable():
+            # A change may be in force everywhere else: nothing is handled as only an older configuration allows.
+            message = "The configuration here has not been confirmed for too long."
+            return self._reject_arrival(event, deadline, LeaseExpired(message, remedy="Come back."))
         path = event.path.partition("?")[0]
         route = items.match_route(host=event.host, path=path)
         if route is None and not self._state.has_lease():
--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -25,9 +25,11 @@
     FollowCall,
     ForwardAnswer,
     ForwardCall,
+    PollAnswer,
 )
 from hoistsaddle.rpc.runtime import Runtime
 from hoistsaddle.sidecar.core import SidecarCore
+from hoistsaddle.sidecar.core_prober import CoreProber
 from hoistsaddle.sidecar.messages import (
     Abandon,
     AbandonArrived,
@@ -123,8 +125,31 @@
             retry_percent=own.further_percent,
             retry_margin=own.further_margin,
             key_lifetime=timedelta(seconds=own.key_seconds),
+            max_configuration_age=timedelta(seconds=own.apply_seconds),
         )
 
+    async def start(self) -> None:
+        """Listen for calls of the mesh, and begin to poll, tick, report, and look for the core when it is silent."""
+        await super().start()
+        prober = CoreProber(
+            runtime=self.runtime,
+            counters=self.counters,
+            core=self.core,
+            freshness=self.core.freshness,
+            poll=lambda address: self.poller.poll_once(address, within=self.timings.poll_timeout),
+        )
+        self.tasks.append(asyncio.ensure_future(prober.run()))
+
+    def _poll_refused(self, address: str, refusal: PollAnswer, sent: timedelta) -> None:
+        """Take that a core machine which had this configuration has lost its own lease: there is no majority.
+
+        One that has only just started holds none yet, and says nothing of the others.
+        """
+        view = self.core.view
+        is_root = any(node.kind == "bourse" and node.address == address for node in view.nodes.values())
+        if is_root and refusal.error == ErrorKind.LEASE_LAPSED and refusal.revision >= view.revision:
+            self.core.freshness.core_absent(sent)
+
     async def handle_request(self, make: Callable[[int], RequestArrived]) -> Reply:
         """Pass a client's request to the core, and return its final answer.
 
@@ -294,11 +319,13 @@
             key_seconds=settings.key_seconds,
             grace_seconds=settings.grace_seconds,
             drain_seconds=settings.drain_seconds,
+            apply_seconds=settings.apply_seconds,
         )
         self.member.seeds = settings.seeds
         core = self.core
         core.ingress.retries.set_limits(percent=settings.further_percent, margin=settings.further_margin)
         core.ingress.keys.key_lifetime = timedelta(seconds=settings.key_seconds)
+        core.freshness.max_age = timedelta(seconds=settings.apply_seconds)
         core.upstream.drain_timeout = timedelta(seconds=settings.drain_seconds)
 
     async def wind_down(self, *, quiet: timedelta, most: timedelta) -> None:
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/day.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/day.py
@@ -21,6 +21,7 @@
     FinalFault,
     Freeze,
     InvalidChange,
+    JammedLink,
     Kill,
     LateHeartbeats,
     Misbehave,
@@ -156,6 +157,18 @@
     return events
 
 
+def _full_links(seed: int, site: Site, seconds: float) -> list[ScheduledEvent]:
+    """On some days links are full for seconds, drawn apart like the reports."""
+    rng = random.Random(f"links {seed}")
+    if rng.random() < 0.6:
+        return []
+    names = [machine.name for machine in site.sidecars]
+    return [
+        JammedLink(rng.uniform(0.5, seconds - 6), rng.choice(names), rng.uniform(1, 6), rng.uniform(0, 1.5))
+        for _ in range(rng.randint(1, 3))
+    ]
+
+
 def draw_day(seed: int, *, small: bool = False, seconds: float = 26.0) -> Day:
     """Three sequences side by side: faults of the core, faults of the sidecars, and planned work.
 
@@ -175,7 +188,7 @@
         events += control_plane_events(control, site, seconds)
         events += change_events(control, seconds)
         site = site._replace(snapshot_records=control.choice((40, 150, 600)))
-    events += _server_reports(seed, site, seconds)
+    events += _server_reports(seed, site, seconds) + _full_links(seed, site, seconds)
     more = random.Random(f"more {seed}")
     sidecars = [machine.name for machine in site.sidecars]
     if more.random() < 0.3:
--- a/packages/testbed/src/hoistsaddle/testbed/scale/request_costs.py
+++ b/packages/testbed/src/hoistsaddle/testbed/scale/request_costs.py
@@ -6,7 +6,7 @@
 
 from hoistsaddle.common.clock import ZERO
 from hoistsaddle.proxy.core_state import CoreSettings
-from hoistsaddle.proxy.messages import ConfigurationChanged
+from hoistsaddle.proxy.messages import ConfigurationChanged, LeaseRenewed
 from hoistsaddle.rpc.codec import pack, unpack
 from hoistsaddle.sidecar.core import SidecarCore
 from hoistsaddle.sidecar.messages import ForwardAnswered, ForwardArrived, RequestArrived, ServerAnswered
@@ -37,9 +37,11 @@
         retry_percent=20,
         retry_margin=10,
         key_lifetime=timedelta(seconds=75),
+        max_configuration_age=timedelta(seconds=2),
         service=server.service,
     )
     core.handle(ConfigurationChanged(view), now=ZERO)
+    core.handle(LeaseRenewed(ZERO), now=ZERO)
     return core
 
 
--- a/tests/sidecar_bench.py
+++ b/tests/sidecar_bench.py
@@ -132,6 +132,7 @@
             retry_percent=20,
             retry_margin=margin,
             key_lifetime=timedelta(seconds=75),
+            max_configuration_age=timedelta(seconds=2),
             service="ledger",
         )
 
--- a/tests/test_emulator_full_link.py
+++ b/tests/test_emulator_full_link.py
@@ -10,8 +10,10 @@
 from hoistsaddle.testbed.emulator.checkers import check
 from hoistsaddle.testbed.emulator.day import Day
 from hoistsaddle.testbed.emulator.emulator import play
-from hoistsaddle.testbed.emulator.scheduled_events import Change, JammedLink
+from hoistsaddle.testbed.emulator.history import RequestResult, RequestSent
+from hoistsaddle.testbed.emulator.scheduled_events import Change, Freeze, JammedLink, Kill, ScheduledEvent
 
+CORE = ("core-0", "core-1", "core-2")
 SEEDS = tuple(range(1, 9))
 
 
@@ -33,3 +35,19 @@
         with ProcessPoolExecutor(os.cpu_count()) as pool:
             found = dict(zip(SEEDS, pool.map(broken, map(full_link_day, SEEDS)), strict=True))
         self.assertThat({seed: rules for seed, rules in found.items() if rules}, Equals({}))
+
+
+def statuses_without_core(how: ScheduledEvent) -> set[tuple[str, int]]:
+    """How requests without a key ended on a day on which the core goes at 3 s and comes back 8 s later."""
+    day = small_day(how, seconds=14.0)
+    history = play(day._replace(site=day.site._replace(rate=40.0))).history
+    keyed = {request.attempt for request in history.of(RequestSent) if request.key}
+    return {(each.outcome, each.status) for each in history.of(RequestResult) if each.attempt not in keyed}
+
+
+class CoreAway(TestCase):
+    def test_without_a_core_sidecars_go_on_with_what_they_have(self) -> None:
+        days = [Kill(3.0, CORE, 8.0, power=True), Kill(3.0, CORE, 8.0), Freeze(3.0, CORE, 8.0)]
+        with ProcessPoolExecutor(os.cpu_count()) as pool:
+            found = list(pool.map(statuses_without_core, days))
+        self.assertThat(found, Equals([{("answered", 200)}] * len(days)))
--- a/tests/test_sidecar_server_selection.py
+++ b/tests/test_sidecar_server_selection.py
@@ -7,7 +7,7 @@
 from testtools.matchers import Equals
 
 from hoistsaddle.proxy.core_state import CoreSettings
-from hoistsaddle.proxy.messages import ConfigurationChanged
+from hoistsaddle.proxy.messages import ConfigurationChanged, LeaseRenewed
 from hoistsaddle.proxy.retry_budget import retry_quota_of
 from hoistsaddle.sidecar import retry_allowance
 from hoistsaddle.sidecar.core import SidecarCore
@@ -37,9 +37,11 @@
         retry_percent=20,
         retry_margin=10,
         key_lifetime=timedelta(seconds=75),
+        max_configuration_age=timedelta(seconds=2),
         service=server.service,
     )
     core.handle(ConfigurationChanged(view), now=timedelta())
+    core.handle(LeaseRenewed(timedelta()), now=timedelta())
     return core
 
 
