--- /dev/null
+++ b/tests/test_settings_reload.py
@@ -0,0 +1,46 @@
+"""The settings file and SIGHUP from the very start of a program: neither a signal nor a change is lost or fatal."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from hoistsaddle.adapter import __main__ as program
+from test_adapter import SETTINGS
+
+LAUNCHER = Path(__file__).parent.parent / "platform" / "run.py"
+# The launcher, with a signal in the place of the program that it hands over to.
+SIGNALLED = f"""
+import os, runpy, signal, sys
+launcher = runpy.run_path
+def run_module(*_, **__):
+    os.kill(os.getpid(), signal.SIGHUP)
+    print("alive")
+runpy.run_module = run_module
+launcher({str(LAUNCHER)!r})
+"""
+
+
+class Reload(TestCase):
+    def test_a_signal_before_the_program_has_begun_does_not_end_it(self) -> None:
+        """Found by a soak: SIGHUP in the first tenths of a second ended sidecars and controllers."""
+        done = subprocess.run([sys.executable, "-c", SIGNALLED], capture_output=True, text=True)
+        self.assertThat((done.returncode, done.stdout), Equals((0, "alive\n")))
+
+    def test_a_change_between_the_first_read_and_the_watch_is_seen(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "boot.json"
+            path.write_text(json.dumps(SETTINGS))
+            os.utime(path, ns=(1, 1))
+            seen: list = []
+            with mock.patch.dict(os.environ, {program.SETTINGS_VARIABLE: str(path)}):
+                first = program.SettingsFile.from_environment()
+                path.write_text(json.dumps({**SETTINGS, "bounds": ["grace_s=9"]}))
+                program.SettingsWatcher(file=first, changed=seen.append).check_for_changes()
+            self.assertThat([each.bound("grace_s", 6) for each in seen], Equals([9.0]))
