Soak: real sidecars and controllers under kept connections, signals, restarts and changes

Change: `hoistsaddle fleet soak SIZE` plays the emulator's clients, servers, operators and faults on real processes with the platform's settings and adapter, on loopback: connections are used until the process is gone, servers break answers off in every place, answer twice and late, leave in either way; series of signals, restarts and changes overlap. The emulator's rules judge, with the programs' own records of standstills as excuses, and a rule for kept connections. Usage as CSV and plot. Fault injector's records and the servers' and clients' bodies became hooks.

--- a/packages/cli/src/hoistsaddle/cli/fleet_commands.py
+++ b/packages/cli/src/hoistsaddle/cli/fleet_commands.py
@@ -194,6 +194,46 @@
     click.echo(f"BROKEN seed {day_case.seed}: {summary} (again: {again})")
 
 
+@fleet.command()
+@click.argument("size", default="3+6")
+@click.option("--seeds", default="1", show_default=True, help="FIRST-LAST.")
+@click.option("--minutes", type=click.FloatRange(0.2, 600), default=1.0, show_default=True, help="Of traffic.")
+@click.option("--older", type=click.Path(exists=True, file_okay=False, path_type=Path), help="A former release, built.")
+@click.option("--report", "figures", type=click.Path(file_okay=False, path_type=Path), help="Folder for CSV and plot.")
+@click.option("--folder", type=click.Path(file_okay=False, path_type=Path), help="Where settings, logs and data go.")
+def soak(size, seeds, minutes, older, figures, folder) -> None:
+    """Runs real sidecars and controllers under kept connections, signals, restarts and changes; SIZE as 3+6."""
+    from hoistsaddle.testbed.soak.day import draw_soak
+    from hoistsaddle.testbed.soak.report import lines_of, plot_usage, verdict_of, write_usage
+    from hoistsaddle.testbed.soak.size import check_room, read_size, site_of, total_memory
+    from hoistsaddle.testbed.soak.soak import run_soak
+
+    first, _, last = seeds.partition("-")
+    chosen = read_size(size)
+    if chosen is None or not first.isdigit() or not (last or first).isdigit():
+        refuse_use(
+            f"params: size {size!r} or seeds {seeds!r} can't be read. Remedy: write CONTROLLERS+SIDECARS, "
+            "at least 3+6, and seeds like 1-20."
+        )
+    if (problem := check_room(chosen, memory=total_memory())) is not None:
+        refuse_use(str(problem))
+    verdicts: Counter[str] = Counter()
+    for seed in range(int(first), int(last or first) + 1):
+        place = (folder or Path(tempfile.mkdtemp(prefix="hoistsaddle-soak-"))) / f"seed-{seed}"
+        place.mkdir(parents=True, exist_ok=True)
+        day = draw_soak(site_of(chosen, seed=seed), seed=seed, seconds=minutes * 60)
+        report = asyncio.run(run_soak(day, folder=place, older=older, write_line=click.echo))
+        verdicts[verdict_of(report)] += 1
+        for line in lines_of(report, again=f"hoistsaddle fleet soak {size} --seeds {seed} --minutes {minutes:g}"):
+            click.echo(line)
+        if figures is not None:
+            figures.mkdir(parents=True, exist_ok=True)
+            write_usage(report, figures / f"seed-{seed}.csv")
+            plot_usage(report, figures / f"seed-{seed}.png")
+    click.echo(f"{sum(verdicts.values())} soaks of {size}: {dict(verdicts)}")
+    sys.exit(1 if verdicts["BROKEN"] else 0)
+
+
 @fleet.command()
 @click.option("--minutes", type=click.FloatRange(0.05, 600), default=1.0, show_default=True, help="Of random walks.")
 @click.option("--workers", type=click.IntRange(1, 256), help="Processes at once; by default one for each core.")
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/clients.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/clients.py
@@ -151,12 +151,16 @@
         until = min(until, self.environment.now() + request_kind.deadline)
         return await self._attempt(ClientRequest(request_kind, route, server.machine.name, path, "", until, run))
 
+    def make_body(self, mark: bytes) -> bytes:
+        """The body of a request that has one, from what marks it."""
+        return mark * 4
+
     async def _attempt(self, request: ClientRequest) -> RequestResult:
         environment = self.environment
         route, key = request.route, request.key
         attempt = f"a-{next(environment.counter):08x}"
         remaining = request.until - environment.now()
-        body = b"" if route.kind == REPEATABLE else f"{request.path} {key} ".encode() * 4
+        body = b"" if route.kind == REPEATABLE else self.make_body(f"{request.path} {key} ".encode())
         method = "POST" if body else "GET"
         headers = adapter("samples").request_headers(host=route.host, attempt=attempt, left=remaining, key=key)
         process = environment.processes[request.machine]
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/fault_injector.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/fault_injector.py
@@ -51,12 +51,14 @@
         self.cut_links: list[set[tuple[str, str]]] = []
         self.triggered_faults: list[TriggeredFault] = []
 
-    def _record_start(self, machine: str, kind: str, *, planned: bool = False) -> int:
+    def record_start(self, machine: str, kind: str, *, planned: bool = False) -> int:
+        """Record that a fault begins on a machine; return its number."""
         number = next(self.numbers)
         self.environment.history.add(FaultStarted(self.environment.now(), number, machine, kind, planned))
         return number
 
-    def _record_end(self, number: int) -> None:
+    def record_end(self, number: int) -> None:
+        """Record that the fault of this number is over."""
         self.environment.history.add(FaultEnded(self.environment.now(), number))
 
     def _available(self, names: tuple[str, ...]) -> list[str]:
@@ -117,7 +119,7 @@
         environment, numbers = self.environment, []
         kind = "wipe" if wiped else "power" if power else "kill"
         for name in names:
-            numbers.append(self._record_start(name, kind))
+            numbers.append(self.record_start(name, kind))
             self.busy.add(name)
             environment.processes[name].kill(power=power)
             if wiped:
@@ -127,10 +129,10 @@
             self.busy.discard(name)
             if name in environment.machines or name in environment.core:
                 environment.start(name)
-            self._record_end(number)
+            self.record_end(number)
 
     async def _freeze(self, names: list[str], seconds: float) -> None:
-        numbers = [self._record_start(name, "freeze") for name in names]
+        numbers = [self.record_start(name, "freeze") for name in names]
         processes = [self.environment.processes[name].simulated for name in names]
         self.busy.update(names)
         for process in processes:
@@ -140,7 +142,7 @@
             process.wake()
         self.busy.difference_update(names)
         for number in numbers:
-            self._record_end(number)
+            self.record_end(number)
 
     async def _partition(self, partition: Partition) -> None:
         world = self.environment.world
@@ -149,22 +151,22 @@
         pairs = {(name, other) for name in names for other in others if other not in names}
         if not partition.one_way:
             pairs |= {(other, name) for name, other in pairs}
-        numbers = [self._record_start(name, "cut") for name in names]
+        numbers = [self.record_start(name, "cut") for name in names]
         self.cut_links.append(pairs)
         world.cuts = set().union(*self.cut_links)
         await asyncio.sleep(partition.seconds)
         self.cut_links.remove(pairs)
         world.cuts = set().union(*self.cut_links)
         for number in numbers:
-            self._record_end(number)
+            self.record_end(number)
 
     async def _disk(self, fault: DiskFault) -> None:
         for name in self._available((fault.machine,)):
-            number = self._record_start(name, "disk")
+            number = self.record_start(name, "disk")
             self.environment.world.disk_faults[name] = fault.how
             await asyncio.sleep(fault.seconds)
             self.environment.world.disk_faults.pop(name, None)
-            self._record_end(number)
+            self.record_end(number)
 
     async def _terminate(self, name: str) -> None:
         process = self.environment.processes[name]
@@ -172,19 +174,19 @@
         process.kill()
 
     async def _stop(self, name: str, seconds: float) -> None:
-        number = self._record_start(name, "stop", planned=True)
+        number = self.record_start(name, "stop", planned=True)
         self.busy.add(name)
         await self._terminate(name)
         await asyncio.sleep(seconds)
         self.busy.discard(name)
         if name in self.environment.machines or name in self.environment.core:
             self.environment.start(name)
-        self._record_end(number)
+        self.record_end(number)
 
     async def _replace_core(self, fault: ReplaceCore) -> None:
         environment = self.environment
         for name in self._available((fault.machine,)):
-            number = self._record_start(name, "replace", planned=fault.planned)
+            number = self.record_start(name, "replace", planned=fault.planned)
             self.busy.add(name)
             if fault.planned:
                 environment.add_successor(name)
@@ -195,18 +197,18 @@
                 await asyncio.sleep(fault.seconds)
                 environment.add_successor(name)
             environment.processes[name].wipe()
-            self._record_end(number)
+            self.record_end(number)
 
     def _reset(self, reset: ResetConnections) -> None:
         environment = self.environment
         names = self._available(reset.machines)
-        numbers = [self._record_start(name, "reset") for name in names]
+        numbers = [self.record_start(name, "reset") for name in names]
         hosts = [environment.processes[name].machine.host for name in names]
         environment.world.reset(names=names, hosts=hosts, share=reset.share)
         for name in names:
             environment.processes[name].reset(reset.share)
         for number in numbers:
-            self._record_end(number)
+            self.record_end(number)
 
     async def _restart_server(self, name: str, *, announced: bool) -> None:
         environment = self.environment
@@ -246,12 +248,12 @@
 
     async def _move_address(self, machine: SidecarMachine, service: str) -> None:
         environment, name = self.environment, machine.name
-        number = self._record_start(name, "stop", planned=True)
+        number = self.record_start(name, "stop", planned=True)
         self.busy.add(name)
         await self._terminate(name)
         del environment.machines[name]
         environment.ready[name] = False
-        self._record_end(number)
+        self.record_end(number)
         await asyncio.sleep(BOUNDS["reuse_after_s"])
         environment.add_machine(machine._replace(name=f"side-x{next(environment.counter)}", service=service))
 
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
@@ -33,6 +33,28 @@
 POLL_SECONDS = 0.02
 
 
+def encode_settings(
+    environment: Environment, machine: CoreMachine | SidecarMachine, *, folder: Path, cold: bool
+) -> bytes:
+    """What a machine's program is told in the platform's settings file; `folder` is a core machine's data folder."""
+    # At the first start all get the same seeds, later any of the operators' list.
+    known = environment.seeds()
+    seeds = known[:MAX_SEEDS] if cold else environment.random.sample(known, min(MAX_SEEDS, len(known)))
+    service = machine.service if isinstance(machine, SidecarMachine) else ""
+    return adapter("samples").settings(
+        node=machine.name,
+        host=machine.host,
+        zone=machine.zone,
+        seeds=[seed.host for seed in seeds],
+        cold_start=cold,
+        losses=environment.day.site.losses,
+        bounds=BOUNDS,
+        folder=str(folder) if isinstance(machine, CoreMachine) else None,
+        service=service,
+        server=f"{machine.host}:{SERVER_PORT}" if service else "",
+    )
+
+
 class Process:
     """One process of a machine's program, from its start to its end."""
 
@@ -58,23 +80,8 @@
     def write_settings(self, *, cold: bool) -> Any:
         """Writes the machine's settings file, and reads it as the platform's start-up does."""
         environment, machine = self.environment, self.machine
-        # At the first start all get the same seeds, later any of the operators' list.
-        known = environment.seeds()
-        seeds = known[:MAX_SEEDS] if cold else environment.random.sample(known, min(MAX_SEEDS, len(known)))
-        encoded = adapter("samples").settings(
-            node=machine.name,
-            host=machine.host,
-            zone=machine.zone,
-            seeds=[seed.host for seed in seeds],
-            cold_start=cold,
-            losses=environment.day.site.losses,
-            bounds=BOUNDS,
-            folder=str(self.folder) if isinstance(machine, CoreMachine) else None,
-            service=self.service,
-            server=f"{machine.host}:{SERVER_PORT}" if self.service else "",
-        )
         path = environment.world.folder / f"{machine.name}.json"
-        path.write_bytes(encoded)
+        path.write_bytes(encode_settings(environment, machine, folder=self.folder, cold=cold))
         return adapter("headers").read_settings(str(path))
 
     @property
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/servers.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/servers.py
@@ -207,7 +207,7 @@
         misbehaviour = environment.misbehaviour_of(self.service)
         if misbehaviour == "failure":
             status = FAILED
-        body = f"{run} {call.client_attempt_id} {path} ".encode() * 3
+        body = self.make_body(f"{run} {call.client_attempt_id} {path} ".encode())
         complete = misbehaviour not in ("lost", "cut")
         environment.history.add(RunEnded(environment.now(), run, status, digest_of(body), complete))
         if self.ended or misbehaviour == "cut":
@@ -220,6 +220,10 @@
         headers = pack_pairs(adapter("samples").sealed(run=run, attempt=call.client_attempt_id))
         return ServerAnswered(command.number, status, headers, body, False)
 
+    def make_body(self, mark: bytes) -> bytes:
+        """The body of an answer, from what marks its run."""
+        return mark * 3
+
     def _record_start(self, command: RunOnServer, run: str) -> None:
         call = command.call
         self.environment.history.add(
--- /dev/null
+++ b/packages/testbed/src/hoistsaddle/testbed/soak/day.py
@@ -0,0 +1,136 @@
+"""What happens in a soak: series of signals, restarts and changes that overlap, drawn by the seed."""
+
+import random
+
+from hoistsaddle.testbed.emulator.day import Day
+from hoistsaddle.testbed.emulator.scheduled_events import (
+    LEFT,
+    Change,
+    ChangeStorm,
+    CrashServer,
+    Freeze,
+    InvalidChange,
+    Kill,
+    LateHeartbeats,
+    Misbehave,
+    RepeatChange,
+    RestartServer,
+    RewriteSettings,
+    ScheduledEvent,
+    Stop,
+    TriggeredFault,
+)
+from hoistsaddle.testbed.emulator.site import Site
+
+# What befalls servers, the more frequent twice.
+SERVER_EVENTS = ("leave", "leave unannounced", "leave unannounced", "late", "crash", "misbehave", "misbehave")
+# Seconds from one lost disk to the next: no more are lost at once than the smallest site bears.
+WIPE_GAP = 20.0
+# Before the end everything is left alone, so that operators can read back what is in force.
+CALM_SECONDS = 10.0
+# Mean seconds between two events of each series; they run beside each other without waiting for one another.
+SIGNAL_GAP, SERVER_GAP, CHANGE_GAP, CORE_GAP = 4.0, 3.0, 1.2, 14.0
+
+
+def draw_soak(site: Site, *, seed: int, seconds: float) -> Day:
+    """Draw the day of a soak.
+
+    Args:
+        site: in its size.
+        seed: decides everything but what the machine's own timing does.
+        seconds: of traffic, calm at the end included.
+    """
+    rng = random.Random(f"soak day {seed}")
+    end = max(2.0, seconds - CALM_SECONDS)
+    events = _signals(rng, site, end) + _servers(rng, site, end) + _changes(rng, end) + _core(rng, site, end)
+    return Day(seed, site, tuple(sorted(events, key=lambda event: event.at)), seconds)
+
+
+def _times(rng: random.Random, gap: float, end: float) -> list[float]:
+    found = [rng.uniform(0.5, 2.0)]
+    while found[-1] < end:
+        found.append(found[-1] + rng.expovariate(1 / gap))
+    return found[:-1]
+
+
+def _signals(rng: random.Random, site: Site, end: float) -> list[ScheduledEvent]:
+    """Signals to sidecars: TERM, HUP, KILL, STOP and CONT, often several at once."""
+    names = [machine.name for machine in site.sidecars]
+    events: list[ScheduledEvent] = []
+    for at in _times(rng, SIGNAL_GAP, end):
+        for name in rng.sample(names, rng.choice((1, 1, 2))):
+            match rng.choice(("term", "term", "kill", "freeze", "settings")):
+                case "term":
+                    events.append(Stop(at, name, rng.uniform(0.2, 1.0)))
+                case "kill":
+                    events.append(Kill(at, (name,), rng.uniform(0.2, 1.5)))
+                case "freeze":
+                    events.append(Freeze(at, (name,), rng.uniform(0.3, 3.0)))
+                case "settings":
+                    events.append(RewriteSettings(at))
+    return events
+
+
+def _servers(rng: random.Random, site: Site, end: float) -> list[ScheduledEvent]:
+    """Servers that leave in either way, crash, report late, and break answers off."""
+    names = [machine.name for machine in site.sidecars]
+    events: list[ScheduledEvent] = []
+    for at in _times(rng, SERVER_GAP, end):
+        name = rng.choice(names)
+        match rng.choice(SERVER_EVENTS):
+            case "leave":
+                events.append(RestartServer(at, name))
+            case "leave unannounced":
+                events.append(LateHeartbeats(max(0.1, at - 2.0), name, 3.0, rng.uniform(1.0, 4.0)))
+                events.append(RestartServer(at, name, announced=False))
+                if rng.random() < 0.3:
+                    events.append(TriggeredFault(at - 0.1, "kill", rng.uniform(0.3, 1.0), LEFT))
+            case "late":
+                events.append(LateHeartbeats(at, name, rng.uniform(1.0, 5.0), rng.uniform(1.0, 4.0)))
+            case "crash":
+                events.append(CrashServer(at, name, rng.uniform(0.5, 3.0)))
+            case "misbehave":
+                service = rng.choice([each.name for each in site.services])
+                how = rng.choice(("cut", "cut", "lost", "failure"))
+                events.append(Misbehave(at, service, rng.uniform(0.05, 0.3), rng.uniform(1.0, 5.0), how))
+    return events
+
+
+def _changes(rng: random.Random, end: float) -> list[ScheduledEvent]:
+    """Changes one after the other whether or not the former has settled, and storms of them."""
+    events: list[ScheduledEvent] = []
+    for at in _times(rng, CHANGE_GAP, end):
+        pick = rng.randrange(1000)
+        match rng.choice(("change", "change", "change", "race", "storm", "repeat", "invalid")):
+            case "change":
+                events.append(Change(at, rng.choice(("add", "drop", "split", "move", "times", "idle")), pick))
+            case "race":
+                events.append(Change(at, rng.choice(("split", "move", "times")), pick, operators=2))
+            case "storm":
+                events.append(ChangeStorm(at, rng.randint(4, 16), rng.uniform(0.02, 0.2), pick))
+            case "repeat":
+                events.append(RepeatChange(at, pick))
+            case "invalid":
+                events.append(InvalidChange(at, rng.choice(("unknown service", "below 0", "no hold", "kind")), pick))
+    return events
+
+
+def _core(rng: random.Random, site: Site, end: float) -> list[ScheduledEvent]:
+    """One controller after the other is stopped, killed, frozen or loses its disk; no more than may be lost at once."""
+    names = [machine.name for machine in site.core]
+    events: list[ScheduledEvent] = []
+    last_wipe = -WIPE_GAP
+    for at in _times(rng, CORE_GAP, end):
+        name, seconds = rng.choice(names), rng.uniform(0.3, 2.0)
+        kind = rng.choice(("term", "kill", "freeze", "wipe" if at - last_wipe >= WIPE_GAP else "kill"))
+        last_wipe = at if kind == "wipe" else last_wipe
+        match kind:
+            case "term":
+                events.append(Stop(at, name, seconds))
+            case "kill":
+                events.append(Kill(at, (name,), seconds))
+            case "freeze":
+                events.append(Freeze(at, (name,), seconds))
+            case "wipe":
+                events.append(Kill(at, (name,), seconds, power=True, wipe=True))
+    return events
