--- a/packages/testbed/src/hoistsaddle/testbed/soak/processes.py
+++ b/packages/testbed/src/hoistsaddle/testbed/soak/processes.py
@@ -17,7 +17,7 @@
 from hoistsaddle.testbed.emulator.site import BOUNDS, CoreMachine, SidecarMachine
 
 READY_TIMEOUT_SECONDS = 1.0
-# The deploy file's launcher; started where nothing is built for it, it finds the installed packages.
+# The deploy file's launcher; started where nothing is built for it, it finds the inpauseed packages.
 LAUNCHER = FOLDER.parent / "run.py"
 # The platform kills what is still there this long after its grace.
 KILL_SLACK_SECONDS = 0.5
--- a/packages/testbed/src/hoistsaddle/testbed/soak/report.py
+++ b/packages/testbed/src/hoistsaddle/testbed/soak/report.py
@@ -27,7 +27,7 @@
         again: the command that repeats it.
     """
     day = report.day
-    longest = max((stall.ended - stall.began for stall in report.stalls), default=0.0)
+    longest = max((pause.ended - pause.began for pause in report.pauses), default=0.0)
     lines = [
         f"seed {day.seed}: {verdict_of(report)}; {len(day.site.core)}+{len(day.site.sidecars)} processes, "
         f"{report.requests} requests, {report.changes} changes taken, signals {report.signals}",
--- a/packages/testbed/src/hoistsaddle/testbed/soak/soak.py
+++ b/packages/testbed/src/hoistsaddle/testbed/soak/soak.py
@@ -32,9 +32,9 @@
 from hoistsaddle.testbed.emulator.site import CoreMachine, SidecarMachine
 from hoistsaddle.testbed.emulator.statuses import OK
 from hoistsaddle.testbed.soak.clients import CROSSED, SoakClients
+from hoistsaddle.testbed.soak.pauses import Pause, excuse, pauses_in, share_left_out
 from hoistsaddle.testbed.soak.processes import RealProcess, Usage, as_process
 from hoistsaddle.testbed.soak.servers import SoakServer, as_server
-from hoistsaddle.testbed.soak.stalls import Stall, excuse, share_left_out, stalls_in
 
 USAGE_SECONDS = 1.0
 # From the start of the processes to traffic, at the least, and a little more for each process.
@@ -57,7 +57,7 @@
     outcomes: dict[str, int]
     changes: int
     signals: dict[str, int]
-    stalls: list[Stall]
+    pauses: list[Pause]
     left_out: float
     usage: list[Usage]
     broken: dict[str, list[str]]
@@ -196,17 +196,17 @@
         """Judge what was seen."""
         day, history = self.day, self.history
         machines: list[CoreMachine | SidecarMachine] = [*day.site.core, *day.site.sidecars]
-        stalls = [
-            stall
+        pauses = [
+            pause
             for machine in machines
-            for stall in stalls_in(
+            for pause in pauses_in(
                 self.folder / f"{machine.name}.log", machine=machine.name, clock=self.began_at, wall=self.began_wall
             )
         ]
         signals = Counter(fault.kind for fault in history.of(FaultStarted))
         results = history.of(RequestResult)
         seconds = self.now() - self.began_at
-        excuse(history, [stall for stall in stalls if not self._explained(stall)])
+        excuse(history, [pause for pause in pauses if not self._explained(pause)])
         broken = {rule: found for rule, found in check(history, day).items() if found and rule not in NO_RULES}
         if lost := lost_on_kept_connections(HistoryIndex(history=history, day=day)):
             broken["LOST kept"] = lost
@@ -216,9 +216,9 @@
             dict(Counter(f"{each.outcome} {each.status or ''}".strip() for each in results)),
             sum(each.status == OK for each in history.of(ChangeAnswered)),
             dict(signals),
-            stalls,
+            pauses,
             share_left_out(
-                [stall for stall in stalls if not self._explained(stall)], machines=len(machines), seconds=seconds
+                [pause for pause in pauses if not self._explained(pause)], machines=len(machines), seconds=seconds
             ),
             self.usage,
             broken,
@@ -240,10 +240,10 @@
             ]
         return stories
 
-    def _explained(self, stall: Stall) -> bool:
+    def _explained(self, pause: Pause) -> bool:
         """Whether the soak itself made the program stand still."""
         return any(
-            fault.kind == "freeze" and fault.machine == stall.machine and stall.began - 1 < fault.at < stall.ended + 1
+            fault.kind == "freeze" and fault.machine == pause.machine and pause.began - 1 < fault.at < pause.ended + 1
             for fault in self.history.of(FaultStarted)
         )
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,10 +22,10 @@
 from hoistsaddle.testbed.emulator.history_index import HistoryIndex
 from hoistsaddle.testbed.soak.clients import CROSSED
 from hoistsaddle.testbed.soak.day import WIPE_GAP, draw_soak
+from hoistsaddle.testbed.soak.pauses import Pause, excuse, pauses_in, share_left_out
 from hoistsaddle.testbed.soak.report import TIMELESS, lines_of
 from hoistsaddle.testbed.soak.size import BYTES_PER_PROCESS, MAX_PROCESSES, Size, check_room, read_size, site_of
 from hoistsaddle.testbed.soak.soak import TOLERATED_CROSSINGS, lost_on_kept_connections, run_soak
-from hoistsaddle.testbed.soak.stalls import Stall, excuse, share_left_out, stalls_in
 from hoistsaddle.testbed.soak.wire import Broken, in_chunks, read_message, write_head
 
 SEED, SECONDS = 1, 18.0
@@ -101,7 +101,7 @@
                 self.assertThat(self.read(message[:length]), Equals(length > 0), str(length))
 
 
-class Stalls(TestCase):
+class Pauses(TestCase):
     def test_a_programs_own_record_dates_its_standstill(self) -> None:
         wall = datetime(2026, 12, 2, 0, 0, 10)
         with tempfile.TemporaryDirectory() as folder:
@@ -110,15 +110,15 @@
                 "23:59:59.500 side-00 stood still {'seconds': 0.5}\n"
                 "00:00:12.000 side-00 stood still {'seconds': 1.25}\nelse\n"
             )
-            found = stalls_in(log, machine="side-00", clock=100.0, wall=wall)
-            self.assertThat(stalls_in(Path(folder) / "none", machine="x", clock=0.0, wall=wall), Equals([]))
-        self.assertThat(found, Equals([Stall("side-00", 89.0, 89.5), Stall("side-00", 100.75, 102.0)]))
+            found = pauses_in(log, machine="side-00", clock=100.0, wall=wall)
+            self.assertThat(pauses_in(Path(folder) / "none", machine="x", clock=0.0, wall=wall), Equals([]))
+        self.assertThat(found, Equals([Pause("side-00", 89.0, 89.5), Pause("side-00", 100.75, 102.0)]))
 
     def test_it_excuses_its_machine_and_is_counted_as_left_out(self) -> None:
-        history, stall = History(), Stall("side-00", 5.0, 6.0)
-        excuse(history, [stall])
+        history, pause = History(), Pause("side-00", 5.0, 6.0)
+        excuse(history, [pause])
         self.assertThat([type(event) for event in history.events], Equals([FaultStarted, FaultEnded]))
-        self.assertThat(share_left_out([stall], machines=4, seconds=10.0), Equals(0.1))
+        self.assertThat(share_left_out([pause], machines=4, seconds=10.0), Equals(0.1))
 
 
 class KeptConnections(TestCase):
