--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -7,12 +7,13 @@
 from testtools.matchers import Equals
 
 PACKAGES = Path(__file__).parent.parent / "packages"
-# Events carry a wall-clock time for people to read; the export says when it was read; measurements are
-# no daemons.
+# Events carry a wall-clock time for people to read; the export says when it was read; measurements and soaks are
+# no daemons, and a soak dates the lines of the daemons' logs.
 MAY_READ = {
     "common/src/hoistsaddle/common/counters.py",
     "cli/src/hoistsaddle/cli/export.py",
     "testbed/src/hoistsaddle/testbed/measure.py",
+    "testbed/src/hoistsaddle/testbed/soak/soak.py",
 }
 WALL = {
     ("datetime", "now"),
