A soak that is interrupted ends its processes

Cause: SIGTERM ended the soak's own process at once; its nine programs stayed (seen by hand). Change: both signals cancel the run, whose end kills what it started. test_soak: no process of its folder is left.

--- a/packages/cli/src/hoistsaddle/cli/fleet_commands.py
+++ b/packages/cli/src/hoistsaddle/cli/fleet_commands.py
@@ -222,7 +222,11 @@
         place = (folder or Path(tempfile.mkdtemp(prefix="hoistsaddle-soak-"))) / f"seed-{seed}"
         place.mkdir(parents=True, exist_ok=True)
         day = draw_soak(site_of(chosen, seed=seed), seed=seed, seconds=minutes * 60)
-        report = asyncio.run(run_soak(day, folder=place, older=older, write_line=click.echo))
+        try:
+            report = asyncio.run(run_soak(day, folder=place, older=older, write_line=click.echo))
+        except asyncio.CancelledError:
+            click.echo("stopped: interrupted; all its processes are ended", err=True)
+            sys.exit(1)
         verdicts[verdict_of(report)] += 1
         for line in lines_of(report, again=f"hoistsaddle fleet soak {size} --seeds {seed} --minutes {minutes:g}"):
             click.echo(line)
--- a/packages/testbed/src/hoistsaddle/testbed/soak/soak.py
+++ b/packages/testbed/src/hoistsaddle/testbed/soak/soak.py
@@ -4,6 +4,7 @@
 import contextvars
 import itertools
 import random
+import signal
 from collections import Counter
 from collections.abc import Callable
 from datetime import datetime
@@ -279,6 +280,10 @@
         older: a checkout of a former release, built for the platform, whose programs run in the place of these.
         write_line: takes progress for people.
     """
+    loop, main = asyncio.get_running_loop(), asyncio.current_task()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        # By default the second one would end this process at once, and leave all others behind.
+        loop.add_signal_handler(number, lambda: main.cancel() if main is not None else None)
     async with aiohttp.ClientSession() as session:
         soak = Soak(day=day, folder=folder, session=session, older=older)
         try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,13 +1,15 @@
 """Soaks of real processes: one short run whose verdict rests on no bound in time, and the parts that read it."""
 
 import asyncio
+import os
 import random
+import signal
 import tempfile
 from datetime import datetime
 from pathlib import Path
 
 from testtools import TestCase
-from testtools.matchers import Equals, GreaterThan, Is, IsInstance
+from testtools.matchers import Equals, GreaterThan, Is, IsInstance, raises
 
 from hoistsaddle.common.errors import MeshError
 from hoistsaddle.testbed.emulator.history import (
@@ -32,6 +34,18 @@
 SMALL = Size(3, 6)
 
 
+def processes_of(folder: str) -> list[str]:
+    """The running processes whose settings lie in this folder."""
+    found = []
+    for place in Path("/proc").glob("[0-9]*"):
+        try:
+            if folder.encode() in (place / "environ").read_bytes():
+                found.append(place.name)
+        except OSError:
+            continue
+    return found
+
+
 class RealProcesses(TestCase):
     def test_a_short_soak_holds_what_no_hesitation_of_the_machine_can_break(self) -> None:
         print("seed", SEED)
@@ -45,6 +59,28 @@
         self.assertThat(len(report.signals), GreaterThan(1))
 
 
+class Interrupts(TestCase):
+    def test_a_signal_in_the_middle_leaves_nothing_behind(self) -> None:
+        """A first soak that was ended by SIGTERM left its nine processes."""
+        day = draw_soak(site_of(SMALL, seed=SEED), seed=SEED, seconds=SECONDS)
+        with tempfile.TemporaryDirectory(prefix="hoistsaddle-soak-") as folder:
+
+            async def interrupt() -> None:
+                while len(processes_of(folder)) < SMALL.processes:
+                    await asyncio.sleep(0.05)
+                os.kill(os.getpid(), signal.SIGTERM)
+
+            async def run() -> None:
+                watch = asyncio.ensure_future(interrupt())
+                try:
+                    await run_soak(day, folder=Path(folder))
+                finally:
+                    watch.cancel()
+
+            self.assertThat(lambda: asyncio.run(run()), raises(asyncio.CancelledError))
+            self.assertThat(processes_of(folder), Equals([]))
+
+
 class Sizes(TestCase):
     def test_what_can_be_read(self) -> None:
         self.assertThat(read_size("5+40"), Equals(Size(5, 40)))
