--- a/packages/testbed/src/hoistsaddle/testbed/soak/soak.py
+++ b/packages/testbed/src/hoistsaddle/testbed/soak/soak.py
@@ -232,7 +232,7 @@
         stories: dict[str, list[str]] = {}
         for name in dict.fromkeys(named):
             attempt = attempts.get(name, name)
-            about = [event for event in self.history.events if attempt in (getattr(event, "attempt", ""), name)]
+            about = [event for event in self.history.events if getattr(event, "attempt", "") == attempt]
             runs = {event.run for event in about if isinstance(event, RunStarted)}
             about += [ended for ended in self.history.of(RunEnded) if ended.run in runs]
             about += [event for event in self.history.events if getattr(event, "change_request", "") == name]
