Tests' sidecar stack: a configuration that was confirmed

The stack now renews the lease with the configuration, and sets the span to its most: it plays no core, and freshness has tests of its own.

--- a/tests/sidecar_stack.py
+++ b/tests/sidecar_stack.py
@@ -12,7 +12,7 @@
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.settings import SidecarSettings
 from hoistsaddle.config.items import ItemConfiguration, ServiceItem
-from hoistsaddle.proxy.messages import ConfigurationChanged
+from hoistsaddle.proxy.messages import ConfigurationChanged, LeaseRenewed
 from hoistsaddle.rpc.client import RpcClient
 from hoistsaddle.rpc.connection import KeepAlive
 from hoistsaddle.rpc.messages import WriteAnswer, WriteCall
@@ -254,6 +254,8 @@
             service=self.service,
             server="127.0.0.1:1",
             health_seconds=60,
+            # No core is played here that would confirm the configuration again and again.
+            apply_seconds=600,
         )
         runtime = SteppedRuntime(seed=self.stack.seed, life=self.stack.starts, core=self.stack.core)
         # A pool of its own: an incarnation's connections die with it.
@@ -270,6 +272,7 @@
     def tell(self) -> None:
         """Its server reports itself, and the core's configuration arrives."""
         self.node.feed(ConfigurationChanged(self.stack.view()))
+        self.node.feed(LeaseRenewed(self.node.runtime.now()))
         local_server, address = self.local_server, f"127.0.0.1:{self.to_server.port}"
         self.node.feed(HealthReported(local_server.service, local_server.instance, address, READY, 8, timedelta()))
 
