--- a/packages/testbed/src/hoistsaddle/testbed/soak/soak.py
+++ b/packages/testbed/src/hoistsaddle/testbed/soak/soak.py
@@ -4,6 +4,7 @@
 import contextvars
 import itertools
 import random
+import signal
 from collections import Counter
 from collections.abc import Callable
 from datetime import datetime
@@ -231,7 +232,7 @@
         stories: dict[str, list[str]] = {}
         for name in dict.fromkeys(named):
             attempt = attempts.get(name, name)
-            about = [event for event in self.history.events if attempt in (getattr(event, "attempt", ""), name)]
+            about = [event for event in self.history.events if getattr(event, "attempt", "") == attempt]
             runs = {event.run for event in about if isinstance(event, RunStarted)}
             about += [ended for ended in self.history.of(RunEnded) if ended.run in runs]
             about += [event for event in self.history.events if getattr(event, "change_request", "") == name]
@@ -279,6 +280,10 @@
         older: a checkout of a former release, built for the platform, whose programs run in the place of these.
         write_line: takes progress for people.
     """
+    loop, main = asyncio.get_running_loop(), asyncio.current_task()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        # By default the second one would end this process at once, and leave all others behind.
+        loop.add_signal_handler(number, lambda: main.cancel() if main is not None else None)
     async with aiohttp.ClientSession() as session:
         soak = Soak(day=day, folder=folder, session=session, older=older)
         try:
