One place for the order of reports, the framing of answers and the refusal of a leave

The lines that accept, record and sign off a report stood in both upstream cores: CoreState.takes_report. What tells where an answer ends was decided in the proxies' client and in the sidecar's connection, which imported the client for two statuses: proxy/answer_framing.py. The refusal of a leave was worded at two listeners: report_server returns it. The prober sliced one list of answers: two lists. And a server that goes on reporting after its sign-off was recorded at every heartbeat: once now.

--- a/packages/proxy/src/hoistsaddle/proxy/core_state.py
+++ b/packages/proxy/src/hoistsaddle/proxy/core_state.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from hoistsaddle.proxy.messages import Announce, ReportHealth
+from hoistsaddle.proxy.server_reports import ServerReports
 from hoistsaddle.statemachine.state import GONE, READY
 from hoistsaddle.statemachine.view import View
 
@@ -48,6 +49,7 @@
         now: the monotonic time of the event that is handled.
         view: the configuration in force here.
         server: the local server's last report.
+        reports: the order of the reports of the local servers.
         serial: number of the newest health report; the log takes none that is older.
         stopping: whether the process was told to stop.
         closing: whether it is about to end: its server goes on, but nothing new comes through here.
@@ -62,6 +64,8 @@
         self.view = View()
         self.lease_start: timedelta | None = None
         self.server: LocalServer | None = None
+        self.reports = ServerReports()
+        self._ignored_instance = ""
         self.serial = 0
         self.stopping = False
         self.closing = False
@@ -82,6 +86,24 @@
             return GONE
         return self.server.state
 
+    def takes_report(self, instance: str, *, state: str, sequence: int = 0) -> bool:
+        """Put a report of a local server in its order; return whether it still says something new.
+
+        Args:
+            instance: whose report it is.
+            state: what it says; an instance that calls itself gone has signed off.
+            sequence: its number at its sender; 0 where reports carry none.
+        """
+        if not self.reports.accept(instance, sequence=sequence):
+            if instance != self._ignored_instance:
+                # Once each: a server that has signed off may go on reporting.
+                self._ignored_instance = instance
+                self.announce("late report ignored", instance=instance, sequence=sequence)
+            return False
+        if state == GONE:
+            self.reports.sign_off(instance)
+        return True
+
     def next_number(self) -> int:
         """Return a number that no call of this core had before."""
         self.numbers += 1
--- a/packages/proxy/src/hoistsaddle/proxy/server_client.py
+++ b/packages/proxy/src/hoistsaddle/proxy/server_client.py
@@ -7,12 +7,11 @@
 from hoistsaddle.common.counters import Counters
 from hoistsaddle.common.errors import ErrorKind, MeshError
 from hoistsaddle.config.bundle_checks import MAX_BODY_BYTES
+from hoistsaddle.proxy.answer_framing import AnswerFraming, framing_of
 from hoistsaddle.proxy.messages import RunOnServer, ServerAnswered, ServerFailed
 from hoistsaddle.proxy.request_checks import clean_headers
 from hoistsaddle.rpc.messages import BundleForwardCall
 
-# Statuses of answers that have no body, whatever their headers say.
-BODILESS_STATUSES = frozenset({204, 304})
 ASK_BEFORE_RETRY = "Ask what became of the request before sending it again."
 
 
@@ -90,11 +89,10 @@
         )
     length = answer.headers.get("Content-Length")
     chunked = "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
-    bodiless = call.method == "HEAD" or answer.status in BODILESS_STATUSES
-    # An answer that ends only where its connection ends may have been cut anywhere, also before its body began.
-    unmarked = not bodiless and length is None and not chunked
-    short = length is not None and call.method != "HEAD" and length != str(len(body))
-    if unmarked or short or "Content-Encoding" in answer.headers:
+    with_body = call.method != "HEAD"
+    framing = framing_of(status=answer.status, chunked=chunked, length=length, with_body=with_body)
+    short = length is not None and with_body and length != str(len(body))
+    if framing is AnswerFraming.CONNECTION_END or short or "Content-Encoding" in answer.headers:
         return MeshError(
             ErrorKind.ANSWER_BROKEN,
             "Nothing shows that the answer is whole.",
--- a/packages/proxy/src/hoistsaddle/proxy/upstream.py
+++ b/packages/proxy/src/hoistsaddle/proxy/upstream.py
@@ -20,7 +20,6 @@
     ServerFailed,
     SubmitHold,
 )
-from hoistsaddle.proxy.server_reports import ServerReports
 from hoistsaddle.proxy.upstream_admission import admit
 from hoistsaddle.rpc.messages import BundleForwardAnswer, BundleForwardCall
 from hoistsaddle.statemachine.commands import CompleteKey, Outcome
@@ -51,7 +50,6 @@
 
     def __init__(self, *, state: BundleState) -> None:
         self._state = state
-        self._reports = ServerReports()
         self.runs: dict[int, _Run] = {}
         # Settlements that the log hasn't answered, to their runs.
         self._settlements: dict[int, int] = {}
@@ -64,12 +62,9 @@
 
     def health_reported(self, event: HealthReported) -> None:
         """Take what the server says of itself, unless its instance has ended since it said so."""
-        if not self._reports.accept(event.instance, sequence=0):
-            self._state.announce("late report ignored", instance=event.instance)
-            return
-        if event.state == GONE:
-            self._reports.sign_off(event.instance)
         state = self._state
+        if not state.takes_report(event.instance, state=event.state):
+            return
         before, state_before = state.server, state.server_state()
         server = LocalServer(event.service, event.instance, event.address, event.state, state.now)
         state.server = server
--- a/packages/sidecar/src/hoistsaddle/sidecar/admin_api.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/admin_api.py
@@ -7,7 +7,6 @@
 from aiohttp import web
 from returns.result import Failure, Success
 
-from hoistsaddle.common.errors import NoLeader
 from hoistsaddle.common.settings import SidecarSettings
 from hoistsaddle.proxy.admin_api import (
     HEALTH_PATH,
@@ -88,10 +87,9 @@
             case Success(report):
                 pass
         warm_up = timedelta(seconds=report.cold_seconds)
-        recorded = await self._node.report_server(
+        error = await self._node.report_server(
             HealthReported(report.service, report.instance, report.address, report.state, report.room, warm_up)
         )
-        if recorded:
+        if error is None:
             return web.json_response({"heard": True})
-        error = NoLeader("The core has not recorded that the server leaves.", remedy="Report it again.")
         return web.json_response({"refused": error.describe()}, status=503, headers={"Retry-After": "0.2"})
--- a/packages/sidecar/src/hoistsaddle/sidecar/core_prober.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/core_prober.py
@@ -7,12 +7,12 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from datetime import timedelta
 
-from returns.result import Success
+from returns.result import Result, Success
 
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.counters import Counters
+from hoistsaddle.common.errors import MeshError
 from hoistsaddle.proxy.core_state import CoreState
 from hoistsaddle.rpc.messages import ProbeAnswer, ProbeCall
 from hoistsaddle.rpc.runtime import Runtime
@@ -50,13 +50,13 @@
             freshness: takes the evidence.
             poll: polls the core machine at an address for the configuration.
         """
-        self._poll = poll
-        # The core machine that said something of the configuration last.
-        self._informant = ""
         self._runtime = runtime
         self._counters = counters
         self._core = core
         self._freshness = freshness
+        self._poll = poll
+        # The core machine that said something of the configuration last.
+        self._informant = ""
 
     async def run(self) -> None:
         """Ask whenever it is due, for as long as the process runs."""
@@ -87,14 +87,13 @@
     async def _find_informant(self) -> str:
         """Probe all core machines and some witnesses; return a core machine that is there, if one answers."""
         asked_at = self._runtime.now()
-        within = self._freshness.max_age * TIMEOUT_SHARE
-        roots, witnesses = self._roots(), self._witnesses()
-        answers = await asyncio.gather(*(self._answers(address, within) for address in (*roots, *witnesses)))
+        witnesses = self._witnesses()
+        present, heard = await asyncio.gather(self._answering(self._addresses("bourse")), self._answering(witnesses))
         self._counters.add("core_probes")
-        if present := [address for address, answered in zip(roots, answers[: len(roots)], strict=True) if answered]:
+        if present:
             # Whatever delays its configuration is no reason to act on an older one.
             return self._runtime.random.choice(present)
-        if witnesses and not any(answers[len(roots) :]):
+        if witnesses and not heard:
             self._counters.add("core_probes.unanswered")
             return ""
         self._counters.add("core_probes.core_absent")
@@ -106,16 +105,19 @@
         nodes = self._core.view.nodes.values()
         return [node.address for node in nodes if node.kind == kind and node.state != GONE and node.node != own]
 
-    def _roots(self) -> list[str]:
-        return self._addresses("bourse")
-
     def _witnesses(self) -> list[str]:
         proxies = self._addresses("stall")
         return self._runtime.random.sample(proxies, min(WITNESSES, len(proxies)))
 
-    async def _answers(self, address: str, within: timedelta) -> bool:
+    async def _answering(self, addresses: list[str]) -> list[str]:
+        """Probe these addresses at once; return those that answer in time."""
         call = ProbeCall(self._core.settings.name, ())
-        match await self._runtime.rpc_client.call(address, call, within=within):
-            case Success(ProbeAnswer()):
-                return True
-        return False
+        within = self._freshness.max_age * TIMEOUT_SHARE
+        answers = await asyncio.gather(
+            *(self._runtime.rpc_client.call(address, call, within=within) for address in addresses)
+        )
+        return [address for address, answer in zip(addresses, answers, strict=True) if _is_probe_answer(answer)]
+
+
+def _is_probe_answer(answer: Result[tuple, MeshError]) -> bool:
+    return isinstance(answer, Success) and isinstance(answer.unwrap(), ProbeAnswer)
--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -9,7 +9,7 @@
 from returns.result import Result, Success
 
 from hoistsaddle.common.clock import milliseconds
-from hoistsaddle.common.errors import ErrorKind
+from hoistsaddle.common.errors import ErrorKind, MeshError, NoLeader
 from hoistsaddle.common.settings import SidecarSettings
 from hoistsaddle.membership.distribution_tree import select_parents
 from hoistsaddle.membership.member import MemberTimings
@@ -228,7 +228,7 @@
         age = timedelta(seconds=known.age)
         return age + self.freezes.unread() if known.first else age
 
-    async def report_server(self, report: HealthReported | ServerSignedOff) -> bool:
+    async def report_server(self, report: HealthReported | ServerSignedOff) -> MeshError | None:
         """Take a report of the local server.
 
         That it leaves is in force here at once. It may be acknowledged only once the log has it: a sidecar that starts
@@ -238,15 +238,16 @@
             report: what the server says.
 
         Returns:
-            Whether it may be acknowledged.
+            Why it may not be acknowledged, if so.
         """
         self.feed(report)
         if isinstance(report, HealthReported) and report.state == READY:
-            return True
-        if self.core.server is None and self.core.view.items is None:
-            # What the log says of this server is not known here yet.
-            return False
-        return await self.health.wait_recorded(self.core.serial, within=LEAVE_RECORD_TIMEOUT)
+            return None
+        # Before the first configuration, what the log says of this server is not known here.
+        known = self.core.server is not None or self.core.view.items is not None
+        if known and await self.health.wait_recorded(self.core.serial, within=LEAVE_RECORD_TIMEOUT):
+            return None
+        return NoLeader("The core has not recorded that the server leaves.", remedy="Report it again.")
 
     async def _forward_attempt(self, command: ForwardRequest, *, decided: timedelta) -> None:
         self.counters.add(f"sends.{command.call.service_name}")
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
@@ -6,14 +6,13 @@
 
 import asyncio
 from collections import deque
-from enum import StrEnum
 
 import aiohttp
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http import HttpResponseParser, RawResponseMessage
 from aiohttp.streams import StreamReader
 
-from hoistsaddle.proxy.server_client import BODILESS_STATUSES
+from hoistsaddle.proxy.answer_framing import AnswerFraming, framing_of
 
 # For how long an unused connection is kept where the server says nothing of it.
 KEPT_SECONDS = 4.0
@@ -22,27 +21,6 @@
 MAX_HEADS = 4
 
 
-class AnswerFraming(StrEnum):
-    """What tells where an answer's body ends, as RFC 9112 section 6.3 has it."""
-
-    BODILESS = "bodiless"
-    CHUNKED = "chunked"
-    LENGTH = "length"
-    # Wherever the connection ends: a server that broke off looks the same.
-    CONNECTION_END = "connection_end"
-
-
-def framing_of(message: RawResponseMessage, *, with_body: bool) -> AnswerFraming:
-    """Return how an answer's body is framed; `with_body` is False where its request allows none."""
-    if not with_body or message.code in BODILESS_STATUSES:
-        return AnswerFraming.BODILESS
-    if message.chunked:
-        return AnswerFraming.CHUNKED
-    if "Content-Length" in message.headers:
-        return AnswerFraming.LENGTH
-    return AnswerFraming.CONNECTION_END
-
-
 class BrokenAnswer(Exception):
     """What came is no complete answer to the request."""
 
@@ -130,11 +108,20 @@
             self.tail = part[-2:]
         self._wake()
 
+    def framing(self, message: RawResponseMessage) -> AnswerFraming:
+        """Return how this answer's body is framed."""
+        return framing_of(
+            status=message.code,
+            chunked=message.chunked,
+            length=message.headers.get("Content-Length"),
+            with_body=self.with_body,
+        )
+
     def ends_with(self, message: RawResponseMessage) -> bool:
         """Whether the bytes so far end where this answer ends: the parser keeps a begun surplus answer to itself."""
         if self.surplus:
             return False
-        match framing_of(message, with_body=self.with_body):
+        match self.framing(message):
             case AnswerFraming.CHUNKED:
                 return self.tail == b"\r\n"
             case AnswerFraming.LENGTH:
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
@@ -14,11 +14,12 @@
 from hoistsaddle.common.counters import Counters
 from hoistsaddle.common.errors import ErrorKind
 from hoistsaddle.common.settings import split_address
+from hoistsaddle.proxy.answer_framing import AnswerFraming
 from hoistsaddle.sidecar.errors import server_answer_missing, server_not_reached
 from hoistsaddle.sidecar.header_names import HeaderNames
 from hoistsaddle.sidecar.header_pairs import pack_pairs, unpack_pairs
 from hoistsaddle.sidecar.messages import RunOnServer, ServerAnswered, ServerFailed
-from hoistsaddle.sidecar.server_connection import AnswerFraming, BrokenAnswer, ServerConnection, framing_of
+from hoistsaddle.sidecar.server_connection import BrokenAnswer, ServerConnection
 
 CONNECT_SECONDS = 0.4
 # Used again only within this share of the time the server says it keeps a connection, so that the two never meet.
@@ -187,7 +188,7 @@
                 continue
             carried = [value for name, value in message.raw_headers if name.lower() == self.client_attempt_id]
             if carried == [client_attempt_id.encode()]:
-                framing = framing_of(message, with_body=connection.with_body)
+                framing = connection.framing(message)
                 self.counters.add(f"server.framing.{framing}")
                 if framing is AnswerFraming.CONNECTION_END:
                     # It ends where its connection ends, which may be anywhere.
--- a/packages/sidecar/src/hoistsaddle/sidecar/upstream.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/upstream.py
@@ -13,7 +13,6 @@
 from hoistsaddle.common.errors import ErrorKind
 from hoistsaddle.proxy.core_state import CoreState, LocalServer
 from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN, UNKNOWN
-from hoistsaddle.proxy.server_reports import ServerReports
 from hoistsaddle.rpc.messages import AbandonAnswer, FollowCall, ForwardAnswer, ForwardCall
 from hoistsaddle.sidecar.latency import LatencyEstimates
 from hoistsaddle.sidecar.messages import (
@@ -83,7 +82,6 @@
         # How many requests the server works on at a time, and since when it takes no new ones.
         self._capacity = 1
         self._draining_since: timedelta | None = None
-        self._reports = ServerReports()
         # Every run by its number, those on the server with when they were started, and those queued.
         self.runs: dict[int, _Run] = {}
         self._running: dict[int, timedelta] = {}
@@ -97,12 +95,9 @@
 
     def health_reported(self, event: HealthReported) -> None:
         """Take what the server says of itself, unless a later word of it was heard already."""
-        if not self._reports.accept(event.instance, sequence=event.sequence):
-            self._state.announce("late report ignored", instance=event.instance, sequence=event.sequence)
-            return
-        if event.state == GONE:
-            self._reports.sign_off(event.instance)
         state = self._state
+        if not state.takes_report(event.instance, state=event.state, sequence=event.sequence):
+            return
         before = state.server
         state_before = state.server_state()
         server = LocalServer(event.service, event.instance, event.address, event.state, state.now)
@@ -126,8 +121,8 @@
 
     def signed_off(self, instance: str) -> None:
         """Take that an instance of the server ends: nothing new is started on it."""
-        self._reports.sign_off(instance)
         state = self._state
+        state.reports.sign_off(instance)
         if state.server is None or state.server.instance != instance or state.server.state == GONE:
             return
         state.server = state.server._replace(state=GONE, heard=state.now)
@@ -140,13 +135,15 @@
 
         One that has signed off since is told to the log as gone.
         """
-        if self._state.server is None:
-            self._reports.assume(server.instance)
-            if self._reports.has_signed_off(server.instance):
-                server = server._replace(state=GONE)
-            self._state.server = server
-            self._state.announce("server assumed", service=server.service, instance=server.instance, state=server.state)
-            self._state.report_health()
+        state = self._state
+        if state.server is not None:
+            return
+        state.reports.assume(server.instance)
+        if state.reports.has_signed_off(server.instance):
+            server = server._replace(state=GONE)
+        state.server = server
+        state.announce("server assumed", service=server.service, instance=server.instance, state=server.state)
+        state.report_health()
 
     # -- admission ---------------------------------------------------------------------------------------------------
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -323,10 +323,10 @@
         self.core_up = True
         self.bench = SidecarBench("s-1")
 
-    async def report_server(self, event: HealthReported | ServerSignedOff) -> bool:
+    async def report_server(self, event: HealthReported | ServerSignedOff) -> MeshError | None:
         self.reports.append(event)
         self.bench.feed("s-1", event)
-        return self.core_up
+        return None if self.core_up else MeshError(ErrorKind.NO_LEADER, "not recorded", "again")
 
     def server(self) -> tuple[str, str]:
         """Instance and state of the server as the core has it."""
--- a/tests/test_server_reports.py
+++ b/tests/test_server_reports.py
@@ -6,7 +6,10 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from hoistsaddle.proxy.messages import Announce
 from hoistsaddle.proxy.server_reports import MAX_FORMER, REPORTS_TO_RETURN, ServerReports
+from hoistsaddle.statemachine.state import GONE
+from sidecar_bench import SidecarBench
 
 
 class Reports(TestCase):
@@ -73,3 +76,14 @@
                     continue
                 accepted = reports.accept(instance, sequence=sequence)
                 self.assertThat(accepted and signed_off and instance == "a", Equals(False), f"seed {seed}: {calls}")
+
+
+class Events(TestCase):
+    def test_a_server_that_goes_on_reporting_after_its_sign_off_is_recorded_once(self) -> None:
+        bench = SidecarBench("s-1")
+        for _ in range(5):
+            bench.health("s-1", state=GONE)
+        ignored = [
+            each for _, each in bench.commands if isinstance(each, Announce) and each.kind == "late report ignored"
+        ]
+        self.assertThat(len(ignored), Equals(1))
