Sight: ages of forwarded calls, bytes of bodies, and how many of them came for nothing

The logs couldn't tell a full link (calls arrive old) from full servers (young calls are refused) or from retries.

--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -28,6 +28,7 @@
     PollAnswer,
 )
 from hoistsaddle.rpc.runtime import Runtime
+from hoistsaddle.sidecar.arrivals import ArrivalRecord
 from hoistsaddle.sidecar.core import SidecarCore
 from hoistsaddle.sidecar.core_prober import CoreProber
 from hoistsaddle.sidecar.messages import (
@@ -112,6 +113,7 @@
         # When a client called last.
         self.asked_at = runtime.now()
         super().__init__(settings=settings, runtime=runtime)
+        self._arrivals = ArrivalRecord(counters=self.counters, now=runtime.now())
 
     def _make_core(self, settings: CoreSettings) -> SidecarCore:
         own = self.sidecar_settings
@@ -205,9 +207,7 @@
         """Answer a call of the mesh; None if it isn't known."""
         match message:
             case ForwardCall():
-                ticket, future = self.open_ticket()
-                self.feed(ForwardArrived(ticket, message, self._call_age()))
-                return (await future).answer
+                return await self._answer_forward(message)
             case FollowCall():
                 ticket, future = self.open_ticket()
                 self.feed(FollowArrived(ticket, message))
@@ -222,6 +222,15 @@
                 return (await future).answer
         return await super().answer(message)
 
+    async def _answer_forward(self, call: ForwardCall) -> ForwardAnswer:
+        age = self._call_age()
+        self._arrivals.arrived(call, age=age, now=self.runtime.now())
+        ticket, future = self.open_ticket()
+        self.feed(ForwardArrived(ticket, call, age))
+        answer = (await future).answer
+        self._arrivals.answered(call, answer)
+        return answer
+
     def _call_age(self) -> timedelta:
         """Return how old the call may be that is being answered."""
         known = call_age()
