Failing test: uploads beyond the links of their servers starve calls and requests

The emulator's machines may have links that carry so many bytes a second each way, packets in their order; clients' bodies, forwarded calls and answers cross them.

--- a/packages/testbed/src/hoistsaddle/testbed/emulator/clients.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/clients.py
@@ -1,6 +1,7 @@
 """Clients and nested calls of servers: what is sent to a machine's proxy, and retried by the platform's rules."""
 
 import asyncio
+import math
 from collections import deque
 from types import SimpleNamespace
 from typing import Any, NamedTuple
@@ -161,6 +162,7 @@
         attempt = f"a-{next(environment.counter):08x}"
         remaining = request.until - environment.now()
         body = b"" if route.kind == REPEATABLE else self.make_body(f"{request.path} {key} ".encode())
+        body *= max(1, math.ceil(request.request_kind.body_bytes / max(1, len(body))))
         method = "POST" if body else "GET"
         headers = adapter("samples").request_headers(host=route.host, attempt=attempt, left=remaining, key=key)
         process = environment.processes[request.machine]
@@ -201,6 +203,8 @@
             await asyncio.sleep(max(0.0, min(jam, patience)))
             if jam > patience:
                 return "given up"
+        if not request.parent and not await self._cross_link(process.machine.host, len(call.body), until):
+            return "given up"
         if not process.open or process.simulated.dead:
             # A machine without power doesn't refuse the connection: it times out.
             timeout = min(CONNECT_TIMEOUT_SECONDS, until - environment.now()) if process.powered_off else 0.0
@@ -227,6 +231,17 @@
             return "broken"
         return task.result()
 
+    async def _cross_link(self, host: str, octets: int, until: float) -> bool:
+        """Sends a request's bytes over the link of its machine; False if its time is over first."""
+        environment = self.environment
+        arrived = asyncio.Event()
+        environment.world.links.send(sender="", receiver=host, octets=octets, arrived=arrived.set)
+        if not arrived.is_set():
+            waiting = environment.create_task(arrived.wait())
+            await environment.wait_for(waiting, max(0.0, until - environment.now()))
+            waiting.cancel()
+        return arrived.is_set()
+
     def _read(self, attempt: str, answer: Any) -> RequestResult:
         now = self.environment.now()
         if isinstance(answer, str):
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/emulator.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/emulator.py
@@ -7,6 +7,7 @@
 import random
 import tempfile
 import warnings
+from collections import Counter
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -136,6 +137,13 @@
 
         counters.record_event = record_event
 
+    def counts(self) -> "Counter[str]":
+        """What the present processes have counted, summed by the counters' names."""
+        total: Counter[str] = Counter()
+        for process in self.processes.values():
+            total.update(process.node.counters.read()["counts"])
+        return total
+
     async def wait_for(self, task: asyncio.Task, seconds: float) -> None:
         """Waits for a task, but not longer than this; the task goes on."""
         await asyncio.wait({task}, timeout=seconds)
@@ -237,6 +245,7 @@
     def add_machine(self, machine: SidecarMachine, *, cold: bool = False) -> None:
         """Adds and starts a machine with its server and its ready check."""
         self.machines[machine.name] = machine
+        self.world.links.add(machine.name, machine.host, bytes_per_second=self.day.site.link_bytes_per_second)
         self.start(machine.name, cold=cold)
         self.new_server(machine)
         self.create_task(self._check_readiness(machine.name))
@@ -342,6 +351,8 @@
     history: History
     # What the programs counted, for people to read; no check depends on it.
     events: list[CountedEvent]
+    # What the programs that ran last counted, summed over all of them.
+    counts: "Counter[str]"
 
 
 def _run(day: Day, loop: SimulatedTimeLoop) -> PlayedDay:
@@ -362,7 +373,7 @@
                 # A stopping program's task was killed before it could see that it was cancelled.
                 continue
             emulator.record_failure(f"{error.get('message')}: {error.get('exception')!r}")
-        return PlayedDay(emulator.history, emulator.events)
+        return PlayedDay(emulator.history, emulator.events, emulator.counts())
 
 
 def play(day: Day) -> PlayedDay:
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/network.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/network.py
@@ -1,13 +1,15 @@
-"""The emulator's network: machines without power are silent, and connections may be reset."""
+"""The emulator's network: machines without power are silent, connections may be reset, links have a bandwidth."""
 
 import asyncio
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from hoistsaddle.common.errors import ErrorKind, MeshError
 from hoistsaddle.rpc.client import CONNECT_TIMEOUT
+from hoistsaddle.rpc.messages import ForwardAnswer, ForwardCall
+from hoistsaddle.testbed.emulator.links import Links
 from hoistsaddle.testbed.simulation.event_loop import SimulatedProcess
 from hoistsaddle.testbed.simulation.world import World
 
@@ -23,6 +25,11 @@
     machines: float
 
 
+def body_octets(message: Any) -> int:
+    """Return the bytes of a message's body: all else in it is small."""
+    return len(message.body) if isinstance(message, ForwardCall | ForwardAnswer) else 0
+
+
 class EmulatedWorld(World):
     """A simulated world whose machines may lose power: then nothing comes back, not even a reset."""
 
@@ -36,6 +43,7 @@
         self.duplicate_probability = 0.002
         # Calls in flight: the machine that calls, and the host that is called.
         self.calls: dict[asyncio.Future, tuple[str, str]] = {}
+        self.links = Links(loop=self.loop)
 
     def start_call(
         self, process: SimulatedProcess, address: str, message: tuple, future: asyncio.Future, within: float
@@ -59,7 +67,37 @@
                 context=process.context,
             )
             return
-        super().start_call(process, address, message, future, within)
+        self._send_over_links(process, address, message, future, within)
+
+    def _send_over_links(
+        self, process: SimulatedProcess, address: str, message: tuple, future: asyncio.Future, within: float
+    ) -> None:
+        """Carries a call over both machines' links, and its answer back; also one that its caller has given up."""
+        if not self.links.limited:
+            super().start_call(process, address, message, future, within)
+            return
+        caller, called = self.links.host_of(process.name), address.partition(":")[0]
+        answered = self.loop.create_future()
+
+        def answer(done: asyncio.Future) -> None:
+            if done.cancelled():
+                return
+            result = done.result()
+            octets = body_octets(result.unwrap()) if isinstance(result, Success) else 0
+            self.links.send(
+                sender=called,
+                receiver=caller,
+                octets=octets,
+                arrived=lambda: self.loop.call_soon(self._settle, future, result, context=process.context),
+            )
+
+        answered.add_done_callback(answer)
+        self.links.send(
+            sender=caller,
+            receiver=called,
+            octets=body_octets(message),
+            arrived=lambda: World.start_call(self, process, address, message, answered, within),
+        )
 
     def jam(self, name: str, host: str, *, seconds: float, backlog: float) -> None:
         """From now on, what is sent to a machine waits so long, and what other machines send `backlog` longer."""
@@ -92,7 +130,7 @@
     def _start_late_call(
         self, process: SimulatedProcess, address: str, message: tuple, future: asyncio.Future, within: float
     ) -> None:
-        super().start_call(process, address, message, future, within)
+        World.start_call(self, process, address, message, future, within)
 
     def kill(self, process: SimulatedProcess, *, power: bool = False) -> None:
         """Ends a process; without power its callers notice only by the keep-alive."""
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/site.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/site.py
@@ -93,6 +93,8 @@
     nested: tuple[NestedCall, ...] = ()
     # The share of served requests that are repeated under the same key.
     repeated_share: float = 0.0
+    # The least size of a request's body, on routes whose requests have one.
+    body_bytes: int = 0
 
 
 class Site(NamedTuple):
@@ -113,6 +115,8 @@
     sync_seconds: tuple[float, float]
     # A snapshot after so many records; the product's own number by default.
     snapshot_records: int = 600
+    # What the link of each sidecar's machine carries each way; 0 for links without limit.
+    link_bytes_per_second: float = 0.0
 
 
 def _draw_names(rng: random.Random, count: int, prefix: str) -> list[str]:
