--- a/packages/common/src/hoistsaddle/common/errors.py
+++ b/packages/common/src/hoistsaddle/common/errors.py
@@ -52,6 +52,7 @@
     SERVER_FULL = "server-full"
     NO_CONFIGURATION = "no-setup"
     QUEUE_FULL = "backlog-full"
+    LINK_FULL = "link-full"
     BUDGET_SPENT = "budget-spent"
     FURTHER_SENDS_SPENT = "further-sends-spent"
     KEY_MISSING = "key-missing"
--- a/packages/common/src/hoistsaddle/common/settings.py
+++ b/packages/common/src/hoistsaddle/common/settings.py
@@ -161,6 +161,8 @@
     # The grace period of a stop, and how long a draining server still gets work at most.
     grace_seconds: float = 6.0
     drain_seconds: float = 2.0
+    # What the machine's link carries each way, in megabits a second; 0 if that isn't known.
+    link_megabits: float = 0.0
 
 
 _PLAIN_NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")
@@ -194,6 +196,7 @@
     "grace_seconds": (0.5, 600),
     "settle_seconds": (0.1, 3600),
     "drain_seconds": (0.1, 600),
+    "link_megabits": (0, 10**6),
 }
 Settings = StoreSettings | RegistrySettings | ProxySettings | ControllerSettings | SidecarSettings
 
--- a/packages/rpc/src/hoistsaddle/rpc/client.py
+++ b/packages/rpc/src/hoistsaddle/rpc/client.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Callable
 from datetime import timedelta
+from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 
@@ -23,6 +24,13 @@
 OPEN_TIMEOUT = timedelta(seconds=3)
 
 
+class _Lane(NamedTuple):
+    """What a connection is for: calls that are sent at a rate have one of their own, so that no other call waits."""
+
+    address: str
+    paced: bool = False
+
+
 class RpcClient:
     """Calls other processes. An error says whether the call can have reached the other side."""
 
@@ -45,42 +53,48 @@
         self.traffic = Traffic()
         # Addresses that this very process serves: a call to one of them is a call of a function.
         self.local_handlers: dict[str, Handler] = {}
-        self._connections: dict[str, Connection] = {}
-        self._opening: dict[str, asyncio.Task] = {}
+        self._connections: dict[_Lane, Connection] = {}
+        self._opening: dict[_Lane, asyncio.Task] = {}
         self._numbers = itertools.count(1)
         self.faults = faults
 
     # -- connections -------------------------------------------------------------------------------------------------
 
-    async def _connect(self, address: str) -> Connection:
-        """The connection to the address. Whoever stops waiting for it leaves it to be opened for the next call."""
-        connection = self._connections.get(address)
+    async def _connect(self, lane: _Lane) -> Connection:
+        """The lane's connection. Whoever stops waiting for it leaves it to be opened for the next call."""
+        connection = self._connections.get(lane)
         if connection is not None and not connection.closed:
             return connection
-        opening = self._opening.get(address)
+        opening = self._opening.get(lane)
         if opening is None:
-            opening = self._opening[address] = asyncio.ensure_future(self._open(address))
-            opening.add_done_callback(lambda task: self._opened(address, task))
+            opening = self._opening[lane] = asyncio.ensure_future(self._open(lane))
+            opening.add_done_callback(lambda task: self._opened(lane, task))
         return await asyncio.shield(opening)
 
-    def _opened(self, address: str, task: asyncio.Task) -> None:
-        del self._opening[address]
+    def _opened(self, lane: _Lane, task: asyncio.Task) -> None:
+        del self._opening[lane]
         if not task.cancelled():
             # Read here, as nobody may wait for it any more.
             task.exception()
 
-    async def _open(self, address: str) -> Connection:
-        host, port = split_address(address)
+    async def _open(self, lane: _Lane) -> Connection:
+        host, port = split_address(lane.address)
         async with asyncio.timeout(OPEN_TIMEOUT.total_seconds()):
             reader, writer = await asyncio.open_connection(host, port)
         connection = Connection(reader=reader, writer=writer, traffic=self.traffic, keep_alive=self.keep_alive)
-        self._connections[address] = connection
+        self._connections[lane] = connection
         return connection
 
     # -- calls -------------------------------------------------------------------------------------------------------
 
     async def call(
-        self, address: str, message: tuple, *, within: timedelta, still: Callable[[], bool] = lambda: True
+        self,
+        address: str,
+        message: tuple,
+        *,
+        within: timedelta,
+        still: Callable[[], bool] = lambda: True,
+        rate: int = 0,
     ) -> Result[tuple, MeshError]:
         """Calls the process at the address.
 
@@ -89,6 +103,7 @@
             message: The call.
             within: How long the answer is waited for.
             still: Asked directly before the first byte is written: a freeze may lie between deciding and sending.
+            rate: Bytes a second at which it is sent, on a connection of its own; 0 for as fast as they go.
 
         Returns:
             The answer. Unreachable if nothing was sent, NoResponse if the call may have been carried out.
@@ -100,15 +115,15 @@
             # Bytes that vanish on the way look like this from here: nothing comes back, and nobody can say why.
             await asyncio.sleep(within.total_seconds())
             return Failure(no_response(address))
-        return await self._call_remote(address, message, deadline=deadline, still=still)
+        return await self._call_remote(address, message, deadline=deadline, still=still, rate=rate)
 
     async def _call_remote(
-        self, address: str, message: tuple, *, deadline: float, still: Callable[[], bool]
+        self, address: str, message: tuple, *, deadline: float, still: Callable[[], bool], rate: int
     ) -> Result[tuple, MeshError]:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout_at(min(deadline, loop.time() + self.connect_timeout.total_seconds())):
-                connection = await self._connect(address)
+                connection = await self._connect(_Lane(address, paced=rate > 0))
         except (OSError, TimeoutError):
             return Failure(unreachable(address))
         if not still():
@@ -116,9 +131,8 @@
         number = next(self._numbers)
         future = connection.pending[number] = loop.create_future()
         try:
-            connection.write(number=number, message=message)
-            connection.start_checks()
             async with asyncio.timeout_at(deadline):
+                await self._write(connection, number, message, rate=rate)
                 answer = await future
         except TimeoutError:
             return Failure(no_response(address))
@@ -132,6 +146,14 @@
             return Failure(no_response(address))
         return Failure(no_response(address)) if answer is None else Success(answer)
 
+    @staticmethod
+    async def _write(connection: Connection, number: int, message: tuple, *, rate: int) -> None:
+        connection.start_checks()
+        if rate:
+            await connection.write_paced(number=number, message=message, rate=rate)
+        else:
+            connection.write(number=number, message=message)
+
     async def _call_local(
         self, address: str, message: tuple, *, deadline: float, still: Callable[[], bool]
     ) -> Result[tuple, MeshError]:
--- a/packages/rpc/src/hoistsaddle/rpc/connection.py
+++ b/packages/rpc/src/hoistsaddle/rpc/connection.py
@@ -4,13 +4,16 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from hoistsaddle.rpc.framing import Traffic, read_frame, write_frame
+from hoistsaddle.rpc.framing import Traffic, encode_frame, read_frame, write_frame
 from hoistsaddle.rpc.messages import PingCall
 
 # The number of pings, which is no call's: the answer only shows that somebody is there.
 PING_NUMBER = 0
 # A connection that was silent for this part of the interval is pinged: the timer may be early by a little.
 PING_AFTER = 0.9
+# Of a call that is sent at a rate, so much is written at once: at least the bytes, or what goes in the time.
+MIN_PIECE_BYTES = 4096
+PIECE_DURATION = timedelta(milliseconds=20)
 # A process that was late itself by so many intervals reads what came in meanwhile before it gives a connection up.
 LATE_INTERVALS = 2
 
@@ -55,6 +58,8 @@
         self.bytes_written = 0
         self.bytes_gone = 0
         self.bytes_waited = False
+        # Held while a call is written in pieces: nothing may come between them.
+        self._paced = asyncio.Lock()
         self.check_timer: asyncio.TimerHandle | None = None
         # Calls that wait for their answers, by number; None as the answer means that none will come.
         self.pending: dict[int, asyncio.Future] = {}
@@ -78,6 +83,31 @@
         """Writes one call."""
         self.bytes_written += write_frame(self.writer, self.traffic, number=number, answer=False, message=message)
 
+    async def write_paced(self, *, number: int, message: tuple, rate: int) -> None:
+        """Writes one call at no more than so many bytes a second. One that is interrupted ends the connection.
+
+        Raises:
+            OSError: The connection ended.
+        """
+        async with self._paced:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            octets = sum(len(field) for field in message if isinstance(field, bytes))
+            frame = encode_frame(self.traffic, number=number, answer=False, message=message, sent=began + octets / rate)
+            piece_bytes = max(MIN_PIECE_BYTES, round(rate * PIECE_DURATION.total_seconds()))
+            try:
+                for first in range(0, len(frame), piece_bytes):
+                    if first:
+                        await asyncio.sleep(began + first / rate - loop.time())
+                    piece = frame[first : first + piece_bytes]
+                    self.writer.write(piece)
+                    self.bytes_written += len(piece)
+                    await self.writer.drain()
+            except BaseException:
+                # Half a frame: nothing that follows could be read.
+                self.close()
+                raise
+
     # -- keep-alive --------------------------------------------------------------------------------------------------
 
     def start_checks(self) -> None:
@@ -102,7 +132,7 @@
         elif silence >= keep_alive.timeout.total_seconds():
             self.close()
             return
-        if silence >= keep_alive.interval.total_seconds() * PING_AFTER:
+        if silence >= keep_alive.interval.total_seconds() * PING_AFTER and not self._paced.locked():
             try:
                 self.write(number=PING_NUMBER, message=PingCall(""))
             except OSError:
@@ -114,7 +144,7 @@
         """Counts bytes that waited here and went on since as heard: the other side takes them."""
         waiting = self.writer.transport.get_write_buffer_size()
         gone = self.bytes_written - waiting
-        if self.bytes_waited and gone > self.bytes_gone:
+        if (self.bytes_waited or self._paced.locked()) and gone > self.bytes_gone:
             self.heard_at = asyncio.get_running_loop().time()
         self.bytes_gone = gone
         self.bytes_waited = waiting > 0
--- a/packages/rpc/src/hoistsaddle/rpc/framing.py
+++ b/packages/rpc/src/hoistsaddle/rpc/framing.py
@@ -46,11 +46,17 @@
     return frame
 
 
+def encode_frame(traffic: Traffic, *, number: int, answer: bool, message: tuple, sent: float) -> bytes:
+    """The bytes of one frame, counted as passed; `sent` is the loop's time as its last byte is written, for calls."""
+    data = pack(number=number, answer=answer, message=message, sent=sent)
+    frame = _length_form.pack(len(data)) + data
+    traffic.count(OUT, message, len(frame))
+    return frame
+
+
 def write_frame(writer: asyncio.StreamWriter, traffic: Traffic, *, number: int, answer: bool, message: tuple) -> int:
     """Writes one frame; returns its size in bytes."""
     sent = 0.0 if answer else asyncio.get_running_loop().time()
-    data = pack(number=number, answer=answer, message=message, sent=sent)
-    size = len(data) + _length_form.size
-    traffic.count(OUT, message, size)
-    writer.write(_length_form.pack(len(data)) + data)
-    return size
+    frame = encode_frame(traffic, number=number, answer=answer, message=message, sent=sent)
+    writer.write(frame)
+    return len(frame)
--- a/packages/rpc/src/hoistsaddle/rpc/mesh.thrift
+++ b/packages/rpc/src/hoistsaddle/rpc/mesh.thrift
@@ -53,6 +53,9 @@
 struct FollowCall { 1: string attempt_id, 2: string incarnation, 3: i64 budget }
 struct AbandonCall { 1: string attempt_id }
 struct AbandonAnswer { 1: bool known }
+// A large body is announced before it is sent, and sent once its receiver's link has room for it.
+struct AnnounceBodyCall { 1: string attempt_id, 2: string service_name, 3: string target, 4: string instance, 5: i64 budget, 6: i64 latency_target, 7: i64 rank, 8: string route, 9: i64 body_octets }
+struct AnnounceBodyAnswer { 1: string error, 2: i64 rate, 3: i64 link_wait }
 struct ClaimQueryCall { 1: string claim }
 struct ClaimQueryAnswer { 1: string state, 2: i64 status, 3: binary headers, 4: binary body }
 struct PingCall { 1: string caller }
@@ -69,7 +72,8 @@
   28: BundleForwardCall bundle_forward_call, 29: BundleForwardAnswer bundle_forward_answer, 30: RaiseLevelCall raise_level_call, 31: RaiseLevelAnswer raise_level_answer,
   32: ForwardCall forward_call, 33: ForwardAnswer forward_answer, 34: ClaimQueryCall claim_query_call, 35: ClaimQueryAnswer claim_query_answer,
   36: PingCall ping_call, 37: PingAnswer ping_answer,
-  38: FollowCall follow_call, 39: AbandonCall abandon_call, 40: AbandonAnswer abandon_answer
+  38: FollowCall follow_call, 39: AbandonCall abandon_call, 40: AbandonAnswer abandon_answer,
+  41: AnnounceBodyCall announce_body_call, 42: AnnounceBodyAnswer announce_body_answer
 }
 
 // One frame on a connection: number pairs an answer with its call.
--- a/packages/rpc/src/hoistsaddle/rpc/messages/__init__.py
+++ b/packages/rpc/src/hoistsaddle/rpc/messages/__init__.py
@@ -14,6 +14,8 @@
 from hoistsaddle.rpc.messages.forwarding import (
     AbandonAnswer,
     AbandonCall,
+    AnnounceBodyAnswer,
+    AnnounceBodyCall,
     BundleForwardAnswer,
     BundleForwardCall,
     ClaimQueryAnswer,
@@ -68,6 +70,8 @@
 __all__ = [
     "AbandonAnswer",
     "AbandonCall",
+    "AnnounceBodyAnswer",
+    "AnnounceBodyCall",
     "AppliedVersion",
     "AppliedVersionsAnswer",
     "AppliedVersionsCall",
--- a/packages/rpc/src/hoistsaddle/rpc/messages/forwarding.py
+++ b/packages/rpc/src/hoistsaddle/rpc/messages/forwarding.py
@@ -79,6 +79,31 @@
     run_time: timedelta = timedelta()
 
 
+class AnnounceBodyCall(NamedTuple):
+    """A request with a large body is about to be forwarded. Nothing of the body has been sent."""
+
+    attempt_id: str
+    service_name: str
+    target: str
+    instance: str
+    budget: timedelta
+    latency_target: timedelta
+    rank: int
+    route: str
+    # Size of the body.
+    body_octets: int
+
+
+class AnnounceBodyAnswer(NamedTuple):
+    """The body may be sent now, or, with an error, it must not be sent: the attempt is over, and nothing ran."""
+
+    error: str = ""
+    # At most so many bytes a second.
+    rate: int = 0
+    # How long the next body would wait for the link.
+    link_wait: timedelta = timedelta()
+
+
 class FollowCall(NamedTuple):
     """What became of an attempt whose connection broke. Answered as the attempt itself would be."""
 
--- /dev/null
+++ b/packages/sidecar/src/hoistsaddle/sidecar/body_admission.py
@@ -0,0 +1,189 @@
+"""Large bodies are announced before they are sent: this side says when each may come, or at once that it is refused.
+
+Nothing of a body that is refused here has crossed a link.
+"""
+
+import heapq
+from collections.abc import Callable
+from datetime import timedelta
+from typing import NamedTuple
+
+from hoistsaddle.common.clock import ZERO
+from hoistsaddle.common.errors import ErrorKind
+from hoistsaddle.proxy.core_state import CoreState, LocalServer
+from hoistsaddle.rpc.messages import AnnounceBodyAnswer, AnnounceBodyCall
+from hoistsaddle.sidecar.latency import LatencyEstimates
+from hoistsaddle.sidecar.link_schedule import LinkSchedule
+from hoistsaddle.sidecar.messages import AnswerBodyAnnouncement, BodyAnnounced
+
+# A wait this short, as a share of the run itself, is no reason to refuse anybody.
+SHORT_WAIT_SHARE = 0.25
+# After so long without a refusal the link counts as free again.
+CALM = timedelta(seconds=1)
+# Why the server beside this sidecar takes no such call now, if so.
+ServerCheck = Callable[[AnnounceBodyCall], LocalServer | ErrorKind]
+# How long a call of this rank and due time would wait for the server if it came now.
+ServerWait = Callable[[int, timedelta], timedelta]
+
+
+class _Waiting(NamedTuple):
+    """An announced body's place in the queue for the link: the least comes first."""
+
+    rank: int
+    due: timedelta
+    number: int
+
+
+class _Announced(NamedTuple):
+    """An announced body that waits for the link."""
+
+    ticket: int
+    call: AnnounceBodyCall
+    deadline: timedelta
+
+
+class BodyAdmission:
+    """Owns the bodies that wait for this machine's link."""
+
+    def __init__(
+        self,
+        *,
+        state: CoreState,
+        link: LinkSchedule,
+        latencies: LatencyEstimates,
+        check_server: ServerCheck,
+        server_wait: ServerWait,
+    ) -> None:
+        """Begin without announced bodies.
+
+        Args:
+            state: of the core that the commands go out from.
+            link: of this machine.
+            latencies: how long runs take on the local server.
+            check_server: says whether the local server takes a call.
+            server_wait: says how long a call would wait for it.
+        """
+        self._state = state
+        self.link = link
+        self._latencies = latencies
+        self._check_server = check_server
+        self._server_wait = server_wait
+        self._queue: list[_Waiting] = []
+        # By the queue's numbers.
+        self._announced: dict[int, _Announced] = {}
+        # When a body was last refused for the link, while that lasts.
+        self._refused_at: timedelta | None = None
+
+    def announced(self, event: BodyAnnounced) -> None:
+        """Grant, queue or refuse an announced body."""
+        call, now = event.call, self._state.now
+        refusal = self._refusal(call)
+        if refusal is ErrorKind.LINK_FULL:
+            self._link_refused()
+        if refusal is not None:
+            return self._refuse(event.ticket, call.attempt_id, refusal)
+        number = self._state.next_number()
+        self._announced[number] = _Announced(event.ticket, call, now + call.budget)
+        heapq.heappush(self._queue, _Waiting(call.rank, now + call.latency_target, number))
+        return self.tick()
+
+    def arrived(self, attempt_id: str) -> bool:
+        """Take that a body has come; False if nothing was granted to it."""
+        granted = self.link.arrived(attempt_id, now=self._state.now)
+        if granted:
+            self.tick()
+        return granted
+
+    def abandon(self, attempt_id: str) -> bool:
+        """Drop a body that isn't sent after all, whether it waits or was granted; False if it is not known."""
+        waiting = next((each for each in self._announced.items() if each[1].call.attempt_id == attempt_id), None)
+        if waiting is None:
+            return self.link.cancelled(attempt_id, now=self._state.now)
+        number, announced = waiting
+        del self._announced[number]
+        self._queue = [each for each in self._queue if each.number != number]
+        heapq.heapify(self._queue)
+        self._refuse(announced.ticket, attempt_id, ErrorKind.SILENT)
+        return True
+
+    def idle(self) -> bool:
+        """Whether no body waits or is under way."""
+        return not self._queue and self.link.idle()
+
+    def tick(self) -> None:
+        """Grant the link to the next bodies, and refuse those whose time or server is gone."""
+        now = self._state.now
+        self.link.expire(now)
+        if self._refused_at is not None and now - self._refused_at > CALM:
+            self._refused_at = None
+            self._announce("link free")
+        while self._queue:
+            number = self._queue[0].number
+            announced = self._announced[number]
+            call = announced.call
+            server = self._check_server(call)
+            late = now + self._needed(call) > announced.deadline
+            if not late and isinstance(server, LocalServer) and not self.link.is_free(now):
+                return
+            heapq.heappop(self._queue)
+            del self._announced[number]
+            if isinstance(server, ErrorKind):
+                self._refuse(announced.ticket, call.attempt_id, server)
+            elif late:
+                self._refuse(announced.ticket, call.attempt_id, ErrorKind.BUDGET_SPENT)
+            else:
+                rate = self.link.grant(call.attempt_id, call.body_octets, now=now)
+                answer = AnnounceBodyAnswer("", round(rate), self._link_wait())
+                self._state.out.append(AnswerBodyAnnouncement(announced.ticket, answer))
+
+    def _duration(self, octets: int) -> timedelta:
+        return self.link.duration(octets, now=self._state.now)
+
+    def _needed(self, call: AnnounceBodyCall) -> timedelta:
+        """Return what a body's way and its run are expected to take."""
+        return self._duration(call.body_octets) + self._latencies.expected(call)
+
+    def _refusal(self, call: AnnounceBodyCall) -> ErrorKind | None:
+        """Return why a body must not be sent, if so."""
+        server = self._check_server(call)
+        if isinstance(server, ErrorKind):
+            return server
+        due = self._state.now + call.latency_target
+        link_wait = self._link_wait(before=(call.rank, due))
+        if link_wait + self._needed(call) > call.budget:
+            return ErrorKind.LINK_FULL
+        arrives_in = link_wait + self._duration(call.body_octets)
+        server_wait = self._server_wait(call.rank, due)
+        # A body that is long itself is no reason to refuse it; waiting for others is, if it would be late for that.
+        long_wait = max(link_wait, server_wait) > self._latencies.expected(call) * SHORT_WAIT_SHARE
+        in_time = max(arrives_in, server_wait) + self._latencies.safe(call) <= self._latencies.admission_limit(call)
+        if in_time or not long_wait:
+            return None
+        return ErrorKind.LINK_FULL if arrives_in >= server_wait else ErrorKind.QUEUE_FULL
+
+    def _link_wait(self, *, before: tuple[int, timedelta] | None = None) -> timedelta:
+        """Return how long the link is given away, with the bodies that wait for it before this rank and due time."""
+        octets = sum(
+            self._announced[waiting.number].call.body_octets
+            for waiting in self._queue
+            if before is None or (waiting.rank, waiting.due) <= before
+        )
+        return self.link.wait(self._state.now) + self._duration(octets)
+
+    def _refuse(self, ticket: int, attempt_id: str, kind: ErrorKind) -> None:
+        link_wait = self._link_wait() if self._queue or not self.link.idle() else ZERO
+        self._state.out.append(AnswerBodyAnnouncement(ticket, AnnounceBodyAnswer(str(kind), 0, link_wait)))
+
+    def _link_refused(self) -> None:
+        """Record that the link begins to be the reason for refusals."""
+        if self._refused_at is None:
+            self._announce("link full")
+        self._refused_at = self._state.now
+
+    def _announce(self, kind: str) -> None:
+        self._state.announce(
+            kind,
+            waiting=len(self._queue),
+            wait_milliseconds=round(self._link_wait().total_seconds() * 1000),
+            bytes_per_second=round(self.link.rate(self._state.now)),
+        )
--- a/packages/sidecar/src/hoistsaddle/sidecar/core.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/core.py
@@ -12,8 +12,11 @@
 from hoistsaddle.proxy.messages import ConfigurationChanged, HoldAnswered, LeaseRenewed, StopRequested, Ticked
 from hoistsaddle.sidecar.configuration_freshness import ConfigurationFreshness
 from hoistsaddle.sidecar.ingress import IngressCore
+from hoistsaddle.sidecar.link_schedule import LinkSchedule
 from hoistsaddle.sidecar.messages import (
     AbandonArrived,
+    BodyAnnounced,
+    BodyAnnouncementAnswered,
     ClaimQueryAnswered,
     ClaimQueryArrived,
     ClientDisconnected,
@@ -51,6 +54,7 @@
         retry_margin: int,
         key_lifetime: timedelta,
         max_configuration_age: timedelta,
+        link_bytes_per_second: float = 0.0,
     ) -> None:
         """Begin without a configuration.
 
@@ -65,6 +69,7 @@
             retry_margin: retries beyond that share in ten seconds, over the whole fleet.
             key_lifetime: how long a claimed key stays claimed.
             max_configuration_age: how long a change of the configuration may take to be in force here.
+            link_bytes_per_second: what this machine's link carries each way; 0 if that isn't known.
         """
         super().__init__(settings=settings, seed=seed, now=now)
         self._service = service
@@ -78,7 +83,8 @@
             retry_percent=retry_percent,
             retry_margin=retry_margin,
         )
-        self.upstream = UpstreamCore(state=self, drain_timeout=drain_timeout)
+        link = LinkSchedule(bytes_per_second=link_bytes_per_second, now=now)
+        self.upstream = UpstreamCore(state=self, drain_timeout=drain_timeout, link=link)
         self._lease_reported = False
 
     def handle(self, event: tuple, *, now: timedelta) -> list[tuple]:
@@ -94,7 +100,8 @@
         self.now = max(now, self.now)
         self.out = []
         match event:
-            case RequestArrived():
+            case RequestArrived(header_bytes=header_bytes, body=body):
+                self.upstream.bodies.link.others_arrived(header_bytes + len(body), now=self.now)
                 self.ingress.request_arrived(event)
             case ForwardAnswered():
                 self.ingress.forward_answered(event)
@@ -102,6 +109,10 @@
                 self.ingress.forward_failed(event)
             case ForwardArrived():
                 self.upstream.forward_arrived(event)
+            case BodyAnnounced():
+                self.upstream.bodies.announced(event)
+            case BodyAnnouncementAnswered():
+                self.ingress.body_announcement_answered(event)
             case ServerAnswered():
                 self.upstream.server_answered(event)
             case ServerFailed():
@@ -182,4 +193,5 @@
 
     def idle(self) -> bool:
         """Whether nothing is under way: a stopping sidecar may end."""
-        return not self.pending_count() and not self.upstream.runs and not self.ingress.keys.releases
+        upstream = self.upstream
+        return not (self.pending_count() or upstream.runs or self.ingress.keys.releases) and upstream.bodies.idle()
--- a/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
@@ -24,7 +24,7 @@
 from hoistsaddle.config.items import IDEMPOTENT, ONCE_PER_KEY, RouteItem, hold_timeout
 from hoistsaddle.proxy.core_state import CoreState
 from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN
-from hoistsaddle.rpc.messages import AbandonCall, ForwardAnswer, ForwardCall
+from hoistsaddle.rpc.messages import AbandonCall, AnnounceBodyCall, ForwardAnswer, ForwardCall
 from hoistsaddle.sidecar.attempt_follower import AttemptFollower, AttemptOutcome
 from hoistsaddle.sidecar.configuration_freshness import ConfigurationFreshness
 from hoistsaddle.sidecar.errors import HeadersTooLarge, KeyOutcomeUnknown, attempt_rejected
@@ -39,6 +39,8 @@
 )
 from hoistsaddle.sidecar.messages import (
     Abandon,
+    AnnounceBody,
+    BodyAnnouncementAnswered,
     Followed,
     ForwardAnswered,
     ForwardFailed,
@@ -48,7 +50,7 @@
 )
 from hoistsaddle.sidecar.request_table import NO_CALL, PendingRequest, RequestTable
 from hoistsaddle.sidecar.retry_allowance import RetryAllowance
-from hoistsaddle.sidecar.server_selection import ServerSelection
+from hoistsaddle.sidecar.server_selection import ServerSelection, is_large
 from hoistsaddle.statemachine.state import ServerRecord
 
 # The time that a request gets whose client names none.
@@ -56,8 +58,11 @@
 # Sidecars that reject an attempt cost a hop each: so many are tried, then the client is told to come back.
 MAX_SIDECARS_TRIED = 4
 # A large body crosses the links twice at the most.
-MAX_SIDECARS_TRIED_LARGE_BODY = 2
-LARGE_BODY_BYTES = 8192
+MAX_LARGE_BODIES_SENT = 2
+# An announced body is tried elsewhere if nothing is heard within its latency target, or within this if that is shorter.
+MIN_ANNOUNCE_TIMEOUT = milliseconds(400)
+# Refusals for a full queue or link say nothing against the next request: its server isn't left alone for them.
+LOAD_REFUSALS = (ErrorKind.QUEUE_FULL, ErrorKind.LINK_FULL)
 # A sidecar that couldn't be reached is left alone for so long, while there are others; one that rejects, for less.
 UNREACHABLE_AVOIDANCE = timedelta(seconds=1)
 REJECTION_AVOIDANCE = UNREACHABLE_AVOIDANCE / 4
@@ -163,9 +168,10 @@
         """Forward the request to the best server's sidecar, or give its final answer."""
         if self._state.now >= request.deadline:
             return self._expire(request)
-        large = len(request.event.body) > LARGE_BODY_BYTES
-        max_tried = MAX_SIDECARS_TRIED_LARGE_BODY if large else MAX_SIDECARS_TRIED
-        if request.sidecars_tried >= max_tried or request.attempts >= max(1, request.route.most_sends):
+        tried_enough = (
+            request.sidecars_tried >= MAX_SIDECARS_TRIED or request.large_bodies_sent >= MAX_LARGE_BODIES_SENT
+        )
+        if tried_enough or request.attempts >= max(1, request.route.most_sends):
             return self._give_up(request)
         server = self.servers.select(request)
         if server is None or not self.retries.admit(request):
@@ -173,13 +179,12 @@
         return self._forward(request, server)
 
     def _forward(self, request: PendingRequest, server: ServerRecord) -> None:
+        """Forward the request to a server's sidecar; a large body is announced there first."""
         state, event, route = self._state, request.event, request.route
         node = state.view.nodes[server.proxy]
-        number = state.next_number()
-        self.requests.begin_call(request, number)
         self.servers.attempt_sent(server.proxy)
         request.sidecars_tried += 1
-        request.attempt_id = f"{state.settings.name}.{state.settings.incarnation}.{number}"
+        request.attempt_id = f"{state.settings.name}.{state.settings.incarnation}.{state.next_number()}"
         request.target = server.proxy
         request.target_incarnation = node.incarnation
         request.target_address = node.address
@@ -203,7 +208,72 @@
             ordinal=request.attempts + 1,
             repeatable=route.kind == IDEMPOTENT,
         )
-        state.out.append(ForwardRequest(number, node.address, call, budget))
+        if is_large(event.body) and server.proxy != state.settings.name:
+            return self._announce_body(request, call)
+        return self._send(request, call)
+
+    def _announce_body(self, request: PendingRequest, call: ForwardCall) -> None:
+        """Ask the target's sidecar whether and when the body may be sent."""
+        number = self._state.next_number()
+        self.requests.begin_call(request, number)
+        request.announced = call
+        announcement = AnnounceBodyCall(
+            attempt_id=call.attempt_id,
+            service_name=call.service_name,
+            target=call.target,
+            instance=call.instance,
+            budget=call.budget,
+            latency_target=call.latency_target,
+            rank=call.rank,
+            route=call.route,
+            body_octets=len(call.body),
+        )
+        within = min(call.budget, max(call.latency_target, MIN_ANNOUNCE_TIMEOUT))
+        self._state.out.append(AnnounceBody(number, request.target_address, announcement, within))
+
+    def body_announcement_answered(self, event: BodyAnnouncementAnswered) -> None:
+        """Send the body that may come now, or take that its attempt is over: nothing of it was sent."""
+        request = self.requests.end_call(event.number)
+        if request is None or request.call_number != event.number or request.announced is None:
+            return None
+        call, answer = request.announced, event.answer
+        request.announced = None
+        if answer is None:
+            self.servers.attempt_ended(request.target)
+            self.servers.avoid(request.target, duration=UNREACHABLE_AVOIDANCE)
+            self._take_back(request)
+            request.excluded.add(request.target)
+            request.last_error = Unreachable(f"{request.target} says nothing.", remedy="Come back.")
+            return self._place(request)
+        self.servers.link_reported(request.target, answer.link_wait)
+        if answer.error:
+            self.servers.attempt_ended(request.target)
+            return self._attempt_rejected(request, ErrorKind(answer.error))
+        return self._send_granted(request, call, answer.rate)
+
+    def _send_granted(self, request: PendingRequest, call: ForwardCall, rate: int) -> None:
+        """Send an announced body at the rate that was granted."""
+        now = self._state.now
+        # Its time is that of its last byte.
+        duration = timedelta(seconds=len(call.body) / max(1, rate))
+        budget = request.deadline - now - duration
+        if budget <= ZERO:
+            self.servers.attempt_ended(request.target)
+            self._take_back(request)
+            return self._expire(request)
+        request.large_bodies_sent += 1
+        latency_target = max(ZERO, request.latency_deadline - now - duration)
+        return self._send(request, call._replace(budget=budget, latency_target=latency_target), rate=rate)
+
+    def _send(self, request: PendingRequest, call: ForwardCall, *, rate: int = 0) -> None:
+        number = self._state.next_number()
+        self.requests.begin_call(request, number)
+        within = request.deadline - self._state.now
+        self._state.out.append(ForwardRequest(number, request.target_address, call, within, rate))
+
+    def _take_back(self, request: PendingRequest) -> None:
+        """Tell the target's sidecar that an announced body isn't coming: others may have its place on the link."""
+        self._state.out.append(Abandon(request.target_address, AbandonCall(request.attempt_id)))
 
     # -- answers -----------------------------------------------------------------------------------------------------
 
@@ -279,7 +349,7 @@
         if kind == ErrorKind.SERVER_FULL:
             # It did arrive at a server, which counts as an attempt though nothing ran.
             request.attempts += 1
-        elif kind != ErrorKind.QUEUE_FULL:
+        elif kind not in LOAD_REFUSALS:
             self.servers.avoid(request.target, duration=REJECTION_AVOIDANCE)
             request.sidecars_tried -= 1 if request.sidecars_tried < MAX_SIDECARS_TRIED else 0
         self._place(request)
@@ -358,7 +428,7 @@
 
     def _end(self, request: PendingRequest, unsent: MeshError) -> None:
         """Give the final answer now, whatever is still under way; `unsent` is why if nothing was sent."""
-        if self._has_attempt(request) and not self.keys.is_claim(request.call_number):
+        if self._has_attempt(request) and request.announced is None and not self.keys.is_claim(request.call_number):
             request.uncertain = True
         if request.uncertain or request.server_failure is not None:
             return self._give_up(request)
@@ -382,6 +452,8 @@
         if self._has_attempt(request):
             self.requests.end_call(request.call_number)
             self.servers.attempt_ended(request.target)
+            if request.announced is not None:
+                self._take_back(request)
 
     def _has_attempt(self, request: PendingRequest) -> bool:
         """Whether the newest call is under way and an attempt was ever sent."""
@@ -395,9 +467,10 @@
         if request is None or request.claim:
             return
         has_call = self.requests.has_call(request)
-        if has_call and request.route.kind != IDEMPOTENT:
+        announced = request.announced is not None
+        if has_call and not announced and request.route.kind != IDEMPOTENT:
             return
-        if has_call:
+        if has_call and not announced:
             self._state.out.append(Abandon(request.target_address, AbandonCall(request.attempt_id)))
         self._forget(request)
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/latency.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/latency.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from hoistsaddle.common.clock import ZERO
-from hoistsaddle.rpc.messages import ForwardCall
+from hoistsaddle.rpc.messages import AnnounceBodyCall, ForwardCall
 
 # What a route that never ran here is taken to need, as a share of the latency target, and the factor for what most of
 # its runs keep within.
@@ -51,19 +51,19 @@
         self.overall.learn(run_time)
         self.by_route.setdefault(route, LatencyEstimate()).learn(run_time)
 
-    def expected(self, call: ForwardCall) -> timedelta:
+    def expected(self, call: ForwardCall | AnnounceBodyCall) -> timedelta:
         """Return how long the call's run is expected to take."""
         estimate = self.by_route.get(call.route)
         return call.latency_target * INITIAL_LATENCY_SHARE if estimate is None else estimate.mean
 
-    def safe(self, call: ForwardCall) -> timedelta:
+    def safe(self, call: ForwardCall | AnnounceBodyCall) -> timedelta:
         """Return what most such runs keep within: admitted by the mean alone, half of a full queue would be late."""
         estimate = self.by_route.get(call.route)
         if estimate is None:
             return call.latency_target * INITIAL_LATENCY_SHARE * INITIAL_SAFETY_FACTOR
         return estimate.mean + estimate.deviation * SAFETY_DEVIATIONS
 
-    def admission_limit(self, call: ForwardCall) -> timedelta:
+    def admission_limit(self, call: ForwardCall | AnnounceBodyCall) -> timedelta:
         """Return within which time the call must be likely to be done to be admitted."""
         estimate = self.by_route.get(call.route)
         short = estimate is not None and estimate.mean <= self.overall.mean * SHORT_RUN_SHARE
--- a/packages/sidecar/src/hoistsaddle/sidecar/messages.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/messages.py
@@ -7,6 +7,8 @@
 from hoistsaddle.rpc.messages import (
     AbandonAnswer,
     AbandonCall,
+    AnnounceBodyAnswer,
+    AnnounceBodyCall,
     ClaimQueryAnswer,
     ClaimQueryCall,
     FollowCall,
@@ -63,6 +65,20 @@
     age: timedelta = timedelta()
 
 
+class BodyAnnounced(NamedTuple):
+    """Another sidecar is about to forward a request with a large body."""
+
+    ticket: int
+    call: AnnounceBodyCall
+
+
+class BodyAnnouncementAnswered(NamedTuple):
+    """What the target's sidecar said to an announced body; answer is None when it said nothing."""
+
+    number: int
+    answer: AnnounceBodyAnswer | None
+
+
 class FollowArrived(NamedTuple):
     """Another sidecar asks what became of an attempt."""
 
@@ -186,6 +202,24 @@
     address: str
     call: ForwardCall
     within: timedelta
+    # At most so many bytes a second; 0 for as fast as they go.
+    rate: int = 0
+
+
+class AnnounceBody(NamedTuple):
+    """Announces a large body to the sidecar at this address."""
+
+    number: int
+    address: str
+    call: AnnounceBodyCall
+    within: timedelta
+
+
+class AnswerBodyAnnouncement(NamedTuple):
+    """Answers a sidecar that announced a body."""
+
+    ticket: int
+    answer: AnnounceBodyAnswer
 
 
 class Follow(NamedTuple):
--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -20,6 +20,8 @@
 from hoistsaddle.rpc.call_context import call_age
 from hoistsaddle.rpc.messages import (
     AbandonCall,
+    AnnounceBodyAnswer,
+    AnnounceBodyCall,
     ClaimQueryAnswer,
     ClaimQueryCall,
     FollowCall,
@@ -34,9 +36,13 @@
 from hoistsaddle.sidecar.messages import (
     Abandon,
     AbandonArrived,
+    AnnounceBody,
     AnswerAbandon,
+    AnswerBodyAnnouncement,
     AnswerClaimQuery,
     AnswerForward,
+    BodyAnnounced,
+    BodyAnnouncementAnswered,
     CancelRun,
     ClaimQueryAnswered,
     ClaimQueryArrived,
@@ -71,6 +77,7 @@
 FAN_OUT = 8
 # The roots' links are far wider than a sidecar's: they feed a zone of this size themselves.
 ROOT_FAN_OUT = 24
+BYTES_PER_MEGABIT = 125_000
 # Runs a request on the local server and returns the event that says what came of it.
 Runner = Callable[[RunOnServer], Awaitable[tuple]]
 
@@ -128,6 +135,7 @@
             retry_margin=own.further_margin,
             key_lifetime=timedelta(seconds=own.key_seconds),
             max_configuration_age=timedelta(seconds=own.apply_seconds),
+            link_bytes_per_second=own.link_megabits * BYTES_PER_MEGABIT,
         )
 
     async def start(self) -> None:
@@ -176,10 +184,13 @@
                     | AnswerForward(ticket=ticket)
                     | AnswerClaimQuery(ticket=ticket)
                     | AnswerAbandon(ticket=ticket)
+                    | AnswerBodyAnnouncement(ticket=ticket)
                 ):
                     self.close_ticket(ticket, command)
                 case ForwardRequest():
                     self.spawn(self._forward_attempt(command, decided=self.runtime.now()))
+                case AnnounceBody():
+                    self.spawn(self._announce_body(command))
                 case RunOnServer():
                     task = self.spawn(self._run_on_server(command, decided=self.runtime.now()))
                     self._serving[command.number] = task
@@ -208,6 +219,10 @@
         match message:
             case ForwardCall():
                 return await self._answer_forward(message)
+            case AnnounceBodyCall():
+                ticket, future = self.open_ticket()
+                self.feed(BodyAnnounced(ticket, message))
+                return (await future).answer
             case FollowCall():
                 ticket, future = self.open_ticket()
                 self.feed(FollowArrived(ticket, message))
@@ -265,13 +280,26 @@
             # Nothing goes out that was decided before a standstill of this process: its budget is as of then.
             return self.runtime.now() - decided <= FROZEN_GAP
 
-        match await self.runtime.rpc_client.call(command.address, command.call, within=command.within, still=still):
+        sent = self.runtime.rpc_client.call(
+            command.address, command.call, within=command.within, still=still, rate=command.rate
+        )
+        match await sent:
             case Success(ForwardAnswer() as answer):
                 self.feed(ForwardAnswered(command.number, answer))
             case result:
                 self.counters.add("sends.missed")
                 self.feed(ForwardFailed(command.number, _was_unreachable(result)))
 
+    async def _announce_body(self, command: AnnounceBody) -> None:
+        self.counters.add("bodies.announced")
+        match await self.runtime.rpc_client.call(command.address, command.call, within=command.within):
+            case Success(AnnounceBodyAnswer() as answer):
+                self.counters.add(f"bodies.refused.{answer.error}" if answer.error else "bodies.granted")
+                self.feed(BodyAnnouncementAnswered(command.number, answer))
+            case _:
+                self.counters.add("bodies.unanswered")
+                self.feed(BodyAnnouncementAnswered(command.number, None))
+
     async def _run_on_server(self, command: RunOnServer, *, decided: timedelta) -> None:
         self.counters.add("runs")
         # A standstill may lie between deciding and now.
--- a/packages/sidecar/src/hoistsaddle/sidecar/request_table.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/request_table.py
@@ -4,7 +4,7 @@
 
 from hoistsaddle.common.errors import MeshError
 from hoistsaddle.config.items import RouteItem, latency_target
-from hoistsaddle.rpc.messages import ForwardAnswer
+from hoistsaddle.rpc.messages import ForwardAnswer, ForwardCall
 from hoistsaddle.sidecar.messages import RequestArrived
 
 # Of a request without a call so far; numbers of calls begin at 1.
@@ -53,6 +53,9 @@
         self.target_incarnation = ""
         self.target_address = ""
         self.follow_ups = 0
+        # The call whose body was announced and not sent so far, and how often a large body was sent.
+        self.announced: ForwardCall | None = None
+        self.large_bodies_sent = 0
         # The key's claim in the log, whether it was granted, and the claim that it may replace.
         self.scope = ""
         self.claim = ""
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_selection.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_selection.py
@@ -29,6 +29,15 @@
 LATENCY_WEIGHT = 0.15
 
 
+# A body over this size is announced before it is sent.
+LARGE_BODY_BYTES = 8192
+
+
+def is_large(body: bytes) -> bool:
+    """Whether a body takes a noticeable time of a thin link."""
+    return len(body) > LARGE_BODY_BYTES
+
+
 class ServerLoad:
     """What this sidecar knows of the server beside another one."""
 
@@ -42,6 +51,9 @@
         self.capacity = INITIAL_CAPACITY
         # Route to the usual time of a run.
         self.latencies: dict[str, timedelta] = {}
+        # How long a large body would have waited for its machine's link, and when that was reported.
+        self.link_wait = ZERO
+        self.link_reported_at = ZERO
         # Its sidecar couldn't be reached: it is left alone until then, while there are others.
         self.avoided_until = ZERO
 
@@ -105,6 +117,11 @@
         load.reported_at = self._state.now
         load.from_others = max(0, answer.load - load.in_flight)
 
+    def link_reported(self, proxy: str, wait: timedelta) -> None:
+        """Take how long a large body would wait for this proxy's link."""
+        load = self.load_of(proxy)
+        load.link_wait, load.link_reported_at = wait, self._state.now
+
     def answer_received(self, proxy: str, route: str, answer: ForwardAnswer) -> None:
         """Learn from a server's answer how long runs of the route take there, and how large its answers are."""
         size = len(answer.body)
@@ -138,6 +155,9 @@
         wait = max(0.0, load + 1 - server_load.capacity) / server_load.capacity
         busy = min(1.0, load / server_load.capacity)
         score = latency.total_seconds() * (1 + wait + busy * BUSY_PENALTY)
+        if is_large(request.event.body):
+            link_free_at = server_load.link_reported_at + server_load.link_wait
+            score += max(ZERO, link_free_at - self._state.now).total_seconds()
         if server.zone != self._state.settings.zone:
             crossing = len(request.event.body) + self._answer_bytes.get(route, 0.0)
             share = min(MAX_ZONE_PENALTY_SHARE, ZONE_PENALTY_SHARE + crossing / ZONE_PENALTY_BYTES)
--- a/packages/sidecar/src/hoistsaddle/sidecar/upstream.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/upstream.py
@@ -13,8 +13,10 @@
 from hoistsaddle.common.errors import ErrorKind
 from hoistsaddle.proxy.core_state import CoreState, LocalServer
 from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN, UNKNOWN
-from hoistsaddle.rpc.messages import AbandonAnswer, FollowCall, ForwardAnswer, ForwardCall
+from hoistsaddle.rpc.messages import AbandonAnswer, AnnounceBodyCall, FollowCall, ForwardAnswer, ForwardCall
+from hoistsaddle.sidecar.body_admission import SHORT_WAIT_SHARE, BodyAdmission
 from hoistsaddle.sidecar.latency import LatencyEstimates
+from hoistsaddle.sidecar.link_schedule import LinkSchedule
 from hoistsaddle.sidecar.messages import (
     AbandonArrived,
     AnswerAbandon,
@@ -30,9 +32,6 @@
 from hoistsaddle.sidecar.received_attempts import ReceivedAttempts
 from hoistsaddle.statemachine.state import GONE, READY
 
-# A wait this short, as a share of the run itself, is no reason to reject anybody: a slow server whose queue is always
-# empty stands idle between two arrivals.
-SHORT_WAIT_SHARE = 0.25
 # What a run over its usual time is taken to need still, as a share of that time.
 OVERTIME_SHARE = 0.15
 # A queued run is given up this long before its deadline: the answer that it didn't run must reach its client's sidecar
@@ -70,12 +69,13 @@
 class UpstreamCore:
     """Owns what was forwarded to the local server: admission, queue, runs, and what became of each attempt."""
 
-    def __init__(self, *, state: CoreState, drain_timeout: timedelta) -> None:
+    def __init__(self, *, state: CoreState, drain_timeout: timedelta, link: LinkSchedule) -> None:
         """Begin without work.
 
         Args:
             state: of the core that the commands go out from.
             drain_timeout: how long a server that leaves still gets work that was queued before.
+            link: of this machine.
         """
         self._state = state
         self.drain_timeout = drain_timeout
@@ -90,6 +90,14 @@
         self.latencies = LatencyEstimates()
         # Attempts that may not be repeated.
         self._received = ReceivedAttempts()
+        # Large bodies that wait for this machine's link.
+        self.bodies = BodyAdmission(
+            state=state,
+            link=link,
+            latencies=self.latencies,
+            check_server=self._check_server,
+            server_wait=lambda rank, due: self.wait_for(rank=rank, due=due),
+        )
 
     # -- the local server --------------------------------------------------------------------------------------------
 
@@ -157,7 +165,12 @@
             # It arrived before, or its sender was told that it never did: it doesn't run again, and is only asked for.
             follow = FollowCall(call.attempt_id, state.settings.incarnation, call.budget)
             return self.follow_arrived(FollowArrived(event.ticket, follow))
-        admission = self._admit(call)
+        # What was granted the link was admitted before it was sent.
+        granted = self.bodies.arrived(call.attempt_id)
+        admission = self._check_server(call) if granted else self._admit(call)
+        own = call.attempt_id.startswith(f"{state.settings.name}.")
+        if not granted and not own:
+            self.bodies.link.others_arrived(len(call.headers) + len(call.body), now=state.now)
         if isinstance(admission, ErrorKind):
             return self._reject((event.ticket,), call, admission)
         number = state.next_number()
@@ -176,8 +189,8 @@
         target = call.latency_target if age < OLD_CALL_AGE else max(ZERO, call.latency_target - age)
         return call._replace(budget=call.budget - age, latency_target=target)
 
-    def _admit(self, call: ForwardCall) -> LocalServer | ErrorKind:
-        """Return the server that takes the call, or why none does."""
+    def _check_server(self, call: ForwardCall | AnnounceBodyCall) -> LocalServer | ErrorKind:
+        """Return the server that the call is for, or why it takes none."""
         state = self._state
         if call.budget <= ZERO:
             return ErrorKind.BUDGET_SPENT
@@ -190,13 +203,20 @@
             return ErrorKind.WRONG_INSTANCE
         if call.instance != server.instance:
             return ErrorKind.WRONG_INSTANCE
+        return server if len(self._queue) < state.settings.backlog else ErrorKind.QUEUE_FULL
+
+    def _admit(self, call: ForwardCall) -> LocalServer | ErrorKind:
+        """Return the server that takes the call, or why none does."""
+        state = self._state
+        server = self._check_server(call)
+        if isinstance(server, ErrorKind):
+            return server
+        # A slow server whose queue is always empty stands idle between two arrivals, so short waits refuse nobody.
         wait = self.wait_for(rank=call.rank, due=state.now + call.latency_target)
         # Whoever comes back later finds the queue shorter; whoever waits past the target keeps others from theirs.
         long_wait = wait > self.latencies.expected(call) * SHORT_WAIT_SHARE
         if long_wait and wait + self.latencies.safe(call) > self.latencies.admission_limit(call):
             return ErrorKind.QUEUE_FULL
-        if len(self._queue) >= state.settings.backlog:
-            return ErrorKind.QUEUE_FULL
         return server
 
     def wait_for(self, *, rank: int, due: timedelta) -> timedelta:
@@ -238,6 +258,9 @@
 
     def abandon_arrived(self, event: AbandonArrived) -> None:
         """Drop what waits for a client that has left, cancel what runs for it, and start the next."""
+        if self.bodies.abandon(event.call.attempt_id):
+            self._state.out.append(AnswerAbandon(event.ticket, AbandonAnswer(True)))
+            return None
         run = self._by_attempt.get(event.call.attempt_id)
         if run is None or not run.call.repeatable:
             self._state.out.append(AnswerAbandon(event.ticket, AbandonAnswer(False)))
@@ -361,3 +384,4 @@
         self._state.expire_server()
         if self._queue:
             self._review_queue()
+        self.bodies.tick()
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/links.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/links.py
@@ -66,7 +66,7 @@
         """Return the host of a machine; empty if it has no link of its own."""
         return self._hosts.get(name, "")
 
-    def send(self, *, sender: str, receiver: str, octets: int, arrived: Arrived) -> None:
+    def send(self, *, sender: str, receiver: str, octets: int, arrived: Arrived, rate: int = 0) -> None:
         """Carry bytes from one host to another.
 
         Args:
@@ -74,6 +74,7 @@
             receiver: the host they go to; empty for one whose link has no limit.
             octets: how many there are.
             arrived: called once the last of them is there.
+            rate: bytes a second at which the sender writes them; 0 for all at once.
         """
         up, down = self._up.get(sender), self._down.get(receiver)
         if sender == receiver or (up is None and down is None):
@@ -83,7 +84,11 @@
         for first in range(0, total, PACKET_BYTES):
             size = min(PACKET_BYTES, total - first)
             last = first + size == total
-            self._send_packet(up, down, _Packet(size, arrived if last else _nothing))
+            packet = _Packet(size, arrived if last else _nothing)
+            if rate:
+                self._loop.call_later((first + size) / rate, self._send_packet, up, down, packet)
+            else:
+                self._send_packet(up, down, packet)
 
     @staticmethod
     def _send_packet(up: _Direction | None, down: _Direction | None, packet: _Packet) -> None:
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
@@ -30,6 +30,8 @@
 CLOSE_DELAY_SECONDS = 0.15
 CLOSE_TIMEOUT_SECONDS = 0.2
 MAX_SEEDS = 3
+BITS_OF_BYTE = 8
+DEFAULT_LINK_MBPS = 1000.0
 POLL_SECONDS = 0.02
 
 
@@ -52,6 +54,7 @@
         folder=str(folder) if isinstance(machine, CoreMachine) else None,
         service=service,
         server=f"{machine.host}:{SERVER_PORT}" if service else "",
+        link_mbps=environment.day.site.link_bytes_per_second * BITS_OF_BYTE / 1e6 or DEFAULT_LINK_MBPS,
     )
 
 
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/network.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/network.py
@@ -46,7 +46,14 @@
         self.links = Links(loop=self.loop)
 
     def start_call(
-        self, process: SimulatedProcess, address: str, message: tuple, future: asyncio.Future, within: float
+        self,
+        process: SimulatedProcess,
+        address: str,
+        message: tuple,
+        future: asyncio.Future,
+        within: float,
+        *,
+        rate: int = 0,
     ) -> None:
         """Starts a call; one to a host without power times out."""
         host = address.partition(":")[0]
@@ -67,10 +74,16 @@
                 context=process.context,
             )
             return
-        self._send_over_links(process, address, message, future, within)
+        self._send_over_links(process, address, message, future, within, rate)
 
     def _send_over_links(
-        self, process: SimulatedProcess, address: str, message: tuple, future: asyncio.Future, within: float
+        self,
+        process: SimulatedProcess,
+        address: str,
+        message: tuple,
+        future: asyncio.Future,
+        within: float,
+        rate: int,
     ) -> None:
         """Carries a call over both machines' links, and its answer back; also one that its caller has given up."""
         if not self.links.limited:
@@ -96,6 +109,7 @@
             sender=caller,
             receiver=called,
             octets=body_octets(message),
+            rate=rate,
             arrived=lambda: World.start_call(self, process, address, message, answered, within),
         )
 
--- a/packages/testbed/src/hoistsaddle/testbed/simulation/world.py
+++ b/packages/testbed/src/hoistsaddle/testbed/simulation/world.py
@@ -106,9 +106,19 @@
             future.set_result(result)
 
     def start_call(
-        self, process: SimulatedProcess, address: str, message: tuple, future: asyncio.Future, within: float
+        self,
+        process: SimulatedProcess,
+        address: str,
+        message: tuple,
+        future: asyncio.Future,
+        within: float,
+        *,
+        rate: int = 0,
     ) -> None:
-        """Takes a call under way; the future gets the answer or the error, or nothing if the call is lost."""
+        """Takes a call under way; the future gets the answer or the error, or nothing if the call is lost.
+
+        `rate`, the bytes a second at which it is sent, counts only where links have a bandwidth.
+        """
         caller = process.context
 
         def settle(result) -> None:
@@ -182,7 +192,13 @@
         self.process = process
 
     async def call(
-        self, address: str, message: tuple, *, within: timedelta, still: Callable[[], bool] = lambda: True
+        self,
+        address: str,
+        message: tuple,
+        *,
+        within: timedelta,
+        still: Callable[[], bool] = lambda: True,
+        rate: int = 0,
     ) -> Result[tuple, MeshError]:
         """Makes a call and gives its answer, or UNREACHABLE or SILENT.
 
@@ -191,6 +207,7 @@
             message: the call.
             within: how long to wait for the answer.
             still: whether the call is still wanted once there is a connection.
+            rate: bytes a second at which it is sent; 0 for all at once.
         """
         # A connection may have to be made first, and a freeze may fall right there.
         await asyncio.sleep(self.world.latency())
@@ -198,7 +215,7 @@
             return NO_CONNECTION
         self.world.on_call(self.process, address, message)
         future = self.world.loop.create_future()
-        self.world.start_call(self.process, address, message, future, within.total_seconds())
+        self.world.start_call(self.process, address, message, future, within.total_seconds(), rate=rate)
         try:
             async with asyncio.timeout(within.total_seconds()):
                 return await future
--- a/tests/sidecar_bench.py
+++ b/tests/sidecar_bench.py
@@ -83,9 +83,11 @@
         room: int = 2,
         margin: int = 0,
         seed: int = 1,
+        link_bytes_per_second: float = 0.0,
     ) -> None:
         names = names or ("s-1", "s-2", "s-3")
         self.timestamp = timedelta(seconds=100)
+        self.link_bytes_per_second = link_bytes_per_second
         self.log: State = initial_state(mesh="m", voters={1: "one"}, operators={}, level=3)
         # Whether the core answers claims of keys.
         self.core_up = True
@@ -133,6 +135,7 @@
             retry_margin=margin,
             key_lifetime=timedelta(seconds=75),
             max_configuration_age=timedelta(seconds=2),
+            link_bytes_per_second=self.link_bytes_per_second,
             service="ledger",
         )
 
--- a/tests/sidecar_stack.py
+++ b/tests/sidecar_stack.py
@@ -83,10 +83,10 @@
         for direction in directions or ("up", "down"):
             self.open_directions[direction].clear()
 
-    def release(self) -> None:
-        """Lets all bytes pass, those kept back first."""
-        for direction_open in self.open_directions.values():
-            direction_open.set()
+    def release(self, *directions: str) -> None:
+        """Lets the bytes of these directions pass, of both by default, those kept back first."""
+        for direction in directions or ("up", "down"):
+            self.open_directions[direction].set()
 
     def reset(self) -> None:
         """What was held is lost."""
@@ -256,6 +256,8 @@
             health_seconds=60,
             # No core is played here that would confirm the configuration again and again.
             apply_seconds=600,
+            # The clock moves in steps, so that nothing that is sent at a rate would go on by itself.
+            link_megabits=10000,
         )
         runtime = SteppedRuntime(seed=self.stack.seed, life=self.stack.starts, core=self.stack.core)
         # A pool of its own: an incarnation's connections die with it.
--- a/tests/test_sidecar_answer_pairs.py
+++ b/tests/test_sidecar_answer_pairs.py
@@ -25,8 +25,10 @@
 LINKS = ("client", "sidecar", "server")
 FAULTS = ("silence", "reset", "close", "freeze", "new life", "address reused", "surplus")
 KINDS = ("read", "pay", "pack")
-# While the request is on its way over the link, and while its answer is.
+# While the request is on its way over the link, and while its answer is. A large body is announced to another sidecar
+# first: there "asked" is its announcement, and "granted" the request itself.
 TIMESTAMPS = ("asked", "answered")
+GRANTED = "granted"
 # Longer than any request is held, and than a ping's timeout.
 LONG = BUDGET + 1.5
 SEED = 7
@@ -58,14 +60,28 @@
     async def until_there(self) -> int:
         """The request, or its answer, is on the link: on which of the wires."""
         wires, local_servers = self.wires(), [self.stack.machines[name].local_server for name in ("s-2", "s-3")]
-        for wire in wires:
-            wire.hold("up" if self.timestamp == "asked" else "down")
+        if self.timestamp == GRANTED:
+            return await self.until_granted(wires)
+        way = "up" if self.timestamp == "asked" else "down"
+        at = 0
         if self.timestamp == "answered":
             at = await self.first([local_server.begun for local_server in local_servers])
+        for wire in wires:
+            wire.hold(way)
+        if self.timestamp == "answered":
             local_servers[at].go.set()
-        way = "up" if self.timestamp == "asked" else "down"
         return await self.first([wire.held[way] for wire in wires])
 
+    async def until_granted(self, wires: list[ControlledLink]) -> int:
+        """The announcement was answered, and the body is on the link."""
+        for wire in wires:
+            wire.hold("down")
+        place = await self.first([wire.held["down"] for wire in wires])
+        wires[place].hold("up")
+        wires[place].release("down")
+        await wires[place].held["up"].reach(1)
+        return place
+
     async def strike(self, place: int) -> None:
         wire, stack = self.wires()[place], self.stack
         name = "s-1" if self.link == "client" else ("s-2", "s-3")[place]
@@ -141,7 +157,10 @@
 
 class EveryPair(TestCase):
     def play_all(self, link: str) -> None:
-        for fault, kind, timestamp in itertools.product(FAULTS, KINDS, TIMESTAMPS):
+        times = [(kind, timestamp) for kind in KINDS for timestamp in TIMESTAMPS]
+        if link == "sidecar":
+            times.append(("pack", GRANTED))
+        for fault, (kind, timestamp) in itertools.product(FAULTS, times):
             label = f"{link}, {fault}, {kind}, {timestamp}, seed {SEED}"
             history = play(link=link, fault=fault, kind=kind, timestamp=timestamp)
             self.assertThat(judge(history), Equals([]), label)
@@ -161,16 +180,18 @@
 
 
 class StaleRequests(TestCase):
-    def runs(self, link: str, fault: str) -> int:
+    def runs(self, link: str, fault: str, *, timestamp: str = "asked") -> int:
         """How often the first request ran that lay in a socket until its time was over."""
-        history = play(link=link, fault=fault, kind="pack", timestamp="asked")
+        history = play(link=link, fault=fault, kind="pack", timestamp=timestamp)
         return [attempt for attempt, _ in history.runs].count("try-1")
 
     def test_what_lay_in_a_frozen_sidecars_sockets_is_not_run_after_its_time(self) -> None:
         self.assertThat([self.runs("client", "freeze"), self.runs("sidecar", "freeze")], Equals([0, 0]))
+        self.assertThat(self.runs("sidecar", "freeze", timestamp=GRANTED), Equals(0))
 
     def test_what_lay_in_a_silent_link_is_not_run_after_its_time(self) -> None:
         self.assertThat(self.runs("sidecar", "silence"), Equals(0))
+        self.assertThat(self.runs("sidecar", "silence", timestamp=GRANTED), Equals(0))
 
 
 class Followed(TestCase):
@@ -180,9 +201,10 @@
             self.assertThat(history.answers["try-1"], Equals((200, b"run of try-1")), f"{fault} {kind}")
 
     def test_what_never_came_goes_to_another_server_in_the_same_try(self) -> None:
-        for fault, kind in itertools.product(("reset", "close"), ("pay", "pack")):
-            history = play(link="sidecar", fault=fault, kind=kind, timestamp="asked")
-            self.assertThat(history.answers["try-1"], Equals((200, b"run of try-1")), f"{fault} {kind}")
+        times = (("pay", "asked"), ("pack", "asked"), ("pack", GRANTED))
+        for fault, (kind, timestamp) in itertools.product(("reset", "close"), times):
+            history = play(link="sidecar", fault=fault, kind=kind, timestamp=timestamp)
+            self.assertThat(history.answers["try-1"], Equals((200, b"run of try-1")), f"{fault} {kind} {timestamp}")
 
     def test_a_target_that_forgot_what_came_is_found(self) -> None:
         """Injected fault: it reports of any attempt that it never came."""
