--- a/tests/test_emulator_server_reports.py
+++ b/tests/test_emulator_server_reports.py
@@ -43,6 +43,13 @@
     return small_day(*events, seconds=14.0, seed=seed)
 
 
+def late_killed_day(seed: int) -> Day:
+    """Both: the sidecar that returns hears a heartbeat that was sent before the sign-off."""
+    late = [LateHeartbeats(0.2, machine, 12.0, 3.0) for machine in MACHINES]
+    day = killed_day(seed)
+    return day._replace(events=(*late, *day.events))
+
+
 class LateReports(TestCase):
     def assertHoldOn(self, days: list[Day]) -> None:
         print("small days of seeds", SEEDS)
@@ -58,3 +65,7 @@
 
     def test_nor_one_whose_sidecar_was_killed_right_after_it_acknowledged_that(self) -> None:
         self.assertHoldOn([killed_day(seed) for seed in SEEDS])
+
+    def test_nor_by_a_heartbeat_that_its_killed_sidecar_hears_after_its_return(self) -> None:
+        """Seed 216 of small hunts: a returned sidecar had forgotten the sign-off, and the log took its word for it."""
+        self.assertHoldOn([late_killed_day(seed) for seed in SEEDS])
