What the log calls gone comes back only by more reports than can come late

Callers' requests reached a server up to 3.9 s after its sign-off was acknowledged, where its sidecar was killed right after and a heartbeat that was sent before came after its return.

Cause: the order of a server's reports is kept by the process that hears them; after a restart only instances that the log calls ready were known, and one that it calls gone counted as new with its first report. The class: what was settled before a restart was judged by memory alone. The log has it, so the present process asks more of such an instance: three reports in a row, which span two of its periods, as an instance that another one followed needs two. A new instance counts at once. Cost: a live server that the log calls gone since its sidecar was away for long returns two heartbeats later.

Left: a late heartbeat that comes before the first configuration after a restart.

--- a/packages/proxy/src/hoistsaddle/proxy/core_state.py
+++ b/packages/proxy/src/hoistsaddle/proxy/core_state.py
@@ -136,5 +136,7 @@
         recorded = self.view.servers.get(self.settings.name)
         if recorded is None or recorded.state != GONE:
             return
+        if self.server is None:
+            self.reports.recorded_gone(recorded.instance)
         if self.server is not None and self.server.state == READY and self.server_state() == READY:
             self.report_health()
--- a/packages/proxy/src/hoistsaddle/proxy/server_reports.py
+++ b/packages/proxy/src/hoistsaddle/proxy/server_reports.py
@@ -10,6 +10,9 @@
 MAX_FORMER = 256
 # Reports in a row that make a former instance the present one again: its successor's were the late ones.
 REPORTS_TO_RETURN = 2
+# Reports in a row that bring back an instance that the log calls gone, to a process that doesn't know why: what was on
+# its way when it signed off is fewer.
+REPORTS_TO_CONTRADICT_RECORD = 3
 
 
 class ServerReports:
@@ -48,6 +51,11 @@
         if not self.current:
             self.current = instance
 
+    def recorded_gone(self, instance: str) -> None:
+        """Take that the log calls an instance gone of which this process has heard nothing: it may have signed off."""
+        if instance != self.current and instance not in self._former and not self.has_signed_off(instance):
+            _remember(self._former, instance, REPORTS_TO_RETURN - REPORTS_TO_CONTRADICT_RECORD)
+
     def sign_off(self, instance: str) -> None:
         """Note that an instance takes no new work and never will."""
         _remember(self._signed_off, instance, None)
--- a/tests/test_server_reports.py
+++ b/tests/test_server_reports.py
@@ -7,7 +7,12 @@
 from testtools.matchers import Equals
 
 from hoistsaddle.proxy.messages import Announce
-from hoistsaddle.proxy.server_reports import MAX_FORMER, REPORTS_TO_RETURN, ServerReports
+from hoistsaddle.proxy.server_reports import (
+    MAX_FORMER,
+    REPORTS_TO_CONTRADICT_RECORD,
+    REPORTS_TO_RETURN,
+    ServerReports,
+)
 from hoistsaddle.statemachine.state import GONE
 from sidecar_bench import SidecarBench
 
@@ -23,6 +28,20 @@
     def test_a_later_number_counts_and_an_earlier_one_does_not(self) -> None:
         self.assertThat(self.take(("a", 3), ("a", 4), ("a", 3), ("a", 4)), Equals([True, True, False, True]))
 
+    def test_what_the_log_calls_gone_has_to_report_more_often_than_late_reports_can(self) -> None:
+        self.reports.recorded_gone("a")
+        counted = self.take(*(("a", number) for number in range(7, 7 + REPORTS_TO_CONTRADICT_RECORD)))
+        self.assertThat(counted, Equals([False] * (REPORTS_TO_CONTRADICT_RECORD - 1) + [True]))
+
+    def test_a_new_instance_counts_at_once_though_the_log_calls_another_one_gone(self) -> None:
+        self.reports.recorded_gone("a")
+        self.assertThat(self.take(("b", 1), ("a", 9), ("b", 2)), Equals([True, False, True]))
+
+    def test_the_log_does_not_contradict_what_reports_here(self) -> None:
+        self.take(("a", 7))
+        self.reports.recorded_gone("a")
+        self.assertThat(self.take(("a", 8)), Equals([True]))
+
     def test_reports_without_numbers_all_count(self) -> None:
         self.assertThat(self.take(("a", 0), ("a", 0)), Equals([True, True]))
 
