Announcing of bodies in a module of its own, beside claims and follow-ups

The answers to announcements are typed decisions (granted, refused, unanswered, too late), as key claims have them; no behaviour changes. Tests of admission, ingress, answer pairs, thin links held.

--- a/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
@@ -24,8 +24,15 @@
 from hoistsaddle.config.items import IDEMPOTENT, ONCE_PER_KEY, RouteItem, hold_timeout
 from hoistsaddle.proxy.core_state import CoreState
 from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN
-from hoistsaddle.rpc.messages import AbandonCall, AnnounceBodyCall, ForwardAnswer, ForwardCall
+from hoistsaddle.rpc.messages import AbandonCall, ForwardAnswer, ForwardCall
 from hoistsaddle.sidecar.attempt_follower import AttemptFollower, AttemptOutcome
+from hoistsaddle.sidecar.body_announcements import (
+    BodyAnnouncements,
+    BodyGranted,
+    BodyRefused,
+    BodyTooLate,
+    BodyUnanswered,
+)
 from hoistsaddle.sidecar.configuration_freshness import ConfigurationFreshness
 from hoistsaddle.sidecar.errors import HeadersTooLarge, KeyOutcomeUnknown, attempt_rejected
 from hoistsaddle.sidecar.key_claims import (
@@ -39,7 +46,6 @@
 )
 from hoistsaddle.sidecar.messages import (
     Abandon,
-    AnnounceBody,
     BodyAnnouncementAnswered,
     Followed,
     ForwardAnswered,
@@ -59,8 +65,6 @@
 MAX_SIDECARS_TRIED = 4
 # A large body crosses the links twice at the most.
 MAX_LARGE_BODIES_SENT = 2
-# An announced body is tried elsewhere if nothing is heard within its latency target, or within this if that is shorter.
-MIN_ANNOUNCE_TIMEOUT = milliseconds(400)
 # Refusals for a full queue or link say nothing against the next request: its server isn't left alone for them.
 LOAD_REFUSALS = (ErrorKind.QUEUE_FULL, ErrorKind.LINK_FULL)
 # A sidecar that couldn't be reached is left alone for so long, while there are others; one that rejects, for less.
@@ -107,6 +111,7 @@
         self.retries = RetryAllowance(state=state, percent=retry_percent, margin=retry_margin)
         self.keys = KeyClaims(state=state, requests=self.requests, key_lifetime=key_lifetime)
         self._follower = AttemptFollower(state=state, requests=self.requests)
+        self._bodies = BodyAnnouncements(state=state, requests=self.requests)
 
     # -- admission ---------------------------------------------------------------------------------------------------
 
@@ -209,61 +214,31 @@
             repeatable=route.kind == IDEMPOTENT,
         )
         if is_large(event.body) and server.proxy != state.settings.name:
-            return self._announce_body(request, call)
+            return self._bodies.announce(request, call)
         return self._send(request, call)
 
-    def _announce_body(self, request: PendingRequest, call: ForwardCall) -> None:
-        """Ask the target's sidecar whether and when the body may be sent."""
-        number = self._state.next_number()
-        self.requests.begin_call(request, number)
-        request.announced = call
-        announcement = AnnounceBodyCall(
-            attempt_id=call.attempt_id,
-            service_name=call.service_name,
-            target=call.target,
-            instance=call.instance,
-            budget=call.budget,
-            latency_target=call.latency_target,
-            rank=call.rank,
-            route=call.route,
-            body_octets=len(call.body),
-        )
-        within = min(call.budget, max(call.latency_target, MIN_ANNOUNCE_TIMEOUT))
-        self._state.out.append(AnnounceBody(number, request.target_address, announcement, within))
-
     def body_announcement_answered(self, event: BodyAnnouncementAnswered) -> None:
         """Send the body that may come now, or take that its attempt is over: nothing of it was sent."""
-        request = self.requests.end_call(event.number)
-        if request is None or request.call_number != event.number or request.announced is None:
+        decision = self._bodies.answered(event)
+        if decision is None:
             return None
-        call, answer = request.announced, event.answer
-        request.announced = None
-        if answer is None:
-            self.servers.attempt_ended(request.target)
-            self.servers.avoid(request.target, duration=UNREACHABLE_AVOIDANCE)
-            self._take_back(request)
-            request.excluded.add(request.target)
-            request.last_error = Unreachable(f"{request.target} says nothing.", remedy="Come back.")
-            return self._place(request)
-        self.servers.link_reported(request.target, answer.link_wait)
-        if answer.error:
-            self.servers.attempt_ended(request.target)
-            return self._attempt_rejected(request, ErrorKind(answer.error))
-        return self._send_granted(request, call, answer.rate)
-
-    def _send_granted(self, request: PendingRequest, call: ForwardCall, rate: int) -> None:
-        """Send an announced body at the rate that was granted."""
-        now = self._state.now
-        # Its time is that of its last byte.
-        duration = timedelta(seconds=len(call.body) / max(1, rate))
-        budget = request.deadline - now - duration
-        if budget <= ZERO:
-            self.servers.attempt_ended(request.target)
-            self._take_back(request)
-            return self._expire(request)
-        request.large_bodies_sent += 1
-        latency_target = max(ZERO, request.latency_deadline - now - duration)
-        return self._send(request, call._replace(budget=budget, latency_target=latency_target), rate=rate)
+        request = decision.request
+        if isinstance(decision, BodyGranted | BodyRefused):
+            self.servers.link_reported(request.target, decision.link_wait)
+        if isinstance(decision, BodyGranted):
+            request.large_bodies_sent += 1
+            return self._send(request, decision.call, rate=decision.rate)
+        self.servers.attempt_ended(request.target)
+        match decision:
+            case BodyRefused(kind=kind):
+                return self._attempt_rejected(request, kind)
+            case BodyTooLate():
+                return self._expire(request)
+            case BodyUnanswered():
+                self.servers.avoid(request.target, duration=UNREACHABLE_AVOIDANCE)
+                request.excluded.add(request.target)
+                request.last_error = Unreachable(f"{request.target} says nothing.", remedy="Come back.")
+                return self._place(request)
 
     def _send(self, request: PendingRequest, call: ForwardCall, *, rate: int = 0) -> None:
         number = self._state.next_number()
@@ -271,10 +246,6 @@
         within = request.deadline - self._state.now
         self._state.out.append(ForwardRequest(number, request.target_address, call, within, rate))
 
-    def _take_back(self, request: PendingRequest) -> None:
-        """Tell the target's sidecar that an announced body isn't coming: others may have its place on the link."""
-        self._state.out.append(Abandon(request.target_address, AbandonCall(request.attempt_id)))
-
     # -- answers -----------------------------------------------------------------------------------------------------
 
     def _attempt_ended(self, number: int) -> PendingRequest | None:
@@ -453,7 +424,7 @@
             self.requests.end_call(request.call_number)
             self.servers.attempt_ended(request.target)
             if request.announced is not None:
-                self._take_back(request)
+                self._bodies.take_back(request)
 
     def _has_attempt(self, request: PendingRequest) -> bool:
         """Whether the newest call is under way and an attempt was ever sent."""
