--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -239,7 +239,9 @@
 
     async def _answer_forward(self, call: ForwardCall) -> ForwardAnswer:
         age = self._call_age()
-        self._arrivals.arrived(call, age=age, now=self.runtime.now())
+        # A connection's first call is as old as the connection at the most, which says nothing of the link.
+        known_age = timedelta() if call_age().first else age
+        self._arrivals.arrived(call, age=known_age, now=self.runtime.now())
         ticket, future = self.open_ticket()
         self.feed(ForwardArrived(ticket, call, age))
         answer = (await future).answer
