--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -1,7 +1,7 @@
-"""The bytes of every message between processes are those that commit 9c419a2 wrote.
+"""The bytes of every message between processes are those of the commit that they were recorded from.
 
 `fixtures/wire-9c419a2/frames.txt` was recorded from the untouched code of that commit, before classes and fields were
-renamed: a line is a message's number in mesh.thrift's union and the hex of a frame that carries a sample of it. A
+renamed, `fixtures/wire-36db3d2/frames.txt` are the messages that came with commit 36db3d2. A line is a message's number in mesh.thrift's union and the hex of a frame that carries a sample of it. A
 sample's values follow from the types and places of its fields alone, so that no renaming changes them.
 """
 
@@ -14,7 +14,8 @@
 
 from hoistsaddle.rpc.codec import MESSAGES, mesh_thrift, pack, unpack_frame
 
-RECORDED = Path(__file__).parent / "fixtures" / "wire-9c419a2" / "frames.txt"
+FIXTURES = Path(__file__).parent / "fixtures"
+RECORDED = tuple(FIXTURES / f"wire-{commit}" / "frames.txt" for commit in ("9c419a2", "36db3d2"))
 SENT_SECONDS = 1.5
 
 
@@ -42,7 +43,7 @@
 
 def recorded_frames() -> dict[int, bytes]:
     """The recorded frame of each message, by its number in the union."""
-    lines = (line.split() for line in RECORDED.read_text().splitlines())
+    lines = (line.split() for recorded in RECORDED for line in recorded.read_text().splitlines())
     return {int(number): bytes.fromhex(frame) for number, frame in lines}
 
 
