--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -2,8 +2,8 @@
 
 `fixtures/wire-9c419a2/frames.txt` was recorded from the untouched code of that commit, before classes and fields were
 renamed; `fixtures/wire-36db3d2/frames.txt` holds the messages that came with commit 36db3d2. A line is a message's
-number in mesh.thrift's union and the hex of a frame that carries a sample of it. A sample's values follow from the types
-and places of its fields alone, so that no renaming changes them.
+number in mesh.thrift's union and the hex of a frame that carries a sample of it. A sample's values follow from the
+types and places of its fields alone, so that no renaming changes them.
 """
 
 from datetime import timedelta
