Counters: what a leader commits by kind, how late its loop runs, how long keys wait for the log

Missing to tell the hypotheses apart: whether the leader commits claims or releases (committed.*), whether its loop is late by itself (loop.late_milliseconds over loop.ticks), and how long a sidecar's commands wait for the log (holds.answer_milliseconds over holds.answered). Beside them stand holds.*, writes.stale, writes.not_taken and writes.unsure from before. Why a leader stepped down shows already: majority lost, disk stalled, or a newer epoch.

--- a/packages/proxy/src/hoistsaddle/proxy/hold_client.py
+++ b/packages/proxy/src/hoistsaddle/proxy/hold_client.py
@@ -60,7 +60,8 @@
         """
         self._counters.add(f"holds.{tag_of(command)}")
         call = WriteCall(self._core.settings.name, (pack_command(command),))
-        deadline = self._runtime.now() + SUBMIT_TIMEOUT
+        began = self._runtime.now()
+        deadline = began + SUBMIT_TIMEOUT
         outcome: Outcome | None = None
         for _ in range(len(self._registries.addresses) * ROUNDS):
             if not self._backoff.failing:
@@ -73,6 +74,9 @@
                 break
         if outcome is None:
             self._counters.add("holds.mishaps")
+        else:
+            self._counters.add("holds.answered")
+            self._counters.add("holds.answer_milliseconds", (self._runtime.now() - began) / milliseconds(1))
         return outcome
 
     async def _probe(self, call: WriteCall) -> Outcome | None:
--- a/packages/raft/src/hoistsaddle/raft/runner.py
+++ b/packages/raft/src/hoistsaddle/raft/runner.py
@@ -43,6 +43,7 @@
 from hoistsaddle.rpc.message_names import counted_name
 from hoistsaddle.rpc.runtime import Runtime
 from hoistsaddle.statemachine.commands import LEVEL
+from hoistsaddle.statemachine.encoding import tag_in
 
 TICK = timedelta(milliseconds=15)
 CALL_TIMEOUT = timedelta(milliseconds=900)
@@ -187,9 +188,16 @@
 
     async def _ticks(self) -> None:
         while True:
+            due = self.runtime.now() + TICK
             await asyncio.sleep(TICK.total_seconds())
+            self._count_lateness(self.runtime.now() - due)
             self.feed(Ticked())
 
+    def _count_lateness(self, late: timedelta) -> None:
+        """Counts how late the timer was: a loop that is busy reads calls and heartbeats as late."""
+        self.counters.add("loop.ticks")
+        self.counters.add("loop.late_milliseconds", max(0.0, late / milliseconds(1)))
+
     def feed(self, event: tuple) -> None:
         """Hands the core an event, or a waiting call the disk's report on it, and carries out what follows."""
         if self.bootstrapping is not None:
@@ -260,7 +268,11 @@
 
     async def propose(self, payloads: tuple[bytes, ...]) -> ProposalResult:
         """Appends the payloads to the log; returns once they are applied, or refused."""
-        return await self._request(lambda ticket: ProposalArrived(ticket, payloads))
+        result = await self._request(lambda ticket: ProposalArrived(ticket, payloads))
+        if not result.error:
+            for payload in payloads:
+                self.counters.add(f"committed.{tag_in(payload)}")
+        return result
 
     async def raise_level(self, level: int) -> ProposalResult:
         """Raises the release level of the log."""
--- a/packages/statemachine/src/hoistsaddle/statemachine/encoding.py
+++ b/packages/statemachine/src/hoistsaddle/statemachine/encoding.py
@@ -128,6 +128,9 @@
     encoding.tag: _CommandDecoding(command, dict(zip(encoding.fields, COMMANDS[encoding.tag]._fields, strict=True)))
     for command, encoding in ENCODINGS.items()
 }
+# Where the tag's text begins in a packed command, and the bits of the byte before it that hold its length.
+_TAG_BEGINS = 2
+_SHORT_STRING_LENGTH = 0b11111
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder()
 
@@ -137,6 +140,15 @@
     return ENCODINGS[type(command)].tag
 
 
+def tag_in(payload: bytes) -> str:
+    """The tag of a packed command, read without unpacking the rest; empty if there is none."""
+    if len(payload) < _TAG_BEGINS:
+        return ""
+    # An array of two whose first element is a string of under 32 bytes: one byte says so, one its length.
+    end = _TAG_BEGINS + (payload[_TAG_BEGINS - 1] & _SHORT_STRING_LENGTH)
+    return payload[_TAG_BEGINS:end].decode(errors="replace")
+
+
 def pack_command(command: Command) -> bytes:
     """The payload of a record that holds this command."""
     tag, fields = ENCODINGS[type(command)]
--- a/tests/test_statemachine_encoding.py
+++ b/tests/test_statemachine_encoding.py
@@ -14,7 +14,7 @@
 from hoistsaddle.statemachine.apply import apply
 from hoistsaddle.statemachine.data_plane import data_plane_items
 from hoistsaddle.statemachine.digests import digests_of
-from hoistsaddle.statemachine.encoding import COMMANDS, pack_command, pack_outcome, unpack_command
+from hoistsaddle.statemachine.encoding import COMMANDS, pack_command, pack_outcome, tag_in, unpack_command
 from hoistsaddle.statemachine.reports import holds_report, items_report, operators_report, state_report
 from hoistsaddle.statemachine.snapshots import pack_state, unpack_state
 from hoistsaddle.statemachine.state import State, initial_state
@@ -49,6 +49,11 @@
             command = COMMANDS[each["tag"]](*map(restore, each["values"]))
             self.assertThat(unpack_command(bytes.fromhex(each["packed"])), Equals(command), each["tag"])
 
+    def test_the_tag_is_read_alone(self) -> None:
+        for each in self.recorded:
+            self.assertThat(tag_in(bytes.fromhex(each["packed"])), Equals(each["tag"]))
+        self.assertThat((tag_in(b""), tag_in(b"\x92")), Equals(("", "")))
+
 
 class RecordedLog(TestCase):
     """A log with every command at every release level, taken and refused, and what each record came to."""
