Failing test: keyed requests stay refused after a restart of all, with cores whose work costs time

The emulator's core machines may have processors: what arrives is handled in order, each message and each record of the log in a time of its own.

--- a/packages/testbed/src/hoistsaddle/testbed/emulator/emulator.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/emulator.py
@@ -199,6 +199,8 @@
         self.world.powered_off.discard(machine.host)
         if isinstance(machine, SidecarMachine):
             self.world.links.add(name, machine.host, bytes_per_second=self.day.site.link_bytes_per_second)
+        else:
+            self.world.processors.add(name, machine.host, speed=self.day.site.core_speed)
         process = self.processes[name] = Process(environment=self, machine=machine, number=next(self.incarnations))
         process.start(cold=cold)
 
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/network.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/network.py
@@ -1,4 +1,7 @@
-"""The emulator's network: machines without power are silent, connections may be reset, links have a bandwidth."""
+"""The emulator's network: machines without power are silent, connections may be reset.
+
+Links may have a bandwidth, and processors a speed.
+"""
 
 import asyncio
 from collections.abc import Iterable
@@ -10,6 +13,7 @@
 from hoistsaddle.rpc.client import CONNECT_TIMEOUT
 from hoistsaddle.rpc.messages import ForwardAnswer, ForwardCall
 from hoistsaddle.testbed.emulator.links import Links
+from hoistsaddle.testbed.emulator.processors import Processors
 from hoistsaddle.testbed.simulation.event_loop import SimulatedProcess
 from hoistsaddle.testbed.simulation.world import World
 
@@ -44,6 +48,7 @@
         # Calls in flight: the machine that calls, and the host that is called.
         self.calls: dict[asyncio.Future, tuple[str, str]] = {}
         self.links = Links(loop=self.loop)
+        self.processors = Processors(loop=self.loop)
 
     def start_call(
         self,
@@ -87,7 +92,7 @@
     ) -> None:
         """Carries a call over both machines' links, and its answer back; also one that its caller has given up."""
         if not self.links.limited:
-            super().start_call(process, address, message, future, within)
+            self._start_handled_call(process, address, message, future, within)
             return
         caller, called = self.links.host_of(process.name), address.partition(":")[0]
         answered = self.loop.create_future()
@@ -110,7 +115,30 @@
             receiver=called,
             octets=body_octets(message),
             rate=rate,
-            arrived=lambda: World.start_call(self, process, address, message, answered, within),
+            arrived=lambda: self._start_handled_call(process, address, message, answered, within),
+        )
+
+    def _start_handled_call(
+        self, process: SimulatedProcess, address: str, message: tuple, future: asyncio.Future, within: float
+    ) -> None:
+        """Starts a call that both machines' processors handle: the call, also one that was given up, and its answer."""
+        called = address.partition(":")[0]
+        caller = self.processors.host_of(process.name)
+        if not self.processors.limited or caller == called:
+            super().start_call(process, address, message, future, within)
+            return
+        answered = self.loop.create_future()
+
+        def answer(done: asyncio.Future) -> None:
+            result = done.result()
+            message = result.unwrap() if isinstance(result, Success) else None
+            self.processors.handle(
+                caller, message, lambda: self.loop.call_soon(self._settle, future, result, context=process.context)
+            )
+
+        answered.add_done_callback(answer)
+        self.processors.handle(
+            called, message, lambda: World.start_call(self, process, address, message, answered, within)
         )
 
     def jam(self, name: str, host: str, *, seconds: float, backlog: float) -> None:
@@ -150,6 +178,7 @@
         """Ends a process; without power its callers notice only by the keep-alive."""
         waiting = self.pending.pop(process, {}) if power else {}
         super().kill(process)
+        self.processors.ended(process.name)
         for future in waiting:
             self.loop.call_later(KEEP_ALIVE_SECONDS, self._settle, future, _NO_ANSWER)
 
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/site.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/site.py
@@ -3,6 +3,8 @@
 import random
 from typing import NamedTuple
 
+from hoistsaddle.testbed.emulator.processors import ProcessorSpeed
+
 # The platform's bounds: seconds (`_s`) and ratios that its rules and the product's settings share.
 BOUNDS = {
     "contact_s": 3.0,
@@ -117,6 +119,8 @@
     snapshot_records: int = 600
     # What the link of each sidecar's machine carries each way; 0 for links without limit.
     link_bytes_per_second: float = 0.0
+    # What messages cost the processors of core machines; nothing by default.
+    core_speed: ProcessorSpeed = ProcessorSpeed()
 
 
 def _draw_names(rng: random.Random, count: int, prefix: str) -> list[str]:
--- /dev/null
+++ b/tests/test_emulator_slow_core.py
@@ -0,0 +1,122 @@
+"""Core machines whose processors bear the day's load, and what all keyed requests together do to them after a fault.
+
+The bounds are the platform's: service is back within `recovery_s`, and a kind of request may be served less often than
+a less urgent one by 5 in 100.
+"""
+
+import os
+from concurrent.futures import ProcessPoolExecutor
+from typing import NamedTuple
+
+from testtools import TestCase
+from testtools.matchers import Equals, LessThan
+
+from hoistsaddle.testbed.emulator.checkers import check
+from hoistsaddle.testbed.emulator.day import Day
+from hoistsaddle.testbed.emulator.emulator import play
+from hoistsaddle.testbed.emulator.history import FinalFaultEnded, History, RequestResult, RequestSent
+from hoistsaddle.testbed.emulator.processors import ProcessorSpeed
+from hoistsaddle.testbed.emulator.scheduled_events import Change, FinalFault
+from hoistsaddle.testbed.emulator.site import (
+    BOUNDS,
+    ONCE_PER_KEY,
+    REPEATABLE,
+    ServiceSpec,
+    SidecarMachine,
+    Site,
+    draw_site,
+)
+
+SEEDS = (1, 2, 3, 4)
+SERVED_LESS = 0.05
+SIDECARS = (6, 12, 2)
+SLOTS = 9
+# Requests a second: keyed ones for the most part.
+RATE = 110.0
+KEYED_SHARE = 0.75
+# A third to a half of the leader's processor is taken by the day's load.
+SPEED = ProcessorSpeed(message_seconds=0.003, record_seconds=0.0006)
+
+
+class Outcome(NamedTuple):
+    """Broken rules, and the share served of repeatable and of keyed requests, before the final fault and at the end."""
+
+    broken: dict[str, list[str]]
+    before: dict[str, float]
+    at_the_end: dict[str, float]
+
+
+def keyed_site(seed: int) -> Site:
+    """A small site with many sidecars beside the servers of keyed requests, and a core that bears their load."""
+    site = draw_site(seed, small=True)
+    services = [spec.name for spec, count in zip(site.services, SIDECARS, strict=True) for _ in range(count)]
+    sidecars = tuple(
+        SidecarMachine(
+            f"side-{number:02d}", f"10.{number % 2 + 1}.1.{10 + number}", site.zones[number % 2], service, 1.0
+        )
+        for number, service in enumerate(services)
+    )
+    others = (1 - KEYED_SHARE) / 2
+    weights = {"r-view": others, "r-post": KEYED_SHARE, "r-send": others / 2, "r-load": others / 2}
+    kinds = tuple(kind._replace(weight=weights[kind.route], deadline=4.0) for kind in site.request_kinds)
+    return site._replace(
+        sidecars=sidecars,
+        services=tuple(ServiceSpec(spec.name, SLOTS, spec.queue) for spec in site.services),
+        request_kinds=kinds,
+        rate=RATE,
+        core_speed=SPEED,
+    )
+
+
+def killed_day(seed: int) -> Day:
+    """All processes are killed at the end, as the platform does it, and traffic goes on."""
+    return Day(seed, keyed_site(seed), (Change(1.0, "split", seed), FinalFault(4.0, "kill", 0.5)), 4.0)
+
+
+def shares_served(day: Day, history: History, *, since: float, until: float) -> dict[str, float]:
+    """The share of the requests first sent in this span that were served, by kind."""
+    results = {result.attempt: result for result in history.of(RequestResult)}
+    kinds = {route.name: route.kind for route in day.site.routes}
+    # By kind: whether each request, known by its path, was served by any of its attempts.
+    served: dict[str, dict[str, bool]] = {}
+    first_sent: dict[str, float] = {}
+    for request in history.of(RequestSent):
+        if request.parent or request.route not in kinds:
+            continue
+        if not since <= first_sent.setdefault(request.path, request.at) < until:
+            continue
+        result = results.get(request.attempt)
+        by_path = served.setdefault(kinds[request.route], {})
+        by_path[request.path] = by_path.get(request.path, False) or (result is not None and result.status == 200)
+    return {kind: sum(by_path.values()) / len(by_path) for kind, by_path in served.items()}
+
+
+def outcome(seed: int) -> Outcome:
+    day = killed_day(seed)
+    history = play(day).history
+    broken = {rule: found for rule, found in check(history, day).items() if found}
+    fault = next(iter(history.of(FinalFaultEnded)))
+    began = fault.at - day.seconds
+    recovered = fault.recovered_at + BOUNDS["recovery_s"]
+    longest = max(kind.deadline for kind in day.site.request_kinds)
+    return Outcome(
+        broken,
+        shares_served(day, history, since=began, until=fault.at - longest / 2),
+        shares_served(day, history, since=recovered, until=recovered + longest),
+    )
+
+
+class SlowCore(TestCase):
+    """Guards against keyed requests that stay refused after a fault because the core works for those it refused."""
+
+    def test_keyed_requests_are_served_again_within_the_recovery_time_after_a_restart_of_all(self) -> None:
+        print("seeds", SEEDS)
+        with ProcessPoolExecutor(os.cpu_count()) as pool:
+            outcomes = dict(zip(SEEDS, pool.map(outcome, SEEDS), strict=True))
+        for seed, found in outcomes.items():
+            print(seed, found)
+        for seed, found in outcomes.items():
+            self.assertThat(found.broken, Equals({}), str(seed))
+            for served in (found.before, found.at_the_end):
+                self.assertThat(served[REPEATABLE] - served[ONCE_PER_KEY], LessThan(SERVED_LESS), f"{seed} {served}")
+                self.assertThat(1 - served[ONCE_PER_KEY], LessThan(SERVED_LESS), f"{seed} {served}")
