The registry writer's queue in a module of its own

No change of behaviour: batching, the few batches in flight and the one retry for all that wait move from the writer to rpc/write_queue.py, for sidecars' commands about keys to use the same.

--- a/packages/registry/src/hoistsaddle/registry/writer.py
+++ b/packages/registry/src/hoistsaddle/registry/writer.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Iterable
 from datetime import timedelta
 
 from returns.result import Failure, Result, Success
@@ -17,6 +17,7 @@
 from hoistsaddle.common.errors import ErrorKind, MeshError, NoLeader, OutcomeUnknown
 from hoistsaddle.rpc.messages import UNSET, ReadAnswer, ReadCall, WriteAnswer, WriteCall
 from hoistsaddle.rpc.runtime import Runtime
+from hoistsaddle.rpc.write_queue import Batch, PendingWrite, WriteQueue, note_not_accepted, note_sent
 from hoistsaddle.statemachine.commands import Command, Outcome
 from hoistsaddle.statemachine.encoding import pack_command, unpack_outcome
 
@@ -41,16 +42,6 @@
     return MeshError(outcome.error, outcome.message, outcome.remedy, outcome.field)
 
 
-class _PendingWrite:
-    """One command on its way to the log."""
-
-    def __init__(self, *, payload: bytes, future: asyncio.Future) -> None:
-        self.payload = payload
-        self.future = future
-        # Whether a store may hold it: true from when it is sent, until that store says it never took it.
-        self.maybe_accepted = False
-
-
 class Writer:
     """Batches commands into calls to the leader's store; several batches may be in flight."""
 
@@ -70,16 +61,22 @@
         self.runtime = runtime
         self.counters = counters
         self.unresponsive_since: dict[int, timedelta] = {}
-        self.backlog: list[_PendingWrite] = []
-        self.in_flight = 0
-        self.tasks: set[asyncio.Task] = set()
         self.backoff = ExponentialBackoff(least=MIN_BACKOFF, most=MAX_BACKOFF)
+        self.queue = WriteQueue(
+            attempt=self._attempt,
+            wait_for_backoff=self._wait_for_backoff,
+            backoff=self.backoff,
+            max_in_flight=lambda: MAX_BATCHES_IN_FLIGHT,
+            max_batch_commands=MAX_BATCH_COMMANDS,
+        )
         # The leader that the replica in this process follows, if there is one; and what ends a backoff early.
         self.known_leader = UNSET
         self.leader_changed = asyncio.Event()
-        # While attempts fail, one task retries for all that wait.
-        self.retrying = False
-        self.stopped = False
+
+    @property
+    def backlog(self) -> Batch:
+        """The commands that wait here to be sent, those that were given up included."""
+        return self.queue.waiting
 
     def note_leader(self, leader: int) -> None:
         """Takes over the leader that the replica in the same process follows; a newly known one ends any backoff."""
@@ -162,79 +159,25 @@
     async def write_payloads(self, payloads: Iterable[bytes], *, within: timedelta) -> list[Result[Outcome, MeshError]]:
         """The same as `write` for several packed commands, which travel together where they can."""
         loop = asyncio.get_running_loop()
-        pending_writes = [_PendingWrite(payload=payload, future=loop.create_future()) for payload in payloads]
+        pending_writes = [PendingWrite(payload=payload, future=loop.create_future()) for payload in payloads]
         if not pending_writes:
             return []
-        self.backlog += pending_writes
-        self._flush()
+        self.queue.add(pending_writes)
         # The caller's own time-out ends the wait, whatever call is still in flight and whatever is queued before it.
         await asyncio.wait([pending_write.future for pending_write in pending_writes], timeout=within.total_seconds())
         return [self._result_of(pending_write) for pending_write in pending_writes]
 
-    def _result_of(self, pending_write: _PendingWrite) -> Result[Outcome, MeshError]:
+    def _result_of(self, pending_write: PendingWrite) -> Result[Outcome, MeshError]:
         if pending_write.future.done():
             return pending_write.future.result()
         pending_write.future.cancel()
         self.counters.add("writes.unsure" if pending_write.maybe_accepted else "writes.not_taken")
         return Failure(UNSURE if pending_write.maybe_accepted else NO_LEADER)
 
-    def _flush(self) -> None:
-        self.backlog = [pending_write for pending_write in self.backlog if not pending_write.future.done()]
-        if self.stopped:
-            return
-        if self.backoff.failing:
-            if self.backlog and not self.retrying:
-                self.retrying = True
-                self._spawn(self._retry(), at_end=self._retry_ended)
-            return
-        # A few batches in flight at most: what arrives meanwhile goes together into the next.
-        while self.backlog and self.in_flight < MAX_BATCHES_IN_FLIGHT:
-            self.in_flight += 1
-            self._spawn(self._send_batch(self._next_batch()), at_end=self._batch_ended)
-
-    def _spawn(self, work: Coroutine, *, at_end: Callable[[], None]) -> None:
-        """Runs `work` as a task. `at_end` follows in a callback, which a task that is only collected never runs."""
-        task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-
-        def ended(task: asyncio.Task) -> None:
-            self.tasks.discard(task)
-            at_end()
-
-        task.add_done_callback(ended)
-
-    def _batch_ended(self) -> None:
-        self.in_flight -= 1
-        self._flush()
-
-    def _retry_ended(self) -> None:
-        self.retrying = False
-        self._flush()
-
-    def _next_batch(self) -> list[_PendingWrite]:
-        waiting = [pending_write for pending_write in self.backlog if not pending_write.future.done()]
-        batch, self.backlog = waiting[:MAX_BATCH_COMMANDS], waiting[MAX_BATCH_COMMANDS:]
-        return batch
-
-    async def _send_batch(self, batch: list[_PendingWrite]) -> None:
-        if not await self._attempt(batch):
-            self.backlog = [*batch, *self.backlog]
-
-    async def _retry(self) -> None:
-        """While attempts fail, retries alone for all that wait; each attempt takes those whose callers still wait."""
-        while self.backoff.failing:
-            await self._wait_for_backoff()
-            if not (batch := self._next_batch()):
-                return
-            if not await self._attempt(batch):
-                self.backlog = [*batch, *self.backlog]
-
-    async def _attempt(self, batch: list[_PendingWrite]) -> bool:
+    async def _attempt(self, batch: Batch) -> bool:
         """One call with the whole batch; true once all of it is concluded."""
         target = self.leader
-        maybe_accepted_before = {pending_write for pending_write in batch if pending_write.maybe_accepted}
-        for pending_write in batch:
-            pending_write.maybe_accepted = True
+        maybe_accepted_before = note_sent(batch)
         call = WriteCall(self.name, tuple(pending_write.payload for pending_write in batch))
         match await self.runtime.rpc_client.call(self.stores[target], call, within=CALL_TIMEOUT):
             case Success(WriteAnswer(error="", outcomes=outcomes)):
@@ -253,15 +196,11 @@
                 )
                 self._mark_unresponsive(target)
         if certainly_not_accepted:
-            # It took none of it; an earlier attempt at another one may still have.
-            for pending_write in batch:
-                pending_write.maybe_accepted = pending_write in maybe_accepted_before
+            note_not_accepted(batch, maybe_accepted_before=maybe_accepted_before)
         self.backoff.failed(now=self.runtime.now())
         self.counters.add("writes.again")
         return False
 
     def stop(self) -> None:
         """Cancels what is in flight; commands without an answer are reported when their time-outs end."""
-        self.stopped = True
-        for task in list(self.tasks):
-            task.cancel()
+        self.queue.stop()
