Heartbeats go to each registry once a round, also while the one that watches is silent

Cause found by reading and shown by a test: the reporter put the watching registry before the list of registries on the first turn only, and took the next turn's place from the shorter list. Where the watcher is second in the list it was asked twice, 0.9 s each, and the first of the list not at all: 2.3 s between heartbeats, where a proxy is called gone after 1.5 s. The class: a silent address is tried again before others were tried once.

Change: one list, each address once. tests/test_health_reporter.py failed before (2.3 s), and holds now (under 1.5 s in both orders).

--- a/packages/proxy/src/hoistsaddle/proxy/health_reporter.py
+++ b/packages/proxy/src/hoistsaddle/proxy/health_reporter.py
@@ -88,7 +88,7 @@
         turn = 0
         while True:
             call = self._call()
-            addresses = (self._watcher() if turn == 0 else []) + self._registries.addresses
+            addresses = self._addresses()
             self.due.clear()
             address = addresses[turn % len(addresses)]
             match await self._runtime.rpc_client.call(address, call, within=REPORT_TIMEOUT):
@@ -127,6 +127,10 @@
             self._level,
         )
 
+    def _addresses(self) -> list[str]:
+        """Return whom to report to, in this order and each once: asking a silent one twice takes a whole span."""
+        return list(dict.fromkeys(self._watcher() + self._registries.addresses))
+
     def _watcher(self) -> list[str]:
         """Return the address of the node that watches the fleet, if that is known."""
         role = self._core.view.singleton_roles.get(NODE_MONITOR_ROLE)
