--- a/tests/test_emulator_slow_core.py
+++ b/tests/test_emulator_slow_core.py
@@ -78,9 +78,17 @@
     )
 
 
-def killed_day(seed: int) -> Day:
-    """All processes are killed at the end, as the platform does it, and traffic goes on."""
-    return Day(seed, keyed_site(seed), (Change(1.0, "split", seed), FinalFault(4.0, "kill", 0.5)), 4.0)
+class Ending(NamedTuple):
+    """A seed, and how all machines fail at the end of its day."""
+
+    seed: int
+    how: str
+
+
+def ending_day(ending: Ending) -> Day:
+    """All machines fail at the end, as the platform does it, and traffic goes on."""
+    final_fault = FinalFault(4.0, ending.how, 0.5)
+    return Day(ending.seed, keyed_site(ending.seed), (Change(1.0, "split", ending.seed), final_fault), 4.0)
 
 
 def shares_served(day: Day, history: History, *, since: float, until: float) -> dict[str, float]:
@@ -101,8 +109,8 @@
     return {kind: sum(by_path.values()) / len(by_path) for kind, by_path in served.items()}
 
 
-def outcome(seed: int) -> Outcome:
-    day = killed_day(seed)
+def outcome(ending: Ending) -> Outcome:
+    day = ending_day(ending)
     history = play(day).history
     broken = {rule: found for rule, found in check(history, day).items() if found}
     fault = next(iter(history.of(FinalFaultEnded)))
@@ -138,14 +146,20 @@
             # At the day's load all are served, so this is how many are served for each one served then.
             self.assertThat(share * load.times, GreaterThan(1 - SERVED_LESS), str(load))
 
-    def test_keyed_requests_are_served_again_within_the_recovery_time_after_a_restart_of_all(self) -> None:
+    def judge(self, how: str) -> None:
         print("seeds", SEEDS)
+        endings = [Ending(seed, how) for seed in SEEDS]
         with ProcessPoolExecutor(os.cpu_count()) as pool:
-            outcomes = dict(zip(SEEDS, pool.map(outcome, SEEDS), strict=True))
-        for seed, found in outcomes.items():
-            print(seed, found)
-        for seed, found in outcomes.items():
-            self.assertThat(found.broken, Equals({}), str(seed))
+            outcomes = dict(zip(endings, pool.map(outcome, endings), strict=True))
+        for ending, found in outcomes.items():
+            print(ending, found)
+            self.assertThat(found.broken, Equals({}), str(ending))
             for served in (found.before, found.at_the_end):
-                self.assertThat(served[REPEATABLE] - served[ONCE_PER_KEY], LessThan(SERVED_LESS), f"{seed} {served}")
-                self.assertThat(1 - served[ONCE_PER_KEY], LessThan(SERVED_LESS), f"{seed} {served}")
+                self.assertThat(served[REPEATABLE] - served[ONCE_PER_KEY], LessThan(SERVED_LESS), f"{ending} {served}")
+                self.assertThat(1 - served[ONCE_PER_KEY], LessThan(SERVED_LESS), f"{ending} {served}")
+
+    def test_keyed_requests_are_served_again_within_the_recovery_time_after_a_restart_of_all(self) -> None:
+        self.judge("kill")
+
+    def test_keyed_requests_are_served_again_after_a_lost_disk_and_a_loss_of_all_other_power(self) -> None:
+        self.judge("wipe and all power")
