Under bundles a refused request releases its key only where the log may hold it

Under bundles each refused request submitted a release at once and each half second for a minute, whether or not its claim was ever sent; an unanswered one named the scope of release level 1, under which the log holds nothing from level 2 on. Now as under items: a claim that certainly isn't in the log makes no more work, one that may be is released a retry interval later under the name that its level gives it.

--- a/packages/proxy/src/hoistsaddle/proxy/client_request.py
+++ b/packages/proxy/src/hoistsaddle/proxy/client_request.py
@@ -7,6 +7,7 @@
 from hoistsaddle.config.bundle import Route
 from hoistsaddle.proxy.client_identity import ClientIdentity
 from hoistsaddle.proxy.messages import RequestArrived
+from hoistsaddle.statemachine.commands import ClaimKey
 
 # The time of a request until its route is known.
 DEFAULT_BUDGET = timedelta(seconds=5)
@@ -44,6 +45,8 @@
         self.identity: ClientIdentity | None = None
         self.claimed = False
         self.claim_missed_at: timedelta | None = None
+        # The claim, if a call with it got no answer though the log may have taken it.
+        self.unsure_claim: ClaimKey | None = None
         # The newest attempt: its id, the proxy and service it went to, and what paid for it if it is a retry.
         self.attempt_id = ""
         self.target = ""
--- a/packages/proxy/src/hoistsaddle/proxy/core.py
+++ b/packages/proxy/src/hoistsaddle/proxy/core.py
@@ -29,7 +29,6 @@
     Ticked,
 )
 from hoistsaddle.proxy.upstream import UpstreamCore
-from hoistsaddle.statemachine.commands import Outcome
 from hoistsaddle.statemachine.view import View
 
 
@@ -57,8 +56,8 @@
                 self.ingress.request_arrived(event)
             case ClientDisconnected(ticket=ticket):
                 self.ingress.client_disconnected(ticket)
-            case HoldAnswered(number=number, outcome=outcome):
-                self._hold_answered(number, outcome)
+            case HoldAnswered():
+                self._hold_answered(event)
             case ForwardAnswered(number=number, answer=answer):
                 self.ingress.forward_answered(number, answer)
             case ForwardFailed(number=number, unsent=unsent):
@@ -84,13 +83,13 @@
                 self._tick()
         return self.out
 
-    def _hold_answered(self, number: int, outcome: Outcome | None) -> None:
-        self.ingress.keys.note_answer(outcome)
+    def _hold_answered(self, event: HoldAnswered) -> None:
+        self.ingress.keys.note_answer(event.outcome)
         # Answers are settled by the upstream side; claims and releases are the ingress side's.
-        if self.upstream.is_settlement(number):
-            self.upstream.settlement_answered(number, outcome)
+        if self.upstream.is_settlement(event.number):
+            self.upstream.settlement_answered(event.number, event.outcome)
         else:
-            self.ingress.hold_answered(number, outcome)
+            self.ingress.hold_answered(event)
 
     def _lease_renewed(self, start: timedelta) -> None:
         had_lease = self.has_lease()
--- a/packages/proxy/src/hoistsaddle/proxy/ingress.py
+++ b/packages/proxy/src/hoistsaddle/proxy/ingress.py
@@ -33,12 +33,14 @@
     UNKNOWN,
     AnswerClient,
     ForwardRequest,
+    HoldAnswered,
     RequestArrived,
 )
 from hoistsaddle.proxy.retry_budget import RetryBudget, retry_quota_of
 from hoistsaddle.proxy.server_selection import ServerSelection
 from hoistsaddle.rpc.messages import BundleForwardAnswer, BundleForwardCall
-from hoistsaddle.statemachine.commands import Outcome, ReleaseKey
+from hoistsaddle.statemachine.commands import ClaimKey, ReleaseKey
+from hoistsaddle.statemachine.idempotency import hold_handle
 from hoistsaddle.statemachine.state import SETTLED, ServerRecord
 from hoistsaddle.statemachine.view import View
 
@@ -174,18 +176,18 @@
         self._tickets[request.call_number] = request.ticket
         return None
 
-    def hold_answered(self, number: int, outcome: Outcome | None) -> None:
-        """Take the log's answer to a claim or a release; None is no answer."""
+    def hold_answered(self, event: HoldAnswered) -> None:
+        """Take the log's answer to a claim or a release, or that there is none."""
+        number, outcome = event.number, event.outcome
         if self.keys.releases.answered(number, outcome):
             return None
         command = self.keys.answered(number)
         request = self.requests.get(self._tickets.pop(number, -1))
-        scope = outcome.detail.get("scope", command.scope) if outcome is not None else command.scope
-        if request is None or request.phase is not Phase.CLAIMING or request.call_number != number:
-            # Granted after its request was given up: nothing was sent under it, so the key goes back.
-            granted = outcome is not None and outcome.detail.get("phase") == "granted"
-            if granted and (request is None or request.claim != command.claim):
-                self.keys.releases.submit(ReleaseKey(scope, command.claim))
+        if request is None or request.claim != command.claim:
+            return self._answered_in_vain(command, event)
+        if outcome is None and event.maybe_accepted:
+            request.unsure_claim = command
+        if request.phase is not Phase.CLAIMING or request.call_number != number:
             return None
         if outcome is None:
             # Claiming again under the same claim is one claim: the log knows it.
@@ -197,9 +199,23 @@
             request.claim = ""
             error = MeshError(outcome.error, outcome.message, outcome.remedy, outcome.field)
             return self._refuse(request, CLAIM_STATUSES.get(outcome.error, 503), error)
-        request.scope = scope
+        request.scope = outcome.detail.get("scope", command.scope)
         return self._claim_decided(request, outcome.detail)
 
+    def _answered_in_vain(self, command: ClaimKey, event: HoldAnswered) -> None:
+        """Give back the key of a claim whose request was given up: nothing was sent under it."""
+        if event.outcome is None:
+            if event.maybe_accepted:
+                self._release_unsure(command)
+        elif event.outcome.detail.get("phase") == "granted":
+            scope = event.outcome.detail.get("scope", command.scope)
+            self.keys.releases.submit(ReleaseKey(scope, command.claim))
+
+    def _release_unsure(self, command: ClaimKey) -> None:
+        """Release a claim that got no answer, under each name by which the log may hold it."""
+        for scope in dict.fromkeys((hold_handle(command), command.scope)):
+            self.keys.releases.schedule(ReleaseKey(scope, command.claim))
+
     def _claim_decided(self, request: ClientRequest, detail: dict) -> None:
         match detail["phase"]:
             case "granted":
@@ -448,10 +464,14 @@
 
     def _release_unused(self, request: ClientRequest) -> None:
         """Release the request's key, if it claimed one and nothing ran under it."""
-        if request.claim and not request.uncertain:
+        if not request.claim or request.uncertain:
+            return
+        if request.claimed:
             name = request.route.name if request.route is not None else ""
             self._state.announce("key given back", scope=request.scope[:SHOWN_SCOPE_LENGTH], entry=name)
             self.keys.releases.submit(ReleaseKey(request.scope, request.claim))
+        elif request.unsure_claim is not None:
+            self._release_unsure(request.unsure_claim)
 
     # -- other events ------------------------------------------------------------------------------------------------
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -301,6 +301,23 @@
         bench.feed(HoldAnswered(claim.number, Outcome(detail={"phase": "granted"})))
         self.assertThat((type(bench.newest(SubmitHold).command), bench.count(ForwardRequest)), Equals((ReleaseKey, 0)))
 
+    def test_a_refused_claim_is_given_back_where_the_log_may_hold_it_and_nowhere_else(self) -> None:
+        """Each refused request had a release submitted for a minute, whether or not its claim was ever sent."""
+        for maybe_accepted in (False, True):
+            bench = Bench()
+            ticket = bench.ask("POST", "/payments", key="k")
+            claim = bench.newest(SubmitHold)
+            bench.renew()
+            bench.feed(Ticked(), later=MAX_KEY_WAIT.total_seconds())
+            self.assertThat(bench.answer(ticket).outcome, Equals("not-run"))
+            bench.feed(HoldAnswered(claim.number, None, maybe_accepted))
+            for _ in range(10):
+                bench.renew()
+                bench.feed(Ticked(), later=0.1)
+            submitted = [each.command for each in bench.out if isinstance(each, SubmitHold)]
+            released = {command.claim for command in submitted if isinstance(command, ReleaseKey)}
+            self.assertThat(released, Equals({claim.command.claim} if maybe_accepted else set()))
+
     def test_a_claim_granted_too_late_is_given_back(self) -> None:
         bench = Bench()
         ticket = bench.ask("POST", "/payments", key="k")
