--- a/tests/test_emulator_slow_core.py
+++ b/tests/test_emulator_slow_core.py
@@ -37,7 +37,7 @@
 # How many times the day's load is sent on a day of overload, and for how long.
 OVERLOADS = (1.5, 2.0, 3.0)
 OVERLOAD_SECONDS = 10.0
-# A third to a half of the leader's processor is taken by the day's load.
+# Such that the core bears one and a half times the day's load, and not twice of it.
 SPEED = ProcessorSpeed(message_seconds=0.003, record_seconds=0.0006)
 
 
