--- a/packages/sidecar/src/hoistsaddle/sidecar/admin_api.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/admin_api.py
@@ -78,7 +78,9 @@
         """Return what this sidecar may retry by service, and what it knows of the keys that it claimed."""
         ingress = self._node.core.ingress
         budgets = retry_budgets(ingress.retries.budget, now=self._node.runtime.now())
-        return web.json_response({"stall": self._settings.name, "room": budgets, "keys": ingress.keys.count_by_state()})
+        return web.json_response(
+            {"stall": self._settings.name, "room": budgets, "keys": ingress.keys.records.count_by_state()}
+        )
 
     async def _take_health(self, request: web.Request) -> web.Response:
         match read_health_report(await request.read(), _HealthReport):
--- a/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
@@ -261,7 +261,7 @@
         answer = event.answer
         request = self._attempt_ended(event.number)
         if request is None:
-            return self.keys.late_answer(event.number, answer)
+            return self.keys.records.late_answer(event.number, answer)
         self.servers.load_reported(request.target, answer)
         if answer.outcome == NOT_RUN:
             return self._attempt_rejected(request, ErrorKind(answer.error))
@@ -281,7 +281,7 @@
         """Take that the connection to the target's sidecar broke."""
         request = self._attempt_ended(event.number)
         if request is None:
-            return self.keys.late_failure(event.number)
+            return self.keys.records.late_failure(event.number)
         self.servers.avoid(request.target, duration=UNREACHABLE_AVOIDANCE)
         if event.unsent:
             # No connection was made, so nothing can arrive later either.
@@ -301,8 +301,8 @@
         if request is None or request.call_number != event.number:
             if answer is None or answer.outcome == NOT_RUN:
                 # What the target still knows of it is sure only within the request's time.
-                return self.keys.late_failure(event.number)
-            return self.keys.late_answer(event.number, answer)
+                return self.keys.records.late_failure(event.number)
+            return self.keys.records.late_answer(event.number, answer)
         outcome = self._follower.followed(request, event)
         if outcome is AttemptOutcome.UNKNOWN:
             return self._attempt_unanswered(request)
@@ -358,7 +358,8 @@
     # -- final answers -----------------------------------------------------------------------------------------------
 
     def _answer(self, request: PendingRequest, answer: ForwardAnswer) -> None:
-        self.keys.record_answer(request, answer)
+        if request.claimed:
+            self.keys.records.answered(request.claim, answer)
         self._reply(request, answer.status, headers=answer.headers, body=answer.body)
 
     def _give_up(self, request: PendingRequest) -> None:
@@ -385,7 +386,9 @@
         return max(MIN_RETRY_AFTER, min(left / 3, MAX_RETRY_AFTER) * spread)
 
     def _answer_unknown(self, request: PendingRequest) -> None:
-        self.keys.record_unknown(request)
+        if request.claimed:
+            under_way = request.call_number if self.requests.has_call(request) else None
+            self.keys.records.ended_unanswered(request.claim, call_number=under_way)
         status = 504 if self._state.now >= request.deadline else 502
         self._reply(request, status, error=request.last_error or NoResponse("No answer came within its time."))
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/key_claims.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/key_claims.py
@@ -1,10 +1,9 @@
 """Idempotency keys of a sidecar's requests: each is claimed in the log, and the claim's outcome stays with its sidecar.
 
-The log knows which sidecar claimed a key; only that sidecar knows what came of it. A repeat that meets a claimed key
-asks there.
+The log knows which sidecar claimed a key; only that sidecar knows what came of it (claim_records.py). A repeat that
+meets a claimed key asks there.
 """
 
-from collections import OrderedDict
 from datetime import timedelta
 from math import ceil
 from typing import NamedTuple
@@ -14,8 +13,9 @@
 from hoistsaddle.proxy.client_identity import digest_of_parts
 from hoistsaddle.proxy.core_state import CoreState
 from hoistsaddle.proxy.hold_releases import HoldReleases
-from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN, HoldAnswered, SubmitHold
-from hoistsaddle.rpc.messages import ClaimQueryAnswer, ClaimQueryCall, ForwardAnswer
+from hoistsaddle.proxy.messages import HoldAnswered, SubmitHold
+from hoistsaddle.rpc.messages import ClaimQueryAnswer, ClaimQueryCall
+from hoistsaddle.sidecar.claim_records import FREE, KEPT, WORKING, ClaimRecords
 from hoistsaddle.sidecar.messages import AnswerClaimQuery, ClaimQueryAnswered, ClaimQueryArrived, QueryClaim
 from hoistsaddle.sidecar.request_table import PendingRequest, RequestTable
 from hoistsaddle.statemachine.commands import ClaimKey, ReleaseKey
@@ -32,13 +32,6 @@
 RELEASE_RETRY_INTERVAL = timedelta(seconds=1)
 # A claim that got no answer is submitted again this soon, for as long as waiting costs the client little.
 CLAIM_RETRY_INTERVAL = milliseconds(40)
-# What became of a claim, as sidecars tell each other.
-WORKING = "working"
-KEPT = "kept"
-FREE = "free"
-UNKNOWN_RUN = "unknown"
-# What a sidecar tells that gave no answer.
-NO_STATE = ""
 # The log's answer to a claim that holds the key from now on.
 GRANTED_PHASE = "granted"
 
@@ -78,19 +71,6 @@
 KeyDecision = KeyGranted | KeyRefused | KeyAnswered | KeyBusy | KeyLost
 
 
-class ClaimRecord:
-    """What became of one claim of this sidecar's, for repeats of its key at any sidecar."""
-
-    def __init__(self, *, expires: timedelta) -> None:
-        self.state = WORKING
-        self.expires = expires
-        self.answer: ForwardAnswer | None = None
-
-    def current_state(self) -> str:
-        """Return the state that is told: an answer, once there, is the claim's outcome."""
-        return self.state if self.answer is None else KEPT
-
-
 class KeyClaims:
     """Claims keys for pending requests, keeps the claims' outcomes, and gives back what nothing ran under."""
 
@@ -112,10 +92,7 @@
         # Claims of pending requests that got no answer, though the log may have taken them.
         self._maybe_accepted: set[str] = set()
         self.releases = HoldReleases(state=state, retry_interval=RELEASE_RETRY_INTERVAL, timeout=RELEASE_TIMEOUT)
-        # By claim, the oldest first.
-        self.records: OrderedDict[str, ClaimRecord] = OrderedDict()
-        # Attempts under way whose requests have their final answer already, to the claims that they run under.
-        self._late_attempts: dict[int, str] = {}
+        self.records = ClaimRecords(state=state)
 
     # -- claiming ----------------------------------------------------------------------------------------------------
 
@@ -181,7 +158,7 @@
             return KeyRefused(request, MeshError(outcome.error, outcome.message, outcome.remedy, outcome.field))
         if granted:
             request.claimed = True
-            self._record(request.claim)
+            self.records.begin(request.claim, lifetime=self.key_lifetime)
             return KeyGranted(request)
         return self._query_holder(request, proxy=outcome.detail["stall"], claim=outcome.detail["claim"])
 
@@ -233,7 +210,7 @@
         self._queries[number] = request.ticket
         node = self._state.view.nodes.get(proxy)
         if proxy == self._state.settings.name:
-            return self.query_answered(ClaimQueryAnswered(number, self.claim_state(claim)))
+            return self.query_answered(ClaimQueryAnswered(number, self.records.state_of(claim)))
         if node is None or node.state == GONE:
             return self.query_answered(ClaimQueryAnswered(number, None))
         self._state.out.append(QueryClaim(number, node.address, ClaimQueryCall(claim)))
@@ -263,63 +240,16 @@
 
     def query_arrived(self, event: ClaimQueryArrived) -> None:
         """Answer another sidecar's question about a claim."""
-        self._state.out.append(AnswerClaimQuery(event.ticket, self.claim_state(event.call.claim)))
-
-    # -- what became of the own claims -------------------------------------------------------------------------------
-
-    def claim_state(self, claim: str) -> ClaimQueryAnswer:
-        """Return what is known here of a claim: of a former incarnation's, or a forgotten one, nothing."""
-        record = self.records.get(claim)
-        if record is None:
-            return ClaimQueryAnswer(UNKNOWN_RUN)
-        if record.answer is not None:
-            return ClaimQueryAnswer(KEPT, record.answer.status, record.answer.headers, record.answer.body)
-        return ClaimQueryAnswer(record.state)
-
-    def count_by_state(self) -> dict[str, int]:
-        """Return how many claims are known here in each state."""
-        counts: dict[str, int] = {}
-        for record in self.records.values():
-            state = record.current_state()
-            counts[state] = counts.get(state, 0) + 1
-        return counts
-
-    def record_answer(self, request: PendingRequest, answer: ForwardAnswer) -> None:
-        """Keep the answer of a claimed request for repeats of its key."""
-        if (record := self._record_of(request)) is not None:
-            record.answer = answer
-
-    def record_unknown(self, request: PendingRequest) -> None:
-        """Note that a claimed request ends without an answer, though its attempt may still bring one."""
-        if (record := self._record_of(request)) is None:
-            return
-        record.state = UNKNOWN_RUN
-        if self._requests.has_call(request):
-            record.state = WORKING
-            self._late_attempts[request.call_number] = request.claim
-
-    def late_answer(self, number: int, answer: ForwardAnswer) -> None:
-        """Take the answer to an attempt whose client has gone: a repeat of its key still wants it."""
-        record = self.records.get(self._late_attempts.pop(number, ""))
-        if record is None:
-            return
-        if answer.outcome == ANSWERED:
-            record.answer = answer
-        else:
-            # Rejected after all: nothing ran under the claim, and no other attempt of it is under way.
-            record.state = FREE if answer.outcome == NOT_RUN else UNKNOWN_RUN
+        self._state.out.append(AnswerClaimQuery(event.ticket, self.records.state_of(event.call.claim)))
 
-    def late_failure(self, number: int) -> None:
-        """Note that an attempt whose client has gone brought no answer."""
-        if (record := self.records.get(self._late_attempts.pop(number, ""))) is not None:
-            record.state = UNKNOWN_RUN
+    # -- the end of a claimed request -------------------------------------------------------------------------------
 
     def release_unused(self, request: PendingRequest) -> None:
         """Release the request's key, if it claimed one and nothing ran under it."""
         if not request.claim or request.uncertain or request.attempts:
             return
         # Also a claim that was never answered: should it be in the log, a repeat that meets it may replace it.
-        self._record(request.claim).state = FREE
+        self.records.released(request.claim, lifetime=self.key_lifetime)
         command = self._claim_command(request)
         if request.claimed:
             self._release(command)
@@ -330,15 +260,6 @@
     def _release(self, command: ClaimKey) -> None:
         self.releases.submit(_release_of(command))
 
-    def _record_of(self, request: PendingRequest) -> ClaimRecord | None:
-        return self.records.get(request.claim) if request.claimed else None
-
-    def _record(self, claim: str) -> ClaimRecord:
-        now = self._state.now
-        while self.records and next(iter(self.records.values())).expires <= now:
-            self.records.popitem(last=False)
-        return self.records.setdefault(claim, ClaimRecord(expires=now + self.key_lifetime))
-
 
 def _release_of(command: ClaimKey) -> ReleaseKey:
     return ReleaseKey(hold_handle(command), command.claim)
--- a/tests/test_sidecar_answer_pairs.py
+++ b/tests/test_sidecar_answer_pairs.py
@@ -14,8 +14,8 @@
 
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.errors import ErrorKind, MeshError
+from hoistsaddle.sidecar.claim_records import ClaimRecords
 from hoistsaddle.sidecar.ingress import IngressCore
-from hoistsaddle.sidecar.key_claims import KeyClaims
 from hoistsaddle.sidecar.received_attempts import ReceivedAttempts
 from hoistsaddle.sidecar.request_table import PendingRequest
 from hoistsaddle.sidecar.server_connections import ServerConnectionPool
@@ -274,11 +274,11 @@
         self.assertThat(found, Contains("WRONG"))
 
     def test_a_key_that_is_free_whatever_became_of_it_is_found(self) -> None:
-        plain: Callable = KeyClaims.claim_state
+        plain: Callable = ClaimRecords.state_of
 
-        def free(self: KeyClaims, claim: str) -> Any:
+        def free(self: ClaimRecords, claim: str) -> Any:
             return plain(self, claim)._replace(state="free")
 
-        injected_fault = mock.patch.object(KeyClaims, "claim_state", free)
+        injected_fault = mock.patch.object(ClaimRecords, "state_of", free)
         found = self.found(injected_fault, link="sidecar", fault="reset", kind="pay", timestamp="answered")
         self.assertThat(found, Contains("TWICE"))
