--- a/packages/proxy/src/hoistsaddle/proxy/core_state.py
+++ b/packages/proxy/src/hoistsaddle/proxy/core_state.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
-from hoistsaddle.proxy.messages import Announce, ReportHealth
+from hoistsaddle.proxy.messages import Announce, Count, ReportHealth
 from hoistsaddle.proxy.server_reports import ServerReports
 from hoistsaddle.statemachine.state import GONE, READY
 from hoistsaddle.statemachine.view import View
@@ -113,6 +113,10 @@
         """Tell operators of an event; the detail's names are its JSON keys."""
         self.out.append(Announce(kind, {"stall": self.settings.name, **detail}))
 
+    def count(self, name: str) -> None:
+        """Add one to a counter of the process."""
+        self.out.append(Count(name))
+
     def report_health(self) -> None:
         """Have the server's state sent to the registry at once, not with the next heartbeat."""
         self.serial += 1
--- a/packages/proxy/src/hoistsaddle/proxy/messages.py
+++ b/packages/proxy/src/hoistsaddle/proxy/messages.py
@@ -180,3 +180,9 @@
 
     kind: str
     detail: dict
+
+
+class Count(NamedTuple):
+    """Adds one to a counter."""
+
+    name: str
--- a/packages/sidecar/src/hoistsaddle/sidecar/attempt_follower.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/attempt_follower.py
@@ -43,6 +43,7 @@
         """Ask what became of the request's newest attempt."""
         number = self._state.next_number()
         self._requests.begin_call(request, number)
+        request.asked, request.silent_since = True, None
         left = request.deadline - self._state.now
         node = self._state.view.nodes.get(request.target)
         address = node.address if node is not None else request.target_address
@@ -57,6 +58,7 @@
             return AttemptOutcome.UNKNOWN
         if answer is None:
             self._requests.resume_call(request, event.number)
+            request.silent_since = self._state.now
             request.follow_ups += 1
             self._retries.append((self._state.now + RETRY_BACKOFF * request.follow_ups, request.ticket))
             return AttemptOutcome.PENDING
--- a/packages/sidecar/src/hoistsaddle/sidecar/claim_records.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/claim_records.py
@@ -70,8 +70,13 @@
             record.state = WORKING
             self._late_calls[call_number] = claim
 
+    def late_calls(self) -> int:
+        """Return for how many calls' ends claims wait whose requests are over."""
+        return len(self._late_calls)
+
     def late_answer(self, number: int, answer: ForwardAnswer) -> None:
         """Take the answer to an attempt whose client has gone: a repeat of its key still wants it."""
+        self._count_late_end(number)
         record = self._records.get(self._late_calls.pop(number, ""))
         if record is None:
             return
@@ -83,6 +88,7 @@
 
     def late_failure(self, number: int) -> None:
         """Note that an attempt whose client has gone brought no answer."""
+        self._count_late_end(number)
         if (record := self._records.get(self._late_calls.pop(number, ""))) is not None:
             record.state = UNKNOWN_RUN
 
@@ -103,6 +109,10 @@
             counts[state] = counts.get(state, 0) + 1
         return counts
 
+    def _count_late_end(self, number: int) -> None:
+        if number in self._late_calls:
+            self._state.count("keys.late_ends")
+
     def _begin(self, claim: str, *, lifetime: timedelta) -> ClaimRecord:
         now = self._state.now
         while self._records and next(iter(self._records.values())).expires <= now:
--- a/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
@@ -57,6 +57,7 @@
 from hoistsaddle.sidecar.request_table import NO_CALL, PendingRequest, RequestTable
 from hoistsaddle.sidecar.retry_allowance import RetryAllowance
 from hoistsaddle.sidecar.server_selection import ServerSelection, is_large
+from hoistsaddle.sidecar.unanswered_keys import UnansweredKeys
 from hoistsaddle.statemachine.state import ServerRecord
 
 # The time that a request gets whose client names none.
@@ -110,6 +111,7 @@
         self.servers = ServerSelection(state=state)
         self.retries = RetryAllowance(state=state, percent=retry_percent, margin=retry_margin)
         self.keys = KeyClaims(state=state, requests=self.requests, key_lifetime=key_lifetime)
+        self._unanswered = UnansweredKeys(state=state, records=self.keys.records)
         self._follower = AttemptFollower(state=state, requests=self.requests)
         self._bodies = BodyAnnouncements(state=state, requests=self.requests)
 
@@ -194,6 +196,7 @@
         request.target_incarnation = node.incarnation
         request.target_address = node.address
         request.follow_ups = 0
+        request.asked, request.silent_since = False, None
         budget = request.deadline - state.now
         call = ForwardCall(
             attempt_id=request.attempt_id,
@@ -388,6 +391,7 @@
     def _answer_unknown(self, request: PendingRequest) -> None:
         if request.claimed:
             under_way = request.call_number if self.requests.has_call(request) else None
+            self._unanswered.ended(request, has_call=under_way is not None)
             self.keys.records.ended_unanswered(request.claim, call_number=under_way)
         status = 504 if self._state.now >= request.deadline else 502
         self._reply(request, status, error=request.last_error or NoResponse("No answer came within its time."))
@@ -456,3 +460,4 @@
             self._reject(refused.request, refused.error)
         self.keys.retry_due()
         self._follower.retry_due()
+        self._unanswered.tick()
--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -16,7 +16,7 @@
 from hoistsaddle.proxy.core_state import CoreSettings
 from hoistsaddle.proxy.freeze_detector import FROZEN_GAP
 from hoistsaddle.proxy.mesh_node import MeshNode, NodeTimings
-from hoistsaddle.proxy.messages import Announce, ReportHealth, StopRequested, SubmitHold
+from hoistsaddle.proxy.messages import Announce, Count, ReportHealth, StopRequested, SubmitHold
 from hoistsaddle.rpc.call_context import call_age
 from hoistsaddle.rpc.messages import (
     AbandonCall,
@@ -208,6 +208,8 @@
                     self.spawn(self._query_claim(command))
                 case ReportHealth():
                     self.health.due.set()
+                case Count(name=name):
+                    self.counters.add(name)
                 case Announce(kind=kind, detail=detail):
                     self.counters.record_event(kind, **detail)
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/request_table.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/request_table.py
@@ -53,6 +53,9 @@
         self.target_incarnation = ""
         self.target_address = ""
         self.follow_ups = 0
+        # Whether that sidecar is asked what became of it, and since when a question has been without an answer.
+        self.asked = False
+        self.silent_since: timedelta | None = None
         # The call whose body was announced and not sent so far, and how often a large body was sent.
         self.announced: ForwardCall | None = None
         self.large_bodies_sent = 0
