A key counts as at work only while a call about its request is under way

Cause: a question what became of an attempt that ends without an answer was entered into the books again as a call under way, to mark that the request has an attempt (RequestTable.resume_call). If the request then ends before the next question, as its deadline comes, its claim waits for the end of a call that nobody makes.

Fix: where an attempt stands (AttemptState) and which calls are under way are two things now.

The tests of NothingUnderWay failed before: (504, 409) != (504, 503), (502, 409) != (502, 503), 409 != 503.

--- a/packages/sidecar/src/hoistsaddle/sidecar/attempt_follower.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/attempt_follower.py
@@ -12,7 +12,7 @@
 from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN
 from hoistsaddle.rpc.messages import FollowCall
 from hoistsaddle.sidecar.messages import Follow, Followed
-from hoistsaddle.sidecar.request_table import PendingRequest, RequestTable
+from hoistsaddle.sidecar.request_table import AttemptState, PendingRequest, RequestTable
 
 # After a question without an answer the next one waits this much longer each time, until the request's deadline.
 RETRY_BACKOFF = milliseconds(100)
@@ -43,7 +43,7 @@
         """Ask what became of the request's newest attempt."""
         number = self._state.next_number()
         self._requests.begin_call(request, number)
-        request.asked, request.silent_since = True, None
+        request.attempt_state = AttemptState.ASKED
         left = request.deadline - self._state.now
         node = self._state.view.nodes.get(request.target)
         address = node.address if node is not None else request.target_address
@@ -53,15 +53,12 @@
     def followed(self, request: PendingRequest, event: Followed) -> AttemptOutcome:
         """Take the answer to a question about the request's newest attempt."""
         answer = event.answer
+        request.attempt_state = AttemptState.NONE
         if answer is None and event.refused:
             # Nobody listens there: that incarnation has ended, and what it did isn't known.
             return AttemptOutcome.UNKNOWN
         if answer is None:
-            self._requests.resume_call(request, event.number)
-            request.silent_since = self._state.now
-            request.follow_ups += 1
-            self._retries.append((self._state.now + RETRY_BACKOFF * request.follow_ups, request.ticket))
-            return AttemptOutcome.PENDING
+            return self._unanswered(request)
         if answer.attempt_id != request.attempt_id:
             return AttemptOutcome.UNKNOWN
         if answer.outcome == NOT_RUN and self._state.now < request.deadline:
@@ -69,6 +66,16 @@
             return AttemptOutcome.NOT_RUN
         return AttemptOutcome.ANSWERED if answer.outcome == ANSWERED else AttemptOutcome.UNKNOWN
 
+    def _unanswered(self, request: PendingRequest) -> AttemptOutcome:
+        request.unanswered_at = self._state.now
+        if self._state.now >= request.deadline:
+            # There is no time for another question, and none is under way that could still say.
+            return AttemptOutcome.UNKNOWN
+        request.attempt_state = AttemptState.BETWEEN_QUESTIONS
+        request.follow_ups += 1
+        self._retries.append((self._state.now + RETRY_BACKOFF * request.follow_ups, request.ticket))
+        return AttemptOutcome.PENDING
+
     def retry_due(self) -> None:
         """Ask again what is due."""
         retries, self._retries = self._retries, []
@@ -76,5 +83,4 @@
             if self._state.now < due:
                 self._retries.append((due, ticket))
             elif (request := self._requests.get(ticket)) is not None:
-                self._requests.end_call(request.call_number)
                 self.follow(request)
--- a/packages/sidecar/src/hoistsaddle/sidecar/body_announcements.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/body_announcements.py
@@ -11,7 +11,7 @@
 from hoistsaddle.proxy.core_state import CoreState
 from hoistsaddle.rpc.messages import AbandonCall, AnnounceBodyCall, ForwardCall
 from hoistsaddle.sidecar.messages import Abandon, AnnounceBody, BodyAnnouncementAnswered
-from hoistsaddle.sidecar.request_table import PendingRequest, RequestTable
+from hoistsaddle.sidecar.request_table import AttemptState, PendingRequest, RequestTable
 
 # An announced body is tried elsewhere if nothing is heard within its latency target, or within this if that is shorter.
 MIN_ANNOUNCE_TIMEOUT = milliseconds(400)
@@ -61,6 +61,7 @@
         number = self._state.next_number()
         self._requests.begin_call(request, number)
         request.announced = call
+        request.attempt_state = AttemptState.ANNOUNCED
         announcement = AnnounceBodyCall(
             attempt_id=call.attempt_id,
             service_name=call.service_name,
--- a/packages/sidecar/src/hoistsaddle/sidecar/claim_records.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/claim_records.py
@@ -70,9 +70,9 @@
             record.state = WORKING
             self._late_calls[call_number] = claim
 
-    def late_calls(self) -> int:
-        """Return for how many calls' ends claims wait whose requests are over."""
-        return len(self._late_calls)
+    def late_calls(self) -> list[int]:
+        """Return the numbers of the calls under way whose ends claims wait for, as their requests are over."""
+        return list(self._late_calls)
 
     def late_answer(self, number: int, answer: ForwardAnswer) -> None:
         """Take the answer to an attempt whose client has gone: a repeat of its key still wants it."""
--- a/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
@@ -54,7 +54,7 @@
     Reply,
     RequestArrived,
 )
-from hoistsaddle.sidecar.request_table import NO_CALL, PendingRequest, RequestTable
+from hoistsaddle.sidecar.request_table import AttemptState, PendingRequest, RequestTable
 from hoistsaddle.sidecar.retry_allowance import RetryAllowance
 from hoistsaddle.sidecar.server_selection import ServerSelection, is_large
 from hoistsaddle.sidecar.unanswered_keys import UnansweredKeys
@@ -196,7 +196,7 @@
         request.target_incarnation = node.incarnation
         request.target_address = node.address
         request.follow_ups = 0
-        request.asked, request.silent_since = False, None
+        request.unanswered_at = None
         budget = request.deadline - state.now
         call = ForwardCall(
             attempt_id=request.attempt_id,
@@ -232,6 +232,7 @@
             request.large_bodies_sent += 1
             return self._send(request, decision.call, rate=decision.rate)
         self.servers.attempt_ended(request.target)
+        request.attempt_state = AttemptState.NONE
         match decision:
             case BodyRefused(kind=kind):
                 return self._attempt_rejected(request, kind)
@@ -246,6 +247,7 @@
     def _send(self, request: PendingRequest, call: ForwardCall, *, rate: int = 0) -> None:
         number = self._state.next_number()
         self.requests.begin_call(request, number)
+        request.attempt_state = AttemptState.SENT
         within = request.deadline - self._state.now
         self._state.out.append(ForwardRequest(number, request.target_address, call, within, rate))
 
@@ -257,6 +259,7 @@
         if request is None or request.call_number != number:
             return None
         self.servers.attempt_ended(request.target)
+        request.attempt_state = AttemptState.NONE
         return request
 
     def forward_answered(self, event: ForwardAnswered) -> None:
@@ -391,7 +394,7 @@
     def _answer_unknown(self, request: PendingRequest) -> None:
         if request.claimed:
             under_way = request.call_number if self.requests.has_call(request) else None
-            self._unanswered.ended(request, has_call=under_way is not None)
+            self._unanswered.ended(request)
             self.keys.records.ended_unanswered(request.claim, call_number=under_way)
         status = 504 if self._state.now >= request.deadline else 502
         self._reply(request, status, error=request.last_error or NoResponse("No answer came within its time."))
@@ -406,7 +409,7 @@
 
     def _end(self, request: PendingRequest, unsent: MeshError) -> None:
         """Give the final answer now, whatever is still under way; `unsent` is why if nothing was sent."""
-        if self._has_attempt(request) and request.announced is None and not self.keys.is_claim(request.call_number):
+        if request.attempt_state.may_have_run():
             request.uncertain = True
         if request.uncertain or request.server_failure is not None:
             return self._give_up(request)
@@ -427,15 +430,11 @@
 
     def _forget(self, request: PendingRequest) -> None:
         self.requests.remove(request)
-        if self._has_attempt(request):
-            self.requests.end_call(request.call_number)
+        self.requests.end_call(request.call_number)
+        if request.attempt_state is not AttemptState.NONE:
             self.servers.attempt_ended(request.target)
-            if request.announced is not None:
-                self._bodies.take_back(request)
-
-    def _has_attempt(self, request: PendingRequest) -> bool:
-        """Whether the newest call is under way and an attempt was ever sent."""
-        return request.call_number != NO_CALL and request.target != "" and self.requests.has_call(request)
+        if request.attempt_state is AttemptState.ANNOUNCED:
+            self._bodies.take_back(request)
 
     # -- other events ------------------------------------------------------------------------------------------------
 
@@ -444,11 +443,9 @@
         request = self.requests.get(ticket)
         if request is None or request.claim:
             return
-        has_call = self.requests.has_call(request)
-        announced = request.announced is not None
-        if has_call and not announced and request.route.kind != IDEMPOTENT:
-            return
-        if has_call and not announced:
+        if request.attempt_state.may_have_run():
+            if request.route.kind != IDEMPOTENT:
+                return
             self._state.out.append(Abandon(request.target_address, AbandonCall(request.attempt_id)))
         self._forget(request)
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/request_table.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/request_table.py
@@ -1,6 +1,7 @@
 """The requests that clients of this sidecar wait for, and which log or mesh call belongs to which of them."""
 
 from datetime import timedelta
+from enum import Enum, auto
 
 from hoistsaddle.common.errors import MeshError
 from hoistsaddle.config.items import RouteItem, latency_target
@@ -11,6 +12,25 @@
 NO_CALL = 0
 
 
+class AttemptState(Enum):
+    """Where a request's newest attempt stands."""
+
+    # There is none, or what became of it is known.
+    NONE = auto()
+    # Its body is announced, and nothing of it was sent.
+    ANNOUNCED = auto()
+    # It was sent, and its answer is under way.
+    SENT = auto()
+    # Its connection broke, and a question what became of it is under way.
+    ASKED = auto()
+    # Its last question ended without an answer, and the next one is due later: nothing is under way.
+    BETWEEN_QUESTIONS = auto()
+
+    def may_have_run(self) -> bool:
+        """Whether the attempt was sent and nobody has said what became of it."""
+        return self in (AttemptState.SENT, AttemptState.ASKED, AttemptState.BETWEEN_QUESTIONS)
+
+
 class PendingRequest:
     """One admitted request of a client, until its final answer."""
 
@@ -53,9 +73,9 @@
         self.target_incarnation = ""
         self.target_address = ""
         self.follow_ups = 0
-        # Whether that sidecar is asked what became of it, and since when a question has been without an answer.
-        self.asked = False
-        self.silent_since: timedelta | None = None
+        self.attempt_state = AttemptState.NONE
+        # When a question about it ended last without an answer.
+        self.unanswered_at: timedelta | None = None
         # The call whose body was announced and not sent so far, and how often a large body was sent.
         self.announced: ForwardCall | None = None
         self.large_bodies_sent = 0
@@ -69,7 +89,10 @@
 
 
 class RequestTable:
-    """All pending requests by ticket, and the calls under way by their number."""
+    """All pending requests by ticket, and the calls under way by their number.
+
+    A call is here from the command that makes it until the event that ends it, and no longer.
+    """
 
     def __init__(self) -> None:
         self.requests: dict[int, PendingRequest] = {}
@@ -92,10 +115,6 @@
         request.call_number = number
         self.tickets[number] = request.ticket
 
-    def resume_call(self, request: PendingRequest, number: int) -> None:
-        """Keep a call open whose answer said nothing."""
-        self.tickets[number] = request.ticket
-
     def end_call(self, number: int) -> PendingRequest | None:
         """Close a call and return its request; None if that has its final answer."""
         return self.requests.get(self.tickets.pop(number, -1))
--- a/packages/sidecar/src/hoistsaddle/sidecar/unanswered_keys.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/unanswered_keys.py
@@ -6,15 +6,18 @@
 from hoistsaddle.common.clock import ZERO, milliseconds
 from hoistsaddle.proxy.core_state import CoreState
 from hoistsaddle.sidecar.claim_records import WORKING, ClaimRecords
-from hoistsaddle.sidecar.request_table import PendingRequest
+from hoistsaddle.sidecar.request_table import AttemptState, PendingRequest
 
 # A log line is written at most this often, and only for requests that ended since the last one.
 REPORT_INTERVAL = timedelta(seconds=1)
-# What was under way as the request ended.
-FORWARDED = "forwarded"
-ASKED = "asked"
-BETWEEN_QUESTIONS = "between_questions"
-NOTHING = "nothing"
+# What an attempt's state is called in the counters.
+NAMES = {
+    AttemptState.NONE: "nothing",
+    AttemptState.ANNOUNCED: "announced",
+    AttemptState.SENT: "forwarded",
+    AttemptState.ASKED: "asked",
+    AttemptState.BETWEEN_QUESTIONS: "between_questions",
+}
 
 
 class UnansweredKeys:
@@ -34,13 +37,13 @@
         self._longest_silence = ZERO
         self._reported_at: timedelta | None = None
 
-    def ended(self, request: PendingRequest, *, has_call: bool) -> None:
-        """Note that a claimed request ends without an answer; has_call: its newest call counts as under way."""
-        what = _under_way(request, has_call=has_call)
+    def ended(self, request: PendingRequest) -> None:
+        """Note that a claimed request ends without an answer."""
+        what = NAMES[request.attempt_state]
         self._ended[what] += 1
         self._state.count(f"keys.unanswered.{what}")
-        if request.silent_since is not None:
-            self._longest_silence = max(self._longest_silence, self._state.now - request.silent_since)
+        if request.unanswered_at is not None and request.attempt_state is not AttemptState.ASKED:
+            self._longest_silence = max(self._longest_silence, self._state.now - request.unanswered_at)
 
     def tick(self) -> None:
         """Report what ended since the last report, if that is long enough ago."""
@@ -52,16 +55,8 @@
             ended=dict(self._ended),
             longest_silence_milliseconds=round(self._longest_silence / milliseconds(1)),
             working=self._records.count_by_state().get(WORKING, 0),
-            calls_under_way=self._records.late_calls(),
+            calls_under_way=len(self._records.late_calls()),
         )
         self._ended.clear()
         self._longest_silence = ZERO
         self._reported_at = now
-
-
-def _under_way(request: PendingRequest, *, has_call: bool) -> str:
-    if request.silent_since is not None:
-        return BETWEEN_QUESTIONS
-    if not has_call:
-        return NOTHING
-    return ASKED if request.asked else FORWARDED
--- a/tests/test_sidecar_attempt_follower.py
+++ b/tests/test_sidecar_attempt_follower.py
@@ -8,16 +8,18 @@
 from testtools.matchers import Equals
 
 from hoistsaddle.common.errors import ErrorKind
-from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN, UNKNOWN
+from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN, UNKNOWN, StopRequested
 from hoistsaddle.rpc.messages import FollowCall, ForwardAnswer, ForwardCall
 from hoistsaddle.sidecar import received_attempts as modules
 from hoistsaddle.sidecar.messages import (
+    CloseRequested,
     Follow,
     FollowArrived,
     Followed,
     ForwardAnswered,
     ForwardFailed,
     ForwardRequest,
+    GraceExpired,
     RunOnServer,
 )
 from hoistsaddle.sidecar.received_attempts import ANSWER_RETENTION, ReceivedAttempts
@@ -219,6 +221,57 @@
         self.assertThat(self.fleet.replies[again].status, Equals(503))
 
 
+class NothingUnderWay(Case):
+    """Guards against 409s for keys with nothing under way: as a sidecar froze, its keys stayed "working" for good."""
+
+    def repeat(self, key: str = "k") -> int:
+        """Send the key again at another sidecar; return the status."""
+        return self.fleet.replies[self.fleet.ask("/pay/x", key=key, ingress="s-3")].status
+
+    def between_questions(self, path: str = "/pay/x", **needs: Any) -> int:
+        """A request whose last question ended without an answer: the next one is due later."""
+        ticket, _, follow = self.broken(path, **needs)
+        self.fleet.feed("s-1", Followed(follow.number, None))
+        return ticket
+
+    def test_a_key_whose_last_question_ends_with_its_time_is_not_at_work(self) -> None:
+        ticket, _, follow = self.broken("/pay/x", key="k", budget=0.5)
+        # The question has the rest of the request's time, and ends just before the tick that expires the request.
+        self.fleet.timestamp += timedelta(seconds=0.5)
+        self.fleet.feed("s-1", Followed(follow.number, None))
+        self.fleet.pass_time(0.02)
+        self.assertThat((self.fleet.replies[ticket].status, self.repeat()), Equals((504, 503)))
+
+    def test_a_key_whose_time_ends_between_two_questions_is_not_at_work(self) -> None:
+        ticket = self.between_questions(key="k", budget=0.05)
+        self.fleet.pass_time(0.06)
+        self.assertThat((len(self.fleet.sent(Follow)), self.fleet.replies[ticket].status), Equals((1, 504)))
+        self.assertThat(self.repeat(), Equals(503))
+
+    def test_a_key_whose_sidecar_ends_between_two_questions_is_not_at_work(self) -> None:
+        ticket = self.between_questions(key="k")
+        self.fleet.feed("s-1", StopRequested())
+        self.fleet.feed("s-1", CloseRequested())
+        self.fleet.feed("s-1", GraceExpired())
+        self.assertThat((self.fleet.replies[ticket].status, self.repeat()), Equals((502, 503)))
+
+    def test_a_key_whose_client_leaves_between_two_questions_is_asked_after_until_its_end(self) -> None:
+        ticket = self.between_questions(key="k", budget=0.5)
+        self.fleet.disconnect(ticket)
+        self.assertThat(self.repeat(), Equals(409))
+        self.fleet.pass_time(0.6)
+        questions = self.fleet.sent(Follow)
+        self.assertThat((len(questions), self.repeat()), Equals((2, 409)))
+        self.fleet.feed("s-1", Followed(questions[-1].number, None))
+        self.assertThat(self.repeat(), Equals(503))
+
+    def test_what_may_not_be_repeated_is_asked_after_though_its_client_left_between_two_questions(self) -> None:
+        ticket = self.between_questions("/post/x")
+        self.fleet.disconnect(ticket)
+        self.fleet.pass_time(0.15)
+        self.assertThat(len(self.fleet.sent(Follow)), Equals(2))
+
+
 class AttemptMemory(TestCase):
     def test_what_is_long_over_is_forgotten(self) -> None:
         taken = ReceivedAttempts()
