--- a/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
@@ -431,7 +431,7 @@
     def _forget(self, request: PendingRequest) -> None:
         self.requests.remove(request)
         self.requests.end_call(request.call_number)
-        if request.attempt_state is not AttemptState.NONE:
+        if request.attempt_state in (AttemptState.SENT, AttemptState.ANNOUNCED):
             self.servers.attempt_ended(request.target)
         if request.attempt_state is AttemptState.ANNOUNCED:
             self._bodies.take_back(request)
--- a/tests/test_sidecar_attempt_follower.py
+++ b/tests/test_sidecar_attempt_follower.py
@@ -271,6 +271,15 @@
         self.fleet.pass_time(0.15)
         self.assertThat(len(self.fleet.sent(Follow)), Equals(2))
 
+    def test_a_request_that_ends_while_it_is_asked_after_is_counted_as_over_once(self) -> None:
+        """Its attempt was over when its connection broke: another one under way there still counts as load."""
+        self.fleet.ask("/pack/other")
+        load = self.fleet.cores["s-1"].ingress.servers.load_of("s-2")
+        self.broken("/pay/x", key="k", budget=0.5)
+        self.assertThat(load.in_flight, Equals(1))
+        self.fleet.pass_time(0.6)
+        self.assertThat(load.in_flight, Equals(1))
+
 
 class AttemptMemory(TestCase):
     def test_what_is_long_over_is_forgotten(self) -> None:
