Model check of a sidecar's pending requests: calls in its books that nobody makes

The model check went through the replicated log alone, so a sidecar's books were never explored. Now every order in which a request's calls end, its time passes, its client leaves, the sidecar stops, a repeat and another request come is gone through, in four spaces, 5 and 6 steps deep (one more with 'fleet check'): a call in the books is under way, a claim counts as working only while its request is pending or such a call is, 409 only then, each request is answered once, and in the end nothing is left.

--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/check.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/check.py
@@ -9,6 +9,7 @@
 
 from hoistsaddle.testbed.modelcheck.exhaustive import ExplorationResult, explore
 from hoistsaddle.testbed.modelcheck.loss_sequences import SequenceCounterexample, draw_loss_sequences
+from hoistsaddle.testbed.modelcheck.pending_requests import REQUEST_SPACES, RequestExploration, explore_requests
 from hoistsaddle.testbed.modelcheck.spaces import SPACES
 from hoistsaddle.testbed.modelcheck.walks import Counterexample, WalkTotals, make_smaller, walk_randomly
 
@@ -63,13 +64,14 @@
     total, broken = WalkTotals(), 0
     settle_times: list[timedelta] = []
     with ProcessPoolExecutor(workers) as pool:
-        exploring = {pool.submit(_explore, index) for index in range(len(SPACES))}
+        exploring: set[Future] = {pool.submit(_explore, index) for index in range(len(SPACES))}
+        exploring |= {pool.submit(_explore_requests, index) for index in range(len(REQUEST_SPACES))}
         walking = {pool.submit(walk_batch, seed + number, until) for number in range(workers)}
         following = seed + workers
         while exploring or walking:
             ended, _ = wait(exploring | walking, return_when=FIRST_COMPLETED)
             for space in ended & exploring:
-                explored = cast(Future[ExplorationResult], space).result()
+                explored = cast(Future[ExplorationResult | RequestExploration], space).result()
                 write_line(str(explored))
                 broken += bool(explored.broken)
             for walked in ended & walking:
@@ -99,3 +101,7 @@
 
 def _explore(index: int) -> ExplorationResult:
     return explore(SPACES[index], depth=SPACES[index].depth + 1)
+
+
+def _explore_requests(index: int) -> RequestExploration:
+    return explore_requests(REQUEST_SPACES[index], depth=REQUEST_SPACES[index].depth + 1)
