A client that leaves takes its ticket along

Fix: the wait for a final answer stands once, in MeshNode, for proxies and sidecars, and drops the ticket with its client; an answer that comes later finds nobody, as before. The event of a client that leaves is one class for both. The tests failed before: (1, False) != (0, False), (1, True).

--- a/packages/proxy/src/hoistsaddle/proxy/mesh_node.py
+++ b/packages/proxy/src/hoistsaddle/proxy/mesh_node.py
@@ -21,7 +21,14 @@
 from hoistsaddle.proxy.freeze_detector import FreezeDetector
 from hoistsaddle.proxy.health_reporter import HealthReporter
 from hoistsaddle.proxy.hold_client import HoldClient
-from hoistsaddle.proxy.messages import ConfigurationChanged, HoldAnswered, LeaseRenewed, SubmitHold, Ticked
+from hoistsaddle.proxy.messages import (
+    ClientDisconnected,
+    ConfigurationChanged,
+    HoldAnswered,
+    LeaseRenewed,
+    SubmitHold,
+    Ticked,
+)
 from hoistsaddle.proxy.registry_addresses import RegistryAddresses
 from hoistsaddle.rpc.messages import IndirectProbeCall, MemberState, PollAnswer, PollCall, ProbeCall
 from hoistsaddle.rpc.runtime import Runtime
@@ -196,6 +203,16 @@
         future = self.answers[self._tickets] = asyncio.get_running_loop().create_future()
         return self._tickets, future
 
+    async def final_answer(self, ticket: int, future: asyncio.Future) -> Any:
+        """Wait for the core's final answer to a client's request; a client that leaves is told to the core."""
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.feed(ClientDisconnected(ticket))
+            # A request that the core gives up gets no answer, and nobody waits for one that it doesn't.
+            self.answers.pop(ticket, None)
+            raise
+
     def close_ticket(self, ticket: int, answer: tuple) -> None:
         """Give a ticket its answer, unless whoever waited for it has gone."""
         future = self.answers.pop(ticket, None)
--- a/packages/proxy/src/hoistsaddle/proxy/node.py
+++ b/packages/proxy/src/hoistsaddle/proxy/node.py
@@ -18,7 +18,6 @@
     Announce,
     AnswerClient,
     AnswerForward,
-    ClientDisconnected,
     ForwardAnswered,
     ForwardArrived,
     ForwardFailed,
@@ -88,11 +87,7 @@
         """
         ticket, future = self.open_ticket()
         self.feed(make(ticket))
-        try:
-            return await future
-        except asyncio.CancelledError:
-            self.feed(ClientDisconnected(ticket))
-            raise
+        return await self.final_answer(ticket, future)
 
     def feed(self, event: tuple) -> None:
         """Give the core an event, and carry out its commands."""
--- a/packages/sidecar/src/hoistsaddle/sidecar/core.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/core.py
@@ -9,7 +9,14 @@
 
 from hoistsaddle.common.errors import LeaseExpired, MeshError, NoConfiguration, ShuttingDown
 from hoistsaddle.proxy.core_state import CoreSettings, CoreState, LocalServer
-from hoistsaddle.proxy.messages import ConfigurationChanged, HoldAnswered, LeaseRenewed, StopRequested, Ticked
+from hoistsaddle.proxy.messages import (
+    ClientDisconnected,
+    ConfigurationChanged,
+    HoldAnswered,
+    LeaseRenewed,
+    StopRequested,
+    Ticked,
+)
 from hoistsaddle.sidecar.configuration_freshness import ConfigurationFreshness
 from hoistsaddle.sidecar.ingress import IngressCore
 from hoistsaddle.sidecar.link_schedule import LinkSchedule
@@ -19,7 +26,6 @@
     BodyAnnouncementAnswered,
     ClaimQueryAnswered,
     ClaimQueryArrived,
-    ClientDisconnected,
     CloseRequested,
     FollowArrived,
     Followed,
--- a/packages/sidecar/src/hoistsaddle/sidecar/messages.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/messages.py
@@ -36,12 +36,6 @@
     unread: timedelta = timedelta()
 
 
-class ClientDisconnected(NamedTuple):
-    """The client closed its connection."""
-
-    ticket: int
-
-
 class ForwardAnswered(NamedTuple):
     """The target's sidecar answered an attempt."""
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -46,7 +46,6 @@
     CancelRun,
     ClaimQueryAnswered,
     ClaimQueryArrived,
-    ClientDisconnected,
     CloseRequested,
     Follow,
     FollowArrived,
@@ -169,11 +168,7 @@
         self.asked_at = self.runtime.now()
         ticket, future = self.open_ticket()
         self.feed(make(ticket)._replace(unread=self.freezes.unread()))
-        try:
-            return await future
-        except asyncio.CancelledError:
-            self.feed(ClientDisconnected(ticket))
-            raise
+        return await self.final_answer(ticket, future)
 
     def feed(self, event: tuple) -> None:
         """Give the core an event, and carry out its commands."""
--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/pending_requests.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/pending_requests.py
@@ -27,6 +27,7 @@
     ANSWERED,
     NOT_RUN,
     UNKNOWN,
+    ClientDisconnected,
     ConfigurationChanged,
     HoldAnswered,
     LeaseRenewed,
@@ -40,7 +41,6 @@
 from hoistsaddle.sidecar.messages import (
     AnnounceBody,
     BodyAnnouncementAnswered,
-    ClientDisconnected,
     CloseRequested,
     Follow,
     Followed,
--- a/tests/sidecar_bench.py
+++ b/tests/sidecar_bench.py
@@ -10,7 +10,7 @@
 from hoistsaddle.common.errors import ErrorKind, MeshError
 from hoistsaddle.config.items import ItemConfiguration, LimitsItem, Part, RouteItem, ServiceItem
 from hoistsaddle.proxy.core_state import CoreSettings
-from hoistsaddle.proxy.messages import ConfigurationChanged, HoldAnswered, SubmitHold, Ticked
+from hoistsaddle.proxy.messages import ClientDisconnected, ConfigurationChanged, HoldAnswered, SubmitHold, Ticked
 from hoistsaddle.sidecar.core import SidecarCore
 from hoistsaddle.sidecar.latency import LatencyEstimate
 from hoistsaddle.sidecar.messages import (
@@ -21,7 +21,6 @@
     CancelRun,
     ClaimQueryAnswered,
     ClaimQueryArrived,
-    ClientDisconnected,
     ForwardAnswered,
     ForwardArrived,
     ForwardFailed,
--- a/tests/test_sidecar_client_gone.py
+++ b/tests/test_sidecar_client_gone.py
@@ -1,10 +1,15 @@
 """A client that disconnects: its work is cancelled unless it may not be repeated or runs under a key."""
 
+import asyncio
+from datetime import timedelta
+from types import SimpleNamespace
+
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from hoistsaddle.sidecar.messages import Abandon, ForwardRequest, RunOnServer
-from sidecar_bench import SidecarBench
+from hoistsaddle.sidecar.messages import Abandon, ForwardRequest, RequestArrived, RunOnServer
+from hoistsaddle.sidecar.node import SidecarNode
+from sidecar_bench import HOST, SidecarBench
 
 
 class ClientGone(TestCase):
@@ -60,3 +65,35 @@
         fleet.finish()
         fleet.disconnect(ticket)
         self.assertThat((fleet.sent(Abandon), fleet.replies[ticket].status), Equals(([], 200)))
+
+
+class ClientGoneAtTheNode(TestCase):
+    """Guards against tickets that are kept for good: a client left, and its request was given up without an answer."""
+
+    def left_waiting(self, path: str) -> tuple[int, bool]:
+        """How many tickets wait after a client has left, and whether its request is still pending."""
+        bench = SidecarBench("s-1")
+        node = object.__new__(SidecarNode)
+        node.core = bench.cores["s-1"]
+        node.answers, node._tickets = {}, 0
+        node.runtime = SimpleNamespace(now=lambda: bench.timestamp)
+        node.freezes = SimpleNamespace(unread=timedelta)
+        node.feed = lambda event: bench.feed("s-1", event)
+
+        def arrived(ticket: int) -> RequestArrived:
+            return RequestArrived(ticket, "POST", HOST, path, b"", 100, b"", timedelta(seconds=3), "", "try")
+
+        async def leave() -> None:
+            client = asyncio.ensure_future(node.handle_request(arrived))
+            await asyncio.sleep(0)
+            client.cancel()
+            await asyncio.wait({client})
+
+        asyncio.run(leave())
+        return len(node.answers), bool(node.core.ingress.requests.requests)
+
+    def test_no_ticket_waits_for_an_answer_that_nobody_gives(self) -> None:
+        self.assertThat(self.left_waiting("/read/x"), Equals((0, False)))
+
+    def test_nor_for_one_that_comes_when_its_client_has_gone(self) -> None:
+        self.assertThat(self.left_waiting("/post/x"), Equals((0, True)))
--- a/tests/test_sidecar_ingress.py
+++ b/tests/test_sidecar_ingress.py
@@ -9,10 +9,9 @@
 
 from hoistsaddle.common.errors import ErrorKind
 from hoistsaddle.config.items import LimitsItem, Part
-from hoistsaddle.proxy.messages import ANSWERED, HoldAnswered, SubmitHold
+from hoistsaddle.proxy.messages import ANSWERED, ClientDisconnected, HoldAnswered, SubmitHold
 from hoistsaddle.rpc.messages import ForwardAnswer
 from hoistsaddle.sidecar.messages import (
-    ClientDisconnected,
     ForwardAnswered,
     ForwardRequest,
     QueryClaim,
