Simulator and soak: servers' sidecars freeze past deadlines, clients come back, 409 is judged

- MIXED at work: a 409 says that something is under way for its key, until contact_s after the deadlines of its requests.
DENIED counts such a 409 too.
- Half of the keyed requests that were not served are sent again 2 to 20 s later, elsewhere.
- Calls to a frozen process break off after the keep-alive's 0.9 s, as real ones do.

--- a/packages/testbed/src/hoistsaddle/testbed/emulator/checkers.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/checkers.py
@@ -12,6 +12,7 @@
 
 RULES: dict[str, Callable[[HistoryIndex], list[str]]] = {
     "MIXED": request_rules.answers_belong_to_requests,
+    "MIXED at work": request_rules.conflicts_name_keys_at_work,
     "UNASKED": request_rules.runs_match_requests,
     "TWICE": request_rules.runs_at_most_once,
     "REFUSED": request_rules.not_run_means_not_run,
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/clients.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import random
 from collections import deque
 from types import SimpleNamespace
 from typing import Any, NamedTuple
@@ -14,7 +15,7 @@
 from hoistsaddle.testbed.emulator.scheduled_events import TAKEN
 from hoistsaddle.testbed.emulator.servers import Server, digest_of
 from hoistsaddle.testbed.emulator.site import ONCE_PER_KEY, REPEATABLE, RequestKind, Route
-from hoistsaddle.testbed.emulator.statuses import NOT_RUN, OK
+from hoistsaddle.testbed.emulator.statuses import NOT_RUN, OK, is_success
 
 # Statuses after which no client retries.
 NOT_RETRIED = (400, 401, 404, 413, 431)
@@ -23,6 +24,9 @@
 MAX_REPEATED_KEYS = 25
 # A served request is repeated under its key after so many seconds.
 REPEAT_DELAY_SECONDS = (0.05, 8.0)
+# A share of the keyed requests that were not served is sent again so many seconds after their last try, elsewhere.
+RETURNING_SHARE = 0.5
+RETURN_DELAY_SECONDS = (2.0, 20.0)
 # How long a client waits for a connection to a machine without power.
 CONNECT_TIMEOUT_SECONDS = 1.0
 DEFAULT_BACKOFF_SECONDS = 0.02
@@ -69,6 +73,8 @@
     def __init__(self, *, environment: Environment) -> None:
         self.environment = environment
         self.random = environment.random
+        # Drawn apart, so that what else a seed gives stays as it is.
+        self.returning = random.Random(f"returning {environment.day.seed}")
         # Keyed requests that were served, to be repeated after the final fault.
         self.served: deque[ClientRequest] = deque(maxlen=MAX_REPEATED_KEYS)
 
@@ -101,7 +107,11 @@
                 backoff = min(result.retry_after or DEFAULT_BACKOFF_SECONDS, remaining / 3)
             await asyncio.sleep(max(0.0, backoff))
             if environment.now() >= until:
-                return
+                break
+        if key and self._may_return(result):
+            await asyncio.sleep(self.returning.uniform(*RETURN_DELAY_SECONDS))
+            await self._repeat(request)
+            return
         if key and result.outcome == "answered" and result.status == OK:
             self.served.append(request)
         repeated = request_kind.repeated_share
@@ -117,6 +127,11 @@
             until = environment.now() + request.request_kind.deadline
             await self._attempt(request._replace(machine=machine, until=until))
 
+    def _may_return(self, result: RequestResult) -> bool:
+        """Whether the client of a keyed request comes back with it later: its operation is still to be done."""
+        final = result.outcome == "answered" and (is_success(result.status) or result.status in NOT_RETRIED)
+        return not final and self.returning.random() < RETURNING_SHARE
+
     @staticmethod
     def _may_retry(route: Route, result: RequestResult) -> bool:
         if result.outcome == "answered" and (result.status < 300 or result.status in NOT_RETRIED):
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/day.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/day.py
@@ -33,7 +33,7 @@
     Stop,
     TriggeredFault,
 )
-from hoistsaddle.testbed.emulator.site import BOUNDS, Site, draw_site, is_core
+from hoistsaddle.testbed.emulator.site import BOUNDS, ONCE_PER_KEY, Site, draw_site, is_core
 
 
 class Day(NamedTuple):
@@ -171,6 +171,25 @@
     ]
 
 
+def _frozen_servers(seed: int, site: Site, seconds: float) -> list[ScheduledEvent]:
+    """On half of the days sidecars stand still for longer than the keyed requests to their servers have.
+
+    Whoever sent those sees connections break and deadlines pass, and can't know what became of them. Drawn apart, like
+    the reports.
+    """
+    rng = random.Random(f"frozen servers {seed}")
+    if rng.random() < 0.5:
+        return []
+    keyed = {route.name: route for route in site.routes if route.kind == ONCE_PER_KEY}
+    services = {service for route in keyed.values() for service, _ in route.parts}
+    names = [machine.name for machine in site.sidecars if machine.service in services]
+    deadline = max(request_kind.deadline for request_kind in site.request_kinds if request_kind.route in keyed)
+    return [
+        Freeze(rng.uniform(0.5, seconds - 12), (name,), deadline + rng.uniform(0.5, 2.5))
+        for name in rng.sample(names, min(2, len(names)))
+    ]
+
+
 def draw_day(seed: int, *, small: bool = False, seconds: float = 26.0) -> Day:
     """Three sequences side by side: faults of the core, faults of the sidecars, and planned work.
 
@@ -191,6 +210,7 @@
         events += change_events(control, seconds)
         site = site._replace(snapshot_records=control.choice((40, 150, 600)))
     events += _server_reports(seed, site, seconds) + _full_links(seed, site, seconds)
+    events += _frozen_servers(seed, site, seconds)
     more = random.Random(f"more {seed}")
     sidecars = [machine.name for machine in site.sidecars]
     if more.random() < 0.3:
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/history_index.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/history_index.py
@@ -1,5 +1,6 @@
 """Lookups over the history of a day that several rules share."""
 
+import math
 from collections import defaultdict
 from functools import cached_property
 from typing import NamedTuple
@@ -16,7 +17,7 @@
     RunEnded,
     RunStarted,
 )
-from hoistsaddle.testbed.emulator.site import REPEATABLE, Route
+from hoistsaddle.testbed.emulator.site import BOUNDS, REPEATABLE, Route
 from hoistsaddle.testbed.emulator.statuses import OK, UNKNOWN_ROUTE, is_success
 
 # Stands for "no revision yet".
@@ -40,6 +41,14 @@
         return self.route is not None and any(name == service and weight > 0 for name, weight in self.route.parts)
 
 
+class Work(NamedTuple):
+    """A request with a key that may be under way, or a run of one, from its start to its end."""
+
+    attempt: str
+    start: float
+    end: float
+
+
 class ObservedHandling(NamedTuple):
     """What a request reveals about the configuration in force: the service that ran it, or that it had no route."""
 
@@ -70,6 +79,26 @@
         for submitted in history.of(ChangeSubmitted):
             self.route_kinds.update((name, route.kind) for name, _, route in submitted.routes if route is not None)
 
+    @cached_property
+    def work_under_key(self) -> dict[str, list[Work]]:
+        """By key, what was at work under it: its requests, until `contact_s` after their deadlines, and their runs."""
+        found: dict[str, list[Work]] = defaultdict(list)
+        for request in self.requests.values():
+            if request.key:
+                found[request.key].append(Work(request.attempt, request.at, request.deadline + BOUNDS["contact_s"]))
+        for started in self.runs.values():
+            if started.key:
+                ended = self.ended_runs.get(started.run)
+                found[started.key].append(Work(started.attempt, started.at, math.inf if ended is None else ended.at))
+        return found
+
+    def is_key_at_work(self, request: RequestSent, until: float) -> bool:
+        """Whether anything but this request was at work under its key between its sending and its answer."""
+        return any(
+            work.attempt != request.attempt and work.start <= until and work.end >= request.at
+            for work in self.work_under_key.get(request.key, ())
+        )
+
     @cached_property
     def versions(self) -> dict[str, list[Version]]:
         """Each route's versions in valid changes, by revision. Operators may give one revision several contents."""
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/network.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/network.py
@@ -17,8 +17,9 @@
 from hoistsaddle.testbed.simulation.event_loop import SimulatedProcess
 from hoistsaddle.testbed.simulation.world import World
 
-# How long a connection's keep-alive takes to notice that a machine is silent.
+# How long a connection's keep-alive takes to notice that a machine is silent, and how often it looks.
 KEEP_ALIVE_SECONDS = 0.9
+KEEP_ALIVE_CHECK_SECONDS = 0.25
 _NO_ANSWER = Failure(MeshError(ErrorKind.SILENT, "no answer", "simulated"))
 
 
@@ -70,6 +71,7 @@
             future = self._behind_jam(process, future)
         self.calls[future] = (process.name, host)
         future.add_done_callback(lambda done: self.calls.pop(done, None))
+        self._check_silence_later(process, address, future)
         if host in self.powered_off:
             timeout = min(within, CONNECT_TIMEOUT.total_seconds())
             # Nobody listens there: the answer of a host with power, only later.
@@ -81,6 +83,27 @@
             return
         self._send_over_links(process, address, message, future, within, rate)
 
+    def _check_silence_later(self, process: SimulatedProcess, address: str, future: asyncio.Future) -> None:
+        """Breaks a call's connection off once the process that it went to has stood still for too long.
+
+        What was sent lies in its machine's socket and is read when it wakes, as with a real connection.
+        """
+        listener = self.listeners.get(address)
+        if listener is None:
+            return
+        target, sent_at = listener[0], self.loop.time()
+
+        def check() -> None:
+            if future.done():
+                return
+            silence = self.loop.time() - max(sent_at, target.frozen_at) if target.frozen else 0.0
+            if silence >= KEEP_ALIVE_SECONDS:
+                self._settle(future, _NO_ANSWER)
+                return
+            self.loop.call_later(KEEP_ALIVE_CHECK_SECONDS, check, context=process.context)
+
+        self.loop.call_later(KEEP_ALIVE_SECONDS, check, context=process.context)
+
     def _send_over_links(
         self,
         process: SimulatedProcess,
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/request_rules.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/request_rules.py
@@ -51,6 +51,17 @@
     return found
 
 
+def conflicts_name_keys_at_work(index: HistoryIndex) -> list[str]:
+    """A 409 to a request with a key says that another one is at work under it."""
+    found = []
+    for result in index.history.of(RequestResult):
+        request = index.requests[result.attempt]
+        refused = result.outcome == "answered" and result.status == CONFLICT and not result.seal
+        if refused and request.key and not index.is_key_at_work(request, result.at):
+            found.append(f"{result.attempt} was answered 409 at {result.at:.2f}, and nothing was under way for its key")
+    return found
+
+
 def runs_match_requests(index: HistoryIndex) -> list[str]:
     """A server runs only what was sent, and knows the true caller."""
     found = []
@@ -103,7 +114,9 @@
     for result in index.history.of(RequestResult):
         request = index.requests[result.attempt]
         by_proxy = result.outcome == "answered" and not result.seal and 300 <= result.status < 500
-        if not by_proxy or result.status in ALLOWED_REFUSALS or (result.status == CONFLICT and request.key):
+        if not by_proxy or result.status in ALLOWED_REFUSALS:
+            continue
+        if result.status == CONFLICT and request.key and index.is_key_at_work(request, result.at):
             continue
         acknowledged = index.acknowledged_revision(request.route, request.at - BOUNDS["apply_s"])
         possible = [
--- a/packages/testbed/src/hoistsaddle/testbed/simulation/event_loop.py
+++ b/packages/testbed/src/hoistsaddle/testbed/simulation/event_loop.py
@@ -16,6 +16,8 @@
         self.loop = loop
         self.dead = False
         self.frozen = False
+        # When it was frozen last, in simulated seconds.
+        self.frozen_at = 0.0
         self.deferred: list[tuple] = []
         self.context = contextvars.copy_context()
         self.context.run(CURRENT_PROCESS.set, self)
@@ -36,6 +38,7 @@
     def freeze(self) -> None:
         """Whatever comes due from now on waits."""
         self.frozen = True
+        self.frozen_at = self.loop.time()
 
     def wake(self) -> None:
         """Runs what came due meanwhile, in the order in which it did."""
--- a/packages/testbed/src/hoistsaddle/testbed/soak/day.py
+++ b/packages/testbed/src/hoistsaddle/testbed/soak/day.py
@@ -29,7 +29,7 @@
 # Before the end everything is left alone, so that operators can read back what is in force.
 CALM_SECONDS = 10.0
 # Mean seconds between two events of each series; they run beside each other without waiting for one another.
-SIGNAL_GAP, SERVER_GAP, CHANGE_GAP, CORE_GAP = 4.0, 3.0, 1.2, 14.0
+SIGNAL_GAP, SERVER_GAP, CHANGE_GAP, CORE_GAP, FROZEN_GAP = 4.0, 3.0, 1.2, 14.0, 9.0
 
 
 def draw_soak(site: Site, *, seed: int, seconds: float) -> Day:
@@ -43,6 +43,7 @@
     rng = random.Random(f"soak day {seed}")
     end = max(2.0, seconds - CALM_SECONDS)
     events = _signals(rng, site, end) + _servers(rng, site, end) + _changes(rng, end) + _core(rng, site, end)
+    events += _frozen_servers(random.Random(f"soak frozen servers {seed}"), site, end)
     return Day(seed, site, tuple(sorted(events, key=lambda event: event.at)), seconds)
 
 
@@ -71,6 +72,15 @@
     return events
 
 
+def _frozen_servers(rng: random.Random, site: Site, end: float) -> list[ScheduledEvent]:
+    """Sidecars that freeze for as long as requests to their servers have: nobody can know what became of those."""
+    longest = max(request_kind.deadline for request_kind in site.request_kinds)
+    return [
+        Freeze(at, (rng.choice(site.sidecars).name,), rng.uniform(1.0, longest + 1.0))
+        for at in _times(rng, FROZEN_GAP, end)
+    ]
+
+
 def _servers(rng: random.Random, site: Site, end: float) -> list[ScheduledEvent]:
     """Servers that leave in either way, crash, report late, and break answers off."""
     names = [machine.name for machine in site.sidecars]
--- a/packages/testbed/src/hoistsaddle/testbed/soak/report.py
+++ b/packages/testbed/src/hoistsaddle/testbed/soak/report.py
@@ -9,7 +9,7 @@
 
 MEGABYTE = 1024 * 1024
 # Rules that no hesitation of a machine can break: what a verdict may rest on that must not vary.
-TIMELESS = ("MIXED", "UNASKED", "TWICE", "REFUSED", "ROUTE", "CONFIG taken", "CONFIG one content")
+TIMELESS = ("MIXED", "MIXED at work", "UNASKED", "TWICE", "REFUSED", "ROUTE", "CONFIG taken", "CONFIG one content")
 
 
 def verdict_of(report: SoakReport) -> str:
--- a/tests/emulator_faults.py
+++ b/tests/emulator_faults.py
@@ -18,12 +18,13 @@
 from hoistsaddle.raft.voter_changes import VoterChanges
 from hoistsaddle.registry import controller
 from hoistsaddle.registry.controller import Controller
+from hoistsaddle.sidecar.attempt_follower import AttemptFollower, AttemptOutcome
 from hoistsaddle.sidecar.core import SidecarCore
 from hoistsaddle.sidecar.ingress import IngressCore
 from hoistsaddle.sidecar.listener import IngressHandler
 from hoistsaddle.sidecar.messages import Reply
 from hoistsaddle.sidecar.node import SidecarNode
-from hoistsaddle.sidecar.request_table import PendingRequest
+from hoistsaddle.sidecar.request_table import AttemptState, PendingRequest
 from hoistsaddle.sidecar.server_selection import ServerSelection
 from hoistsaddle.statemachine.commands import Outcome
 from hoistsaddle.statemachine.deduplication import PatchCheck
@@ -36,6 +37,7 @@
     Change,
     ChangeStorm,
     FinalFault,
+    Freeze,
     InvalidChange,
     Kill,
     LargeChange,
@@ -137,7 +139,11 @@
     RestartServer(7.1, "side-03", announced=False),
     seconds=14.0,
 )
+# Both servers of the keyed requests stand still for longer than these have (4 s at this seed's site), and some of
+# their clients come back later.
+FROZEN = small_day(Freeze(1.0, ("side-02", "side-03"), 5.0), seconds=14.0, seed=5)
 DAYS = {
+    "frozen": FROZEN,
     "leaving": LEAVING,
     "replaced": REPLACED,
     "contested": CONTESTED,
@@ -188,6 +194,22 @@
     return mock.patch.object(IngressHandler, "_respond", other)
 
 
+def _unanswered_questions_count_as_under_way():
+    """The fault of issue 40: between two questions a call stands in the books that nobody makes."""
+    plain = AttemptFollower._unanswered
+
+    def reopened(self: AttemptFollower, request: PendingRequest) -> AttemptOutcome:
+        outcome = plain(self, request)
+        if outcome is AttemptOutcome.UNKNOWN:
+            # As before: the tick that follows ends the request.
+            outcome = AttemptOutcome.PENDING
+        request.attempt_state = AttemptState.BETWEEN_QUESTIONS
+        self._requests.tickets[request.call_number] = request.ticket
+        return outcome
+
+    return mock.patch.object(AttemptFollower, "_unanswered", reopened)
+
+
 def _callers_unnamed():
     plain = SidecarNode._forward_attempt
     return mock.patch.object(
@@ -413,6 +435,7 @@
 INJECTED_FAULTS = (
     InjectedFault("answers are swapped", ("MIXED",), "calm", _answers_swapped),
     InjectedFault("answers of other keys", ("MIXED",), "calm", _key_answers_forgotten),
+    InjectedFault("unanswered questions count", ("MIXED at work",), "frozen", _unanswered_questions_count_as_under_way),
     InjectedFault("callers go untold", ("UNASKED",), "calm", _callers_unnamed),
     InjectedFault("paths are changed", ("UNASKED",), "calm", _paths_changed),
     InjectedFault("every claim is granted", ("TWICE",), "calm", _every_claim_granted),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -30,7 +30,7 @@
 from hoistsaddle.testbed.soak.soak import TOLERATED_CROSSINGS, lost_on_kept_connections, run_soak
 from hoistsaddle.testbed.soak.wire import Broken, in_chunks, read_message, write_head
 
-SEED, SECONDS = 1, 18.0
+SEED, SECONDS = 1, 60.0
 SMALL = Size(3, 6)
 
 
