A request's body goes on byte for byte, whatever coding it is in

Cause: the listener's library decompresses bodies unless it is told not to. The reading of servers' answers told it so, the listener for clients did not.

Fix: auto_decompress=False. Limits count the bytes on the wire, and a decompression bomb costs its own bytes, as nothing is decompressed. Answers in a coding stay refused: the users' page says that an answer with a Content-Encoding is not the server's body (PROTOCOL.md, Answers).

Left: the proxy under bundles, whose listener decompresses too.

--- a/packages/sidecar/src/hoistsaddle/sidecar/listener.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/listener.py
@@ -33,6 +33,8 @@
         max_field_size=LARGEST_HEADER,
         keepalive_timeout=idle.total_seconds(),
         lingering_time=0.5,
+        # Bodies go on byte for byte, whatever coding they are in: their headers go on too.
+        auto_decompress=False,
         # A client that leaves ends its handler: what it asked for is given up where that is allowed.
         handler_cancellation=True,
     )
--- a/tests/test_sidecar_listener.py
+++ b/tests/test_sidecar_listener.py
@@ -1,6 +1,8 @@
 """A sidecar's HTTP listener, against a raw client."""
 
 import asyncio
+import gzip
+import zlib
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from types import SimpleNamespace
@@ -108,6 +110,36 @@
 
         self.with_listener(work)
 
+    def test_a_body_in_a_coding_is_told_byte_for_byte(self) -> None:
+        """Guards against servers that run another body: gzip was decompressed on its way, its header passed on."""
+        plain = b"a line of a syllabus\n" * 60
+        codings = {
+            b"gzip": gzip.compress(plain),
+            b"deflate": zlib.compress(plain),
+            b"br": b"\x0b\x02\x80no brotli at all",
+            b"zstd": b"\x28\xb5\x2f\xfdno zstandard at all",
+            b"unheard-of": plain,
+            b"gzip, gzip": gzip.compress(gzip.compress(plain)),
+        }
+        for coding, body in [*codings.items(), (b"gzip", plain), (b"deflate", plain)]:
+            head = b"POST /pack/x HTTP/1.1\r\nHost: shop.example\r\nContent-Encoding: " + coding
+            middle = len(body) // 2
+            in_chunks = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in (body[:middle], body[middle:], b""))
+            self.say(head + b"\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            self.say(head + b"\r\nTransfer-Encoding: chunked\r\n\r\n" + in_chunks)
+            for asked in self.node.asked[-2:]:
+                told = dict(unpack_pairs(asked.headers))[b"Content-Encoding"]
+                self.assertThat((asked.body, told), Equals((body, coding)), coding)
+
+    def test_a_body_that_grows_without_end_costs_only_its_own_bytes(self) -> None:
+        """A decompression bomb: a thousandth of its size is what counts, and what is passed on."""
+        body = gzip.compress(bytes(32 * 1024 * 1024))
+        self.say(
+            b"POST /pack/x HTTP/1.1\r\nHost: shop.example\r\nContent-Encoding: gzip\r\n"
+            b"Content-Length: %d\r\n\r\n" % len(body) + body
+        )
+        self.assertThat(self.node.asked[0].body, Equals(body))
+
     def test_a_request_is_told_as_it_came(self) -> None:
         self.say(
             b"POST /pay/x?a=%2F&b HTTP/1.1\r\nHost: SHOP.example:80\r\nX-Own: 1\r\nx-own: 2\r\n"
