A request target in absolute form names host and path

Seen by the review: GET http://host/path is answered 404, as the whole target was taken for the path; every server must take that form (RFC 9112, 3.2.2). Host and path come from the target now, and the host goes on in the Host header, which is what a server reads.

The test failed before (the host of the header, and the whole target as path).

--- a/packages/sidecar/src/hoistsaddle/sidecar/listener.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/listener.py
@@ -1,6 +1,7 @@
 """The HTTP listener for clients of a sidecar: any method, any bytes, complete requests in and complete answers out."""
 
 import asyncio
+import re
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -9,11 +10,13 @@
 
 from hoistsaddle.common.settings import split_address
 from hoistsaddle.sidecar.header_names import HeaderNames
-from hoistsaddle.sidecar.header_pairs import HOP_BY_HOP, pack_pairs, unpack_pairs
+from hoistsaddle.sidecar.header_pairs import HOP_BY_HOP, Pairs, pack_pairs, unpack_pairs
 from hoistsaddle.sidecar.messages import Reply, RequestArrived
 from hoistsaddle.sidecar.node import SidecarNode
 
 LARGEST_HEADER = 262144
+# How a request target in absolute form begins (RFC 9112, 3.2.2).
+ABSOLUTE_FORM = "http://"
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 _rewritten = HOP_BY_HOP | {b"date", b"server"}
 
@@ -66,7 +69,7 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         body = await request.read()
-        raw = request.raw_headers
+        host, path, raw = _read_target(request)
         budget = _milliseconds(request.headers.get(self.header_names.budget))
         if budget is not None:
             # Its client's time runs from its first byte: a large body on a thin link may use up much of it.
@@ -75,8 +78,8 @@
             lambda ticket: RequestArrived(
                 ticket,
                 request.method,
-                (request.headers.get("Host") or "").partition(":")[0].lower(),
-                request.raw_path,
+                host.partition(":")[0].lower(),
+                path,
                 pack_pairs(raw),
                 sum(len(name) + len(value) + 4 for name, value in raw),
                 body,
@@ -107,6 +110,21 @@
         return response
 
 
+def _read_target(request: web.BaseRequest) -> tuple[str, str, Pairs]:
+    """Return a request's host, its path with query, and its headers.
+
+    A target in absolute form names host and path, whatever the Host header says; its host then goes on in that header.
+    """
+    target, headers = request.raw_path, request.raw_headers
+    if not target.lower().startswith(ABSOLUTE_FORM):
+        return request.headers.get("Host") or "", target, headers
+    authority = re.split("[/?]", target[len(ABSOLUTE_FORM) :], maxsplit=1)[0]
+    path = target[len(ABSOLUTE_FORM) + len(authority) :]
+    host = authority.encode("utf-8", "surrogateescape")
+    changed = [(name, host) if name.lower() == b"host" else (name, value) for name, value in headers]
+    return authority, path if path.startswith("/") else f"/{path}", changed
+
+
 def _milliseconds(text: str | None) -> timedelta | None:
     try:
         return None if text is None else timedelta(milliseconds=max(0.0, float(text)))
--- a/tests/test_sidecar_listener.py
+++ b/tests/test_sidecar_listener.py
@@ -140,6 +140,19 @@
         )
         self.assertThat(self.node.asked[0].body, Equals(body))
 
+    def test_an_absolute_target_names_host_and_path(self) -> None:
+        """Guards against 404s for targets in absolute form, which every server must take (RFC 9112, 3.2.2)."""
+        for target, host, path in (
+            (b"http://SHOP.example:80/view/x?a=%2F", "shop.example", "/view/x?a=%2F"),
+            (b"HTTP://shop.example", "shop.example", "/"),
+            (b"http://shop.example?a=1", "shop.example", "/?a=1"),
+            (b"/http://shop.example/x", "other.example", "/http://shop.example/x"),
+        ):
+            self.say(b"GET " + target + b" HTTP/1.1\r\nHost: other.example\r\n\r\n")
+            asked = self.node.asked[-1]
+            told = dict(unpack_pairs(asked.headers))[b"Host"].partition(b":")[0].lower()
+            self.assertThat((asked.host, asked.path, told), Equals((host, path, host.encode())), target)
+
     def test_a_request_is_told_as_it_came(self) -> None:
         self.say(
             b"POST /pay/x?a=%2F&b HTTP/1.1\r\nHost: SHOP.example:80\r\nX-Own: 1\r\nx-own: 2\r\n"
