--- a/packages/testbed/src/hoistsaddle/testbed/emulator/day.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/day.py
@@ -43,6 +43,8 @@
     site: Site
     events: tuple[ScheduledEvent, ...]
     seconds: float
+    # What strikes while the whole site starts for the first time; `at` counts from that start.
+    first_start: tuple[ScheduledEvent, ...] = ()
 
 
 # The share of days that are about the control plane.
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/emulator.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/emulator.py
@@ -278,15 +278,22 @@
 
     async def _start_site(self) -> None:
         """Starts all machines and submits the first configuration."""
-        for machine in self.day.site.core:
-            self.start(machine.name, cold=True)
-        for sidecar in self.day.site.sidecars:
-            self.add_machine(sidecar, cold=True)
+        self._start_machines()
         configured = self.create_task(self.operators.first_configuration())
         await asyncio.sleep(LEAD_SECONDS)
         if not configured.done():
             await self.wait_for(configured, FIRST_CONFIGURATION_SECONDS)
 
+    def _start_machines(self) -> None:
+        """Starts all machines, with the faults that strike meanwhile."""
+        for machine in self.day.site.core:
+            self.start(machine.name, cold=True)
+        for sidecar in self.day.site.sidecars:
+            self.add_machine(sidecar, cold=True)
+        began = self.now()
+        for event in self.day.first_start:
+            self.create_task(self._run_event(began + event.at, event))
+
     async def _read_final_state(self) -> None:
         """Lets changes in flight end, and reads what is in force once all is calm."""
         for task in list(self.operators.in_flight):
--- a/packages/testbed/src/hoistsaddle/testbed/soak/soak.py
+++ b/packages/testbed/src/hoistsaddle/testbed/soak/soak.py
@@ -160,10 +160,7 @@
     async def _start_site(self) -> None:
         # Like the platform's own starts of core machines: their core is not settled until they have had their time.
         starting = [self.fault_injector.record_start(machine.name, "start") for machine in self.day.site.core]
-        for machine in self.day.site.core:
-            self.start(machine.name, cold=True)
-        for sidecar in self.day.site.sidecars:
-            self.add_machine(sidecar, cold=True)
+        self._start_machines()
         self.create_task(self._watch_usage())
         configured = self.create_task(self.operators.first_configuration())
         await asyncio.sleep(LEAD_SECONDS + LEAD_SECONDS_PER_PROCESS * len(self.processes))
