Controllers log as they start whether they may found, and by which seeds

Cause: of a controller that lives and isn't founded the log didn't say whether it may found at all. Change: one event, 'bootstrap began', with cold_start, founder, founded and the seeds.

--- a/packages/registry/src/hoistsaddle/registry/controller.py
+++ b/packages/registry/src/hoistsaddle/registry/controller.py
@@ -176,6 +176,13 @@
             now=self.runtime.now(),
             recorded_call=None if core is None else recorded_founding(core),
         )
+        self.counters.record_event(
+            "bootstrap began",
+            cold_start=self.may_found,
+            founder=bootstrap.active,
+            founded=self._is_founded(),
+            seeds=self.settings.seeds,
+        )
         runner = BootstrapRunner(
             bootstrap=bootstrap,
             replica=self.replica,
