--- a/packages/testbed/src/hoistsaddle/testbed/emulator/emulator.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/emulator.py
@@ -329,6 +329,14 @@
             case fault:
                 await self.fault_injector.inject(fault)
 
+    def meshes(self) -> dict[str, str]:
+        """The mesh that each running controller's replica belongs to."""
+        found = {}
+        for name in self.core:
+            core = self.processes[name].node.store.runner.core
+            found[name] = "" if core is None else core.mesh
+        return found
+
     def on_trigger(self, trigger: str, machine: str = "") -> None:
         """Something that a triggered fault may wait for came about, at this machine if it matters."""
         self.fault_injector.on_trigger(trigger, machine)
@@ -363,6 +371,8 @@
     events: list[CountedEvent]
     # What the programs that ran last counted, summed over all of them.
     counts: "Counter[str]"
+    # The mesh that each controller belonged to at the end; empty for a blank one.
+    meshes: dict[str, str]
 
 
 def _run(day: Day, loop: SimulatedTimeLoop) -> PlayedDay:
@@ -372,6 +382,7 @@
             with emulator.world.disks.intercept_syncs():
                 loop.run_until_complete(emulator.play())
             errors = list(loop.errors)
+            meshes = emulator.meshes()
         finally:
             for process in emulator.processes.values():
                 process.kill()
@@ -383,7 +394,7 @@
                 # A stopping program's task was killed before it could see that it was cancelled.
                 continue
             emulator.record_failure(f"{error.get('message')}: {error.get('exception')!r}")
-        return PlayedDay(emulator.history, emulator.events, emulator.counts())
+        return PlayedDay(emulator.history, emulator.events, emulator.counts(), meshes)
 
 
 def play(day: Day) -> PlayedDay:
--- a/packages/testbed/src/hoistsaddle/testbed/soak/first_start.py
+++ b/packages/testbed/src/hoistsaddle/testbed/soak/first_start.py
@@ -105,9 +105,13 @@
             all_ready = all(await asyncio.gather(*(process.ready() for process in sidecars)))
             ready = self.now() - self.began_at if all_ready else None
             meshes = await self._meshes(runtime)
-            if acknowledged is not None and ready is not None and len(set(meshes.values())) == 1 and all(meshes.values()):
+            report = self._report(acknowledged, ready, meshes)
+            if report.held or report.failures:
                 break
         runtime.rpc_client.close()
+        return self._report(acknowledged, ready, meshes)
+
+    def _report(self, acknowledged: float | None, ready: float | None, meshes: dict[str, str]) -> FirstStartReport:
         failures = tuple(str(event) for event in self.history.of(ProgramFailed))
         return FirstStartReport(self.day.seed, self.day.first_start, acknowledged, ready, meshes, failures)
 
