A founding on a disk that had begun to catch up is complete

Cause: a blank replica that has followed a leader writes that it is catching up. The founding that it takes later wrote the mesh beside that, so the next boot found a mesh and no state. Change: a founding replaces what the disk says of a mesh, catch-up and log included; epoch, vote and incarnation stay.

--- a/packages/raft/src/hoistsaddle/raft/log_database.py
+++ b/packages/raft/src/hoistsaddle/raft/log_database.py
@@ -16,6 +16,8 @@
 DATABASE_NAME = "ledger.sqlite3"
 # Bounds the write-ahead file, in bytes, so that the folder of a small disk doesn't grow.
 WRITE_AHEAD_BYTES = 4 * 1024 * 1024
+# Facts that say something of the mesh, not of the disk.
+FACTS_OF_MESH = ("mesh", "voters", "begin", "catching", "committed")
 
 
 class Facts(NamedTuple):
@@ -116,8 +118,10 @@
         self.connection.execute("COMMIT")
 
     def bootstrap(self, *, mesh: str, voters: dict[int, str]) -> None:
-        """Writes the mesh and its first voters."""
+        """Writes the mesh and its first voters, in the place of a catch-up that a blank replica had begun."""
         self.connection.execute("BEGIN")
+        self.connection.execute("DELETE FROM log")
+        self.connection.executemany("DELETE FROM facts WHERE name = ?", [(name,) for name in FACTS_OF_MESH])
         self._set_fact("mesh", mesh)
         self._set_fact("voters", sorted(voters.items()))
         self.connection.execute("COMMIT")
