A process whose port is still taken as it starts waits for it

Callers saw: a controller or sidecar ends by itself with an unhandled error if any of its ports is taken for a moment as it starts; each further start does the same until the port is free. Cause: each listener was opened once. Class: something outside that passes, met at a start, ends it. Not shown to be what the users saw.

--- a/packages/rpc/src/hoistsaddle/rpc/server.py
+++ b/packages/rpc/src/hoistsaddle/rpc/server.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from hoistsaddle.common.listening import listen_once_free
 from hoistsaddle.common.settings import split_address
 from hoistsaddle.rpc.call_context import set_call_age
 from hoistsaddle.rpc.frame_ages import FrameAges
@@ -40,7 +41,9 @@
             OSError: The address can't be listened at.
         """
         host, port = split_address(self.address)
-        self._server = await asyncio.start_server(self._serve, host, port)
+        self._server = await listen_once_free(
+            lambda: asyncio.start_server(self._serve, host, port), address=self.address
+        )
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
--- a/packages/sidecar/src/hoistsaddle/sidecar/listener.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/listener.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from hoistsaddle.common.listening import listen_once_free
 from hoistsaddle.common.settings import split_address
 from hoistsaddle.sidecar.header_names import HeaderNames
 from hoistsaddle.sidecar.header_pairs import HOP_BY_HOP, Pairs, pack_pairs, unpack_pairs
@@ -44,11 +45,21 @@
     # What still runs when a listener closes had its time before: closing itself is quick.
     runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.2)
     await runner.setup()
-    host, port = split_address(address)
-    await web.TCPSite(runner, host, port, backlog=1024, reuse_address=True).start()
+    await listen_once_free(lambda: _open_site(runner, address), address=address)
     return runner
 
 
+async def _open_site(runner: web.ServerRunner, address: str) -> None:
+    host, port = split_address(address)
+    site = web.TCPSite(runner, host, port, backlog=1024, reuse_address=True)
+    try:
+        await site.start()
+    except OSError:
+        # It is the runner's already, which would close it at its end.
+        await site.stop()
+        raise
+
+
 class IngressHandler:
     """Turns HTTP requests of clients into events of the sidecar's core, and its replies into responses."""
 
--- /dev/null
+++ b/tests/test_platform_start.py
@@ -0,0 +1,92 @@
+"""Real processes of the deploy file's roles that meet trouble while they start."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from hoistsaddle.testbed.emulator.platform_adapter import adapter
+
+LAUNCHER = Path(__file__).parent.parent / "platform" / "run.py"
+HOST = "127.0.81.1"
+# It only ends a run that hangs.
+MAX_SECONDS = 60.0
+
+
+class Starts(TestCase):
+    """Guards against processes that end by themselves while they start (issue 44)."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        place = tempfile.TemporaryDirectory()
+        self.addCleanup(place.cleanup)
+        self.folder = Path(place.name)
+
+    def settings(self, role: str) -> bytes:
+        samples = adapter("samples")
+        return samples.settings(
+            node="one",
+            host=HOST,
+            zone="a",
+            seeds=[HOST],
+            cold_start=True,
+            losses=0,
+            bounds={"grace_s": 6},
+            folder=str(self.folder / "data") if role == "controller" else None,
+            service="s" if role == "sidecar" else "",
+            server=f"{HOST}:8301",
+        )
+
+    def start(self, role: str, settings: bytes) -> tuple[subprocess.Popen, Path]:
+        path, log = self.folder / "boot.json", self.folder / f"{role}.log"
+        path.write_bytes(settings)
+        with log.open("wb") as output:
+            process = subprocess.Popen(
+                [sys.executable, str(LAUNCHER), role],
+                env={**os.environ, adapter("headers").SETTINGS_VARIABLE: str(path)},
+                cwd=self.folder,
+                stdout=output,
+                stderr=output,
+            )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process, log
+
+    def wait_for(self, process: subprocess.Popen, log: Path, text: str) -> None:
+        end = time.monotonic() + MAX_SECONDS
+        while text not in log.read_text() and process.poll() is None and time.monotonic() < end:
+            time.sleep(0.02)
+        self.assertThat((process.poll(), text in log.read_text()), Equals((None, True)), log.read_text()[-2000:])
+
+    def test_a_port_that_is_taken_is_waited_for(self) -> None:
+        samples = adapter("samples")
+        mesh = samples.PORTS[0]
+        for role, ports in (
+            ("controller", (mesh, mesh + 1, samples.CONTROL)),
+            ("sidecar", (mesh, samples.EGRESS, samples.READINESS, samples.CONTROL)),
+        ):
+            for port in ports:
+                with socket.socket() as former:
+                    former.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    former.bind((HOST, port))
+                    former.listen()
+                    process, log = self.start(role, self.settings(role))
+                    self.wait_for(process, log, f"{HOST}:{port} is taken")
+                end = time.monotonic() + MAX_SECONDS
+                while not self.accepts(samples.CONTROL) and process.poll() is None and time.monotonic() < end:
+                    time.sleep(0.02)
+                self.assertThat(process.poll(), Equals(None), f"{role} {port}")
+                self.assertThat(self.accepts(samples.CONTROL), Equals(True), f"{role} {port}")
+                process.send_signal(signal.SIGTERM)
+                self.assertThat(process.wait(MAX_SECONDS), Equals(0), f"{role} {port}")
+
+    def accepts(self, port: int) -> bool:
+        with socket.socket() as client:
+            return client.connect_ex((HOST, port)) == 0
