A process whose settings file is being written as it starts waits for it

Callers saw: a controller or sidecar ends by itself with a decoding error when its settings file is half written as it starts. Cause: the file was read once at the start; a running process already passes over a half-written one.

--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -79,13 +79,24 @@
                     former.listen()
                     process, log = self.start(role, self.settings(role))
                     self.wait_for(process, log, f"{HOST}:{port} is taken")
-                end = time.monotonic() + MAX_SECONDS
-                while not self.accepts(samples.CONTROL) and process.poll() is None and time.monotonic() < end:
-                    time.sleep(0.02)
-                self.assertThat(process.poll(), Equals(None), f"{role} {port}")
-                self.assertThat(self.accepts(samples.CONTROL), Equals(True), f"{role} {port}")
-                process.send_signal(signal.SIGTERM)
-                self.assertThat(process.wait(MAX_SECONDS), Equals(0), f"{role} {port}")
+                self.check_that_it_comes_up(process, f"{role} {port}")
+
+    def test_settings_that_are_being_written_are_waited_for(self) -> None:
+        for role in ("controller", "sidecar"):
+            settings = self.settings(role)
+            process, log = self.start(role, settings[: len(settings) // 2])
+            self.wait_for(process, log, "can't be read yet")
+            (self.folder / "boot.json").write_bytes(settings)
+            self.check_that_it_comes_up(process, role)
+
+    def check_that_it_comes_up(self, process: subprocess.Popen, what: str) -> None:
+        control = adapter("samples").CONTROL
+        end = time.monotonic() + MAX_SECONDS
+        while not self.accepts(control) and process.poll() is None and time.monotonic() < end:
+            time.sleep(0.02)
+        self.assertThat((process.poll(), self.accepts(control)), Equals((None, True)), what)
+        process.send_signal(signal.SIGTERM)
+        self.assertThat(process.wait(MAX_SECONDS), Equals(0), what)
 
     def accepts(self, port: int) -> bool:
         with socket.socket() as client:
