--- /dev/null
+++ b/tests/crowds.py
@@ -0,0 +1,266 @@
+"""Crowds of clients that don't behave, against real processes on loopback: a controller, a sidecar and its server."""
+
+import asyncio
+import json
+import os
+import sys
+from collections.abc import Callable, Iterator
+from itertools import chain, repeat
+from pathlib import Path
+from typing import NamedTuple
+
+from hoistsaddle.testbed.emulator.platform_adapter import adapter
+
+LAUNCHER = Path(__file__).parent.parent / "platform" / "run.py"
+HOST = "127.0.83.1"
+CONTROLLER_HOST = "127.0.83.2"
+SERVER_PORT = 8301
+ROUTE_HOST = "crowd.example"
+# The machine of the tests, smaller than any real one: MB of memory, and descriptors.
+MEMORY_MB = 160
+FD_LIMIT = 600
+BODY_BYTES = 16 * 1024 * 1024
+# Only end what hangs; nothing is judged by them.
+PATIENCE_SECONDS = 60.0
+# How long a crowd presses at the most, and goes on to hold what it has opened.
+PRESS_SECONDS = 8.0
+SAMPLE_SECONDS = 0.05
+BYTES_PER_MB = 1024 * 1024
+
+Pieces = Callable[[], Iterator[bytes]]
+HEAD = f"POST /crowd/x HTTP/1.1\r\nHost: {ROUTE_HOST}\r\nAttempt-Id: a\r\nDeadline-Ms: 60000\r\n".encode()
+PIECE = b"x" * 65536
+
+
+class Crowd(NamedTuple):
+    """So many clients, each of which sends these pieces and then stays."""
+
+    clients: int
+    pieces: Pieces
+
+
+def with_length(length: int, *, sent: int) -> Pieces:
+    """A body with a length of which so much is sent."""
+
+    def pieces() -> Iterator[bytes]:
+        yield HEAD + f"Content-Length: {length}\r\n\r\n".encode()
+        yield from repeat(PIECE, sent // len(PIECE))
+        if sent == length and sent % len(PIECE):
+            yield PIECE[: sent % len(PIECE)]
+
+    return pieces
+
+
+def in_chunks(size: int, *, sent: int) -> Pieces:
+    """A body in chunks of a size, of which so much is sent and the end never."""
+
+    def pieces() -> Iterator[bytes]:
+        yield HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        chunk = f"{size:x}\r\n".encode() + b"x" * size + b"\r\n"
+        together = max(1, len(PIECE) // len(chunk))
+        yield from repeat(chunk * together, sent // (size * together))
+
+    return pieces
+
+
+def head_in_fields(*, sent: int) -> Pieces:
+    """A head without end, in fields of 30 kB."""
+    return lambda: chain([HEAD], (f"X-{place}: ".encode() + b"y" * 30000 + b"\r\n" for place in range(sent // 30000)))
+
+
+def head_in_a_line(*, sent: int) -> Pieces:
+    """A head whose one field never ends."""
+    return lambda: chain([HEAD, b"X: "], repeat(PIECE, sent // len(PIECE)))
+
+
+def empty_lines(*, sent: int) -> Pieces:
+    """Empty lines before a request that never comes."""
+    return lambda: repeat(b"\r\n" * 32768, sent // 65536)
+
+
+MB = 1024 * 1024
+# Fixed before any change of the product (issue 44): about twice and more of what the machine has, where it is held.
+CROWDS = {
+    "bodies short of their end": Crowd(24, with_length(15 * MB, sent=15 * MB - 65536)),
+    "complete bodies": Crowd(24, with_length(12 * MB, sent=12 * MB)),
+    "large chunks": Crowd(24, in_chunks(262144, sent=12 * MB)),
+    "chunks of one byte": Crowd(16, in_chunks(1, sent=200_000)),
+    "heads in fields": Crowd(24, head_in_fields(sent=12 * MB)),
+    "heads in a line": Crowd(24, head_in_a_line(sent=12 * MB)),
+    "empty lines": Crowd(24, empty_lines(sent=24 * MB)),
+    "connections": Crowd(900, lambda: iter([HEAD])),
+}
+
+
+class Seen(NamedTuple):
+    """What became of a process that a crowd pressed."""
+
+    alive: bool
+    peak_mb: float
+    descriptors: int
+    answered: bool
+
+
+class Deployment:
+    """A controller, a sidecar and the server beside it."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+
+    async def start(self) -> None:
+        """Start everything, and put one route in force."""
+        self.server = await asyncio.start_server(self._serve, HOST, SERVER_PORT)
+        await self._launch("controller", CONTROLLER_HOST)
+        await self._launch("sidecar", HOST)
+        self.heartbeats = asyncio.ensure_future(self._send_heartbeats())
+        await self._until(self._configure)
+        await self._until(self.answers)
+
+    async def _launch(self, role: str, host: str) -> None:
+        samples, headers = adapter("samples"), adapter("headers")
+        path = self.folder / f"{role}.json"
+        path.write_bytes(
+            samples.settings(
+                node=role,
+                host=host,
+                zone="a",
+                seeds=[CONTROLLER_HOST],
+                cold_start=True,
+                losses=0,
+                bounds={"grace_s": 6},
+                folder=str(self.folder / "data") if role == "controller" else None,
+                service="crowd" if role == "sidecar" else "",
+                server=f"{HOST}:{SERVER_PORT}",
+                constraints={"memory_mb": MEMORY_MB, "fd_limit": FD_LIMIT},
+            )
+        )
+        with (self.folder / f"{role}.log").open("wb") as log:
+            self.processes[role] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(LAUNCHER),
+                role,
+                env={**os.environ, headers.SETTINGS_VARIABLE: str(path)},
+                cwd=self.folder,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def _until(self, holds: Callable) -> None:
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            while not await holds():
+                await asyncio.sleep(0.1)
+
+    async def _configure(self) -> bool:
+        samples = adapter("samples")
+        route = samples.route(
+            name="crowd", host=ROUTE_HOST, prefix="/crowd/", kind="upload", parts=[("crowd", 1.0)],
+            hold=30.0, aim=1.0, rank=1, sends=1, revision=1,
+        )  # fmt: skip
+        service = {
+            "name": "crowd", "probe_path": "/health", "conn_limit": 110, "protocol": "h1", "tls": False,
+            "self_dedupes": False, "generation": "r1",
+        }  # fmt: skip
+        limits = {"header_bytes": 16384, "body_bytes": BODY_BYTES, "header_s": 3, "idle_s": 15, "generation": "r1"}
+        order = {"apply": {"route_table": [route], "services": [service], "constraints": limits}, "remove": {}}
+        body = json.dumps(order).encode()
+        return await self._status(CONTROLLER_HOST, samples.CONTROL, "PATCH", samples.CONFIG_PATH, body) == 200
+
+    async def _send_heartbeats(self) -> None:
+        samples = adapter("samples")
+        sequence = 0
+        while True:
+            sequence += 1
+            beat = {
+                "service": "crowd", "address": f"{HOST}:{SERVER_PORT}", "zone_id": "a", "generation": "v1",
+                "capacity": 6, "phase": "ready", "cold_left_s": 0, "call_seq": sequence,
+            }  # fmt: skip
+            await self._status(HOST, samples.CONTROL, "PUT", "/-/instances/i-1", json.dumps(beat).encode())
+            await asyncio.sleep(0.5)
+
+    async def answers(self) -> bool:
+        """Whether an ordinary request gets its server's answer."""
+        return await self._status(HOST, adapter("samples").EGRESS, "POST", "/crowd/x", b"one") == 200
+
+    async def _status(self, host: str, port: int, method: str, path: str, body: bytes) -> int:
+        try:
+            async with asyncio.timeout(5):
+                reader, writer = await asyncio.open_connection(host, port)
+                head = f"{method} {path} HTTP/1.1\r\nHost: {ROUTE_HOST}\r\nAttempt-Id: o\r\nDeadline-Ms: 4000\r\n"
+                writer.write(f"{head}Connection: close\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+                line = await reader.readline()
+                writer.close()
+                return int(line.split()[1])
+        except (OSError, TimeoutError, IndexError, ValueError):
+            return 0
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """A server that reads a request and answers it under its id."""
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                fields = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line)
+                await reader.readexactly(int(fields.get("content-length", "0")))
+                attempt = fields.get("attempt-id", "")
+                writer.write(f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nContent-Length: 2\r\n\r\nok".encode())
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+    # -- crowds ------------------------------------------------------------------------------------------------------
+
+    async def press(self, role: str, port: int, crowds: list[Crowd]) -> Seen:
+        """Let crowds press a process at a port, all at once."""
+        process = self.processes[role]
+        host = HOST if role == "sidecar" else CONTROLLER_HOST
+        clients = [
+            asyncio.ensure_future(self._send(host, port, crowd.pieces))
+            for crowd in crowds
+            for _ in range(crowd.clients)
+        ]
+        peak_mb, descriptors = 0.0, 0
+        loop = asyncio.get_running_loop()
+        end = loop.time() + PRESS_SECONDS
+        while loop.time() < end and process.returncode is None:
+            await asyncio.sleep(SAMPLE_SECONDS)
+            place = Path("/proc") / str(process.pid)
+            try:
+                status = (place / "status").read_text()
+                descriptors = max(descriptors, len(os.listdir(place / "fd")))
+            except OSError:
+                break
+            resident = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+            peak_mb = max(peak_mb, int(resident.split()[1]) / 1024)
+        try:
+            await self._until(self.answers)
+            answered = True
+        except TimeoutError:
+            answered = False
+        for client in clients:
+            client.cancel()
+        await asyncio.gather(*clients, return_exceptions=True)
+        return Seen(process.returncode is None, peak_mb, descriptors, answered)
+
+    async def _send(self, host: str, port: int, pieces: Pieces) -> None:
+        """Send all pieces as fast as they are taken, and stay until the test is over."""
+        try:
+            _, writer = await asyncio.open_connection(host, port)
+        except OSError:
+            return
+        try:
+            for piece in pieces():
+                writer.write(piece)
+                await writer.drain()
+            await asyncio.sleep(PATIENCE_SECONDS * 2)
+        except OSError:
+            pass
+        finally:
+            writer.transport.abort()
+
+    async def end(self) -> None:
+        """End all processes."""
+        self.heartbeats.cancel()
+        self.server.close()
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
