Bytes of callers are counted as they come, against limits and one budget of the process

Cause: limits were compared with a complete request, header_s and idle_s partly or not at all, and nothing bounded what all requests and connections hold together. One request alone may go past the budget. The listener's test that told the begin of a body's reading by BaseRequest.read tells it by the first read of the stream, as the body is no longer read by that call; what it asserts is the same.

--- a/packages/common/src/hoistsaddle/common/settings.py
+++ b/packages/common/src/hoistsaddle/common/settings.py
@@ -128,6 +128,9 @@
     grace_seconds: float = 6.0
     # How long the log remembers a patch, so that a repeat after a lost answer is recognised.
     resend_seconds: float = 600.0
+    # What this process may have of its machine; 0 if that isn't known, and then nothing is bounded by it.
+    memory_megabytes: float = 0.0
+    descriptors: int = 0
 
 
 class SidecarSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename=DOCUMENTED_NAMES):
@@ -163,6 +166,9 @@
     drain_seconds: float = 2.0
     # What the machine's link carries each way, in megabits a second; 0 if that isn't known.
     link_megabits: float = 0.0
+    # What this process may have of its machine; 0 if that isn't known, and then nothing is bounded by it.
+    memory_megabytes: float = 0.0
+    descriptors: int = 0
 
 
 _PLAIN_NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")
@@ -197,6 +203,8 @@
     "settle_seconds": (0.1, 3600),
     "drain_seconds": (0.1, 600),
     "link_megabits": (0, 10**6),
+    "memory_megabytes": (0, 10**7),
+    "descriptors": (0, 10**9),
 }
 Settings = StoreSettings | RegistrySettings | ProxySettings | ControllerSettings | SidecarSettings
 
--- /dev/null
+++ b/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
@@ -0,0 +1,169 @@
+"""An HTTP server whose connections are bounded as their bytes come: heads in size and time, bodies by one budget."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any, NamedTuple, cast
+
+from aiohttp import StreamReader, web
+from aiohttp.web_protocol import RequestHandler
+
+from hoistsaddle.common.byte_budget import ByteBudget
+
+# What a head may have beside its fields: the request line.
+REQUEST_LINE_BYTES = 16384
+REFUSED_HEAD = b"HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+LATE_HEAD = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+
+class HttpLimits(NamedTuple):
+    """What a client may send, and how long it may take or stay silent."""
+
+    header_bytes: int = 65536
+    header_time: timedelta = timedelta(seconds=30)
+    idle_time: timedelta = timedelta(seconds=75)
+
+
+class OverBudget(Exception):
+    """The process holds as many bytes of others as it may; the request has not run."""
+
+
+class GuardedServer(web.Server):
+    """A library's server whose connections are guarded."""
+
+    def __init__(self, handler: Any, *, budget: ByteBudget, limits: Callable[[], HttpLimits], **arguments: Any) -> None:
+        """Takes what each connection is measured by.
+
+        Args:
+            handler: Answers each request.
+            budget: Of the process, shared by all its listeners.
+            limits: Those in force now.
+            arguments: The library's own.
+        """
+        super().__init__(handler, **arguments)
+        self.budget = budget
+        self.limits = limits
+
+    def __call__(self) -> RequestHandler:
+        """Make the protocol of one connection."""
+        return GuardedConnection(self, loop=self._loop, **self._kwargs)
+
+
+class GuardedConnection(RequestHandler):
+    """One connection: what it holds is counted until its request has been answered."""
+
+    __slots__ = ("_admitted", "_budget", "_head_bytes", "_head_timer", "_held", "_idle_timer", "_limits", "_newest")
+
+    def __init__(self, server: GuardedServer, **arguments: Any) -> None:
+        super().__init__(server, **arguments)
+        self._budget = server.budget
+        self._limits = server.limits
+        self._admitted = False
+        self._held = 0
+        self._head_bytes = 0
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._idle_timer: asyncio.TimerHandle | None = None
+        # The body of the newest request on this connection.
+        self._newest: StreamReader | None = None
+
+    # -- connections -------------------------------------------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the connection, unless there are too many."""
+        if not self._budget.has_room_for_connection():
+            cast(asyncio.Transport, transport).abort()
+            return
+        self._admitted = True
+        self._budget.connections += 1
+        super().connection_made(transport)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Gives back what it held."""
+        if not self._admitted:
+            return
+        self._admitted = False
+        self._budget.connections -= 1
+        self._release()
+        self._stop_timers()
+        super().connection_lost(exc)
+
+    # -- bytes -------------------------------------------------------------------------------------------------------
+
+    def data_received(self, data: bytes) -> None:
+        """Counts what came, hands it to the library, and refuses what goes too far."""
+        if not self._admitted or self._is_ending():
+            return
+        was_in_head = self._is_in_head()
+        before = self._request_count
+        self._held += len(data)
+        self._budget.held += len(data)
+        super().data_received(data)
+        if self._request_count > before:
+            self._head_completed()
+        elif was_in_head:
+            self._head_continued(len(data))
+        if self._newest is not None and not self._newest.is_eof():
+            self._body_continued(self._newest)
+        elif self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+    def _is_ending(self) -> bool:
+        return self._force_close or self._close
+
+    def _is_in_head(self) -> bool:
+        return self._newest is None or self._newest.is_eof()
+
+    def _head_completed(self) -> None:
+        self._head_bytes = 0
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+        body = self._messages[-1][1] if self._messages else None
+        self._newest = body if isinstance(body, StreamReader) else None
+
+    def _head_continued(self, size: int) -> None:
+        limits = self._limits()
+        self._head_bytes += size
+        too_long = self._head_bytes > limits.header_bytes + REQUEST_LINE_BYTES
+        if too_long or not self._budget.has_room_for(self._held):
+            self._end(REFUSED_HEAD)
+        elif self._head_timer is None:
+            self._head_timer = self._loop.call_later(limits.header_time.total_seconds(), self._end, LATE_HEAD)
+
+    def _body_continued(self, body: StreamReader) -> None:
+        if not self._budget.has_room_for(self._held):
+            body.set_exception(OverBudget())
+            self._stop_reading()
+            return
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        self._idle_timer = self._loop.call_later(self._limits().idle_time.total_seconds(), self.force_close)
+
+    def _end(self, answer: bytes) -> None:
+        """Refuses a head that isn't complete, and closes the connection."""
+        if self.transport is not None and not self._is_ending():
+            self.transport.write(answer)
+        self._release()
+        self.force_close()
+
+    def _stop_reading(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def _release(self) -> None:
+        self._budget.held -= self._held
+        self._held = 0
+
+    def _stop_timers(self) -> None:
+        for timer in (self._head_timer, self._idle_timer):
+            if timer is not None:
+                timer.cancel()
+        self._head_timer = self._idle_timer = None
+
+    async def _handle_request(self, *arguments: Any) -> Any:
+        try:
+            return await super()._handle_request(*arguments)
+        finally:
+            if self._is_in_head():
+                self._release()
--- a/packages/sidecar/src/hoistsaddle/sidecar/listener.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/listener.py
@@ -8,30 +8,50 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from hoistsaddle.common.byte_budget import ByteBudget
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.errors import BodyTooLarge, MeshError, QueueFull
 from hoistsaddle.common.listening import listen_once_free
 from hoistsaddle.common.settings import split_address
+from hoistsaddle.sidecar.guarded_http import GuardedServer, HttpLimits, OverBudget
 from hoistsaddle.sidecar.header_names import HeaderNames
 from hoistsaddle.sidecar.header_pairs import HOP_BY_HOP, Pairs, pack_pairs, unpack_pairs
 from hoistsaddle.sidecar.messages import Reply, RequestArrived
 from hoistsaddle.sidecar.node import SidecarNode
 
 LARGEST_HEADER = 262144
+# What a body may have before there is a configuration.
+UNCONFIGURED_BODY = 1024 * 1024
+UNAVAILABLE, TOO_LARGE = 503, 413
+# Bodies that were under way have gone on or been given up by then, mostly.
+ROOM_RETRY_AFTER = milliseconds(500)
 # How a request target in absolute form begins (RFC 9112, 3.2.2).
 ABSOLUTE_FORM = "http://"
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 _rewritten = HOP_BY_HOP | {b"date", b"server"}
 
 
-async def open_listener(*, address: str, handler: Handler, idle: timedelta = timedelta(seconds=75)) -> web.ServerRunner:
+async def open_listener(
+    *,
+    address: str,
+    handler: Handler,
+    idle: timedelta = timedelta(seconds=75),
+    budget: ByteBudget | None = None,
+    limits: Callable[[], HttpLimits] = HttpLimits,
+) -> web.ServerRunner:
     """Listen for plain HTTP; the runner closes it.
 
     Args:
         address: IP number and port.
         handler: answers each request.
         idle: how long a kept connection may stand unused.
+        budget: of the process; without one only single heads are bounded.
+        limits: on clients, those in force now.
     """
-    server = web.Server(
+    server = GuardedServer(
         handler,
+        budget=budget or ByteBudget(),
+        limits=limits,
         access_log=None,
         max_line_size=LARGEST_HEADER,
         max_field_size=LARGEST_HEADER,
@@ -73,13 +93,18 @@
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         items = self.node.core.view.items
         if items is not None:
-            request._client_max_size = 0
             handler: RequestHandler = request.protocol
             # The operators' limit on silence may change under an open connection.
             handler._keepalive_timeout = items.limits.idle_seconds
         loop = asyncio.get_running_loop()
         began = loop.time()
-        body = await request.read()
+        try:
+            body = await _read_body(request, max_bytes=UNCONFIGURED_BODY if items is None else items.limits.body_bytes)
+        except OverBudget:
+            error = QueueFull("This process holds as many bytes as it may.", remedy="Send it again, or elsewhere.")
+            return self._refuse(UNAVAILABLE, error, retry_after=ROOM_RETRY_AFTER)
+        except _BodyOverLimit:
+            return self._refuse(TOO_LARGE, BodyTooLarge("The body is over its limit.", field="body"))
         host, path, raw = _read_target(request)
         budget = _milliseconds(request.headers.get(self.header_names.budget))
         if budget is not None:
@@ -101,6 +126,27 @@
         )
         return self._respond(answer)
 
+    def limits(self) -> HttpLimits:
+        """The operators' limits on clients, once there are any."""
+        items = self.node.core.view.items
+        if items is None:
+            return HttpLimits()
+        limits = items.limits
+        return HttpLimits(
+            limits.header_bytes,
+            timedelta(seconds=limits.header_seconds),
+            timedelta(seconds=limits.idle_seconds),
+        )
+
+    def _refuse(self, status: int, error: MeshError, *, retry_after: timedelta | None = None) -> web.Response:
+        """Refuse a request whose body has not come whole: nothing of it has run, and its connection closes."""
+        response = web.json_response({"error": str(error)}, status=status)
+        self.node.counters.add(f"replies.{status}.{error.kind}")
+        if retry_after is not None:
+            response.headers["Retry-After"] = f"{retry_after.total_seconds():.3f}"
+        response.force_close()
+        return response
+
     def _respond(self, answer: Reply) -> web.Response:
         counters = self.node.counters
         if answer.error is None:
@@ -121,6 +167,20 @@
         return response
 
 
+class _BodyOverLimit(Exception):
+    """More of a body has come than a request may have."""
+
+
+async def _read_body(request: web.BaseRequest, *, max_bytes: int) -> bytes:
+    """Return a request's body; the library's own limit would also make its buffers as large as that."""
+    body = bytearray()
+    while chunk := await request.content.readany():
+        body += chunk
+        if len(body) > max_bytes:
+            raise _BodyOverLimit
+    return bytes(body)
+
+
 def _read_target(request: web.BaseRequest) -> tuple[str, str, Pairs]:
     """Return a request's host, its path with query, and its headers.
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/service.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/service.py
@@ -7,6 +7,7 @@
 from aiomisc import Service
 from loguru import logger
 
+from hoistsaddle.common.byte_budget import ByteBudget
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.counters import Counters
 from hoistsaddle.common.settings import SidecarSettings
@@ -49,10 +50,14 @@
         self.node = SidecarNode(settings=settings, runtime=runtime, serve=self.server_connections.serve)
         self.server_connections.counters = self.node.counters
         await self.node.start()
+        self.budget = ByteBudget(memory_megabytes=settings.memory_megabytes, descriptors=settings.descriptors)
+        ingress = IngressHandler(node=self.node, header_names=self.header_names)
         self.listener = await open_listener(
             address=settings.door,
-            handler=IngressHandler(node=self.node, header_names=self.header_names).handle,
+            handler=ingress.handle,
             idle=timedelta(seconds=60),
+            budget=self.budget,
+            limits=ingress.limits,
         )
         self.admin_listeners = await self.open_admin_listeners()
         self.start_event.set()
--- /dev/null
+++ b/tests/test_sidecar_guarded_http.py
@@ -0,0 +1,152 @@
+"""Connections of the HTTP listeners are bounded as their bytes come, and what they held is given back."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any
+
+from aiohttp import web
+from testtools import TestCase
+from testtools.matchers import Equals, LessThan, StartsWith
+
+from hoistsaddle.common.byte_budget import COPIES_OF_A_BODY, OWN_MEMORY_BYTES, ByteBudget
+from hoistsaddle.sidecar.guarded_http import REQUEST_LINE_BYTES, GuardedServer, HttpLimits, OverBudget
+from hoistsaddle.sidecar.listener import LARGEST_HEADER
+
+MEGABYTE = 1024 * 1024
+LIMITS = HttpLimits(header_bytes=1000, header_time=timedelta(seconds=60), idle_time=timedelta(seconds=60))
+HEAD = b"POST / HTTP/1.1\r\nHost: h\r\n"
+# It only ends a run that hangs.
+MAX_SECONDS = 30.0
+
+
+def budget_of(megabytes: float, *, descriptors: int = 0) -> ByteBudget:
+    own = OWN_MEMORY_BYTES / MEGABYTE
+    return ByteBudget(memory_megabytes=own + megabytes * COPIES_OF_A_BODY, descriptors=descriptors)
+
+
+async def answer(request: web.BaseRequest) -> web.StreamResponse:
+    request._client_max_size = 0
+    try:
+        body = await request.read()
+    except OverBudget:
+        response = web.Response(status=503)
+        response.force_close()
+        return response
+    return web.Response(text=str(len(body)))
+
+
+class Guarded(TestCase):
+    """Guards against bytes of clients that are held before they are counted (issue 44, second matter)."""
+
+    def run_with(
+        self,
+        work: Callable[[Callable[[], Awaitable[Any]]], Awaitable[None]],
+        *,
+        budget: ByteBudget | None = None,
+        limits: HttpLimits = LIMITS,
+    ) -> ByteBudget:
+        budget = budget or ByteBudget()
+
+        async def run() -> None:
+            server = GuardedServer(
+                answer,
+                budget=budget,
+                limits=lambda: limits,
+                access_log=None,
+                lingering_time=0.1,
+                max_line_size=LARGEST_HEADER,
+                max_field_size=LARGEST_HEADER,
+            )
+            listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
+            port = listener.sockets[0].getsockname()[1]
+            async with asyncio.timeout(MAX_SECONDS):
+                await work(lambda: asyncio.open_connection("127.0.0.1", port))
+                while budget.connections:
+                    await asyncio.sleep(0.01)
+            listener.close()
+
+        asyncio.run(run())
+        self.assertThat((budget.held, budget.connections), Equals((0, 0)))
+        return budget
+
+    def test_a_head_over_the_limit_is_refused_before_its_end(self) -> None:
+        async def work(connect: Any) -> None:
+            for filler in (b"X: " + b"y" * REQUEST_LINE_BYTES * 2, b"\r\n" * REQUEST_LINE_BYTES):
+                reader, writer = await connect()
+                writer.write((HEAD if filler[:1] == b"X" else b"") + filler)
+                self.assertThat(await reader.read(), StartsWith(b"HTTP/1.1 431 "))
+                writer.close()
+
+        self.run_with(work)
+
+    def test_a_head_that_takes_too_long_is_refused(self) -> None:
+        async def work(connect: Any) -> None:
+            reader, writer = await connect()
+            writer.write(HEAD)
+            self.assertThat(await reader.read(), StartsWith(b"HTTP/1.1 408 "))
+            writer.close()
+
+        self.run_with(work, limits=LIMITS._replace(header_time=timedelta(milliseconds=50)))
+
+    def test_a_body_that_falls_silent_is_closed(self) -> None:
+        async def work(connect: Any) -> None:
+            reader, writer = await connect()
+            writer.write(HEAD + b"Content-Length: 10\r\n\r\nx")
+            self.assertThat(await reader.read(), Equals(b""))
+            writer.close()
+
+        self.run_with(work, limits=LIMITS._replace(idle_time=timedelta(milliseconds=50)))
+
+    def test_beyond_the_budget_a_body_is_refused_and_one_alone_is_not(self) -> None:
+        budget = budget_of(1.0)
+
+        async def work(connect: Any) -> None:
+            one, first = await connect()
+            first.write(HEAD + b"Content-Length: 4194304\r\n\r\n" + b"x" * 3 * MEGABYTE)
+            while budget.held < 3 * MEGABYTE:
+                await asyncio.sleep(0.01)
+            two, second = await connect()
+            second.write(HEAD + b"Content-Length: 4194304\r\n\r\n" + b"x" * MEGABYTE)
+            self.assertThat(await two.readline(), StartsWith(b"HTTP/1.1 503 "))
+            second.close()
+            first.write(b"x" * MEGABYTE)
+            self.assertThat(await one.readline(), StartsWith(b"HTTP/1.1 200 "))
+            first.close()
+
+        self.run_with(work, budget=budget)
+
+    def test_what_was_answered_is_given_back_on_an_open_connection(self) -> None:
+        budget = budget_of(1.0)
+
+        async def work(connect: Any) -> None:
+            reader, writer = await connect()
+            for _ in range(5):
+                writer.write(HEAD + b"Content-Length: 900000\r\n\r\n" + b"x" * 900000)
+                answered = await reader.readuntil(b"900000")
+                self.assertThat(answered, StartsWith(b"HTTP/1.1 200 "))
+                await asyncio.sleep(0)
+                self.assertThat(budget.held, LessThan(MEGABYTE))
+            writer.close()
+
+        self.run_with(work, budget=budget)
+
+    def test_connections_beyond_their_share_are_closed(self) -> None:
+        budget = budget_of(1.0, descriptors=8)
+
+        async def work(connect: Any) -> None:
+            kept = [await connect() for _ in range(4)]
+            for _, writer in kept:
+                writer.write(HEAD)
+            while budget.connections < 4:
+                await asyncio.sleep(0.01)
+            reader, writer = await connect()
+            try:
+                self.assertThat(await reader.read(), Equals(b""))
+            except ConnectionResetError:
+                pass
+            writer.close()
+            for _, each in kept:
+                each.close()
+
+        self.run_with(work, budget=budget)
--- a/tests/test_sidecar_listener.py
+++ b/tests/test_sidecar_listener.py
@@ -8,8 +8,7 @@
 from types import SimpleNamespace
 from typing import Any
 
-from aiohttp import web
-from aiohttp.web import BaseRequest
+from aiohttp import StreamReader, web
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
@@ -187,13 +186,13 @@
                 address="127.0.0.1:0", handler=IngressHandler(node=self.node, header_names=HeaderNames()).handle
             )
             begun = EventCounter()
-            plain = BaseRequest.read
+            plain = StreamReader.readany
 
-            async def read(request: BaseRequest) -> bytes:
+            async def readany(body: StreamReader) -> bytes:
                 begun.count_event()
-                return await plain(request)
+                return await plain(body)
 
-            self.patch(BaseRequest, "read", read)
+            self.patch(StreamReader, "readany", readany)
             reader, writer = await asyncio.open_connection("127.0.0.1", runner.addresses[0][1])
             writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nX-Hoistsaddle-Budget: 3000\r\nContent-Length: 4\r\n\r\nbo")
             await begun.reach(1)
