A body refused for the budget is thrown away while its refusal goes out

The library goes on reading a refused body so that the answer arrives, met the refusal's error there, closed at once and logged each case as its own error. Change: what still comes of a refused body is read and thrown away uncounted, and the error taken off.

--- a/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
@@ -52,7 +52,17 @@
 class GuardedConnection(RequestHandler):
     """One connection: what it holds is counted until its request has been answered."""
 
-    __slots__ = ("_admitted", "_budget", "_head_bytes", "_head_timer", "_held", "_idle_timer", "_limits", "_newest")
+    __slots__ = (
+        "_admitted",
+        "_budget",
+        "_head_bytes",
+        "_head_timer",
+        "_held",
+        "_idle_timer",
+        "_limits",
+        "_newest",
+        "_refused_body",
+    )
 
     def __init__(self, server: GuardedServer, **arguments: Any) -> None:
         super().__init__(server, **arguments)
@@ -65,6 +75,8 @@
         self._idle_timer: asyncio.TimerHandle | None = None
         # The body of the newest request on this connection.
         self._newest: StreamReader | None = None
+        # The body that was refused, after which the connection closes.
+        self._refused_body: StreamReader | None = None
 
     # -- connections -------------------------------------------------------------------------------------------------
 
@@ -93,6 +105,10 @@
         """Counts what came, hands it to the library, and refuses what goes too far."""
         if not self._admitted or self._is_ending():
             return
+        if self._refused_body is not None:
+            # Read on for a while and thrown away, so that the refusal arrives.
+            super().data_received(data)
+            return
         was_in_head = self._is_in_head()
         before = self._request_count
         self._held += len(data)
@@ -133,8 +149,9 @@
 
     def _body_continued(self, body: StreamReader) -> None:
         if not self._budget.has_room_for(self._held):
+            self._refused_body = body
+            self._release()
             body.set_exception(OverBudget())
-            self._stop_reading()
             return
         if self._idle_timer is not None:
             self._idle_timer.cancel()
@@ -147,10 +164,6 @@
         self._release()
         self.force_close()
 
-    def _stop_reading(self) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
-
     def _release(self) -> None:
         self._budget.held -= self._held
         self._held = 0
@@ -165,5 +178,7 @@
         try:
             return await super()._handle_request(*arguments)
         finally:
+            if self._refused_body is not None:
+                self._refused_body.set_exception(None)  # type: ignore[arg-type]
             if self._is_in_head():
                 self._release()
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -12,8 +12,9 @@
 from hoistsaddle.testbed.emulator.platform_adapter import adapter
 
 LAUNCHER = Path(__file__).parent.parent / "platform" / "run.py"
-HOST = "127.0.83.1"
-CONTROLLER_HOST = "127.0.83.2"
+# A loopback network of its own for each test process: several may run beside each other.
+NETWORK = f"127.{20 + os.getpid() % 200}.83"
+HOST, CONTROLLER_HOST = f"{NETWORK}.1", f"{NETWORK}.2"
 SERVER_PORT = 8301
 ROUTE_HOST = "crowd.example"
 # The machine of the tests, smaller than any real one: MB of memory, and descriptors.
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -15,7 +15,8 @@
 from hoistsaddle.testbed.emulator.platform_adapter import adapter
 
 LAUNCHER = Path(__file__).parent.parent / "platform" / "run.py"
-HOST = "127.0.81.1"
+# An address of its own for each test process: several may run beside each other.
+HOST = f"127.{20 + os.getpid() % 200}.81.1"
 # It only ends a run that hangs.
 MAX_SECONDS = 60.0
 
--- a/tests/test_sidecar_guarded_http.py
+++ b/tests/test_sidecar_guarded_http.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 from testtools import TestCase
-from testtools.matchers import Equals, LessThan, StartsWith
+from testtools.matchers import EndsWith, Equals, LessThan, StartsWith
 
 from hoistsaddle.common.byte_budget import COPIES_OF_A_BODY, OWN_MEMORY_BYTES, ByteBudget
 from hoistsaddle.sidecar.guarded_http import REQUEST_LINE_BYTES, GuardedServer, HttpLimits, OverBudget
@@ -109,6 +109,7 @@
             two, second = await connect()
             second.write(HEAD + b"Content-Length: 4194304\r\n\r\n" + b"x" * MEGABYTE)
             self.assertThat(await two.readline(), StartsWith(b"HTTP/1.1 503 "))
+            self.assertThat(await two.read(), EndsWith(b"\r\n\r\n"))
             second.close()
             first.write(b"x" * MEGABYTE)
             self.assertThat(await one.readline(), StartsWith(b"HTTP/1.1 200 "))
