A refused head never passes for the answer to the request before it

Callers saw: nothing yet; found by reading. A client that sends the begin of a further head while its request is being answered got 408 or 431 in that answer's place. Cause: the refusal was written at once, whatever was under way on the connection. Change: while a request is under way, the connection takes nothing more and closes after its answer. A head beyond the budget is answered 503 with Retry-After and not 431. Test: tests/test_sidecar_guarded_http.py, failed before.

--- a/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
@@ -13,6 +13,7 @@
 # What a head may have beside its fields: the request line.
 REQUEST_LINE_BYTES = 16384
 REFUSED_HEAD = b"HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+NO_ROOM = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 LATE_HEAD = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 
@@ -141,9 +142,10 @@
     def _head_continued(self, size: int) -> None:
         limits = self._limits()
         self._head_bytes += size
-        too_long = self._head_bytes > limits.header_bytes + REQUEST_LINE_BYTES
-        if too_long or not self._budget.has_room_for(self._held):
+        if self._head_bytes > limits.header_bytes + REQUEST_LINE_BYTES:
             self._end(REFUSED_HEAD)
+        elif not self._budget.has_room_for(self._held):
+            self._end(NO_ROOM)
         elif self._head_timer is None:
             self._head_timer = self._loop.call_later(limits.header_time.total_seconds(), self._end, LATE_HEAD)
 
@@ -159,6 +161,10 @@
 
     def _end(self, answer: bytes) -> None:
         """Refuses a head that isn't complete, and closes the connection."""
+        if self._current_request is not None or self._messages:
+            # A request before it is still being answered: what is written now would pass for its answer.
+            self.close()
+            return
         if self.transport is not None and not self._is_ending():
             self.transport.write(answer)
         self._release()
--- a/tests/test_sidecar_guarded_http.py
+++ b/tests/test_sidecar_guarded_http.py
@@ -25,8 +25,16 @@
     return ByteBudget(memory_megabytes=own + megabytes * COPIES_OF_A_BODY, descriptors=descriptors)
 
 
+# One entry for each slow request that a handler has begun.
+SLOW_BEGUN: list[bool] = []
+
+
 async def answer(request: web.BaseRequest) -> web.StreamResponse:
     request._client_max_size = 0
+    if request.path == "/slow":
+        SLOW_BEGUN.append(True)
+        # Longer than the head that follows it may take.
+        await asyncio.sleep(0.3)
     try:
         body = await request.read()
     except OverBudget:
@@ -89,6 +97,20 @@
 
         self.run_with(work, limits=LIMITS._replace(header_time=timedelta(milliseconds=50)))
 
+    def test_a_refused_head_never_passes_for_the_answer_to_the_request_before_it(self) -> None:
+        async def work(connect: Any) -> None:
+            for begin_of_next in (HEAD, HEAD + b"X: " + b"y" * REQUEST_LINE_BYTES * 2):
+                reader, writer = await connect()
+                SLOW_BEGUN.clear()
+                writer.write(HEAD.replace(b" / ", b" /slow ") + b"Content-Length: 3\r\n\r\none")
+                while not SLOW_BEGUN:
+                    await asyncio.sleep(0.01)
+                writer.write(begin_of_next)
+                self.assertThat(await reader.read(), StartsWith(b"HTTP/1.1 200 "))
+                writer.close()
+
+        self.run_with(work, limits=LIMITS._replace(header_time=timedelta(milliseconds=50)))
+
     def test_a_body_that_falls_silent_is_closed(self) -> None:
         async def work(connect: Any) -> None:
             reader, writer = await connect()
