--- a/packages/testbed/src/hoistsaddle/testbed/emulator/clients.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/clients.py
@@ -48,11 +48,22 @@
         self.transport = None
         self.protocol = SimpleNamespace()
         self.body = body
+        self._unread = body
 
     async def read(self) -> bytes:
         """The body, as aiohttp's request returns it."""
         return self.body
 
+    @property
+    def content(self) -> "Call":
+        """The stream of the body: the request itself stands for it."""
+        return self
+
+    async def readany(self) -> bytes:
+        """What is there of the body, empty at its end, as aiohttp's stream returns it."""
+        unread, self._unread = self._unread, b""
+        return unread
+
 
 class ClientRequest(NamedTuple):
     """One attempt of a request: where it is sent, and until when an answer is of use."""
