--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -105,6 +105,11 @@
 class Deployment:
     """A controller, a sidecar and its server."""
 
+    # The limits of its machines, and of a request's body.
+    memory_mb: float = MEMORY_MB
+    descriptors: int = FD_LIMIT
+    body_bytes: int = BODY_BYTES
+
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.processes: dict[str, asyncio.subprocess.Process] = {}
@@ -118,12 +123,14 @@
         await self._until(self._configure)
         await self._until(self.answers)
 
-    async def _launch(self, role: str, host: str) -> None:
+    async def _launch(self, role: str, host: str, *, name: str = "") -> None:
+        """Start a process; a process with a name of its own is not beside the server."""
         samples, headers = adapter("samples"), adapter("headers")
-        path = self.folder / f"{role}.json"
+        own_name = name or role
+        path = self.folder / f"{own_name}.json"
         path.write_bytes(
             samples.settings(
-                node=role,
+                node=own_name,
                 host=host,
                 zone="a",
                 seeds=[CONTROLLER_HOST],
@@ -131,13 +138,13 @@
                 losses=0,
                 bounds={"grace_s": 6},
                 folder=str(self.folder / "data") if role == "controller" else None,
-                service="crowd" if role == "sidecar" else "",
-                server=f"{HOST}:{SERVER_PORT}",
-                constraints={"memory_mb": MEMORY_MB, "fd_limit": FD_LIMIT},
+                service=name or ("crowd" if role == "sidecar" else ""),
+                server=f"{host if name else HOST}:{SERVER_PORT}",
+                constraints={"memory_mb": self.memory_mb, "fd_limit": self.descriptors},
             )
         )
-        with (self.folder / f"{role}.log").open("wb") as log:
-            self.processes[role] = await asyncio.create_subprocess_exec(
+        with (self.folder / f"{own_name}.log").open("wb") as log:
+            self.processes[own_name] = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(LAUNCHER),
                 role,
@@ -162,7 +169,7 @@
             "name": "crowd", "probe_path": "/health", "conn_limit": 110, "protocol": "h1", "tls": False,
             "self_dedupes": False, "generation": "r1",
         }  # fmt: skip
-        limits = {"header_bytes": 16384, "body_bytes": BODY_BYTES, "header_s": 3, "idle_s": 15, "generation": "r1"}
+        limits = {"header_bytes": 16384, "body_bytes": self.body_bytes, "header_s": 3, "idle_s": 15, "generation": "r1"}
         order = {"apply": {"route_table": [route], "services": [service], "constraints": limits}, "remove": {}}
         body = json.dumps(order).encode()
         return await self._status(CONTROLLER_HOST, samples.CONTROL, "PATCH", samples.CONFIG_PATH, body) == 200
