HTTP listeners count pieces before a parser makes objects of them

Cause: what arrived went into the library's parser first. There a field of 6 bytes and a chunk of one byte each become objects of hundreds of bytes and some microseconds; trailers counted neither as head nor as body; a body that was refused was given back to the budget while its handler still held it.

Change: sidecar/request_framing.py splits a connection's bytes without I/O. A head stays one string until it is whole; small chunks that arrive together are joined to one; trailers are dropped, counted and bounded. common/work_turns.py divides 1,000 chunks for each iteration of the loop among all connections. The budget has leases; small ones (64 KiB) have a reserve, so ordinary requests pass while large bodies use the rest, and a single large body still passes beside small requests.

Why it works: before the parser nothing costs more than its bytes, and between two iterations everybody else is served, however many pieces wait.

--- a/packages/common/src/hoistsaddle/common/byte_budget.py
+++ b/packages/common/src/hoistsaddle/common/byte_budget.py
@@ -7,10 +7,16 @@
 # The share of a process's file descriptors for incoming connections.
 CONNECTIONS_SHARE = 0.5
 BYTES_PER_MEGABYTE = 1024 * 1024
+# A lease of up to this size is small. Small leases may use a reserve that is closed to large ones, so that ordinary
+# requests are still accepted while large bodies use up the rest.
+SMALL_LEASE_BYTES = 64 * 1024
+RESERVE_BYTES = 4 * 1024 * 1024
+# The reserve of a process with little memory, as a share of its budget.
+MAX_RESERVE_SHARE = 0.125
 
 
 class ByteBudget:
-    """Counts the bytes that all connections of a process buffer, against one limit."""
+    """Counts the bytes that a process buffers for others, against one limit."""
 
     def __init__(self, *, memory_megabytes: float = 0.0, descriptors: int = 0) -> None:
         """Starts with nothing buffered.
@@ -23,12 +29,45 @@
         self.max_bytes = int(available / COPIES_OF_A_BODY) if memory_megabytes else None
         self.max_connections = int(descriptors * CONNECTIONS_SHARE) if descriptors else None
         self.held = 0
+        # The number of leases that are not small.
+        self.large_leases = 0
         self.connections = 0
 
-    def has_room_for(self, own_bytes: int) -> bool:
-        """Whether a connection may keep its `own_bytes`: always, if no other connection buffers any."""
-        return self.max_bytes is None or self.held <= self.max_bytes or self.held == own_bytes
+    def lease(self) -> "ByteLease":
+        """Return a new lease of no bytes."""
+        return ByteLease(self)
 
     def has_room_for_connection(self) -> bool:
         """Whether one more connection may be opened."""
         return self.max_connections is None or self.connections < self.max_connections
+
+
+class ByteLease:
+    """The part of a budget that one connection, frame or answer holds. The holder resizes it as bytes come and go."""
+
+    __slots__ = ("_budget", "size")
+
+    def __init__(self, budget: ByteBudget) -> None:
+        self._budget = budget
+        self.size = 0
+
+    def resize(self, size: int) -> None:
+        """Hold this number of bytes from now on."""
+        budget = self._budget
+        budget.held += size - self.size
+        budget.large_leases += (size > SMALL_LEASE_BYTES) - (self.size > SMALL_LEASE_BYTES)
+        self.size = size
+
+    def release(self) -> None:
+        """Hold nothing from now on."""
+        self.resize(0)
+
+    def fits(self) -> bool:
+        """Whether the budget has room for this lease. The only large lease always fits: it may be over the limit."""
+        budget = self._budget
+        if budget.max_bytes is None:
+            return True
+        if self.size <= SMALL_LEASE_BYTES:
+            return budget.held <= budget.max_bytes or budget.held == self.size
+        reserve = min(RESERVE_BYTES, budget.max_bytes * MAX_RESERVE_SHARE)
+        return budget.held <= budget.max_bytes - reserve or budget.large_leases == 1
--- /dev/null
+++ b/packages/common/src/hoistsaddle/common/work_turns.py
@@ -0,0 +1,51 @@
+"""Limits the work that all connections of a process do in one iteration of the event loop."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+
+class WorkTurns:
+    """Divides an allowance of pieces for each iteration of the event loop among those that have some to process.
+
+    Whoever finds the allowance used up waits for a later iteration, first come, first served. In between the loop
+    serves everybody else, however many pieces are waiting.
+    """
+
+    def __init__(self, *, pieces_per_iteration: int) -> None:
+        """Starts with a whole allowance.
+
+        Args:
+            pieces_per_iteration: How many pieces may be processed in one iteration of the event loop.
+        """
+        self._pieces_per_iteration = pieces_per_iteration
+        self.left = pieces_per_iteration
+        self._waiting: deque[Callable[[], None]] = deque()
+        self._scheduled = False
+
+    def spend(self, pieces: int) -> None:
+        """Take pieces from the allowance of this iteration."""
+        if pieces:
+            self.left -= pieces
+            self._schedule()
+
+    def wait(self, proceed: Callable[[], None]) -> None:
+        """Call `proceed` in a later iteration, when there is an allowance again."""
+        self._waiting.append(proceed)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if not self._scheduled:
+            self._scheduled = True
+            asyncio.get_running_loop().call_soon(self._begin_iteration)
+
+    def _begin_iteration(self) -> None:
+        self._scheduled = False
+        self.left = self._pieces_per_iteration
+        # Those that wait again meanwhile are called in a later iteration.
+        for _ in range(len(self._waiting)):
+            if self.left <= 0:
+                break
+            self._waiting.popleft()()
+        if self._waiting:
+            self._schedule()
--- a/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
@@ -1,14 +1,23 @@
 """An HTTP server that limits its connections as data arrives: heads in size and time, bodies by one byte budget."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any, NamedTuple, cast
 
 from aiohttp import StreamReader, web
+from aiohttp.http import RawRequestMessage
 from aiohttp.web_protocol import RequestHandler
 
 from hoistsaddle.common.byte_budget import ByteBudget
+from hoistsaddle.common.work_turns import WorkTurns
+from hoistsaddle.sidecar.request_framing import (
+    BodyReceived,
+    HeadReceived,
+    MalformedBody,
+    RequestFraming,
+    TrailersTooLarge,
+)
 
 # The allowance for the request line, which the limit on header bytes doesn't include.
 REQUEST_LINE_BYTES = 16384
@@ -18,6 +27,11 @@
 OVER_BUDGET_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
+# The memory that a parser needs for a head field besides the field's bytes.
+FIELD_OVERHEAD_BYTES = 512
+# Chunks that all connections of a process decode in one iteration of the event loop: a few milliseconds of work.
+CHUNKS_PER_ITERATION = 1000
+MALFORMED_RESPONSE = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 HEAD_TIMEOUT_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 
@@ -33,6 +47,9 @@
     """The byte budget of the process is used up; the request has not run."""
 
 
+_Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
 class GuardedServer(web.Server):
     """An aiohttp server whose connections are limited."""
 
@@ -45,43 +62,76 @@
             limits: Returns the limits that are in force now.
             arguments: Further arguments of web.Server.
         """
-        super().__init__(handler, **arguments)
+        super().__init__(_refusing(handler), **arguments)
         self.budget = budget
         self.limits = limits
+        self.chunk_turns = WorkTurns(pieces_per_iteration=CHUNKS_PER_ITERATION)
 
     def __call__(self) -> RequestHandler:
         """Make the protocol of one connection."""
         return GuardedConnection(self, loop=self._loop, **self._kwargs)
 
 
+def _refusing(handler: _Handler) -> _Handler:
+    """Return a handler that refuses requests whose body was refused while it was read, unless it does so itself."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except OverBudget:
+            response = web.Response(status=503, headers={"Retry-After": "0.5"})
+        except TrailersTooLarge:
+            response = web.Response(status=431)
+        except MalformedBody:
+            response = web.Response(status=400)
+        response.force_close()
+        return response
+
+    return handle
+
+
 class GuardedConnection(RequestHandler):
-    """One connection, whose bytes count against the budget until its request has been answered."""
+    """One connection, whose bytes count against the budget until its request has been answered.
+
+    The library's parser receives complete heads and joined chunks only; what is incomplete is kept as bytes.
+    """
 
     __slots__ = (
         "_admitted",
+        "_advancing",
+        "_body",
         "_budget",
-        "_head_bytes",
+        "_chunk_turns",
+        "_framing",
         "_head_timer",
-        "_held",
         "_idle_timer",
+        "_lease",
         "_limits",
-        "_newest_body",
+        "_refused",
         "_refused_body",
+        "_request_bytes",
+        "_waits_for_turn",
     )
 
     def __init__(self, server: GuardedServer, **arguments: Any) -> None:
         super().__init__(server, **arguments)
         self._budget = server.budget
         self._limits = server.limits
+        self._chunk_turns = server.chunk_turns
+        self._lease = server.budget.lease()
+        self._framing = RequestFraming()
         self._admitted = False
-        self._held = 0
-        self._head_bytes = 0
+        # The bytes of requests that the parser has received and that are not answered yet.
+        self._request_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
-        # The body of the newest request on this connection.
-        self._newest_body: StreamReader | None = None
-        # A body that was refused, after which the connection is closed.
+        # The body that is being received.
+        self._body: StreamReader | None = None
+        # Whether a body was refused or is malformed: what else arrives is discarded until the connection is closed.
+        self._refused = False
         self._refused_body: StreamReader | None = None
+        self._advancing = False
+        self._waits_for_turn = False
 
     # -- connections -------------------------------------------------------------------------------------------------
 
@@ -100,70 +150,162 @@
             return
         self._admitted = False
         self._budget.connections -= 1
-        self._release()
+        self._lease.release()
         self._stop_timers()
         super().connection_lost(exc)
 
     # -- bytes -------------------------------------------------------------------------------------------------------
 
     def data_received(self, data: bytes) -> None:
-        """Counts received data, passes it to aiohttp, and refuses what is over a limit."""
-        if not self._admitted or self._is_ending():
+        """Counts received data, and passes what is complete to aiohttp. Empty data means that reading was resumed."""
+        if not self._admitted or self._refused or self._is_ending():
             return
-        if self._refused_body is not None:
-            # The rest of a refused body is read and discarded for a while, so that the client receives the refusal.
-            super().data_received(data)
-            return
-        was_in_head = self._is_in_head()
-        before = self._request_count
-        self._held += len(data)
-        self._budget.held += len(data)
-        super().data_received(data)
-        if self._request_count > before:
-            self._head_completed()
-        elif was_in_head:
-            self._head_continued(len(data))
-        if self._newest_body is not None and not self._newest_body.is_eof():
-            self._body_continued(self._newest_body)
-        elif self._idle_timer is not None:
-            self._idle_timer.cancel()
-            self._idle_timer = None
+        if data:
+            self._framing.feed(data)
+            self._count_bytes()
+        elif not self._advancing:
+            # The parser may have kept data while reading was paused.
+            super().data_received(b"")
+        self._advance()
 
     def _is_ending(self) -> bool:
         return self._force_close or self._close
 
-    def _is_in_head(self) -> bool:
-        return self._newest_body is None or self._newest_body.is_eof()
+    def _count_bytes(self) -> None:
+        self._lease.resize(self._framing.pending_bytes + self._request_bytes)
 
-    def _head_completed(self) -> None:
-        self._head_bytes = 0
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-        body = self._messages[-1][1] if self._messages else None
-        self._newest_body = body if isinstance(body, StreamReader) else None
-
-    def _head_continued(self, size: int) -> None:
+    def _advance(self) -> None:
+        """Pass complete heads and body data to the parser, as far as it and the other connections allow."""
+        if self._advancing or not self._admitted:
+            return
+        self._advancing = True
+        try:
+            while self._may_advance() and self._advance_once():
+                pass
+        finally:
+            self._advancing = False
+        self._watch_incomplete()
+
+    def _may_advance(self) -> bool:
+        held_back = self._waits_for_turn or self._reading_paused or self._buffer_paused or self._upgraded
+        return self._admitted and not held_back and not self._refused and not self._is_ending()
+
+    def _advance_once(self) -> bool:
+        """Pass one head, or some body data, to the parser; False if there is nothing complete."""
+        if not self._framing.in_head and self._chunk_turns.left <= 0:
+            self._wait_for_turn()
+            return False
+        try:
+            part, chunks = self._framing.next_part(max_pieces=self._chunk_turns.left)
+        except (TrailersTooLarge, MalformedBody) as problem:
+            self._refuse_body(problem)
+            return False
+        self._chunk_turns.spend(chunks)
+        match part:
+            case HeadReceived(data):
+                self._take_head(data)
+            case BodyReceived(data, payload_bytes):
+                self._take_body(data, payload_bytes)
+            case None:
+                # Trailers were decoded, if any chunk was.
+                return chunks > 0
+        return True
+
+    def _wait_for_turn(self) -> None:
+        if self._framing.pending_bytes:
+            self._waits_for_turn = True
+            self._pause_transport_reading()
+            self._chunk_turns.wait(self._turn_came)
+
+    def _turn_came(self) -> None:
+        self._waits_for_turn = False
+        self._proceed()
+
+    def _proceed(self) -> None:
+        """Process what was held back, and read on."""
+        self._advance()
+        if not self._reading_paused and not self._buffer_paused:
+            self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        if not self._waits_for_turn:
+            super()._resume_transport_reading()
+
+    def _take_head(self, data: bytes) -> None:
+        self._stop_timers()
         limits = self._limits()
-        self._head_bytes += size
-        if self._head_bytes > limits.header_bytes + REQUEST_LINE_BYTES:
+        if len(data) > limits.header_bytes + REQUEST_LINE_BYTES:
             self._end(HEAD_TOO_LARGE_RESPONSE)
-        elif not self._budget.has_room_for(self._held):
+            return
+        before = self._request_count
+        super().data_received(data)
+        if self._request_count == before:
+            self._end(MALFORMED_RESPONSE)
+            return
+        self._request_bytes += len(data) + data.count(b"\n") * FIELD_OVERHEAD_BYTES
+        message, body = self._messages[-1]
+        if not isinstance(message, RawRequestMessage):
+            self._refused = True
+        elif isinstance(body, StreamReader) and not self._upgraded:
+            self._body = body
+            length = None if message.chunked else int(message.headers.get("Content-Length", "0"))
+            self._framing.begin_body(length=length)
+        self._count_bytes()
+
+    def _take_body(self, data: bytes, payload_bytes: int) -> None:
+        super().data_received(data)
+        self._request_bytes += payload_bytes
+        self._count_bytes()
+        if self._framing.in_head:
+            self._body = None
+
+    def _watch_incomplete(self) -> None:
+        """Limit what is incomplete, in size and in time."""
+        if not self._admitted or self._refused or self._is_ending():
+            return
+        if self._body is not None:
+            self._watch_body()
+        elif self._framing.head_bytes:
+            self._watch_head()
+
+    def _watch_head(self) -> None:
+        limits = self._limits()
+        if self._framing.head_bytes > limits.header_bytes + REQUEST_LINE_BYTES:
+            if self._may_advance():
+                self._end(HEAD_TOO_LARGE_RESPONSE)
+            else:
+                # Requests before it are still being answered; what follows them is read later.
+                self._pause_transport_reading()
+        elif not self._lease.fits():
             self._end(OVER_BUDGET_RESPONSE)
         elif self._head_timer is None:
             self._head_timer = self._loop.call_later(
                 limits.header_time.total_seconds(), self._end, HEAD_TIMEOUT_RESPONSE
             )
 
-    def _body_continued(self, body: StreamReader) -> None:
-        if not self._budget.has_room_for(self._held):
-            self._refused_body = body
-            self._release()
-            body.set_exception(OverBudget())
+    def _watch_body(self) -> None:
+        if not self._lease.fits():
+            self._refuse_body(OverBudget())
             return
         if self._idle_timer is not None:
             self._idle_timer.cancel()
-        self._idle_timer = self._loop.call_later(self._limits().idle_time.total_seconds(), self.force_close)
+            self._idle_timer = None
+        if not self._waits_for_turn:
+            self._idle_timer = self._loop.call_later(self._limits().idle_time.total_seconds(), self.force_close)
+
+    def _refuse_body(self, reason: Exception) -> None:
+        """Let the request's handler refuse it; the rest of its body is read and discarded for a while.
+
+        What was received of it stays counted until the handler has returned, as it is held until then.
+        """
+        body, self._body = self._body, None
+        self._refused = True
+        self._framing.discard()
+        self._count_bytes()
+        self._stop_timers()
+        if body is not None:
+            body.set_exception(reason)
+            self._refused_body = body
 
     def _end(self, answer: bytes) -> None:
         """Refuses an incomplete head, and closes the connection."""
@@ -173,13 +315,10 @@
             return
         if self.transport is not None and not self._is_ending():
             self.transport.write(answer)
-        self._release()
+        self._framing.discard()
+        self._lease.release()
         self.force_close()
 
-    def _release(self) -> None:
-        self._budget.held -= self._held
-        self._held = 0
-
     def _stop_timers(self) -> None:
         for timer in (self._head_timer, self._idle_timer):
             if timer is not None:
@@ -191,6 +330,12 @@
             return await super()._handle_request(*arguments)
         finally:
             if self._refused_body is not None:
+                # The library waits for the rest of the body, which fails with an exception set.
                 self._refused_body.set_exception(None)  # type: ignore[arg-type]
-            if self._is_in_head():
-                self._release()
+            if self._body is None and not self._messages:
+                self._request_bytes = 0
+            if self._admitted:
+                self._count_bytes()
+            if self._framing.pending_bytes:
+                # What follows may have been held back: by an upgrade that was asked for, or by its size.
+                self._loop.call_soon(self._proceed)
