HTTP listeners bound what waits unread in the kernel and ahead of handlers

Cause: each connection had the kernel's own receive buffer, which grows to megabytes, and the library read 512 KiB ahead of a handler; the budget knew neither.

Evidence: 295 MB of 160 in tests/test_hostile_crowds.py.

Change: where memory_mb is known, accepted connections inherit a receive buffer of 16 KiB; 16 connections at a time that receive a larger body have 512 KiB. The parser reads 64 KiB ahead at most.

Why it works: what can wait in the kernel is now the number of connections times their buffer, whatever clients send.

--- a/packages/common/src/hoistsaddle/common/byte_budget.py
+++ b/packages/common/src/hoistsaddle/common/byte_budget.py
@@ -32,6 +32,8 @@
         # The number of leases that are not small.
         self.large_leases = 0
         self.connections = 0
+        # The number of connections whose receive buffers are enlarged for a body.
+        self.body_receive_buffers = 0
 
     def lease(self) -> "ByteLease":
         """Return a new lease of no bytes."""
--- a/packages/common/src/hoistsaddle/common/listening.py
+++ b/packages/common/src/hoistsaddle/common/listening.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import socket
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import TypeVar
@@ -10,6 +11,8 @@
 
 from hoistsaddle.common.backoff import ExponentialBackoff
 from hoistsaddle.common.clock import milliseconds, monotonic_now
+from hoistsaddle.common.receive_buffers import limit_receive_buffer
+from hoistsaddle.common.settings import split_address
 
 MIN_BACKOFF = milliseconds(50)
 MAX_BACKOFF = timedelta(seconds=1)
@@ -48,3 +51,27 @@
                 )
             backoff.failed(now=monotonic_now())
             await asyncio.sleep(backoff.delay.total_seconds())
+
+
+def bound_socket(address: str, *, receive_buffer: int | None) -> socket.socket:
+    """Return a socket that is bound to an address, and not listening yet.
+
+    Args:
+        address: IP address and port.
+        receive_buffer: The receive buffer of each connection in bytes; None for the system's own sizes.
+
+    Raises:
+        OSError: The address can't be bound.
+    """
+    host, port = split_address(address)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if receive_buffer is not None:
+            limit_receive_buffer(sock, receive_buffer)
+        sock.bind((host, port))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
--- a/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
@@ -10,6 +10,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from hoistsaddle.common.byte_budget import ByteBudget
+from hoistsaddle.common.receive_buffers import RECEIVE_BUFFER_BYTES, BodyReceiveBuffer
 from hoistsaddle.common.work_turns import WorkTurns
 from hoistsaddle.sidecar.request_framing import (
     BodyReceived,
@@ -107,6 +108,7 @@
         "_idle_timer",
         "_lease",
         "_limits",
+        "_receive_buffer",
         "_refused",
         "_refused_body",
         "_request_bytes",
@@ -119,6 +121,7 @@
         self._limits = server.limits
         self._chunk_turns = server.chunk_turns
         self._lease = server.budget.lease()
+        self._receive_buffer = BodyReceiveBuffer(server.budget)
         self._framing = RequestFraming()
         self._admitted = False
         # The bytes of requests that the parser has received and that are not answered yet.
@@ -151,6 +154,7 @@
         self._admitted = False
         self._budget.connections -= 1
         self._lease.release()
+        self._receive_buffer.restore(None)
         self._stop_timers()
         super().connection_lost(exc)
 
@@ -250,6 +254,8 @@
             self._body = body
             length = None if message.chunked else int(message.headers.get("Content-Length", "0"))
             self._framing.begin_body(length=length)
+            if length is None or length > RECEIVE_BUFFER_BYTES:
+                self._receive_buffer.enlarge(self.transport)
         self._count_bytes()
 
     def _take_body(self, data: bytes, payload_bytes: int) -> None:
@@ -258,6 +264,7 @@
         self._count_bytes()
         if self._framing.in_head:
             self._body = None
+            self._receive_buffer.restore(self.transport)
 
     def _watch_incomplete(self) -> None:
         """Limit what is incomplete, in size and in time."""
@@ -303,6 +310,7 @@
         self._framing.discard()
         self._count_bytes()
         self._stop_timers()
+        self._receive_buffer.restore(self.transport)
         if body is not None:
             body.set_exception(reason)
             self._refused_body = body
--- a/packages/sidecar/src/hoistsaddle/sidecar/listener.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/listener.py
@@ -11,8 +11,8 @@
 from hoistsaddle.common.byte_budget import ByteBudget
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.errors import BodyTooLarge, MeshError, QueueFull
-from hoistsaddle.common.listening import listen_once_free
-from hoistsaddle.common.settings import split_address
+from hoistsaddle.common.listening import bound_socket, listen_once_free
+from hoistsaddle.common.receive_buffers import RECEIVE_BUFFER_BYTES
 from hoistsaddle.sidecar.guarded_http import GuardedServer, HttpLimits, OverBudget
 from hoistsaddle.sidecar.header_names import HeaderNames
 from hoistsaddle.sidecar.header_pairs import HOP_BY_HOP, Pairs, pack_pairs, unpack_pairs
@@ -20,6 +20,9 @@
 from hoistsaddle.sidecar.node import SidecarNode
 
 LARGEST_HEADER = 262144
+# What a connection reads ahead of its handler, in bytes; at twice this, reading is paused.
+READ_AHEAD_BYTES = 32768
+BACKLOG = 1024
 # The limit on a request body, in bytes, before there is a configuration.
 UNCONFIGURED_BODY = 1024 * 1024
 UNAVAILABLE, TOO_LARGE = 503, 413
@@ -51,15 +54,17 @@
     Returns:
         The runner that closes the listener.
     """
+    budget = budget or ByteBudget()
     server = GuardedServer(
         handler,
-        budget=budget or ByteBudget(),
+        budget=budget,
         limits=limits,
         access_log=None,
         max_line_size=LARGEST_HEADER,
         max_field_size=LARGEST_HEADER,
         keepalive_timeout=idle.total_seconds(),
         lingering_time=0.5,
+        read_bufsize=READ_AHEAD_BYTES,
         # Bodies are forwarded unchanged, whatever their content coding, together with their headers.
         auto_decompress=False,
         # The handler is cancelled when its client disconnects, so that the request is abandoned where that is allowed.
@@ -68,13 +73,13 @@
     # Requests that still run when a listener closes have had their grace period, so the close itself is quick.
     runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.2)
     await runner.setup()
-    await listen_once_free(lambda: _open_site(runner, address), address=address)
+    receive_buffer = None if budget.max_bytes is None else RECEIVE_BUFFER_BYTES
+    await listen_once_free(lambda: _open_site(runner, address, receive_buffer=receive_buffer), address=address)
     return runner
 
 
-async def _open_site(runner: web.ServerRunner, address: str) -> None:
-    host, port = split_address(address)
-    site = web.TCPSite(runner, host, port, backlog=1024, reuse_address=True)
+async def _open_site(runner: web.ServerRunner, address: str, *, receive_buffer: int | None) -> None:
+    site = web.SockSite(runner, bound_socket(address, receive_buffer=receive_buffer), backlog=BACKLOG)
     try:
         await site.start()
     except OSError:
