The mesh's own port counts frames and connections before it holds them

Cause: a frame of up to 64 MiB was read whole before anybody counted it, and nothing limited connections or the time of a frame.

Change: a frame over 64 KiB is read in parts that a lease of the process's budget holds until its call is answered; without room, or when nothing arrives for 10 s, the connection is closed. A quarter of the descriptors is for mesh connections; beyond it the oldest without a whole frame makes room. Receive buffers are 32 KiB.

Why it works: heartbeats, polls and log frames are small and not refused; what is large is counted while it arrives, by the budget that bodies of clients use too.

Left: peers that send whole frames and then rest keep their connections.

--- a/packages/common/src/hoistsaddle/common/byte_budget.py
+++ b/packages/common/src/hoistsaddle/common/byte_budget.py
@@ -6,6 +6,8 @@
 COPIES_OF_A_BODY = 3
 # The share of a process's file descriptors for incoming connections.
 CONNECTIONS_SHARE = 0.5
+# The share of its file descriptors for connections of other processes of the mesh.
+MESH_CONNECTIONS_SHARE = 0.25
 BYTES_PER_MEGABYTE = 1024 * 1024
 # A lease of up to this size is small. Small leases may use a reserve that is closed to large ones, so that ordinary
 # requests are still accepted while large bodies use up the rest.
@@ -28,6 +30,7 @@
         available = max(0.0, memory_megabytes * BYTES_PER_MEGABYTE - OWN_MEMORY_BYTES)
         self.max_bytes = int(available / COPIES_OF_A_BODY) if memory_megabytes else None
         self.max_connections = int(descriptors * CONNECTIONS_SHARE) if descriptors else None
+        self.max_mesh_connections = int(descriptors * MESH_CONNECTIONS_SHARE) if descriptors else None
         self.held = 0
         # The number of leases that are not small.
         self.large_leases = 0
--- a/packages/rpc/src/hoistsaddle/rpc/framing.py
+++ b/packages/rpc/src/hoistsaddle/rpc/framing.py
@@ -3,11 +3,17 @@
 import asyncio
 import struct
 from collections import defaultdict
+from datetime import timedelta
 
+from hoistsaddle.common.byte_budget import SMALL_LEASE_BYTES, ByteLease
 from hoistsaddle.rpc.codec import Frame, pack, unpack_frame
 
 # In bytes. A larger length means that the peer isn't a hoistsaddle process.
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+# A larger frame is read in parts of this size, each of which is counted.
+FRAME_PART_BYTES = 65536
+# A large frame of which nothing arrives for this long will not be completed.
+FRAME_STALL_TIMEOUT = timedelta(seconds=10)
 IN = "in"
 OUT = "out"
 _length_struct = struct.Struct("!I")
@@ -31,21 +37,49 @@
         self.octets[key] += size
 
 
-async def read_frame(reader: asyncio.StreamReader, traffic: Traffic) -> Frame:
+class FrameOverBudget(Exception):
+    """The byte budget of the process has no room for a frame that is being received."""
+
+
+async def read_frame(reader: asyncio.StreamReader, traffic: Traffic, *, lease: ByteLease | None = None) -> Frame:
     """Reads the next frame.
 
+    Args:
+        reader: The stream to read from.
+        traffic: Counts the frame.
+        lease: Holds the bytes of the frame as they arrive, until the caller releases it; None if they are not counted.
+
     Raises:
         ValueError: The data is not a valid frame.
-        OSError, asyncio.IncompleteReadError, EOFError: The connection was closed or lost.
+        FrameOverBudget: The budget has no room for the frame; the stream can't be used any more.
+        OSError, asyncio.IncompleteReadError, EOFError: The connection was lost, or the frame stopped arriving.
     """
     (length,) = _length_struct.unpack(await reader.readexactly(_length_struct.size))
     if length > MAX_FRAME_BYTES:
         raise ValueError(f"frame of {length} bytes")
-    frame = unpack_frame(await reader.readexactly(length))
+    if length <= SMALL_LEASE_BYTES or lease is None:
+        data = await reader.readexactly(length)
+    else:
+        data = await _read_large_frame(reader, length, lease)
+    frame = unpack_frame(data)
     traffic.count(IN, frame.message, length + _length_struct.size)
     return frame
 
 
+async def _read_large_frame(reader: asyncio.StreamReader, length: int, lease: ByteLease) -> bytes:
+    data = bytearray()
+    while len(data) < length:
+        async with asyncio.timeout(FRAME_STALL_TIMEOUT.total_seconds()):
+            part = await reader.read(min(length - len(data), FRAME_PART_BYTES))
+        if not part:
+            raise asyncio.IncompleteReadError(b"", length - len(data))
+        data += part
+        lease.resize(len(data))
+        if not lease.fits():
+            raise FrameOverBudget
+    return bytes(data)
+
+
 def encode_frame(traffic: Traffic, *, number: int, answer: bool, message: tuple, sent: float) -> bytes:
     """Encodes and counts one frame; for a call, `sent` is the event loop's time when its last byte is written."""
     data = pack(number=number, answer=answer, message=message, sent=sent)
--- a/packages/rpc/src/hoistsaddle/rpc/runtime.py
+++ b/packages/rpc/src/hoistsaddle/rpc/runtime.py
@@ -9,6 +9,7 @@
 
 from returns.result import Result
 
+from hoistsaddle.common.byte_budget import ByteBudget
 from hoistsaddle.common.clock import monotonic_now
 from hoistsaddle.common.errors import MeshError
 from hoistsaddle.rpc.client import CONNECT_TIMEOUT, RpcClient
@@ -72,6 +73,7 @@
         keep_alive: KeepAlive | None = None,
         connect_timeout: timedelta = CONNECT_TIMEOUT,
         local_calls: bool = False,
+        budget: ByteBudget | None = None,
     ) -> None:
         """Starts without connections.
 
@@ -80,7 +82,9 @@
             keep_alive: How connections with calls in flight are checked; None for no checks.
             connect_timeout: How long a call waits for its connection.
             local_calls: Whether calls to addresses that this process serves are direct function calls.
+            budget: The byte budget of the process; None if its memory is not limited.
         """
+        self._budget = budget
         self.local_calls = local_calls
         self.random = random.Random()
         self.rpc_client = RpcClient(
@@ -99,7 +103,7 @@
 
     async def serve(self, address: str, handler: Handler) -> RpcServer:
         """Starts a server that listens on the address."""
-        server = RpcServer(address=address, handler=handler, traffic=self.rpc_client.traffic)
+        server = RpcServer(address=address, handler=handler, traffic=self.rpc_client.traffic, budget=self._budget)
         await server.start()
         if self.local_calls:
             self.rpc_client.local_handlers[address] = handler
--- a/packages/rpc/src/hoistsaddle/rpc/server.py
+++ b/packages/rpc/src/hoistsaddle/rpc/server.py
@@ -5,13 +5,15 @@
 
 from loguru import logger
 
-from hoistsaddle.common.listening import listen_once_free
-from hoistsaddle.common.settings import split_address
+from hoistsaddle.common.byte_budget import ByteBudget, ByteLease
+from hoistsaddle.common.listening import bound_socket, listen_once_free
 from hoistsaddle.rpc.call_context import set_call_age
 from hoistsaddle.rpc.frame_ages import FrameAges
-from hoistsaddle.rpc.framing import Traffic, read_frame, write_frame
+from hoistsaddle.rpc.framing import FrameOverBudget, Traffic, read_frame, write_frame
 from hoistsaddle.rpc.messages import PingAnswer, PingCall
 
+# The kernel's receive buffer of each connection, if the memory of the process is limited.
+MESH_RECEIVE_BUFFER_BYTES = 32 * 1024
 # Answers a call; None means that no answer is sent, so that the call times out at the caller.
 Handler = Callable[[tuple], Awaitable[tuple | None]]
 
@@ -19,19 +21,25 @@
 class RpcServer:
     """Answers calls of other processes, each in a separate task."""
 
-    def __init__(self, *, address: str, handler: Handler, traffic: Traffic | None = None) -> None:
+    def __init__(
+        self, *, address: str, handler: Handler, traffic: Traffic | None = None, budget: ByteBudget | None = None
+    ) -> None:
         """Configures the server; `start` makes it listen.
 
         Args:
             address: The mesh address, host:port.
             handler: Answers a call.
             traffic: Counts the frames and bytes of both directions.
+            budget: The byte budget of the process; without one neither frames nor connections are limited.
         """
         self.address = address
         self.handler = handler
         self.traffic = traffic or Traffic()
         self._server: asyncio.Server | None = None
+        self._budget = budget or ByteBudget()
         self._writers: set[asyncio.StreamWriter] = set()
+        # The connections on which no frame was complete yet, the oldest first.
+        self._without_frame: dict[asyncio.StreamWriter, None] = {}
         self._tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
@@ -40,18 +48,46 @@
         Raises:
             OSError: The address can't be bound.
         """
-        host, port = split_address(self.address)
-        self._server = await listen_once_free(
-            lambda: asyncio.start_server(self._serve, host, port), address=self.address
-        )
+        self._server = await listen_once_free(self._listen, address=self.address)
+
+    async def _listen(self) -> asyncio.Server:
+        receive_buffer = None if self._budget.max_bytes is None else MESH_RECEIVE_BUFFER_BYTES
+        sock = bound_socket(self.address, receive_buffer=receive_buffer)
+        try:
+            return await asyncio.start_server(self._serve, sock=sock)
+        except OSError:
+            sock.close()
+            raise
+
+    def _make_room(self) -> bool:
+        """Whether one more connection may be served; one that has sent no frame yet is closed for it if necessary."""
+        most = self._budget.max_mesh_connections
+        if most is None or len(self._writers) < most:
+            return True
+        if not self._without_frame:
+            return False
+        oldest = next(iter(self._without_frame))
+        self._forget(oldest)
+        oldest.transport.abort()
+        return True
+
+    def _forget(self, writer: asyncio.StreamWriter) -> None:
+        self._writers.discard(writer)
+        self._without_frame.pop(writer, None)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if not self._make_room():
+            writer.transport.abort()
+            return
         self._writers.add(writer)
+        self._without_frame[writer] = None
+        lease = self._budget.lease()
         loop = asyncio.get_running_loop()
         ages = FrameAges(accepted=loop.time())
         try:
             while True:
-                number, _, message, sent = await read_frame(reader, self.traffic)
+                number, _, message, sent = await read_frame(reader, self.traffic, lease=lease)
+                self._without_frame.pop(writer, None)
                 # The task that answers the call inherits this context variable.
                 set_call_age(ages.age(sent=sent, now=loop.time()))
                 if isinstance(message, PingCall):
@@ -60,19 +96,27 @@
                 if message is None:
                     # A call that only a newer release knows: no answer shows the sender that it isn't supported.
                     continue
-                task = asyncio.ensure_future(self._answer(writer, number, message))
+                task = asyncio.ensure_future(self._answer(writer, number, message, lease))
+                # The call holds its bytes until it is answered; the next frame has a lease of its own.
+                lease = self._budget.lease()
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
         except (OSError, asyncio.IncompleteReadError, EOFError, asyncio.CancelledError):
             pass
         except ValueError as problem:
             logger.warning("{}: closing a connection that sent an invalid frame: {}", self.address, problem)
+        except FrameOverBudget:
+            logger.warning("{}: closing a connection: the byte budget has no room for its frame", self.address)
         finally:
-            self._writers.discard(writer)
+            lease.release()
+            self._forget(writer)
             writer.close()
 
-    async def _answer(self, writer: asyncio.StreamWriter, number: int, message: tuple) -> None:
-        answer = await self.handler(message)
+    async def _answer(self, writer: asyncio.StreamWriter, number: int, message: tuple, lease: ByteLease) -> None:
+        try:
+            answer = await self.handler(message)
+        finally:
+            lease.release()
         if answer is not None and not writer.is_closing():
             write_frame(writer, self.traffic, number=number, answer=True, message=answer)
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/service.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/service.py
@@ -43,14 +43,16 @@
     async def start(self) -> None:
         """Start the node and then the listeners, so that any request that arrives can be forwarded."""
         settings = self.sidecar_settings
-        runtime = RealRuntime(keep_alive=KEEP_ALIVE, connect_timeout=CONNECT_TIMEOUT, local_calls=True)
+        self.budget = ByteBudget(memory_megabytes=settings.memory_megabytes, descriptors=settings.descriptors)
+        runtime = RealRuntime(
+            keep_alive=KEEP_ALIVE, connect_timeout=CONNECT_TIMEOUT, local_calls=True, budget=self.budget
+        )
         self.server_connections = ServerConnectionPool(
             header_names=self.header_names, counters=Counters(owner=settings.name)
         )
         self.node = SidecarNode(settings=settings, runtime=runtime, serve=self.server_connections.serve)
         self.server_connections.counters = self.node.counters
         await self.node.start()
-        self.budget = ByteBudget(memory_megabytes=settings.memory_megabytes, descriptors=settings.descriptors)
         ingress = IngressHandler(node=self.node, header_names=self.header_names)
         self.listener = await open_listener(
             address=settings.door,
