A body of 64 MiB fits into the frame that takes it to another sidecar

Cause: the largest frame was 64 MiB, as large as the largest body, without room for the request's head and the encoding. The receiver closed the connection; the sender asked after the attempt, learned that it had not run, and had no further send.

Evidence: tests/test_hostile_crowds.py InCalm,: status 503 for a body of 64 MiB, while the same body for the server beside its own sidecar got 200.

Change: a frame may be 1 MiB larger than the largest body.

--- a/packages/rpc/src/hoistsaddle/rpc/framing.py
+++ b/packages/rpc/src/hoistsaddle/rpc/framing.py
@@ -8,8 +8,10 @@
 from hoistsaddle.common.byte_budget import SMALL_LEASE_BYTES, ByteLease
 from hoistsaddle.rpc.codec import Frame, pack, unpack_frame
 
-# In bytes. A larger length means that the peer isn't a hoistsaddle process.
-MAX_FRAME_BYTES = 64 * 1024 * 1024
+# What a frame may have besides a body: its headers and encoding, in bytes.
+FRAME_OVERHEAD_BYTES = 1024 * 1024
+# The largest frame: one with the largest body. A larger length means that the peer isn't a hoistsaddle process.
+MAX_FRAME_BYTES = 64 * 1024 * 1024 + FRAME_OVERHEAD_BYTES
 # A larger frame is read in parts of this size, each of which is counted.
 FRAME_PART_BYTES = 65536
 # A large frame of which nothing arrives for this long will not be completed.
