Answers of which much arrives in one read are no longer broken off

Cause: when more than 128 KiB of a body wait to be taken, the library pauses reading and, with it, the parser of the connection; ours is not the library's own one, so that an assertion failed inside the parser, which counts as a broken answer.

Evidence: data_received with a head and 200,000 bytes of body on ends in ClientPayloadError; the new test fails there in the same way.

Change: the connection pauses its transport alone. The parser goes on with the one read that it has, which is bounded.

--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
@@ -108,6 +108,16 @@
             self.tail = part[-2:]
         self._wake()
 
+    def pause_reading(self) -> None:
+        """Stop reading while a body waits to be taken; the parser keeps nothing, so it goes on with what it has."""
+        self._reading_paused = True
+        self._pause_transport_reading()
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Read on."""
+        self._reading_paused = False
+        self._resume_transport_reading()
+
     def framing(self, message: RawResponseMessage) -> AnswerFraming:
         """Return how this response's body is framed."""
         return framing_of(
--- a/tests/test_sidecar_server_connections.py
+++ b/tests/test_sidecar_server_connections.py
@@ -12,6 +12,7 @@
 
 from hoistsaddle.common.errors import ErrorKind
 from hoistsaddle.sidecar.header_pairs import pack_pairs, unpack_pairs
+from hoistsaddle.sidecar.server_connection import ServerConnection
 from hoistsaddle.sidecar.server_connections import ServerConnectionPool
 from raw_server import ID, Case, RawServer, ServerRequest, answer, plain
 from stepped_clock import run_stepped, step
@@ -95,6 +96,19 @@
         head = answer("s1", b"", "Transfer-Encoding: chunked", length=False)
         self.assertServed(self.one(self.saying(head, body[:6], body[6:])), b"abcdefg")
 
+    def test_an_answer_larger_than_the_read_buffer_arrives_whole(self) -> None:
+        # Guards against answers that break off because more arrived in one read than is read ahead (issue 51).
+        body = b"x" * 200_000
+
+        async def read() -> bytes:
+            connection = ServerConnection(asyncio.get_running_loop())
+            connection.begin(with_body=True)
+            connection.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            _, payload = await connection.next_message()
+            return await payload.read()
+
+        self.assertThat(asyncio.run(read()), Equals(body))
+
     def test_incomplete_chunks_are_no_answer(self) -> None:
         head = answer("s1", b"", "Transfer-Encoding: chunked", length=False)
         self.assertMissed(self.one(self.saying(head, b"3\r\nabc\r\n", cut=True)), ErrorKind.ANSWER_BROKEN)
