Answers of servers count from their first byte until their client has read them

Cause: nobody counted what came from servers, what waited in a connection to a client or to another sidecar, or what came back from one; nothing ended a client that stops reading. Of an answer that was broken off, the error's traceback kept all that had been read, in a reference cycle that only the collector ends.

Change: a lease holds an answer while it is read (with what its chunks and fields cost the parser), while it is written to a client, and while it is written to or read from another sidecar. The traceback and the cycle are cut.

Why it works: each place where an answer rests is counted by the same budget as bodies, so new ones are refused before the memory is used up; small answers have the reserve.

--- a/packages/rpc/src/hoistsaddle/rpc/client.py
+++ b/packages/rpc/src/hoistsaddle/rpc/client.py
@@ -8,6 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
+from hoistsaddle.common.byte_budget import ByteBudget
 from hoistsaddle.common.errors import MeshError
 from hoistsaddle.common.settings import split_address
 from hoistsaddle.rpc.call_context import set_call_age
@@ -42,6 +43,7 @@
         faults: ConnectionFaults | None = None,
         keep_alive: KeepAlive | None = None,
         connect_timeout: timedelta = CONNECT_TIMEOUT,
+        budget: ByteBudget | None = None,
     ) -> None:
         """Starts without connections; each is opened by the first call to its address.
 
@@ -49,7 +51,9 @@
             faults: Connection faults that a test injects.
             keep_alive: How connections with calls in flight are checked; None for no checks.
             connect_timeout: How long a call waits for its connection.
+            budget: The byte budget of the process, which counts large answers; None for no limit.
         """
+        self._budget = budget
         self.keep_alive = keep_alive
         self.connect_timeout = connect_timeout
         self.traffic = Traffic()
@@ -83,7 +87,13 @@
         host, port = split_address(key.address)
         async with asyncio.timeout(OPEN_TIMEOUT.total_seconds()):
             reader, writer = await asyncio.open_connection(host, port)
-        connection = Connection(reader=reader, writer=writer, traffic=self.traffic, keep_alive=self.keep_alive)
+        connection = Connection(
+            reader=reader,
+            writer=writer,
+            traffic=self.traffic,
+            keep_alive=self.keep_alive,
+            budget=self._budget,
+        )
         self._connections[key] = connection
         return connection
 
--- a/packages/rpc/src/hoistsaddle/rpc/connection.py
+++ b/packages/rpc/src/hoistsaddle/rpc/connection.py
@@ -4,7 +4,8 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from hoistsaddle.rpc.framing import Traffic, encode_frame, read_frame, write_frame
+from hoistsaddle.common.byte_budget import ByteBudget
+from hoistsaddle.rpc.framing import FrameOverBudget, Traffic, encode_frame, read_frame, write_frame
 from hoistsaddle.rpc.messages import PingCall
 
 # The frame number of pings, which no call uses: their answers need no match, they only show that the peer is alive.
@@ -41,6 +42,7 @@
         writer: asyncio.StreamWriter,
         traffic: Traffic,
         keep_alive: KeepAlive | None = None,
+        budget: ByteBudget | None = None,
     ) -> None:
         """Starts reading answers.
 
@@ -49,7 +51,9 @@
             writer: The stream to write to.
             traffic: Counts the frames and bytes of both directions.
             keep_alive: How the connection is checked; None for no checks.
+            budget: The byte budget of the process, which counts large answers as they arrive; None for no limit.
         """
+        self._lease = (budget or ByteBudget()).lease()
         self.writer = writer
         self.traffic = traffic
         self.keep_alive = keep_alive
@@ -71,14 +75,16 @@
     async def _read_answers(self, reader: asyncio.StreamReader) -> None:
         try:
             while True:
-                number, _, message, _ = await read_frame(reader, self.traffic)
+                number, _, message, _ = await read_frame(reader, self.traffic, lease=self._lease)
+                self._lease.release()
                 self.last_active_at = asyncio.get_running_loop().time()
                 future = self.pending.pop(number, None)
                 if future is not None and not future.done():
                     future.set_result(message)
-        except (OSError, asyncio.IncompleteReadError, ValueError, EOFError):
+        except (OSError, asyncio.IncompleteReadError, ValueError, EOFError, FrameOverBudget):
             pass
         finally:
+            self._lease.release()
             self.close()
 
     def write(self, *, number: int, message: tuple) -> None:
--- a/packages/rpc/src/hoistsaddle/rpc/runtime.py
+++ b/packages/rpc/src/hoistsaddle/rpc/runtime.py
@@ -91,6 +91,7 @@
             faults=ConnectionFaults(path=Path(line_faults)) if line_faults else None,
             keep_alive=keep_alive,
             connect_timeout=connect_timeout,
+            budget=budget,
         )
 
     def now(self) -> timedelta:
--- a/packages/rpc/src/hoistsaddle/rpc/server.py
+++ b/packages/rpc/src/hoistsaddle/rpc/server.py
@@ -5,11 +5,12 @@
 
 from loguru import logger
 
-from hoistsaddle.common.byte_budget import ByteBudget, ByteLease
+from hoistsaddle.common.byte_budget import SMALL_LEASE_BYTES, ByteBudget, ByteLease
 from hoistsaddle.common.listening import bound_socket, listen_once_free
+from hoistsaddle.common.reading_watch import ReadingWatch
 from hoistsaddle.rpc.call_context import set_call_age
 from hoistsaddle.rpc.frame_ages import FrameAges
-from hoistsaddle.rpc.framing import FrameOverBudget, Traffic, read_frame, write_frame
+from hoistsaddle.rpc.framing import FRAME_STALL_TIMEOUT, FrameOverBudget, Traffic, read_frame, write_frame
 from hoistsaddle.rpc.messages import PingAnswer, PingCall
 
 # The kernel's receive buffer of each connection, if the memory of the process is limited.
@@ -118,7 +119,24 @@
         finally:
             lease.release()
         if answer is not None and not writer.is_closing():
-            write_frame(writer, self.traffic, number=number, answer=True, message=answer)
+            await self._write_answer(writer, number, answer)
+
+    async def _write_answer(self, writer: asyncio.StreamWriter, number: int, answer: tuple) -> None:
+        """Write an answer; a large one counts against the budget until the peer has read it."""
+        size = write_frame(writer, self.traffic, number=number, answer=True, message=answer)
+        if size <= SMALL_LEASE_BYTES:
+            return
+        lease = self._budget.lease()
+        lease.resize(size)
+        watch = ReadingWatch(loop=asyncio.get_running_loop(), transport=writer.transport, timeout=FRAME_STALL_TIMEOUT)
+        try:
+            await writer.drain()
+        except OSError:
+            # The connection is lost, and its reader ends too.
+            pass
+        finally:
+            watch.stop()
+            lease.release()
 
     async def stop(self) -> None:
         """Stops listening, closes the connections and cancels the handlers in flight."""
--- a/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
@@ -9,7 +9,8 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.web_protocol import RequestHandler
 
-from hoistsaddle.common.byte_budget import ByteBudget
+from hoistsaddle.common.byte_budget import SMALL_LEASE_BYTES, ByteBudget
+from hoistsaddle.common.reading_watch import ReadingWatch
 from hoistsaddle.common.receive_buffers import RECEIVE_BUFFER_BYTES, BodyReceiveBuffer
 from hoistsaddle.common.work_turns import WorkTurns
 from hoistsaddle.sidecar.request_framing import (
@@ -333,6 +334,25 @@
                 timer.cancel()
         self._head_timer = self._idle_timer = None
 
+    # -- answers -----------------------------------------------------------------------------------------------------
+
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
+    ) -> Any:
+        """Count the response until the client has read it, and close a connection whose client stops reading."""
+        body = resp.body if isinstance(resp, web.Response) else None
+        size = len(body) if isinstance(body, bytes | bytearray) else 0
+        if size <= SMALL_LEASE_BYTES:
+            return await super().finish_response(request, resp, start_time)
+        lease = self._budget.lease()
+        lease.resize(size)
+        watch = ReadingWatch(loop=self._loop, transport=self.transport, timeout=self._limits().idle_time)
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            watch.stop()
+            lease.release()
+
     async def _handle_request(self, *arguments: Any) -> Any:
         try:
             return await super()._handle_request(*arguments)
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
@@ -12,6 +12,7 @@
 from aiohttp.http import HttpResponseParser, RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from hoistsaddle.common.byte_budget import ByteBudget
 from hoistsaddle.proxy.answer_framing import AnswerFraming, framing_of
 
 # How long an idle connection is kept if the server doesn't send a keep-alive timeout.
@@ -19,6 +20,9 @@
 HEAD_END = b"\r\n\r\n"
 # The most heads that are split off in one read: that of a response and those of interim responses before it.
 MAX_HEADS = 4
+# The limit on the bytes of a response's head, and what the parser needs for each line of a response in chunks.
+MAX_RESPONSE_HEAD_BYTES = 262144
+LINE_OVERHEAD_BYTES = 128
 
 
 class BrokenAnswer(Exception):
@@ -33,9 +37,16 @@
 class ServerConnection(BaseProtocol):
     """Reads responses with aiohttp's parser, and tracks whether the connection may be reused."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Start unconnected."""
+    def __init__(self, loop: asyncio.AbstractEventLoop, *, budget: ByteBudget) -> None:
+        """Start unconnected; the bytes of responses count against the budget."""
         super().__init__(loop)
+        self.lease = budget.lease()
+        # The bytes received for this request, those of them before the first complete head, and the lines among them
+        # that the parser makes objects of; and whether the newest response is in chunks.
+        self.answer_bytes = 0
+        self.unfinished_head_bytes = 0
+        self.answer_lines = 0
+        self.in_chunks = False
         self.parser: HttpResponseParser | None = None
         self.messages: deque = deque()
         # The bodies of this request's responses, and whether any data was received for it.
@@ -75,6 +86,8 @@
         self.payloads = []
         self.data_seen = False
         self.surplus = False
+        self.unfinished_head_bytes = self.answer_bytes = self.answer_lines = 0
+        self.in_chunks = False
         self.uses += 1
 
     def data_received(self, data: bytes) -> None:
@@ -85,6 +98,10 @@
             self.abort()
             return
         self.data_seen = True
+        if not self._has_room_for(data):
+            self.dirty = True
+            self.abort()
+            return
         # On invalid data the parser drops the responses before it in the same call, so each head is fed separately.
         for part in _split_at_heads(data):
             complete = bool(self.payloads) and self.payloads[-1].is_eof()
@@ -97,6 +114,8 @@
                 return
             if upgraded or tail:
                 self.dirty = True
+            if messages:
+                self._head_completed(messages[-1][0])
             self.messages.extend(messages)
             self.payloads += [payload for _, payload in messages]
             # A complete head resets this: an interim response is followed by the final one.
@@ -108,6 +127,27 @@
             self.tail = part[-2:]
         self._wake()
 
+    def _has_room_for(self, data: bytes) -> bool:
+        """Count received data, before the parser makes objects of it; False if it is over a limit."""
+        self.answer_bytes += len(data)
+        if not self.payloads:
+            self.unfinished_head_bytes += len(data)
+        if self.in_chunks or not self.payloads:
+            self.answer_lines += data.count(b"\n")
+        self._count_bytes()
+        return self.unfinished_head_bytes <= MAX_RESPONSE_HEAD_BYTES and self.lease.fits()
+
+    def _head_completed(self, message: RawResponseMessage) -> None:
+        self.unfinished_head_bytes = 0
+        self.in_chunks = message.chunked
+        if not self.in_chunks:
+            # Lines of a body that isn't in chunks cost nothing.
+            self.answer_lines = 0
+        self._count_bytes()
+
+    def _count_bytes(self) -> None:
+        self.lease.resize(self.answer_bytes + self.answer_lines * LINE_OVERHEAD_BYTES)
+
     def pause_reading(self) -> None:
         """Stop reading while a body waits to be taken; the parser keeps nothing, so it goes on with what it has."""
         self._reading_paused = True
@@ -167,6 +207,10 @@
         """Handle the end of the connection."""
         super().connection_lost(exception)
         self._end()
+        # They refer to this connection: without the cycle their memory is free at once.
+        self.parser = None
+        self.payloads = []
+        self.lease.release()
 
     def abort(self) -> None:
         """Close the connection at once."""
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
@@ -11,8 +11,10 @@
 import aiohttp
 from aiohttp.http import RawResponseMessage
 
+from hoistsaddle.common.byte_budget import ByteBudget
 from hoistsaddle.common.counters import Counters
 from hoistsaddle.common.errors import ErrorKind
+from hoistsaddle.common.receive_buffers import limit_receive_buffer
 from hoistsaddle.common.settings import split_address
 from hoistsaddle.proxy.answer_framing import AnswerFraming
 from hoistsaddle.sidecar.errors import server_answer_missing, server_not_reached
@@ -25,6 +27,8 @@
 # A connection is reused only within this share of the server's keep-alive timeout, to avoid a race with its close.
 KEEP_ALIVE_SHARE = 0.6
 MAX_IDLE_CONNECTIONS = 64
+# The kernel's receive buffer of each connection, if the memory of the process is limited.
+SERVER_RECEIVE_BUFFER_BYTES = 128 * 1024
 # The server is on the same machine, so if it closed the connection before the request arrived, the close is seen here
 # within this time, even on a busy processor. If the close is seen later, the server may have read the request.
 STALE_SECONDS = 0.02
@@ -35,8 +39,9 @@
 class ServerConnectionPool:
     """Runs requests on the local server, each on a connection that it uses alone."""
 
-    def __init__(self, *, header_names: HeaderNames, counters: Counters) -> None:
+    def __init__(self, *, header_names: HeaderNames, counters: Counters, budget: ByteBudget | None = None) -> None:
         self.header_names = header_names
+        self._budget = budget or ByteBudget()
         self.counters = counters
         self.idle: deque[ServerConnection] = deque()
         self.server = ""
@@ -79,7 +84,11 @@
         host, port = split_address(address)
         loop, server = asyncio.get_running_loop(), self.server
         async with asyncio.timeout(CONNECT_SECONDS):
-            _, connection = await loop.create_connection(lambda: ServerConnection(loop), host, port)
+            _, connection = await loop.create_connection(
+                lambda: ServerConnection(loop, budget=self._budget), host, port
+            )
+        if self._budget.max_bytes is not None and connection.transport is not None:
+            limit_receive_buffer(connection.transport.get_extra_info("socket"), SERVER_RECEIVE_BUFFER_BYTES)
         self.counters.add("server.connections")
         connection.server = server
         return connection
@@ -146,7 +155,9 @@
                 # This clause must precede the next one, as TimeoutError is an OSError.
                 connection.abort()
                 return self._unanswered(command, ErrorKind.BUDGET_SPENT)
-            except (BrokenAnswer, aiohttp.ClientError, OSError, ValueError):
+            except (BrokenAnswer, aiohttp.ClientError, OSError, ValueError) as problem:
+                # The response's stream refers to the error, whose traceback would keep all that was read of its body.
+                problem.__traceback__ = None
                 connection.abort()
                 stale = not fresh and not connection.data_seen and loop.time() - written <= STALE_SECONDS
                 if call.repeatable and stale and loop.time() < deadline:
@@ -199,6 +210,7 @@
 
     def _return_to_pool(self, connection: ServerConnection, message: RawResponseMessage) -> None:
         connection.parser = None
+        connection.lease.release()
         closes = message.should_close
         for name, value in message.raw_headers:
             if name.lower() == b"keep-alive":
--- a/packages/sidecar/src/hoistsaddle/sidecar/service.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/service.py
@@ -48,7 +48,7 @@
             keep_alive=KEEP_ALIVE, connect_timeout=CONNECT_TIMEOUT, local_calls=True, budget=self.budget
         )
         self.server_connections = ServerConnectionPool(
-            header_names=self.header_names, counters=Counters(owner=settings.name)
+            header_names=self.header_names, counters=Counters(owner=settings.name), budget=self.budget
         )
         self.node = SidecarNode(settings=settings, runtime=runtime, serve=self.server_connections.serve)
         self.server_connections.counters = self.node.counters
--- a/tests/test_sidecar_server_connections.py
+++ b/tests/test_sidecar_server_connections.py
@@ -10,6 +10,7 @@
 
 from testtools.matchers import Equals
 
+from hoistsaddle.common.byte_budget import ByteBudget
 from hoistsaddle.common.errors import ErrorKind
 from hoistsaddle.sidecar.header_pairs import pack_pairs, unpack_pairs
 from hoistsaddle.sidecar.server_connection import ServerConnection
@@ -101,7 +102,7 @@
         body = b"x" * 200_000
 
         async def read() -> bytes:
-            connection = ServerConnection(asyncio.get_running_loop())
+            connection = ServerConnection(asyncio.get_running_loop(), budget=ByteBudget())
             connection.begin(with_body=True)
             connection.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             _, payload = await connection.next_message()
