--- a/packages/sidecar/src/hoistsaddle/sidecar/listener.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/listener.py
@@ -22,7 +22,7 @@
 LARGEST_HEADER = 262144
 # What a connection reads ahead of its handler, in bytes; at twice this, reading is paused.
 READ_AHEAD_BYTES = 32768
-BACKLOG = 1024
+MAX_PENDING_CONNECTIONS = 1024
 # The limit on a request body, in bytes, before there is a configuration.
 UNCONFIGURED_BODY = 1024 * 1024
 UNAVAILABLE, TOO_LARGE = 503, 413
@@ -79,7 +79,7 @@
 
 
 async def _open_site(runner: web.ServerRunner, address: str, *, receive_buffer: int | None) -> None:
-    site = web.SockSite(runner, bound_socket(address, receive_buffer=receive_buffer), backlog=BACKLOG)
+    site = web.SockSite(runner, bound_socket(address, receive_buffer=receive_buffer), backlog=MAX_PENDING_CONNECTIONS)
     try:
         await site.start()
     except OSError:
--- a/packages/sidecar/src/hoistsaddle/sidecar/request_framing.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/request_framing.py
@@ -154,8 +154,8 @@
             before, phase = position, self._phase
             match phase:
                 case _Phase.CHUNK_LINE:
-                    position, whole = _read_whole_chunks(data, position, payload, max_pieces=max_pieces - pieces)
-                    pieces += whole
+                    position, complete = _read_complete_chunks(data, position, payload, max_pieces=max_pieces - pieces)
+                    pieces += complete
                     if pieces < max_pieces:
                         position = self._read_chunk_line(data, position)
                         pieces += self._phase is not phase
@@ -219,7 +219,7 @@
         return end + len(LINE_END)
 
 
-def _read_whole_chunks(data: bytes, position: int, payload: bytearray, *, max_pieces: int) -> tuple[int, int]:
+def _read_complete_chunks(data: bytes, position: int, payload: bytearray, *, max_pieces: int) -> tuple[int, int]:
     """Decode chunks that are there as a whole; return the position after them, and their number."""
     pieces = 0
     while pieces < max_pieces and (line := CHUNK_LINE.match(data, position)):
--- a/tests/hostile_crowds.py
+++ b/tests/hostile_crowds.py
@@ -51,7 +51,7 @@
     return lambda: chain([HEAD, b"Transfer-Encoding: chunked\r\n\r\n1;x="], repeat(PIECE, sent // len(PIECE)))
 
 
-def whole_requests(*, body: int) -> Pieces:
+def complete_requests(*, body: int) -> Pieces:
     """One whole request; its answer is not read."""
     return with_length(body, sent=body)
 
@@ -75,8 +75,8 @@
     "many chunks of 16 bytes": Crowd(60, in_chunks(16, sent=4 * MB)),
     "mesh frames short of their end": Crowd(24, mesh_frame(announced=15 * MB, sent=15 * MB - 65536)),
     "mesh connections": Crowd(900, mesh_frame(announced=15 * MB, sent=0)),
-    "requests whose answers are not read": Crowd(60, whole_requests(body=0)),
-    "whole bodies of 12 MB": Crowd(24, whole_requests(body=12 * MB)),
+    "requests whose answers are not read": Crowd(60, complete_requests(body=0)),
+    "whole bodies of 12 MB": Crowd(24, complete_requests(body=12 * MB)),
 }
 
 
