Bodies of requests that go on without their client stay counted

Cause: the bytes belonged to the connection and ended with it.

No crowd of real processes was run against it.

Change: the node counts the body of such a request in a lease of its own until the core no longer lists the request as pending. Idempotent requests are abandoned with their client as before, and hold nothing.

--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -30,6 +30,7 @@
     PollAnswer,
 )
 from hoistsaddle.rpc.runtime import Runtime
+from hoistsaddle.sidecar.abandoned_bodies import AbandonedBodies
 from hoistsaddle.sidecar.arrivals import ArrivalRecord
 from hoistsaddle.sidecar.core import SidecarCore
 from hoistsaddle.sidecar.core_prober import CoreProber
@@ -100,6 +101,8 @@
         ),
     )
     core: SidecarCore
+    # Counts bodies of requests that go on without their client; None where memory is not limited.
+    abandoned_bodies: AbandonedBodies | None = None
 
     def __init__(self, *, settings: SidecarSettings, runtime: Runtime, serve: Runner) -> None:
         """Start without a configuration.
@@ -167,8 +170,14 @@
         """
         self.last_request_at = self.runtime.now()
         ticket, future = self.open_ticket()
-        self.feed(make(ticket)._replace(unread=self.freezes.unread()))
-        return await self.final_answer(ticket, future)
+        request = make(ticket)._replace(unread=self.freezes.unread())
+        self.feed(request)
+        try:
+            return await self.final_answer(ticket, future)
+        except asyncio.CancelledError:
+            if self.abandoned_bodies is not None and ticket in self.core.ingress.requests.requests:
+                self.abandoned_bodies.add(ticket, len(request.body))
+            raise
 
     def feed(self, event: tuple) -> None:
         """Pass an event to the core, and execute the commands that it returns."""
@@ -207,6 +216,8 @@
                     self.counters.add(name)
                 case Announce(kind=kind, detail=detail):
                     self.counters.record_event(kind, **detail)
+        if self.abandoned_bodies is not None:
+            self.abandoned_bodies.release_ended(self.core.ingress.requests.requests)
 
     def _run_ended(self, number: int, _: asyncio.Task) -> None:
         self._run_tasks.pop(number, None)
--- a/packages/sidecar/src/hoistsaddle/sidecar/service.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/service.py
@@ -13,6 +13,7 @@
 from hoistsaddle.common.settings import SidecarSettings
 from hoistsaddle.rpc.connection import KeepAlive
 from hoistsaddle.rpc.runtime import RealRuntime
+from hoistsaddle.sidecar.abandoned_bodies import AbandonedBodies
 from hoistsaddle.sidecar.admin_api import AdminApi
 from hoistsaddle.sidecar.header_names import HeaderNames
 from hoistsaddle.sidecar.listener import IngressHandler, close_listener, open_listener
@@ -51,6 +52,7 @@
             header_names=self.header_names, counters=Counters(owner=settings.name), budget=self.budget
         )
         self.node = SidecarNode(settings=settings, runtime=runtime, serve=self.server_connections.serve)
+        self.node.abandoned_bodies = AbandonedBodies(budget=self.budget)
         self.server_connections.counters = self.node.counters
         await self.node.start()
         ingress = IngressHandler(node=self.node, header_names=self.header_names)
--- a/tests/test_sidecar_client_gone.py
+++ b/tests/test_sidecar_client_gone.py
@@ -7,6 +7,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from hoistsaddle.common.byte_budget import ByteBudget
+from hoistsaddle.sidecar.abandoned_bodies import AbandonedBodies
 from hoistsaddle.sidecar.messages import Abandon, ForwardRequest, RequestArrived, RunOnServer
 from hoistsaddle.sidecar.node import SidecarNode
 from sidecar_bench import HOST, SidecarBench
@@ -72,16 +74,23 @@
 
     def disconnect_while_waiting(self, path: str) -> tuple[int, bool]:
         """Return how many tickets are open after a client disconnected, and whether its request is still pending."""
+        node, _ = self.node_after_disconnect(path)
+        return len(node.answers), bool(node.core.ingress.requests.requests)
+
+    def node_after_disconnect(
+        self, path: str, *, body: bytes = b"", budget: ByteBudget | None = None
+    ) -> tuple[SidecarNode, SidecarBench]:
         bench = SidecarBench("s-1")
         node = object.__new__(SidecarNode)
         node.core = bench.cores["s-1"]
+        node.abandoned_bodies = None if budget is None else AbandonedBodies(budget=budget)
         node.answers, node._tickets = {}, 0
         node.runtime = SimpleNamespace(now=lambda: bench.timestamp)
         node.freezes = SimpleNamespace(unread=timedelta)
         node.feed = lambda event: bench.feed("s-1", event)
 
         def arrived(ticket: int) -> RequestArrived:
-            return RequestArrived(ticket, "POST", HOST, path, b"", 100, b"", timedelta(seconds=3), "", "try")
+            return RequestArrived(ticket, "POST", HOST, path, b"", 100, body, timedelta(seconds=3), "", "try")
 
         async def leave() -> None:
             client = asyncio.ensure_future(node.handle_request(arrived))
@@ -90,10 +99,24 @@
             await asyncio.wait({client})
 
         asyncio.run(leave())
-        return len(node.answers), bool(node.core.ingress.requests.requests)
+        return node, bench
 
     def test_no_ticket_stays_open_for_an_abandoned_request(self) -> None:
         self.assertThat(self.disconnect_while_waiting("/read/x"), Equals((0, False)))
 
     def test_no_ticket_stays_open_for_a_request_that_goes_on(self) -> None:
         self.assertThat(self.disconnect_while_waiting("/post/x"), Equals((0, True)))
+
+    # Guards against bodies that are held for a request whose client has left, and counted nowhere (issue 51).
+    def test_the_body_of_a_request_that_goes_on_is_counted_until_its_end(self) -> None:
+        budget = ByteBudget(memory_megabytes=300)
+        node, bench = self.node_after_disconnect("/post/x", body=b"x" * 1000, budget=budget)
+        self.assertThat(budget.held, Equals(1000))
+        bench.finish()
+        node.abandoned_bodies.release_ended(node.core.ingress.requests.requests)  # type: ignore[union-attr]
+        self.assertThat(budget.held, Equals(0))
+
+    def test_the_body_of_an_abandoned_request_is_not_counted(self) -> None:
+        budget = ByteBudget(memory_megabytes=300)
+        self.node_after_disconnect("/read/x", body=b"x" * 1000, budget=budget)
+        self.assertThat(budget.held, Equals(0))
