Idle connections make room for new ones at the limit of connections

Cause: at the limit the new connection was always the one that was closed.

Evidence: tests/test_sidecar_guarded_http.py, an idle connection is closed for a new one: on the new one gets no answer.

Change: the budget knows the connections with nothing under way, the longest idle first, and closes one of them. One with a request, or with the beginning of one, is kept, and if there are only such the new one is closed as before.

Why it is safe: a client whose idle connection closes has no request on it, or one that was not read, which it may send again.

--- a/packages/common/src/hoistsaddle/common/byte_budget.py
+++ b/packages/common/src/hoistsaddle/common/byte_budget.py
@@ -1,5 +1,7 @@
 """Limits on the memory for request and answer data, and on the connections, of a process."""
 
+from typing import Protocol
+
 # The memory that a process needs for itself, apart from request and answer data.
 OWN_MEMORY_BYTES = 80 * 1024 * 1024
 # How many copies of a body a process may have while forwarding it: as received, joined, and in the frame to send.
@@ -17,6 +19,14 @@
 MAX_RESERVE_SHARE = 0.125
 
 
+class Closable(Protocol):
+    """A connection that can be closed for another one."""
+
+    def close_idle(self) -> None:
+        """Close it at once, and return it to the budget."""
+        ...
+
+
 class ByteBudget:
     """Counts the bytes that a process buffers for others, against one limit."""
 
@@ -35,6 +45,8 @@
         # The number of leases that are not small.
         self.large_leases = 0
         self.connections = 0
+        # The connections that are open and have nothing under way, the longest idle first.
+        self.idle_connections: dict[Closable, None] = {}
         # The number of connections whose receive buffers are enlarged for a body.
         self.body_receive_buffers = 0
 
@@ -43,8 +55,13 @@
         return ByteLease(self)
 
     def has_room_for_connection(self) -> bool:
-        """Whether one more connection may be opened."""
-        return self.max_connections is None or self.connections < self.max_connections
+        """Whether one more connection may be opened; an idle one is closed for it if necessary."""
+        if self.max_connections is None or self.connections < self.max_connections:
+            return True
+        if not self.idle_connections:
+            return False
+        next(iter(self.idle_connections)).close_idle()
+        return True
 
 
 class ByteLease:
--- a/packages/rpc/src/hoistsaddle/rpc/framing.py
+++ b/packages/rpc/src/hoistsaddle/rpc/framing.py
@@ -15,7 +15,7 @@
 # A larger frame is read in parts of this size, each of which is counted.
 FRAME_PART_BYTES = 65536
 # A large frame of which nothing arrives for this long will not be completed.
-FRAME_STALL_TIMEOUT = timedelta(seconds=10)
+FRAME_SILENCE_TIMEOUT = timedelta(seconds=10)
 IN = "in"
 OUT = "out"
 _length_struct = struct.Struct("!I")
@@ -71,7 +71,7 @@
 async def _read_large_frame(reader: asyncio.StreamReader, length: int, lease: ByteLease) -> bytes:
     data = bytearray()
     while len(data) < length:
-        async with asyncio.timeout(FRAME_STALL_TIMEOUT.total_seconds()):
+        async with asyncio.timeout(FRAME_SILENCE_TIMEOUT.total_seconds()):
             part = await reader.read(min(length - len(data), FRAME_PART_BYTES))
         if not part:
             raise asyncio.IncompleteReadError(b"", length - len(data))
--- a/packages/rpc/src/hoistsaddle/rpc/server.py
+++ b/packages/rpc/src/hoistsaddle/rpc/server.py
@@ -10,7 +10,7 @@
 from hoistsaddle.common.reading_watch import ReadingWatch
 from hoistsaddle.rpc.call_context import set_call_age
 from hoistsaddle.rpc.frame_ages import FrameAges
-from hoistsaddle.rpc.framing import FRAME_STALL_TIMEOUT, FrameOverBudget, Traffic, read_frame, write_frame
+from hoistsaddle.rpc.framing import FRAME_SILENCE_TIMEOUT, FrameOverBudget, Traffic, read_frame, write_frame
 from hoistsaddle.rpc.messages import PingAnswer, PingCall
 
 # The kernel's receive buffer of each connection, if the memory of the process is limited.
@@ -128,7 +128,7 @@
             return
         lease = self._budget.lease()
         lease.resize(size)
-        watch = ReadingWatch(loop=asyncio.get_running_loop(), transport=writer.transport, timeout=FRAME_STALL_TIMEOUT)
+        watch = ReadingWatch(loop=asyncio.get_running_loop(), transport=writer.transport, timeout=FRAME_SILENCE_TIMEOUT)
         try:
             await writer.drain()
         except OSError:
--- a/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
@@ -146,14 +146,23 @@
             return
         self._admitted = True
         self._budget.connections += 1
+        self._budget.idle_connections[self] = None
         super().connection_made(transport)
 
+    def close_idle(self) -> None:
+        """Close this connection, on which nothing is under way, for another one."""
+        transport = self.transport
+        self.connection_lost(None)
+        if transport is not None:
+            transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Returns the bytes and the connection to the budget."""
         if not self._admitted:
             return
         self._admitted = False
         self._budget.connections -= 1
+        self._budget.idle_connections.pop(self, None)
         self._lease.release()
         self._receive_buffer.restore(None)
         self._stop_timers()
@@ -166,6 +175,7 @@
         if not self._admitted or self._refused or self._is_ending():
             return
         if data:
+            self._budget.idle_connections.pop(self, None)
             self._framing.feed(data)
             self._count_bytes()
         elif not self._advancing:
@@ -328,6 +338,10 @@
         self._lease.release()
         self.force_close()
 
+    def _note_idle(self) -> None:
+        if self._body is None and not self._messages and not self._framing.head_bytes:
+            self._budget.idle_connections[self] = None
+
     def _stop_timers(self) -> None:
         for timer in (self._head_timer, self._idle_timer):
             if timer is not None:
@@ -364,6 +378,7 @@
                 self._request_bytes = 0
             if self._admitted:
                 self._count_bytes()
+                self._note_idle()
             if self._framing.pending_bytes:
                 # What follows may have been held back: by an upgrade that was asked for, or by its size.
                 self._loop.call_soon(self._proceed)
--- a/tests/test_sidecar_guarded_http.py
+++ b/tests/test_sidecar_guarded_http.py
@@ -154,6 +154,37 @@
 
         self.run_with(work, budget=budget)
 
+    # Guards against clients that are refused because others keep connections open and send nothing (issue 51).
+    def test_an_idle_connection_is_closed_for_a_new_one(self) -> None:
+        budget = budget_of(1.0, descriptors=8)
+
+        async def work(connect: Any) -> None:
+            kept = [await connect() for _ in range(4)]
+            while budget.connections < 4:
+                await asyncio.sleep(0.01)
+            # The oldest one has been answered and is idle again; the second one has sent the beginning of a head.
+            kept[0][1].write(HEAD + b"Content-Length: 3\r\n\r\none")
+            self.assertThat(await kept[0][0].readline(), StartsWith(b"HTTP/1.1 200 "))
+            kept[1][1].write(HEAD)
+            while budget.held != len(HEAD):
+                await asyncio.sleep(0.01)
+            for _ in range(3):
+                reader, writer = await connect()
+                writer.write(HEAD + b"Content-Length: 3\r\n\r\none")
+                self.assertThat(await reader.readline(), StartsWith(b"HTTP/1.1 200 "))
+                writer.close()
+                while budget.connections > 3:
+                    await asyncio.sleep(0.01)
+                kept.append(await connect())
+                while budget.connections < 4:
+                    await asyncio.sleep(0.01)
+            kept[1][1].write(b"Content-Length: 3\r\n\r\none")
+            self.assertThat(await kept[1][0].readline(), StartsWith(b"HTTP/1.1 200 "))
+            for _, each in kept:
+                each.close()
+
+        self.run_with(work, budget=budget)
+
     def test_connections_over_the_limit_are_closed(self) -> None:
         budget = budget_of(1.0, descriptors=8)
 
