A request that runs longer than the idle time is not cut off; tunnels are refused

A request whose body came in several reads and that ran longer than idle_seconds lost its connection, and a CONNECT waited for a body without a time limit.

Cause: the timer for the pieces of a body was not stopped at the body's end; a body without an end had none.

Change: the end of a body stops its timers; a CONNECT is answered 400.

Both tests in tests/test_sidecar_guarded_http.py failed before.

--- a/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
@@ -261,8 +261,12 @@
         message, body = self._messages[-1]
         if not isinstance(message, RawRequestMessage):
             self._refused = True
-        elif isinstance(body, StreamReader) and not self._upgraded:
+        elif isinstance(body, StreamReader):
             self._body = body
+            if self._upgraded:
+                # A tunnel (CONNECT), which has no end.
+                self._refuse_body(MalformedBody())
+                return
             length = None if message.chunked else int(message.headers.get("Content-Length", "0"))
             self._framing.begin_body(length=length)
             if length is None or length > RECEIVE_BUFFER_BYTES:
@@ -275,6 +279,7 @@
         self._count_bytes()
         if self._framing.in_head:
             self._body = None
+            self._stop_timers()
             self._receive_buffer.restore(self.transport)
 
     def _watch_incomplete(self) -> None:
--- a/tests/test_sidecar_guarded_http.py
+++ b/tests/test_sidecar_guarded_http.py
@@ -154,6 +154,30 @@
 
         self.run_with(work, budget=budget)
 
+    # Guards against requests that are cut off while they run, because their bodies came in several reads (issue 51).
+    def test_a_request_that_runs_for_longer_than_the_idle_time_is_answered(self) -> None:
+        async def work(connect: Any) -> None:
+            reader, writer = await connect()
+            SLOW_BEGUN.clear()
+            writer.write(HEAD.replace(b" / ", b" /slow ") + b"Content-Length: 3\r\n\r\no")
+            while not SLOW_BEGUN:
+                await asyncio.sleep(0.01)
+            writer.write(b"ne")
+            self.assertThat(await reader.readline(), StartsWith(b"HTTP/1.1 200 "))
+            writer.close()
+
+        self.run_with(work, limits=LIMITS._replace(idle_time=timedelta(milliseconds=150)))
+
+    # Guards against a request without a body of its own that waits for one without a time limit (issue 51).
+    def test_a_tunnel_is_refused(self) -> None:
+        async def work(connect: Any) -> None:
+            reader, writer = await connect()
+            writer.write(b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\nmore")
+            self.assertThat(await reader.readline(), StartsWith(b"HTTP/1.1 400 "))
+            writer.close()
+
+        self.run_with(work)
+
     # Guards against clients that are refused because others keep connections open and send nothing (issue 51).
     def test_an_idle_connection_is_closed_for_a_new_one(self) -> None:
         budget = budget_of(1.0, descriptors=8)
