Clients that leave small answers unread are cut off, too

Cause: only answers over 64 KiB had a time limit for being read; a smaller one waits in the connection, and closing it waits for the client, without a limit.

Change: whatever waits in a connection is watched, while writing is paused, after an answer and after a close; a buffer that stays the same for idle_seconds ends it.

--- a/packages/common/src/hoistsaddle/common/reading_watch.py
+++ b/packages/common/src/hoistsaddle/common/reading_watch.py
@@ -1,11 +1,11 @@
-"""Ends a connection whose peer stops reading while a large answer is sent to it."""
+"""Ends a connection whose peer stops reading while something is sent to it."""
 
 import asyncio
 from datetime import timedelta
 
 
 class ReadingWatch:
-    """Aborts a connection whose write buffer has not become smaller for a whole timeout."""
+    """Aborts a connection whose write buffer has not changed for a whole timeout; ends itself once it is empty."""
 
     def __init__(
         self, *, loop: asyncio.AbstractEventLoop, transport: asyncio.WriteTransport | None, timeout: timedelta
@@ -28,16 +28,24 @@
         self._timer = self._loop.call_later(self._timeout.total_seconds(), self._check)
 
     def _check(self) -> None:
-        if self._transport is None:
+        buffered = 0 if self._transport is None else self._transport.get_write_buffer_size()
+        if not buffered:
+            self.stop()
             return
-        buffered = self._transport.get_write_buffer_size()
-        if buffered and buffered == self._buffered:
+        if self._transport is not None and buffered == self._buffered:
+            self.stop()
             self._transport.abort()
             return
         self._buffered = buffered
         self._schedule()
 
+    @property
+    def active(self) -> bool:
+        """Whether it still watches."""
+        return self._timer is not None
+
     def stop(self) -> None:
         """Stops watching."""
         if self._timer is not None:
             self._timer.cancel()
+            self._timer = None
--- a/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
@@ -109,6 +109,7 @@
         "_idle_timer",
         "_lease",
         "_limits",
+        "_reading_watch",
         "_receive_buffer",
         "_refused",
         "_refused_body",
@@ -136,6 +137,8 @@
         self._refused_body: StreamReader | None = None
         self._advancing = False
         self._waits_for_turn = False
+        # Limits the time in which the client reads nothing of what was sent to it.
+        self._reading_watch: ReadingWatch | None = None
 
     # -- connections -------------------------------------------------------------------------------------------------
 
@@ -166,6 +169,8 @@
         self._lease.release()
         self._receive_buffer.restore(None)
         self._stop_timers()
+        if self._reading_watch is not None:
+            self._reading_watch.stop()
         super().connection_lost(exc)
 
     # -- bytes -------------------------------------------------------------------------------------------------------
@@ -358,20 +363,37 @@
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> Any:
-        """Count the response until the client has read it, and close a connection whose client stops reading."""
+        """Count the response until the client has read it."""
         body = resp.body if isinstance(resp, web.Response) else None
         size = len(body) if isinstance(body, bytes | bytearray) else 0
         if size <= SMALL_LEASE_BYTES:
             return await super().finish_response(request, resp, start_time)
         lease = self._budget.lease()
         lease.resize(size)
-        watch = ReadingWatch(loop=self._loop, transport=self.transport, timeout=self._limits().idle_time)
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
-            watch.stop()
             lease.release()
 
+    def pause_writing(self) -> None:
+        """Wait for the client to read what was sent, for a limited time."""
+        super().pause_writing()
+        self._watch_reading()
+
+    def force_close(self) -> None:
+        """Close the connection once the client has read what was sent."""
+        self._watch_reading()
+        super().force_close()
+
+    def _watch_reading(self) -> None:
+        """Cut off a client that leaves unread what was sent to it, also after the connection was closed."""
+        transport = self.transport
+        if transport is None or not transport.get_write_buffer_size():
+            return
+        if self._reading_watch is None or not self._reading_watch.active:
+            timeout = self._limits().idle_time
+            self._reading_watch = ReadingWatch(loop=self._loop, transport=transport, timeout=timeout)
+
     async def _handle_request(self, *arguments: Any) -> Any:
         try:
             return await super()._handle_request(*arguments)
@@ -384,6 +406,7 @@
             if self._admitted:
                 self._count_bytes()
                 self._note_idle()
+                self._watch_reading()
             if self._framing.pending_bytes:
                 # What follows may have been held back: by an upgrade that was asked for, or by its size.
                 self._loop.call_soon(self._proceed)
