Review case 6: a pause that a busy machine can't close up

Change: the client pauses for 0.25 s (idle_s allows 15 s); without trouble it pauses the same before the last chunk.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,15 +13,16 @@
 # The rule gives half a second past the cut-off.
 SLACK_SECONDS = 0.5
 UPLOADS = 12
-# The time between the two segments: the delay of the small site's links to its clients.
-SEGMENT_DELAY_SECONDS = 0.008
+# The client's pause between two segments; idle_s allows 15 seconds.
+PAUSE_SECONDS = 0.25
+LAST_CHUNK = b"0\r\n\r\n"
 BODY = b"a card of the deck\r\n" * 50
 CHUNK_BYTES = 250
 
 
 def _in_chunks(body: bytes) -> bytes:
     chunks = [body[first : first + CHUNK_BYTES] for first in range(0, len(body), CHUNK_BYTES)]
-    return b"".join(b"%x\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks) + b"0\r\n\r\n"
+    return b"".join(b"%x\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks) + LAST_CHUNK
 
 
 async def _upload(case: Case, machine: Machine) -> float | None:
@@ -34,12 +35,11 @@
     data = head.encode() + _in_chunks(BODY)
     reader, writer = await asyncio.open_connection(machine.host, EGRESS)
     try:
-        if case.trouble:
-            writer.write(data[:-1])
-            await asyncio.sleep(SEGMENT_DELAY_SECONDS)
-            writer.write(data[-1:])
-        else:
-            writer.write(data)
+        # The same pause, within the last line end or before the last chunk.
+        split = len(data) - (1 if case.trouble else len(LAST_CHUNK))
+        writer.write(data[:split])
+        await asyncio.sleep(PAUSE_SECONDS)
+        writer.write(data[split:])
         sent_at = case.now()
         case.add(f"client {machine.name}: {attempt} sent whole, {len(data)} bytes")
         async with asyncio.timeout(DEADLINE_SECONDS):
