Review case 9: controllers don't start if port_range begins at 7101 or 7102

Cause: the adapter leaves operators_port at its default 7102, and the settings' check refuses two equal ports.

--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -86,7 +86,7 @@
             "region_id": "region",
             "zones": {"zone-a": "region"},
             "bindings": {name: f"{self.host}:{ports[name]}" for name in names},
-            "port_range": list(PORTS),
+            "port_range": list(self.deployment.port_range),
             "seed_nodes": [machine.control for machine in self.deployment.cores[:3]],
             "cold_start": cold,
             "counts_loss": core,
@@ -167,19 +167,21 @@
 class Deployment:
     """The machines of a small deployment."""
 
-    def __init__(self, record: Record, *, cores: int, sidecars: list[str]) -> None:
+    def __init__(self, record: Record, *, cores: int, sidecars: list[str], port_range: tuple[int, int] = PORTS) -> None:
         """Lay out the machines on free loopback addresses.
 
         Args:
             record: The record of the case.
             cores: The number of controllers.
             sidecars: The service of each sidecar machine.
+            port_range: The first and last port that are left free for what nodes say to each other.
         """
         self.record = record
+        self.port_range = port_range
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
         self.commands = {name: shlex.split(role["run"]) for name, role in roles.items()}
-        network = _free_network(cores + len(sidecars))
+        network = _free_network(cores + len(sidecars), first_port=port_range[0])
         self.cores = [
             Machine(self, name=f"core-{index}", host=f"{network}.{index}", role="controller")
             for index in range(1, cores + 1)
@@ -248,9 +250,9 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def _free_network(hosts: int) -> str:
+def _free_network(hosts: int, *, first_port: int) -> str:
     """Return the first three parts of loopback addresses on which all ports of the machines are free."""
-    ports = [EGRESS, READINESS, CONTROL, INGRESS, PLANT, *range(PORTS[0], PORTS[0] + 3)]
+    ports = [EGRESS, READINESS, CONTROL, INGRESS, PLANT, *range(first_port, first_port + 3)]
     while True:
         network = f"127.{random.randrange(16, 250)}.{random.randrange(1, 250)}"
         if all(_is_free(f"{network}.{host}", port) for host in range(1, hosts + 1) for port in ports):
