--- a/review/7/case.py
+++ b/review/7/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import socket
 from pathlib import Path
 
 from review.stand_ins.case import Case, run, settle, start
@@ -12,10 +13,12 @@
 
 CUTOFF_SECONDS = 20.0
 DEADLINE_SECONDS = 14.0
-ANSWER_BYTES = 16_000_000
-# What each client reads in a second: with four clients, an eighth of the machine's link of 1,000 Mbit/s.
-CLIENT_RATE = 4_000_000
+ANSWER_BYTES = 8_000_000
+# What each client reads in a second: with four clients, 64 of the 1,000 Mbit/s of the machine's link.
+CLIENT_RATE = 2_000_000
 READ_BYTES = 65536
+# The receive window of each client, in bytes.
+WINDOW_BYTES = 65536
 CLIENTS = 4
 
 
@@ -36,7 +39,11 @@
         "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
         "Operation-Key": f"key-{attempt}",
     }
-    reader, writer = await asyncio.open_connection(machine.host, EGRESS, limit=READ_BYTES)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (machine.host, EGRESS))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=READ_BYTES)
     writer.write(encode(f"POST /export/{attempt} HTTP/1.1", fields))
     sent_at, total = case.now(), 0
     case.add(f"client {machine.name}: {attempt} sent whole")
