--- a/review/10/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Case 10: where the tolerance is one zone, the loss of one zone loses the acknowledged configuration."""
+"""Case 7: where the tolerance is one zone, the loss of one zone loses the acknowledged configuration."""
 
 import asyncio
 import json
--- a/review/11/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Case 11; needs the build of the deploy file and review/build-2.sh.
+# Case 7; needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH="$PWD" PYTHONDONTWRITEBYTECODE=1 exec python3 review/11/case.py
+PYTHONPATH="$PWD" PYTHONDONTWRITEBYTECODE=1 exec python3 review/7/case.py
--- a/review/11/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Case 11: after a stall and a restart of a core machine a sidecar never reports its server again."""
+"""Case 8: after a stall and a restart of a core machine a sidecar never reports its server again."""
 
 import asyncio
 import signal
