--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -40,8 +41,10 @@
     case.add(f"case: trouble {'on' if case.trouble else 'off'}")
     status = NOT_RUN
     try:
-        broken = asyncio.run(asyncio.wait_for(play(case), within))
+        broken = asyncio.run(_play_to_its_end(play, case, within=within))
         status = BROKEN if broken else HELD
+    except asyncio.CancelledError:
+        case.add("case: couldn't run: it was stopped from outside")
     except NotRunnable as problem:
         case.add(f"case: couldn't run: {problem}")
     except Exception:
@@ -51,6 +54,14 @@
     sys.exit(status)
 
 
+async def _play_to_its_end(play: Callable[[Case], Awaitable[bool]], case: Case, *, within: float) -> bool:
+    """Play a case; a signal to the script cancels it, so that it ends what it started."""
+    task = asyncio.ensure_future(asyncio.wait_for(play(case), within))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await task
+
+
 async def start(
     case: Case,
     *,
--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -1,6 +1,7 @@
 """The platform: settings files, the processes of the deploy file on loopback addresses, and the operator."""
 
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -45,6 +46,14 @@
 ONE_MACHINE = {"machine_loss": 1, "zones": 0, "region_loss": 0}
 
 
+# Linux: the signal that a process gets when the one that started it ends, whatever ended that.
+PR_SET_PDEATHSIG = 1
+
+
+def _end_with_the_script() -> None:
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Machine:
     """A machine with one process of the system."""
 
@@ -128,6 +137,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                preexec_fn=_end_with_the_script,
             )
         self.deployment.record.add(f"platform: {self.name} started")
 
