--- a/packages/common/src/hoistsaddle/common/settings.py
+++ b/packages/common/src/hoistsaddle/common/settings.py
@@ -282,6 +282,13 @@
     yield _error_of_seeds(settings.seeds)
     for setting in ("door", "vitals_door", "ready_door", "server"):
         yield check_address(field=setting, address=_value_of(settings, setting))
+    # Health reports and readiness checks may share a listener.
+    if settings.listen == settings.door or {settings.listen, settings.door} & {
+        settings.health_door,
+        settings.ready_door,
+    }:
+        message = "Two of the listeners have the same address."
+        yield InvalidSettings(message, field="listen", remedy="Give each its own port.")
     for index, seed in enumerate(settings.seeds):
         yield check_address(field=f"seeds[{index}]", address=seed)
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -2,19 +2,28 @@
 
 import asyncio
 import json
+import random
 import tempfile
 from collections.abc import Coroutine
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
+import msgspec
 from returns.result import Failure, Result, Success
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, Is, IsInstance
 
 from hoistsaddle.adapter.config_items import read_call, write_items
 from hoistsaddle.adapter.handlers import ConfigurationHandler, HeartbeatHandler, answer_ready
-from hoistsaddle.adapter.headers import HEADER_NAMES, Settings, controller_settings, read_settings, sidecar_settings
+from hoistsaddle.adapter.headers import (
+    HEADER_NAMES,
+    Settings,
+    controller_settings,
+    read_settings,
+    sidecar_settings,
+    translated,
+)
 from hoistsaddle.common.errors import ErrorKind, MeshError
 from hoistsaddle.common.settings import check_settings
 from hoistsaddle.config.item_checks import check_patch
@@ -119,6 +128,37 @@
         rejected = check_settings(controller_settings(self.read(state_dir=None)))
         self.assertThat(rejected.failure().field, Equals("data_folder"))
 
+    def test_any_two_free_ports_give_valid_settings(self) -> None:
+        """Guards against ports that only clash with a default that the platform doesn't use (review/9)."""
+        taken = {int(address.rpartition(":")[2]) for address in SETTINGS["bindings"].values()}
+        seed = 57
+        print(f"seed {seed}")
+        drawn = random.Random(seed).sample(range(1, 65535), 2000)
+        for first in [*drawn, 1, 7099, 7100, 7101, 7102, 65534]:
+            for last in (first + 1, min(first + 15, 65535)):
+                if taken & {first, first + 1}:
+                    continue
+                settings = self.read(state_dir="/data", port_range=[first, last])
+                for translate in (controller_settings, sidecar_settings):
+                    self.assertThat(translated(settings, translate), IsInstance(Success), f"{first} {last}")
+
+    def test_ports_that_cannot_be_used_are_refused_with_a_remedy(self) -> None:
+        for translate, changes, field in (
+            (controller_settings, {"port_range": [7620, 7620]}, "bourse_port"),
+            (controller_settings, {"port_range": [8305, 8320]}, "bourse_port"),
+            (controller_settings, {"port_range": [7635, 7620]}, "port_range"),
+            (sidecar_settings, {"port_range": [7635, 7620]}, "port_range"),
+            (sidecar_settings, {"port_range": [8304, 8310]}, "listen"),
+            (controller_settings, {"bindings": {}}, "bindings"),
+            (sidecar_settings, {"bindings": {}}, "bindings"),
+            (controller_settings, {"bindings": {"control": "10.1.0.8"}}, "operators_port"),
+        ):
+            refused = translated(self.read(state_dir="/data", **changes), translate)
+            self.assertThat(refused, IsInstance(Failure), str(changes))
+            self.assertThat((refused.failure().field, refused.failure().remedy != ""), Equals((field, True)))
+        for ports in ([], [7620], [0, 15], [7620, 65536], [7620, "7635"], None):
+            self.assertRaises(msgspec.ValidationError, self.read, port_range=ports)
+
     def test_unknown_fields_are_ignored(self) -> None:
         settings = self.read(later={"a": [1]}, tolerance={"machine_loss": 2, "later": 1})
         self.assertThat((settings.tolerance.machine_loss, settings.node_name), Equals((2, "sidecar-mids-a-1")))
