Voters bear losses of zones and regions, and what can't be borne is reported

Cause: the settings' zones and region_loss were not read; 2 x machine_loss + 1 made one voter of them. Nor did any part know in which zone a voter is, so that more voters alone would not have helped where founders or successors share a zone.

Change: ToleratedLosses counts what machines, zones and regions together take from a set of voters. VoterPlacement chooses the smallest set that keeps a majority (or, if none does, one that bears each kind alone), from the zones under which controllers are registered. The leader adds, replaces and removes voters one logged change at a time until they bear the losses, also after each repair; a successor goes where the fewest voters are. A founding takes three voters, and one without a record is refused if one loss could take all known disks (their zones are in FoundingStatusAnswer). A leader whose voters have not borne the losses for the settle time announces "losses not borne" with a remedy. A tolerance of machines alone decides as before.

--- a/packages/cli/src/hoistsaddle/cli/commands.py
+++ b/packages/cli/src/hoistsaddle/cli/commands.py
@@ -160,6 +160,10 @@
     "--cold-start/--no-cold-start", default=None, help="Set only at the very first start of the mesh, on blank disks."
 )
 @click.option("--losses", type=int, help="How many core machines may be lost at once.")
+@click.option("--zone-losses", type=int, help="How many whole zones may be lost at once, beside the machines.")
+@click.option(
+    "--region-losses", type=int, help="How many whole regions may be lost at once; SETTINGS gives each zone's region."
+)
 def controller(settings, settings_file, seeds, **flags) -> None:
     """Runs store and registry in one process, for meshes with items. SETTINGS is a TOML file; flags override it."""
     from hoistsaddle.registry.controller_api import ControllerService
--- a/packages/common/src/hoistsaddle/common/settings.py
+++ b/packages/common/src/hoistsaddle/common/settings.py
@@ -110,8 +110,13 @@
     # The hosts of one to three core machines; at a cold start the mesh is founded by these.
     seeds: list[str]
     cold_start: bool
-    # How many core machines may be lost at once: the target number of voters is twice that plus one.
+    # How many core machines, whole zones and whole regions may be lost at once, all together. There are at least twice
+    # as many voters plus one, spread over the zones and regions.
     losses: int = 1
+    zone_losses: int = 0
+    region_losses: int = 0
+    # The region of each zone, by the zone's name; needed if whole regions may be lost.
+    regions: dict[str, str] = {}
     registry_port: int = 7100
     store_port: int = 7101
     operators_port: int = 7102
@@ -193,6 +198,8 @@
     "outstanding": (1, 10**6),
     "release_level": (0, 1000),
     "losses": (0, 10),
+    "zone_losses": (0, 10),
+    "region_losses": (0, 10),
     "bourse_port": (1, MAX_PORT),
     "warehouse_port": (1, MAX_PORT),
     "operators_port": (1, MAX_PORT),
@@ -304,6 +311,9 @@
             field="standing_sign_off",
             remedy="Name another operator.",
         )
+    if settings.region_losses and settings.zone not in settings.regions:
+        message = f"The region of zone {settings.zone} is not given, and whole regions may be lost."
+        yield InvalidSettings(message, field="regions", remedy="Name the region of each zone.")
     yield _error_of_seeds(settings.seeds)
     hosts = [("host", settings.host), *((f"seeds[{index}]", seed) for index, seed in enumerate(settings.seeds))]
     for field, host in hosts:
--- a/packages/raft/src/hoistsaddle/raft/core.py
+++ b/packages/raft/src/hoistsaddle/raft/core.py
@@ -43,6 +43,7 @@
 from hoistsaddle.raft.snapshot_fetcher import SnapshotFetcher
 from hoistsaddle.raft.snapshot_server import SnapshotServer
 from hoistsaddle.raft.voter_changes import VoterChanges
+from hoistsaddle.raft.voter_placement import VoterPlacement
 from hoistsaddle.rpc.messages import (
     UNSET,
     BeginEpochCall,
@@ -85,6 +86,7 @@
         now: timedelta,
         level: int = LEVEL,
         wanted_voters: int = 0,
+        placement: VoterPlacement | None = None,
     ) -> None:
         """Restores the replica from its disk; the arguments are those of Replica."""
         super().__init__(
@@ -95,6 +97,7 @@
             now=now,
             level=level,
             wanted_voters=wanted_voters,
+            placement=placement,
         )
         self.elections = Elections(self)
         self.replication = Replication(self)
--- a/packages/raft/src/hoistsaddle/raft/replica.py
+++ b/packages/raft/src/hoistsaddle/raft/replica.py
@@ -10,6 +10,7 @@
 
 from hoistsaddle.common.errors import ErrorKind
 from hoistsaddle.raft.events import Announce, Answer, Boot, OffsetAndEpoch, RaftTimings, Send, Write
+from hoistsaddle.raft.voter_placement import VoterPlacement
 from hoistsaddle.raft.voters import LoggedVoterChange, ReplicaKey, apply_voter_change, voter_change_in
 from hoistsaddle.rpc.messages import UNSET, Record
 from hoistsaddle.statemachine.commands import LEVEL
@@ -55,6 +56,7 @@
         now: timedelta,
         level: int = LEVEL,
         wanted_voters: int = 0,
+        placement: VoterPlacement | None = None,
     ) -> None:
         """Restores the replica from what its disk held.
 
@@ -66,12 +68,14 @@
             now: The current time of the process's monotonic clock.
             level: The highest release level that this replica supports.
             wanted_voters: How many voters the configured losses require; 0 if the bootstrap fixed the voters.
+            placement: Where the voters should be; None if the bootstrap fixed the voters.
         """
         self.replica = boot.replica
         self.incarnation = boot.incarnation
         # Voters that joined later are called in addition to these.
         self.seeds = replicas
         self.wanted_voters = wanted_voters
+        self.placement = placement
         self.timings = timings
         self.level = min(level, LEVEL)
         # Why this replica has halted; empty while it runs.
--- a/packages/raft/src/hoistsaddle/raft/runner.py
+++ b/packages/raft/src/hoistsaddle/raft/runner.py
@@ -40,6 +40,7 @@
     Ticked,
     Write,
 )
+from hoistsaddle.raft.voter_placement import VoterPlacement
 from hoistsaddle.rpc.message_names import counted_name
 from hoistsaddle.rpc.runtime import Runtime
 from hoistsaddle.statemachine.commands import LEVEL
@@ -65,6 +66,7 @@
         make_worker: Callable[..., DiskWorker] = DiskThread,
         level: int = LEVEL,
         wanted_voters: int = 0,
+        placement: VoterPlacement | None = None,
     ) -> None:
         """Keeps the replica's parameters; `start` reads the disk and creates the core.
 
@@ -77,8 +79,10 @@
             make_worker: Creates the worker that executes the disk's jobs.
             level: The highest release level that the replica supports.
             wanted_voters: How many voters the configured losses require; 0 if the bootstrap fixed the voters.
+            placement: Where the voters should be; None if the bootstrap fixed the voters.
         """
         self.wanted_voters = wanted_voters
+        self.placement = placement
         self.disk = disk
         self.addresses = addresses
         self.timings = timings
@@ -133,6 +137,7 @@
             now=self.runtime.now(),
             level=self.level,
             wanted_voters=self.wanted_voters,
+            placement=self.placement,
         )
 
     def started_core(self) -> RaftCore:
@@ -151,13 +156,20 @@
         return self.worker
 
     def apply_settings(
-        self, *, wanted_voters: int, replacement_timeout: timedelta, lag_wait: timedelta, seeds: tuple[int, ...]
+        self,
+        *,
+        placement: VoterPlacement,
+        replacement_timeout: timedelta,
+        lag_wait: timedelta,
+        seeds: tuple[int, ...],
     ) -> None:
         """Applies settings that changed while the replica runs; seeds are called in addition to the known replicas."""
-        self.wanted_voters = wanted_voters
+        self.wanted_voters = placement.tolerated.fewest_voters
+        self.placement = placement
         self.timings = self.timings._replace(replacement_timeout=replacement_timeout, lag_wait=lag_wait)
         if self.core is not None:
-            self.core.wanted_voters = wanted_voters
+            self.core.wanted_voters = self.wanted_voters
+            self.core.placement = placement
             self.core.timings = self.timings
             self.core.seeds = tuple(dict.fromkeys((*seeds, *self.core.seeds)))
 
--- a/packages/registry/src/hoistsaddle/registry/bootstrap.py
+++ b/packages/registry/src/hoistsaddle/registry/bootstrap.py
@@ -6,10 +6,12 @@
 """
 
 import hashlib
+from collections.abc import Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
 from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.tolerated_losses import Location, ToleratedLosses
 from hoistsaddle.rpc.messages import BootstrapAnswer, BootstrapCall, FoundingStatusAnswer
 from hoistsaddle.statemachine.commands import LEVEL
 
@@ -65,6 +67,7 @@
     incarnation: str
     seeds: frozenset[int]
     first_start: bool
+    zone: str = ""
 
 
 class Proposal(NamedTuple):
@@ -96,7 +99,14 @@
     """Decides, without I/O, which replicas to inspect, what to found, and when to abandon a founding."""
 
     def __init__(
-        self, *, replica: int, first_seeds: tuple[int, ...], seeds: tuple[int, ...], losses: int, now: timedelta
+        self,
+        *,
+        replica: int,
+        first_seeds: tuple[int, ...],
+        seeds: tuple[int, ...],
+        tolerated: ToleratedLosses,
+        now: timedelta,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         """Begins a bootstrap.
 
@@ -104,14 +114,16 @@
             replica: The number of the local replica.
             first_seeds: The seeds of the first start, if the replica's disk was present at it; else empty.
             seeds: The seeds of the current settings.
-            losses: How many core machines may be lost at once.
+            tolerated: The losses that must be borne at once.
             now: The time on this node's clock.
+            regions: The region of each zone, by the zone's name; needed if whole regions may be lost.
         """
         self.replica = replica
         self.first_seeds = first_seeds
         # The controllers known so far; their answers may name more.
         self.known: tuple[int, ...] = tuple(sorted({replica, *seeds}))
-        self.losses = losses
+        self.tolerated = tolerated
+        self.regions = regions or {}
         # Becomes false once a record is committed: from then on, replicas fetch what they lack from the leader.
         self.active = True
         self.started_at = now
@@ -140,7 +152,9 @@
         if answer.mesh:
             self._mesh_seen = True
             return
-        self._blank[answer.replica] = BlankDisk(answer.incarnation, frozenset(answer.seeds), answer.first_start)
+        self._blank[answer.replica] = BlankDisk(
+            answer.incarnation, frozenset(answer.seeds), answer.first_start, answer.zone
+        )
 
     def acknowledged(self, replica: int, call: BootstrapCall, answer: BootstrapAnswer) -> None:
         """Records whether a replica accepted the founding."""
@@ -221,7 +235,9 @@
         members = self._members_of_first_start(now=now) if self.first_seeds else self._members_without_record(now=now)
         if not members:
             return None
-        voters = tuple((replica, self._blank[replica].incarnation) for replica in members[: 2 * self.losses + 1])
+        voters = tuple(
+            (replica, self._blank[replica].incarnation) for replica in members[: self.tolerated.fewest_voters]
+        )
         return Proposal(voters, tuple(sorted(self._blank.items())))
 
     def _members_of_first_start(self, *, now: timedelta) -> tuple[int, ...]:
@@ -233,7 +249,7 @@
         if any(now - self._answered_at.get(seed, self.started_at) < MAX_WAIT_FOR_SEEDS for seed in unresponsive):
             return ()
         witnesses = tuple(seed for seed in seeds if self._is_witness(seed))
-        if not may_leave_out(seeds=len(seeds), witnesses=len(witnesses), losses=self.losses):
+        if not may_leave_out(seeds=len(seeds), witnesses=len(witnesses), losses=self.tolerated.places):
             return ()
         return witnesses
 
@@ -245,16 +261,22 @@
         """All known controllers, if each is blank, knows the same ones, and none has a record of the first start.
 
         This happens if every process of a first start ended before it had recorded that start. These can't be the
-        replaced disks of an existing mesh: it loses at most `losses` disks at once, so one of them would belong to it.
+        replaced disks of an existing mesh: the tolerated losses don't take all of them at once, so one of them would
+        belong to it.
         """
-        if now - self.started_at < MAX_WAIT_FOR_SEEDS or len(self.known) <= self.losses:
+        if now - self.started_at < MAX_WAIT_FOR_SEEDS:
             return ()
         known = frozenset(self.known)
         for replica in self.known:
             disk = self._blank.get(replica)
             if disk is None or disk.first_start or disk.seeds != known:
                 return ()
-        return self.known
+        return () if self._may_all_be_lost(self.known) else self.known
+
+    def _may_all_be_lost(self, replicas: tuple[int, ...]) -> bool:
+        zones = (self._blank[replica].zone for replica in replicas)
+        locations = [Location(zone, self.regions.get(zone, "")) for zone in zones]
+        return self.tolerated.most_lost(locations) >= len(replicas)
 
     # -- a founding recorded on the local disk -----------------------------------------------------------------------
 
--- a/packages/registry/src/hoistsaddle/registry/controller.py
+++ b/packages/registry/src/hoistsaddle/registry/controller.py
@@ -11,17 +11,21 @@
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.errors import MeshError
 from hoistsaddle.common.settings import ControllerSettings, RegistrySettings, StoreSettings
+from hoistsaddle.common.tolerated_losses import Location, ToleratedLosses
 from hoistsaddle.config.items import Patch
 from hoistsaddle.raft.disk import Disk
 from hoistsaddle.raft.disk_jobs import DiskThread, DiskWorker
 from hoistsaddle.raft.events import RaftTimings, replacement_timeout_for
+from hoistsaddle.raft.voter_placement import VoterPlacement
 from hoistsaddle.registry.addresses import ReplicaAddresses, number_of_host
 from hoistsaddle.registry.bootstrap import Bootstrap
 from hoistsaddle.registry.bootstrap_runner import BootstrapRunner
 from hoistsaddle.registry.first_start import seed_numbers
 from hoistsaddle.registry.item_patches import ItemPatches
 from hoistsaddle.registry.local_registry import ControllerRegistry
+from hoistsaddle.registry.node import REGISTRY_KIND
 from hoistsaddle.rpc.runtime import Runtime
+from hoistsaddle.statemachine.state import State
 from hoistsaddle.store.service import Store
 
 # Small machines claim hundreds of keys per second: under load, this added latency halves the fetches that the leader
@@ -31,9 +35,16 @@
 STARTUP_ELECTION_FRACTION = 0.4
 
 
+def tolerated_losses(settings: ControllerSettings) -> ToleratedLosses:
+    """The losses that the core must bear at once, by the settings."""
+    return ToleratedLosses(machines=settings.losses, zones=settings.zone_losses, regions=settings.region_losses)
+
+
 def replacement_timeout(settings: ControllerSettings) -> timedelta:
     """How long a voter must be unresponsive before it is replaced, by the settings."""
-    return replacement_timeout_for(settle=timedelta(seconds=settings.settle_seconds), losses=settings.losses)
+    return replacement_timeout_for(
+        settle=timedelta(seconds=settings.settle_seconds), losses=tolerated_losses(settings).places
+    )
 
 
 def lag_wait(settings: ControllerSettings) -> timedelta:
@@ -41,9 +52,15 @@
     return timedelta(seconds=settings.settle_seconds)
 
 
-def voters_wanted(settings: ControllerSettings) -> int:
-    """The number of voters that still has a majority after the losses that the settings allow for."""
-    return 2 * settings.losses + 1
+def voter_placement(settings: ControllerSettings) -> VoterPlacement:
+    """The tolerated losses, and the location of each controller by the zone under which it is registered."""
+
+    def locate(state: State, replica: int) -> Location:
+        node = state.nodes.get(f"{REGISTRY_KIND}-{replica}")
+        zone = "" if node is None else node.zone
+        return Location(zone, settings.regions.get(zone, ""))
+
+    return VoterPlacement(tolerated_losses(settings), locate)
 
 
 class Controller:
@@ -105,7 +122,7 @@
                 replacement_timeout=replacement_timeout(settings),
                 lag_wait=lag_wait(settings),
             ),
-            wanted_voters=voters_wanted(settings),
+            placement=voter_placement(settings),
         )
 
     def _make_registry(self) -> ControllerRegistry:
@@ -145,11 +162,20 @@
 
     def apply_settings(self, settings: ControllerSettings) -> None:
         """Applies the settings that may change while the controller runs: the seeds, the losses, and some timeouts."""
-        self.counters.record_event("params revised", seeds=settings.seeds, losses=settings.losses)
+        self.counters.record_event(
+            "params revised",
+            seeds=settings.seeds,
+            losses=settings.losses,
+            zone_losses=settings.zone_losses,
+            region_losses=settings.region_losses,
+        )
         self.settings = msgspec.structs.replace(
             self.settings,
             seeds=settings.seeds,
             losses=settings.losses,
+            zone_losses=settings.zone_losses,
+            region_losses=settings.region_losses,
+            regions=settings.regions,
             applied_version_seconds=settings.applied_version_seconds,
             write_seconds=settings.write_seconds,
             settle_seconds=settings.settle_seconds,
@@ -160,7 +186,7 @@
             self.stores.learn(number)
             self.peers.learn(number)
         self.store.runner.apply_settings(
-            wanted_voters=voters_wanted(settings),
+            placement=voter_placement(self.settings),
             replacement_timeout=replacement_timeout(self.settings),
             lag_wait=lag_wait(self.settings),
             seeds=numbers,
@@ -173,7 +199,8 @@
             replica=self.replica,
             first_seeds=core.first_seeds,
             seeds=seed_numbers(self.settings),
-            losses=self.settings.losses,
+            tolerated=tolerated_losses(self.settings),
+            regions=self.settings.regions,
             now=self.runtime.now(),
         )
         self.store.known_controllers = lambda: bootstrap.known
--- a/packages/rpc/src/hoistsaddle/rpc/mesh.thrift
+++ b/packages/rpc/src/hoistsaddle/rpc/mesh.thrift
@@ -17,7 +17,7 @@
 struct BootstrapCall { 1: string mesh, 2: map<i64, string> voters, 3: map<string, string> operators, 4: i64 level }
 struct BootstrapAnswer { 1: string error, 2: string mesh, 3: string incarnation }
 struct FoundingStatusCall { 1: string caller }
-struct FoundingStatusAnswer { 1: string mesh, 2: i64 replica, 3: string incarnation, 4: list<i64> seeds, 5: bool first_start }
+struct FoundingStatusAnswer { 1: string mesh, 2: i64 replica, 3: string incarnation, 4: list<i64> seeds, 5: bool first_start, 6: string zone }
 struct StatusCall { 1: string caller, 2: i64 after }
 struct StatusAnswer { 1: string mesh, 2: i64 replica, 3: string incarnation, 4: i64 epoch, 5: i64 leader, 6: string role, 7: i64 last_offset, 8: i64 high_watermark, 9: i64 begin_offset, 10: binary counters, 11: binary events, 12: i64 level, 13: string halted, 14: i64 unsynced }
 
--- a/packages/rpc/src/hoistsaddle/rpc/messages/store.py
+++ b/packages/rpc/src/hoistsaddle/rpc/messages/store.py
@@ -43,6 +43,8 @@
     seeds: tuple[int, ...]
     # Whether this disk took part in the very first start and still has everything that it has acknowledged since.
     first_start: bool
+    # A former release doesn't send it.
+    zone: str = ""
 
 
 class StatusCall(NamedTuple):
--- a/packages/store/src/hoistsaddle/store/service.py
+++ b/packages/store/src/hoistsaddle/store/service.py
@@ -17,6 +17,7 @@
 from hoistsaddle.raft.disk_jobs import DiskThread, DiskWorker
 from hoistsaddle.raft.events import RaftTimings
 from hoistsaddle.raft.runner import RaftRunner
+from hoistsaddle.raft.voter_placement import VoterPlacement
 from hoistsaddle.rpc.message_names import counted_name
 from hoistsaddle.rpc.messages import (
     BeginEpochCall,
@@ -75,7 +76,7 @@
         make_worker: Callable[..., DiskWorker] = DiskThread,
         addresses: dict[int, str] | None = None,
         timings: RaftTimings | None = None,
-        wanted_voters: int = 0,
+        placement: VoterPlacement | None = None,
     ) -> None:
         """Creates the replica without reading the disk; `start` reads it.
 
@@ -86,7 +87,7 @@
             make_worker: Creates the worker that runs the disk's jobs.
             addresses: The address of each replica by its number; by default those of the settings' core.
             timings: The replica's timings; by default those of the settings.
-            wanted_voters: The number of voters that the tolerated losses require; 0 if the bootstrap fixed the voters.
+            placement: The tolerated losses and where the voters should be; None if the bootstrap fixed the voters.
         """
         self.settings = settings
         self.runtime = runtime
@@ -101,7 +102,8 @@
             runtime=runtime,
             make_worker=make_worker,
             level=settings.release_level or LEVEL,
-            wanted_voters=wanted_voters,
+            wanted_voters=0 if placement is None else placement.tolerated.fewest_voters,
+            placement=placement,
         )
         self.reader = StateReader()
         # Returns the controllers known to this process; a blank store reports them as seeds in its bootstrap status.
@@ -169,7 +171,9 @@
     def _founding_status(self) -> FoundingStatusAnswer:
         core = self.runner.started_core()
         seeds = core.first_seeds or self.known_controllers()
-        return FoundingStatusAnswer(core.mesh, core.replica, core.incarnation, seeds, bool(core.first_seeds))
+        return FoundingStatusAnswer(
+            core.mesh, core.replica, core.incarnation, seeds, bool(core.first_seeds), self.settings.zone
+        )
 
     async def leave_founding(self, *, with_records: bool) -> bool:
         """Makes the replica blank again if it holds a bootstrap after which no record is known to be committed.
--- a/packages/testbed/src/hoistsaddle/testbed/modelcheck/foundings.py
+++ b/packages/testbed/src/hoistsaddle/testbed/modelcheck/foundings.py
@@ -13,6 +13,7 @@
 from typing import Any, NamedTuple
 
 from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.tolerated_losses import ToleratedLosses
 from hoistsaddle.registry.bootstrap import (
     Bootstrap,
     BootstrapCommand,
@@ -145,7 +146,7 @@
             replica=replica,
             first_seeds=machine.disk.first_seeds,
             seeds=self.space.seeds,
-            losses=self.space.losses,
+            tolerated=ToleratedLosses(machines=self.space.losses),
             now=self.now,
         )
 
--- a/tests/coremesh.py
+++ b/tests/coremesh.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.tolerated_losses import Location, ToleratedLosses
 from hoistsaddle.raft.core import LEADER, RaftCore
 from hoistsaddle.raft.events import (
     Announce,
@@ -32,6 +33,7 @@
     Ticked,
     Write,
 )
+from hoistsaddle.raft.voter_placement import VoterPlacement
 from hoistsaddle.rpc.messages import FetchSnapshotAnswer
 from hoistsaddle.statemachine.commands import LEVEL, ClaimKey
 from hoistsaddle.statemachine.encoding import pack_command
@@ -141,6 +143,7 @@
                 seed=random.Random(mesh.random.random()),
                 now=mesh.now,
                 wanted_voters=mesh.wanted,
+                placement=mesh.placement,
             )
             self.ended = ""
             self.tick(run_number)
@@ -244,10 +247,18 @@
         processor: float = 1.0,
         sync: timedelta = milliseconds(0.5),
         timings: RaftTimings | None = None,
+        tolerated: ToleratedLosses | None = None,
+        locations: dict[int, Location] | None = None,
     ) -> None:
+        """Starts the machines; with tolerated losses, the voters are placed by the machines' locations."""
         self.random = random.Random(seed)
+        self.locations = locations or {}
+        self.placement: VoterPlacement | None = None
         self.timings = timings or RaftTimings(startup_election_fraction=0.4, checkpoint_records=100)
         self.wanted = voters
+        if tolerated is not None:
+            self.wanted = tolerated.fewest_voters
+            self.placement = VoterPlacement(tolerated, lambda _, replica: self.locations.get(replica, Location()))
         self.processor, self.sync = processor, sync
         self.now = timedelta(seconds=100)
         self.queue: list[tuple] = []
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -26,8 +26,10 @@
 )
 from hoistsaddle.common.errors import ErrorKind, MeshError
 from hoistsaddle.common.settings import check_settings
+from hoistsaddle.common.tolerated_losses import ToleratedLosses
 from hoistsaddle.config.item_checks import check_patch
 from hoistsaddle.config.items import ENTRY, LIMITS, SERVICE, ItemDeletion, Patch
+from hoistsaddle.registry.controller import voter_placement
 from hoistsaddle.sidecar.messages import HealthReported, ServerSignedOff
 from hoistsaddle.statemachine.state import GONE, READY, WINDING_DOWN
 from sidecar_bench import SidecarBench
@@ -159,6 +161,19 @@
         for ports in ([], [7620], [0, 15], [7620, 65536], [7620, "7635"], None):
             self.assertRaises(msgspec.ValidationError, self.read, port_range=ports)
 
+    def test_each_kind_of_tolerance_reaches_the_controller(self) -> None:
+        """Guards against a tolerance of zones or regions that is read as one of no loss (review/7)."""
+        tolerance = {"machine_loss": 2, "zones": 1, "region_loss": 3}
+        read = translated(self.read(state_dir="/data", tolerance=tolerance), controller_settings).unwrap()
+        self.assertThat((read.losses, read.zone_losses, read.region_losses), Equals((2, 1, 3)))
+        self.assertThat(read.regions, Equals(SETTINGS["zones"]))
+        self.assertThat(voter_placement(read).tolerated, Equals(ToleratedLosses(machines=2, zones=1, regions=3)))
+
+    def test_a_tolerance_of_regions_needs_the_region_of_the_own_zone(self) -> None:
+        changes = {"tolerance": {"region_loss": 1}, "zones": {}, "state_dir": "/data"}
+        refused = translated(self.read(**changes), controller_settings).failure()
+        self.assertThat((refused.field, refused.remedy != ""), Equals(("regions", True)))
+
     def test_unknown_fields_are_ignored(self) -> None:
         settings = self.read(later={"a": [1]}, tolerance={"machine_loss": 2, "later": 1})
         self.assertThat((settings.tolerance.machine_loss, settings.node_name), Equals((2, "sidecar-mids-a-1")))
--- a/tests/test_registry_bootstrap.py
+++ b/tests/test_registry_bootstrap.py
@@ -8,6 +8,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, Is
 
+from hoistsaddle.common.tolerated_losses import ToleratedLosses
 from hoistsaddle.registry.bootstrap import (
     FAST_INSPECT_DURATION,
     INSPECT_INTERVAL,
@@ -51,11 +52,18 @@
         first_seeds: tuple[int, ...] = SEEDS,
         seeds: tuple[int, ...] = SEEDS,
         losses: int = 1,
+        tolerated: ToleratedLosses | None = None,
+        regions: dict[str, str] | None = None,
         disks: dict[int, FoundingStatusAnswer] | None = None,
     ) -> None:
         self.timestamp = timedelta(seconds=5)
         self.bootstrap = Bootstrap(
-            replica=replica, first_seeds=first_seeds, seeds=seeds, losses=losses, now=self.timestamp
+            replica=replica,
+            first_seeds=first_seeds,
+            seeds=seeds,
+            tolerated=tolerated or ToleratedLosses(machines=losses),
+            regions=regions,
+            now=self.timestamp,
         )
         self.disks = blanks(*SEEDS) if disks is None else disks
         self.own = OwnReplica()
@@ -224,6 +232,32 @@
             self.assertThat(bench.voters(), Equals(expected))
 
 
+class LossesOfZones(TestCase):
+    """Guards against a founding that a tolerated loss of a zone or region takes away (review/7)."""
+
+    def test_a_tolerance_of_a_zone_or_a_region_founds_with_three_voters(self) -> None:
+        for tolerated in (ToleratedLosses(machines=0, zones=1), ToleratedLosses(machines=0, regions=1)):
+            bench = Bench(tolerated=tolerated).advance(seconds=2)
+            self.assertThat(bench.voters(), Equals(ALL_VOTERS), str(tolerated))
+
+    def test_without_a_record_nothing_is_founded_if_one_zone_or_region_has_all_that_are_known(self) -> None:
+        regions = {"a": "r", "b": "r", "c": "s"}
+        for tolerated, zones, expected in (
+            (ToleratedLosses(machines=0, zones=1), "aaa", None),
+            (ToleratedLosses(machines=0, zones=1), "aab", ALL_VOTERS),
+            (ToleratedLosses(machines=1, zones=1), "aab", None),
+            (ToleratedLosses(machines=0, zones=1), ("", "", ""), None),
+            (ToleratedLosses(machines=0, regions=1), "abb", None),
+            (ToleratedLosses(machines=0, regions=1), "abc", ALL_VOTERS),
+        ):
+            disks = blanks(*SEEDS, first_start=False)
+            disks = {
+                replica: disk._replace(zone=zone) for (replica, disk), zone in zip(disks.items(), zones, strict=True)
+            }
+            bench = Bench(first_seeds=(), tolerated=tolerated, disks=disks, regions=regions).advance(seconds=30)
+            self.assertThat(bench.voters(), Equals(expected), f"{tolerated} {zones}")
+
+
 class HeldFoundings(TestCase):
     """The local disk has recorded a founding under which nothing is committed yet."""
 
