A lost connection's write is an OSError, and a task that ends by itself is seen and runs on

Cause: a uvloop transport whose connection was reset raises RuntimeError for a write ("the handler is closed") in the turn before its owner learns of the loss, and discards data before that. RpcClient expects OSError; the error went through the loop of the health reports and ended that task for good, unseen.

Change: write_or_raise turns both into ConnectionResetError; every write on a connection uses it: calls, paced calls, pings, answers, refusals and interim answers of the listener, requests to servers. A buffer limit on a connection that is gone, which has no descriptor or no socket any more, is no error. LifelongTasks runs what must live as long as its process (membership, configuration, ticks, health reports, core prober, registration, node monitor, the log's ticks, founding, the watch of the settings) again after any end, with a growing pause, and records "task restarted" with the cause. The disk's thread goes on after any error, too.

--- a/packages/common/src/hoistsaddle/common/receive_buffers.py
+++ b/packages/common/src/hoistsaddle/common/receive_buffers.py
@@ -12,17 +12,20 @@
 MAX_BODY_RECEIVE_BUFFERS = 16
 
 
-def limit_receive_buffer(sock: socket.socket, size: int) -> None:
+def limit_receive_buffer(sock: socket.socket | None, size: int) -> None:
     """Set a socket's receive buffer; connections that a listening socket accepts inherit it.
 
     Args:
-        sock: The socket.
+        sock: The socket; None if its connection was lost meanwhile.
         size: In bytes.
     """
+    if sock is None:
+        return
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
-    except OSError:
-        # It is a limit on memory only: a system that doesn't have the option keeps its own limit.
+    except (OSError, ValueError):
+        # It is a limit on memory only: a system that doesn't have the option keeps its own limit, and a connection that
+        # was lost meanwhile has no descriptor any more.
         pass
 
 
@@ -54,6 +57,4 @@
 
 
 def _resize(transport: BaseTransport | None, size: int) -> None:
-    sock = None if transport is None else transport.get_extra_info("socket")
-    if sock is not None:
-        limit_receive_buffer(sock, size)
+    limit_receive_buffer(None if transport is None else transport.get_extra_info("socket"), size)
--- a/packages/proxy/src/hoistsaddle/proxy/mesh_node.py
+++ b/packages/proxy/src/hoistsaddle/proxy/mesh_node.py
@@ -11,6 +11,7 @@
 from hoistsaddle.common.backoff import ExponentialBackoff
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.counters import Counters
+from hoistsaddle.common.lifelong_tasks import LifelongTasks
 from hoistsaddle.common.settings import ProxySettings, SidecarSettings
 from hoistsaddle.membership.long_poll import LONG_POLL_TIMEOUT, answer_long_poll
 from hoistsaddle.membership.member import Member, MemberTimings
@@ -93,7 +94,7 @@
         self.answers: dict[int, asyncio.Future] = {}
         self._tickets = 0
         self.work: set[asyncio.Task] = set()
-        self.tasks: list[asyncio.Future] = []
+        self.tasks = LifelongTasks(counters=self.counters, now=runtime.now)
         self.registries = RegistryAddresses(seeds=settings.seeds)
         max_backoff = lease_span / MAX_BACKOFF_LEASE_DIVISOR
         self.holds = self._make_hold_client(max_backoff)
@@ -159,16 +160,15 @@
     async def start(self) -> None:
         """Listen for mesh calls, and start polling, ticking and reporting."""
         self.server = await self.runtime.serve(self.settings.listen, self.answer)
-        self.tasks = [
-            asyncio.ensure_future(work)
-            for work in (self.member.run(), self.poller.run(), self._run_ticks(), self.health.run())
-        ]
+        self.tasks.start("membership", self.member.run)
+        self.tasks.start("configuration", self.poller.run)
+        self.tasks.start("ticks", self._run_ticks)
+        self.tasks.start("health reports", self.health.run)
         self.counters.record_event("stall up", incarnation=self.incarnation)
 
     async def stop(self) -> None:
         """Stop immediately."""
-        for task in self.tasks:
-            task.cancel()
+        self.tasks.cancel()
         self.member.stop()
         await self.server.stop()
         self.runtime.rpc_client.close()
--- a/packages/raft/src/hoistsaddle/raft/disk_jobs.py
+++ b/packages/raft/src/hoistsaddle/raft/disk_jobs.py
@@ -9,6 +9,8 @@
 from datetime import timedelta
 from typing import NamedTuple, Protocol
 
+from loguru import logger
+
 from hoistsaddle.common.counters import Counters
 from hoistsaddle.raft.disk import Disk
 from hoistsaddle.raft.events import (
@@ -89,7 +91,9 @@
         job = jobs.popleft()
         try:
             return self._do(job)
-        except (OSError, sqlite3.Error):
+        except Exception as problem:
+            if not isinstance(problem, sqlite3.Error | OSError):
+                logger.opt(exception=problem).error("a job of the disk failed")
             self.counters.add("disk.mishaps")
             return self._report_failure(job)
 
@@ -204,8 +208,11 @@
                 return
             try:
                 report = self.jobs.do_next(waiting)
-            except (sqlite3.Error, OSError):
-                # A write is retried until it succeeds; the core sees the delay and steps down if it is too long.
+            except Exception as problem:
+                # A write is retried until it succeeds; the core sees the delay and steps down if it is too long. The
+                # thread must live as long as its process, so it goes on after any error.
+                if not isinstance(problem, sqlite3.Error | OSError):
+                    logger.opt(exception=problem).error("a write to the disk failed and is retried")
                 self.jobs.counters.add("disk.mishaps")
                 if self.stopped.wait(DISK_RETRY.total_seconds()):
                     return
--- a/packages/raft/src/hoistsaddle/raft/runner.py
+++ b/packages/raft/src/hoistsaddle/raft/runner.py
@@ -12,6 +12,7 @@
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.counters import Counters
 from hoistsaddle.common.errors import ErrorKind
+from hoistsaddle.common.lifelong_tasks import LifelongTasks
 from hoistsaddle.raft.core import RaftCore
 from hoistsaddle.raft.disk import Disk
 from hoistsaddle.raft.disk_jobs import BootstrapMesh, ChunkRead, DiskThread, DiskWorker, LeaveMesh, MeshChanged
@@ -100,6 +101,7 @@
         self.answers: dict[int, asyncio.Future] = {}
         self.tickets = 0
         self.tasks: set[asyncio.Task] = set()
+        self.lifelong_tasks = LifelongTasks(counters=counters, now=runtime.now)
         # Set while the disk bootstraps or leaves a mesh; the caller runs only one such change at a time.
         self.mesh_change: asyncio.Future | None = None
         self.ended = asyncio.Event()
@@ -126,7 +128,7 @@
             report=lambda event: loop.call_soon_threadsafe(self.feed, event),
             counters=self.counters,
         )
-        self._spawn(self._ticks())
+        self.lifelong_tasks.start("log ticks", self._ticks)
 
     def _core_of(self, boot: Boot) -> RaftCore:
         return RaftCore(
@@ -316,6 +318,7 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self.ended.wait(), within.total_seconds())
         await asyncio.sleep(FINAL_SEND_DELAY.total_seconds())
+        self.lifelong_tasks.cancel()
         for task in list(self.tasks):
             task.cancel()
         if self._started_worker().stop():
--- a/packages/registry/src/hoistsaddle/registry/controller.py
+++ b/packages/registry/src/hoistsaddle/registry/controller.py
@@ -1,6 +1,5 @@
 """The controller: a store and a registry in one process, which found their mesh automatically."""
 
-import asyncio
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
@@ -10,6 +9,7 @@
 
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.errors import MeshError
+from hoistsaddle.common.lifelong_tasks import LifelongTasks
 from hoistsaddle.common.settings import ControllerSettings, RegistrySettings, StoreSettings
 from hoistsaddle.common.tolerated_losses import Location, ToleratedLosses
 from hoistsaddle.config.items import Patch
@@ -95,6 +95,7 @@
         self.store = self._make_store(disk=disk, make_worker=make_worker)
         self.registry = self._make_registry()
         self.counters = self.registry.counters
+        self.tasks = LifelongTasks(counters=self.counters, now=runtime.now)
         self.patches = ItemPatches(
             registry=self.registry, settings=lambda: self.settings, log_offset=self._applied_offset
         )
@@ -151,11 +152,11 @@
         """Starts the store, the registry, and the bootstrap that founds the mesh if there is none."""
         await self.store.start()
         await self.registry.start()
-        self.bootstrap = asyncio.ensure_future(self._bootstrap())
+        self.tasks.start("bootstrap", self._bootstrap, may_return=True)
 
     async def stop(self) -> None:
         """Hands over this replica's roles and stops, within the grace period of the settings."""
-        self.bootstrap.cancel()
+        self.tasks.cancel()
         # The store first hands over this replica's roles; until the registry stops, it writes through the new leader.
         await self.store.stop()
         await self.registry.stop()
--- a/packages/registry/src/hoistsaddle/registry/node.py
+++ b/packages/registry/src/hoistsaddle/registry/node.py
@@ -9,6 +9,7 @@
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.counters import Counters
 from hoistsaddle.common.errors import ErrorKind, MeshError
+from hoistsaddle.common.lifelong_tasks import LifelongTasks
 from hoistsaddle.common.settings import RegistrySettings
 from hoistsaddle.membership.long_poll import LONG_POLL_TIMEOUT, answer_long_poll
 from hoistsaddle.membership.member import Member, MemberTimings
@@ -89,6 +90,7 @@
         self.level = settings.release_level or LEVEL
         self.incarnation = runtime.token(6)
         self.counters = Counters(owner=self.node)
+        self.tasks = LifelongTasks(counters=self.counters, now=runtime.now)
         self.peers = self._peers()
         self.stores = self._stores()
         self.writer = Writer(
@@ -135,17 +137,16 @@
     async def start(self) -> None:
         """Opens the mesh address and starts the tasks that read the configuration, probe members and monitor nodes."""
         self.server = await self.runtime.serve(self.settings.listen, self.answer)
-        self.tasks = [
-            asyncio.ensure_future(work)
-            for work in (self.member.run(), self._follow_configuration(), self._run_node_monitor(), self._register())
-        ]
+        self.tasks.start("membership", self.member.run)
+        self.tasks.start("configuration", self._follow_configuration)
+        self.tasks.start("node monitor", self._run_node_monitor)
+        self.tasks.start("registration", self._register)
         # Events' names are part of the operators' interface.
         self.counters.record_event("bourse up", incarnation=self.incarnation)
 
     async def stop(self) -> None:
         """Cancels all tasks and closes all connections at once."""
-        for task in self.tasks:
-            task.cancel()
+        self.tasks.cancel()
         self.writer.stop()
         self.member.stop()
         await self.server.stop()
--- a/packages/rpc/src/hoistsaddle/rpc/connection.py
+++ b/packages/rpc/src/hoistsaddle/rpc/connection.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from hoistsaddle.common.byte_budget import ByteBudget
+from hoistsaddle.common.connection_writes import write_or_raise
 from hoistsaddle.rpc.framing import FrameOverBudget, Traffic, encode_frame, read_frame, write_frame
 from hoistsaddle.rpc.messages import PingCall
 
@@ -88,7 +89,11 @@
             self.close()
 
     def write(self, *, number: int, message: tuple) -> None:
-        """Writes one call."""
+        """Writes one call.
+
+        Raises:
+            OSError: The connection was lost.
+        """
         self.bytes_written += write_frame(self.writer, self.traffic, number=number, answer=False, message=message)
 
     async def write_paced(self, *, number: int, message: tuple, rate: int) -> None:
@@ -108,7 +113,7 @@
                     if first:
                         await asyncio.sleep(began + first / rate - loop.time())
                     chunk = frame[first : first + chunk_bytes]
-                    self.writer.write(chunk)
+                    write_or_raise(self.writer, chunk)
                     self.bytes_written += len(chunk)
                     await self.writer.drain()
             except BaseException:
--- a/packages/rpc/src/hoistsaddle/rpc/framing.py
+++ b/packages/rpc/src/hoistsaddle/rpc/framing.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 from hoistsaddle.common.byte_budget import SMALL_LEASE_BYTES, ByteLease
+from hoistsaddle.common.connection_writes import write_or_raise
 from hoistsaddle.rpc.codec import Frame, pack, unpack_frame
 
 # What a frame may have besides a body: its headers and encoding, in bytes.
@@ -91,8 +92,12 @@
 
 
 def write_frame(writer: asyncio.StreamWriter, traffic: Traffic, *, number: int, answer: bool, message: tuple) -> int:
-    """Writes one frame and returns its size in bytes."""
+    """Writes one frame and returns its size in bytes.
+
+    Raises:
+        OSError: The connection was lost.
+    """
     sent = 0.0 if answer else asyncio.get_running_loop().time()
     frame = encode_frame(traffic, number=number, answer=answer, message=message, sent=sent)
-    writer.write(frame)
+    write_or_raise(writer, frame)
     return len(frame)
--- a/packages/rpc/src/hoistsaddle/rpc/server.py
+++ b/packages/rpc/src/hoistsaddle/rpc/server.py
@@ -123,7 +123,11 @@
 
     async def _write_answer(self, writer: asyncio.StreamWriter, number: int, answer: tuple) -> None:
         """Write an answer; a large one counts against the budget until the peer has read it."""
-        size = write_frame(writer, self.traffic, number=number, answer=True, message=answer)
+        try:
+            size = write_frame(writer, self.traffic, number=number, answer=True, message=answer)
+        except OSError:
+            # The connection is lost, and its reader ends too.
+            return
         if size <= SMALL_LEASE_BYTES:
             return
         lease = self._budget.lease()
--- a/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from datetime import timedelta
 from typing import Any, NamedTuple, cast
 
@@ -10,6 +11,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from hoistsaddle.common.byte_budget import SMALL_LEASE_BYTES, ByteBudget
+from hoistsaddle.common.connection_writes import write_or_raise
 from hoistsaddle.common.reading_watch import ReadingWatch
 from hoistsaddle.common.receive_buffers import RECEIVE_BUFFER_BYTES, BodyReceiveBuffer
 from hoistsaddle.common.work_turns import WorkTurns
@@ -332,7 +334,8 @@
             self.close()
             return
         if self.transport is not None and not self._is_ending():
-            self.transport.write(answer)
+            with suppress(ConnectionResetError):
+                write_or_raise(self.transport, answer)
         self._framing.discard()
         self._lease.release()
         self.force_close()
--- a/packages/sidecar/src/hoistsaddle/sidecar/listener.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from datetime import timedelta
 
 from aiohttp import web
@@ -10,6 +11,7 @@
 
 from hoistsaddle.common.byte_budget import ByteBudget
 from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.connection_writes import write_or_raise
 from hoistsaddle.common.errors import BodyTooLarge, MeshError, QueueFull
 from hoistsaddle.common.listening import bound_socket, listen_once_free
 from hoistsaddle.common.receive_buffers import RECEIVE_BUFFER_BYTES
@@ -98,7 +100,8 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one HTTP request."""
         if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
-            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            with suppress(ConnectionResetError):
+                write_or_raise(request.transport, b"HTTP/1.1 100 Continue\r\n\r\n")
         items = self.node.core.view.items
         if items is not None:
             handler: RequestHandler = request.protocol
--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -150,7 +150,7 @@
             freshness=self.core.freshness,
             poll=lambda address: self.poller.poll_once(address, within=self.timings.poll_timeout),
         )
-        self.tasks.append(asyncio.ensure_future(prober.run()))
+        self.tasks.start("core prober", prober.run)
 
     def _poll_refused(self, address: str, refusal: PollAnswer, sent: timedelta) -> None:
         """Handle a refused poll: a core machine with this configuration but without a lease has lost its majority.
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
@@ -13,6 +13,7 @@
 from aiohttp.streams import StreamReader
 
 from hoistsaddle.common.byte_budget import ByteBudget
+from hoistsaddle.common.connection_writes import write_or_raise
 from hoistsaddle.proxy.answer_framing import AnswerFraming, framing_of
 
 # How long an idle connection is kept if the server doesn't send a keep-alive timeout.
@@ -222,7 +223,10 @@
         """Write a request; raises BrokenAnswer if the connection has ended."""
         if self.transport is None:
             raise BrokenAnswer
-        self.transport.write(data)
+        try:
+            write_or_raise(self.transport, data)
+        except ConnectionResetError as problem:
+            raise BrokenAnswer from problem
 
     async def next_message(self) -> tuple[RawResponseMessage, StreamReader]:
         """Return the next response's head and body; raises BrokenAnswer if the connection ends before it."""
