A body or answer split at any byte is read to its end

Cause: RequestFraming counted an incomplete trailer line as a piece, and GuardedConnection took a counted piece for progress: it read the same bytes again in every turn of the event loop, with reading paused, so the missing byte never came. Not only the last line end: every trailer field.

Related: ServerConnection found the end of an answer's head, and the last line end of a body in chunks, only within one segment. Such answers cost a new connection each, and one with surplus bytes behind it was lost; it now looks across segments.

--- a/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
@@ -208,10 +208,11 @@
         return self._admitted and not held_back and not self._refused and not self._is_ending()
 
     def _advance_once(self) -> bool:
-        """Pass one head, or some body data, to the parser; False if there is nothing complete."""
+        """Pass one head, or some body data, to the parser; False if nothing of what is pending could be used."""
         if not self._framing.in_head and self._chunk_turns.left <= 0:
             self._wait_for_turn()
             return False
+        before = self._framing.pending_bytes
         try:
             part, chunks = self._framing.next_part(max_pieces=self._chunk_turns.left)
         except (TrailersTooLarge, MalformedBody) as problem:
@@ -224,10 +225,8 @@
                 self._take_head(data)
             case BodyReceived(data, payload_bytes):
                 self._take_body(data, payload_bytes)
-            case None:
-                # Trailers were decoded, if any chunk was.
-                return chunks > 0
-        return True
+        # Trailers are used without a part. Whatever is used shortens what is pending, so that this comes to an end.
+        return self._framing.pending_bytes < before
 
     def _wait_for_turn(self) -> None:
         if self._framing.pending_bytes:
--- a/packages/sidecar/src/hoistsaddle/sidecar/request_framing.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/request_framing.py
@@ -164,8 +164,9 @@
                 case _Phase.CHUNK_DATA_END:
                     position = self._read_line_end(data, position)
                 case _:
-                    pieces += 1
                     position = self._read_trailer(data, position)
+                    # A trailer field that isn't complete yet is no piece: its line is read again with more bytes.
+                    pieces += position > before
                     if self._phase is _Phase.HEAD:
                         end = LAST_CHUNK
             if position == before and self._phase is phase:
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
@@ -19,6 +19,8 @@
 # How long an idle connection is kept if the server doesn't send a keep-alive timeout.
 DEFAULT_KEEP_SECONDS = 4.0
 HEAD_END = b"\r\n\r\n"
+# The bytes before a segment that may belong to an end of a head within it.
+TAIL_BYTES = len(HEAD_END) - 1
 # The most heads that are split off in one read: that of a response and those of interim responses before it.
 MAX_HEADS = 4
 # The limit on the bytes of a response's head, and what the parser needs for each line of a response in chunks.
@@ -30,9 +32,21 @@
     """The received data is not a complete response to the request."""
 
 
-def _split_at_heads(data: bytes) -> list[bytes]:
-    parts = data.split(HEAD_END, MAX_HEADS)
-    return [part + HEAD_END for part in parts[:-1]] + ([parts[-1]] if parts[-1] else [])
+def _split_at_heads(data: bytes, *, before: bytes) -> list[tuple[bytes, bool]]:
+    """Split data after each end of a head, which may begin in the bytes before; the flag says what ends with one."""
+    joined = before + data
+    parts: list[tuple[bytes, bool]] = []
+    position = len(before)
+    found = joined.find(HEAD_END)
+    while found >= 0 and len(parts) < MAX_HEADS:
+        end = found + len(HEAD_END)
+        if end > position:
+            parts.append((joined[position:end], True))
+            position = end
+        found = joined.find(HEAD_END, end)
+    if position < len(joined):
+        parts.append((joined[position:], False))
+    return parts
 
 
 class ServerConnection(BaseProtocol):
@@ -87,6 +101,7 @@
         self.payloads = []
         self.data_seen = False
         self.surplus = False
+        self.tail = b""
         self.unfinished_head_bytes = self.answer_bytes = self.answer_lines = 0
         self.in_chunks = False
         self.uses += 1
@@ -104,7 +119,7 @@
             self.abort()
             return
         # On invalid data the parser drops the responses before it in the same call, so each head is fed separately.
-        for part in _split_at_heads(data):
+        for part, ends_with_head in _split_at_heads(data, before=self.tail):
             complete = bool(self.payloads) and self.payloads[-1].is_eof()
             try:
                 messages, upgraded, tail = self.parser.feed_data(part)
@@ -122,10 +137,10 @@
             # A complete head resets this: an interim response is followed by the final one.
             self.surplus = complete and not messages
             if messages:
-                self.bytes_after_head = 0 if part.endswith(HEAD_END) else None
+                self.bytes_after_head = 0 if ends_with_head else None
             elif self.bytes_after_head is not None:
                 self.bytes_after_head += len(part)
-            self.tail = part[-2:]
+            self.tail = (self.tail + part)[-TAIL_BYTES:]
         self._wake()
 
     def _has_room_for(self, data: bytes) -> bool:
@@ -174,7 +189,7 @@
             return False
         match self.framing(message):
             case AnswerFraming.CHUNKED:
-                return self.tail == b"\r\n"
+                return self.tail.endswith(b"\r\n")
             case AnswerFraming.LENGTH:
                 length = int(message.headers["Content-Length"])
             case AnswerFraming.BODILESS | AnswerFraming.CONNECTION_END:
