A connection that fails in its turn takes nobody else's

Each is called on its own now, and the error goes to the loop's handler.

Measured (arm64): the new test of tests/test_work_turns.py failed before.

--- a/packages/common/src/hoistsaddle/common/work_turns.py
+++ b/packages/common/src/hoistsaddle/common/work_turns.py
@@ -46,6 +46,15 @@
         for _ in range(len(self._waiting)):
             if self.left <= 0:
                 break
-            self._waiting.popleft()()
+            self._call(self._waiting.popleft())
         if self._waiting:
             self._schedule()
+
+    @staticmethod
+    def _call(proceed: Callable[[], None]) -> None:
+        """Call one that waits; those behind it get their turn also if it fails."""
+        try:
+            proceed()
+        except Exception as problem:
+            context = {"message": "a connection failed in its turn", "exception": problem}
+            asyncio.get_running_loop().call_exception_handler(context)
--- a/tests/test_work_turns.py
+++ b/tests/test_work_turns.py
@@ -38,3 +38,23 @@
         asyncio.run(run())
         self.assertThat(worked, Equals(["one", "two"] * 3))
         self.assertThat([pieces for pieces in iterations if pieces], Equals([10] * 5))
+
+    def test_one_that_fails_takes_nobody_elses_turn(self) -> None:
+        """Guards against connections that are left unread because of another one (review/6)."""
+        worked: list[str] = []
+        problems: list[dict] = []
+
+        def fail() -> None:
+            raise RuntimeError("the handler is closed")
+
+        async def run() -> None:
+            asyncio.get_running_loop().set_exception_handler(lambda _, context: problems.append(context))
+            turns = WorkTurns(pieces_per_iteration=10)
+            turns.wait(lambda: worked.append("one"))
+            turns.wait(fail)
+            turns.wait(lambda: worked.append("two"))
+            for _ in range(3):
+                await asyncio.sleep(0)
+
+        asyncio.run(run())
+        self.assertThat((worked, len(problems)), Equals((["one", "two"], 1)))
