--- a/packages/raft/src/hoistsaddle/raft/voter_placement.py
+++ b/packages/raft/src/hoistsaddle/raft/voter_placement.py
@@ -23,6 +23,8 @@
 
     def is_borne_by(self, state: State, voters: Iterable[int]) -> bool:
         """Whether the voters keep a majority after any of the tolerated losses."""
+        if not self.tolerated.depends_on_locations:
+            return len(list(voters)) >= self.tolerated.fewest_voters
         return self.tolerated.borne_by(list(self.locations(state, voters).values()))
 
     def in_order(self, state: State, *, voters: Collection[int], candidates: Collection[int]) -> list[int]:
--- a/tests/test_raft_placed_voters.py
+++ b/tests/test_raft_placed_voters.py
@@ -126,6 +126,16 @@
     def test_a_region_and_a_zone_together(self) -> None:
         self.check(regions_of((1, 1), (1, 1), (1,), (1, 1), (1,)), ToleratedLosses(machines=0, zones=1, regions=1))
 
+    def test_a_tolerance_that_changes_moves_the_votes(self) -> None:
+        for seed in SEEDS:
+            mesh = started(seed, zones_of(3, 1, 1), ToleratedLosses(machines=1))
+            self.assertThat(sorted(mesh.voters()), Equals([1, 2, 3]), f"seed {seed}")
+            mesh.placement = mesh.placement._replace(tolerated=ONE_ZONE)
+            for node in mesh.nodes.values():
+                node.core.placement = mesh.placement
+            mesh.run(SETTLE)
+            self.assertThat(mesh.placement.is_borne_by(mesh.leader().core.state, mesh.voters()), Equals(True))
+
     def test_a_leaving_voters_successor_keeps_the_voters_spread(self) -> None:
         for seed in SEEDS:
             mesh = started(seed, zones_of(2, 2, 2), ONE_ZONE)
