A changed settings file with a field of the wrong form is refused once

A file that is whole but invalid was taken for one that is still being written, and warned of every second. It is refused like other settings that can't be used; the test of such ports checks the event, and failed before.

--- a/tests/test_settings_reload.py
+++ b/tests/test_settings_reload.py
@@ -117,10 +117,12 @@
     def test_a_change_with_ports_of_the_wrong_form_is_not_taken(self) -> None:
         for ports in ([], [7620], [0, 15], [7620, 65536], [7620, "7635"], None):
             self.write({})
-            watcher, seen, _ = self.watch(sidecar_settings)
+            watcher, seen, counters = self.watch(sidecar_settings)
             self.write({"port_range": ports})
             watcher.check_for_changes()
+            watcher.check_for_changes()
             self.assertThat(seen, Equals([]), str(ports))
+            self.assertThat(counters.read()["counts"].get("happening.params refused"), Equals(1), str(ports))
 
 
 def ports_of(settings: ControllerSettings | SidecarSettings) -> tuple:
