Settings, their checks, files and addresses are modules of their own

The classes stay; checks, the reading of TOML files and flags, and socket addresses have a module each.

--- a/packages/cli/src/hoistsaddle/cli/commands.py
+++ b/packages/cli/src/hoistsaddle/cli/commands.py
@@ -23,8 +23,8 @@
     RegistrySettings,
     SidecarSettings,
     StoreSettings,
-    read_settings_file,
 )
+from hoistsaddle.common.settings_files import read_settings_file
 from hoistsaddle.common.shutdown import ShutdownWatchdog
 
 # The grace period of programs whose settings have none: longer than any timeout inside them.
--- a/packages/common/src/hoistsaddle/common/listening.py
+++ b/packages/common/src/hoistsaddle/common/listening.py
@@ -12,7 +12,7 @@
 from hoistsaddle.common.backoff import ExponentialBackoff
 from hoistsaddle.common.clock import milliseconds, monotonic_now
 from hoistsaddle.common.receive_buffers import limit_receive_buffer
-from hoistsaddle.common.settings import split_address
+from hoistsaddle.common.socket_addresses import split_address
 
 MIN_BACKOFF = milliseconds(50)
 MAX_BACKOFF = timedelta(seconds=1)
--- a/packages/proxy/src/hoistsaddle/proxy/admin_api.py
+++ b/packages/proxy/src/hoistsaddle/proxy/admin_api.py
@@ -10,7 +10,7 @@
 from hoistsaddle.common.counters import Counters
 from hoistsaddle.common.errors import MeshError
 from hoistsaddle.common.reading import plain_name, read_body, whole_number
-from hoistsaddle.common.settings import check_address, split_address
+from hoistsaddle.common.socket_addresses import check_address, split_address
 from hoistsaddle.proxy.retry_budget import RetryBudget
 
 READY_PATH = "/hoistsaddle/ready"
--- a/packages/registry/src/hoistsaddle/registry/operator_api.py
+++ b/packages/registry/src/hoistsaddle/registry/operator_api.py
@@ -10,7 +10,7 @@
 
 from hoistsaddle.common.errors import BundleUnknown, MeshError
 from hoistsaddle.common.reading import plain_name, read_body, whole_number
-from hoistsaddle.common.settings import split_address
+from hoistsaddle.common.socket_addresses import split_address
 from hoistsaddle.registry.founding import found_mesh
 from hoistsaddle.registry.http_server import CONFLICT, HttpListener, answer_or_refuse, refuse_call
 from hoistsaddle.registry.node import PROXY_KIND, Registry
--- a/packages/rpc/src/hoistsaddle/rpc/client.py
+++ b/packages/rpc/src/hoistsaddle/rpc/client.py
@@ -10,7 +10,7 @@
 
 from hoistsaddle.common.byte_budget import ByteBudget
 from hoistsaddle.common.errors import MeshError
-from hoistsaddle.common.settings import split_address
+from hoistsaddle.common.socket_addresses import split_address
 from hoistsaddle.rpc.call_context import set_call_age
 from hoistsaddle.rpc.connection import Connection, KeepAlive
 from hoistsaddle.rpc.connection_faults import ConnectionFaults
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
@@ -15,7 +15,7 @@
 from hoistsaddle.common.counters import Counters
 from hoistsaddle.common.errors import ErrorKind
 from hoistsaddle.common.receive_buffers import limit_receive_buffer
-from hoistsaddle.common.settings import split_address
+from hoistsaddle.common.socket_addresses import split_address
 from hoistsaddle.proxy.answer_framing import AnswerFraming
 from hoistsaddle.sidecar.errors import server_answer_missing, server_not_reached
 from hoistsaddle.sidecar.header_names import HeaderNames
--- a/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
+++ b/packages/testbed/src/hoistsaddle/testbed/emulator/machines.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from hoistsaddle.common.errors import ErrorKind, MeshError
-from hoistsaddle.common.settings import check_settings
+from hoistsaddle.common.settings_checks import check_settings
 from hoistsaddle.raft.disk import Disk
 from hoistsaddle.registry.addresses import number_of_host
 from hoistsaddle.registry.controller import Controller
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -25,7 +25,7 @@
     translated,
 )
 from hoistsaddle.common.errors import ErrorKind, MeshError
-from hoistsaddle.common.settings import check_settings
+from hoistsaddle.common.settings_checks import check_settings
 from hoistsaddle.common.tolerated_losses import ToleratedLosses
 from hoistsaddle.config.item_checks import check_patch
 from hoistsaddle.config.items import ENTRY, LIMITS, SERVICE, ItemDeletion, Patch
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -360,7 +360,8 @@
                 "disk_stall_seconds": "1.0",
             },
         }
-        from hoistsaddle.common.settings import ProxySettings, RegistrySettings, StoreSettings, read_settings_file
+        from hoistsaddle.common.settings import ProxySettings, RegistrySettings, StoreSettings
+        from hoistsaddle.common.settings_files import read_settings_file
 
         kinds = {"stall": ProxySettings, "bourse": RegistrySettings, "warehouse": StoreSettings}
         odd = ("[[1]]", "-1", HUGE, "1e300", "nan", "true", '"\\u0000"', '""', "1979-05-27", "{}")
--- a/tests/test_registry_controller.py
+++ b/tests/test_registry_controller.py
@@ -18,7 +18,8 @@
 from hoistsaddle.cli.commands import main
 from hoistsaddle.cli.watch import format_event
 from hoistsaddle.common.counters import Counters
-from hoistsaddle.common.settings import ControllerSettings, SidecarSettings, read_settings_file
+from hoistsaddle.common.settings import ControllerSettings, SidecarSettings
+from hoistsaddle.common.settings_files import read_settings_file
 from hoistsaddle.config.items import ENTRY, LIMITS, SERVICE, ItemDeletion, ItemUpsert, Patch
 from hoistsaddle.config.patch_text import read_text
 from hoistsaddle.registry.addresses import host_of_number
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,7 +9,6 @@
 from testtools.matchers import Equals, IsInstance
 
 from hoistsaddle.common.settings import (
-    ALLOWED_RANGES,
     DOCUMENTED_NAMES,
     ControllerSettings,
     ProxySettings,
@@ -17,8 +16,9 @@
     SidecarSettings,
     StoreSettings,
     attribute_of,
-    read_settings_file,
 )
+from hoistsaddle.common.settings_checks import ALLOWED_RANGES
+from hoistsaddle.common.settings_files import read_settings_file
 
 SEEDS = ["10.0.0.1:7100", "10.0.0.2:7100", "10.0.0.3:7100"]
 CORE = [{"replica": 1, "warehouse": "10.0.0.1:7101", "bourse": "10.0.0.1:7100"}]
