--- a/tests/test_rpc_connections.py
+++ b/tests/test_rpc_connections.py
@@ -338,6 +338,7 @@
 
         writer = SimpleNamespace(
             write=write,
+            is_closing=lambda: False,
             close=lambda: None,
             transport=SimpleNamespace(get_write_buffer_size=lambda: waiting[0]),
         )
