--- a/tests/test_wire_bytes.py
+++ b/tests/test_wire_bytes.py
@@ -2,10 +2,10 @@
 
 `fixtures/wire-9c419a2/frames.txt` was recorded from the untouched code of that commit, before classes and fields were
 renamed; `fixtures/wire-36db3d2/frames.txt` holds the messages that came with commit 36db3d2, and
-`fixtures/wire-founding/frames.txt` those with which controllers check one another's disks. `fixtures/wire-zones` has the
-one of these that got a field since; the frame without it is read, too. A line is a message's
-number in mesh.thrift's union and the hex of a frame that carries a sample of it. A sample's values depend only on the
-types and positions of its fields, so that no renaming changes them.
+`fixtures/wire-founding/frames.txt` those with which controllers check one another's disks. `fixtures/wire-zones` has
+the one of these that got a field since; the frame without it is read, too. A line is a message's number in
+mesh.thrift's union and the hex of a frame that carries a sample of it. A sample's values depend only on the types and
+positions of its fields, so that no renaming changes them.
 """
 
 from datetime import timedelta
