Output that is closed, full or not read neither ends a process nor holds it up

Cause: the log was given sys.stderr, which is None if the descriptor is closed; and a line was written where the event loop waits, so an unread pipe held the loop for good. A closed descriptor's number also went to the next file or socket that was opened, which would then have taken the lines.

Change: closed descriptors are opened on the null device first; a thread writes the lines, at most 256 KiB wait, what is over that is lost, counted and reported when output works again. The last lines are waited for 0.1 s at an exit.

--- a/packages/cli/src/hoistsaddle/cli/commands.py
+++ b/packages/cli/src/hoistsaddle/cli/commands.py
@@ -17,6 +17,7 @@
 from hoistsaddle.cli.operator_commands import OPERATOR_COMMANDS
 from hoistsaddle.cli.output import EXIT_USAGE, exit_with_error
 from hoistsaddle.common.errors import InvalidSettings
+from hoistsaddle.common.process_output import protect_output
 from hoistsaddle.common.settings import (
     ControllerSettings,
     ProxySettings,
@@ -47,6 +48,7 @@
         settings_file: The path of the TOML file; None if there is none.
         flags: Settings from the command line, by their documented names.
     """
+    protect_output()
     match read_settings_file(kind=kind, path=settings_file, flags=flags):
         case Failure(error):
             exit_with_error(error, status=EXIT_USAGE)
--- a/packages/common/src/hoistsaddle/common/shutdown.py
+++ b/packages/common/src/hoistsaddle/common/shutdown.py
@@ -11,6 +11,8 @@
 
 from loguru import logger
 
+from hoistsaddle.common.process_output import drain_output
+
 # The fraction of the grace period after which the watchdog acts: the signal may have arrived late, and exiting takes
 # some time.
 GRACE_FRACTION = 0.97
@@ -24,6 +26,7 @@
         "the shutdown was not finished within its grace period: exiting although some task or thread is still waiting"
     )
     sys.stderr.flush()
+    drain_output()
     os._exit(UNFINISHED_EXIT_CODE)
 
 
