Signals in any number end a process in order, and only those that ask for it

Callers saw processes that end at once: a second SIGTERM 0.15 s after the first ended 39 of 39 processes with -15, with whatever their clients still waited for; SIGHUP, SIGUSR1 or SIGTERM during the start or the end of a process did so too.

Cause: the library of the entry point takes SIGTERM only after the services are up, and gives it back its default action as soon as it begins to stop; closing the event loop does the same for SIGHUP.

Change: the launcher's first statement ignores SIGHUP, and its next ones SIGUSR1 and SIGUSR2; a stop before the program is loaded ends it with 0; a stop during the start cancels the start, requests that have arrived are finished and roles handed over; later signals change nothing until the process is gone. Both programs' runners are one (service_runner.py). A start that the system refuses names field and remedy in both programs.

--- a/packages/cli/src/hoistsaddle/cli/commands.py
+++ b/packages/cli/src/hoistsaddle/cli/commands.py
@@ -1,6 +1,5 @@
 """The `hoistsaddle` command: its subcommands that run the programs, and the registration of all others."""
 
-import errno
 import logging
 import sys
 from collections.abc import Callable
@@ -8,7 +7,7 @@
 
 import click
 from aiohttp.http_exceptions import HttpProcessingError
-from aiomisc import Service, entrypoint
+from aiomisc import Service
 from loguru import logger
 from returns.result import Failure, Success
 
@@ -16,8 +15,8 @@
 from hoistsaddle.cli.item_commands import items
 from hoistsaddle.cli.operator_commands import OPERATOR_COMMANDS
 from hoistsaddle.cli.output import EXIT_USAGE, exit_with_error
-from hoistsaddle.common.errors import InvalidSettings
-from hoistsaddle.common.process_output import protect_output
+from hoistsaddle.common.process_start import prepare_process
+from hoistsaddle.common.service_runner import ServiceRunner, StartRefused
 from hoistsaddle.common.settings import (
     ControllerSettings,
     ProxySettings,
@@ -26,12 +25,9 @@
     StoreSettings,
 )
 from hoistsaddle.common.settings_files import read_settings_file
-from hoistsaddle.common.shutdown import ShutdownWatchdog
 
 # The grace period of programs whose settings have none: longer than any timeout inside them.
 DEFAULT_GRACE_SECONDS = 60.0
-# Errors of the listening address; other errors at the start concern the data folder.
-ADDRESS_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
 
 
 def _is_not_malformed_request(record: logging.LogRecord) -> bool:
@@ -48,27 +44,20 @@
         settings_file: The path of the TOML file; None if there is none.
         flags: Settings from the command line, by their documented names.
     """
-    protect_output()
     match read_settings_file(kind=kind, path=settings_file, flags=flags):
         case Failure(error):
             exit_with_error(error, status=EXIT_USAGE)
         case Success(settings):
             pass
+    prepare_process()
     logging.getLogger("aiohttp.server").addFilter(_is_not_malformed_request)
     logger.remove()
     logger.add(sys.stderr, format="{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {message}", level="INFO")
+    grace = timedelta(seconds=getattr(settings, "grace_seconds", DEFAULT_GRACE_SECONDS))
     try:
-        with entrypoint(service(settings=settings), log_config=False) as loop:
-            grace = timedelta(seconds=getattr(settings, "grace_seconds", DEFAULT_GRACE_SECONDS))
-            ShutdownWatchdog(grace=lambda: grace).watch()
-            loop.run_forever()
-    except OSError as problem:
-        error = InvalidSettings(
-            f"The program can't start: {problem}.",
-            field="listen" if problem.errno in ADDRESS_ERRORS else "data_folder",
-            remedy="Free the address or repair the data folder, or give another one in the settings.",
-        )
-        exit_with_error(error, status=EXIT_USAGE)
+        ServiceRunner(service=service(settings=settings), grace=lambda: grace).run()
+    except StartRefused as refusal:
+        exit_with_error(refusal.error, status=EXIT_USAGE)
 
 
 def _core_machines(values: tuple[str, ...]) -> list[dict] | None:
--- a/packages/common/src/hoistsaddle/common/process_output.py
+++ b/packages/common/src/hoistsaddle/common/process_output.py
@@ -24,6 +24,9 @@
 class ProcessOutput(io.TextIOBase):
     """A text stream over a descriptor; `write` never waits and never raises."""
 
+    # Characters that it can't encode are escaped.
+    encoding = "utf-8"
+
     def __init__(self, descriptor: int, *, max_waiting_bytes: int = MAX_WAITING_BYTES) -> None:
         """Starts no thread before the first line.
 
@@ -43,11 +46,6 @@
         self.lost_lines = 0
         self._unreported_lines = 0
 
-    @property
-    def encoding(self) -> str:
-        """The encoding of what is written; characters that it can't encode are escaped."""
-        return "utf-8"
-
     def fileno(self) -> int:
         """The descriptor."""
         return self._descriptor
@@ -62,7 +60,7 @@
 
     def write(self, text: str) -> int:
         """Queues the text; if too much is waiting already, the text is lost."""
-        data = text.encode("utf-8", "backslashreplace")
+        data = text.encode(self.encoding, "backslashreplace")
         with self._changed:
             if self._waiting_bytes + len(data) > self._max_waiting_bytes or not self._has_thread():
                 self._lose(data)
--- a/packages/registry/src/hoistsaddle/registry/controller.py
+++ b/packages/registry/src/hoistsaddle/registry/controller.py
@@ -1,5 +1,6 @@
 """The controller: a store and a registry in one process, which found their mesh automatically."""
 
+import asyncio
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
@@ -149,9 +150,16 @@
         return 0 if core is None else core.state.offset
 
     async def start(self) -> None:
-        """Starts the store, the registry, and the bootstrap that founds the mesh if there is none."""
-        await self.store.start()
-        await self.registry.start()
+        """Starts the store, the registry, and the bootstrap that founds the mesh if there is none.
+
+        If this is cancelled, the store hands over its roles.
+        """
+        try:
+            await self.store.start()
+            await self.registry.start()
+        except asyncio.CancelledError:
+            await self.store.stop()
+            raise
         self.tasks.start("bootstrap", self._bootstrap, may_return=True)
 
     async def stop(self) -> None:
--- a/packages/registry/src/hoistsaddle/registry/controller_api.py
+++ b/packages/registry/src/hoistsaddle/registry/controller_api.py
@@ -1,5 +1,6 @@
 """The HTTP interface of a controller for operators, and the service that runs a controller."""
 
+import asyncio
 from datetime import timedelta
 from pathlib import Path
 
@@ -78,13 +79,20 @@
         self.controller_settings = settings
 
     async def start(self) -> None:
-        """Creates the data folder if it is missing, then opens the mesh addresses and the operators' address."""
+        """Creates the data folder if it is missing, then opens the mesh addresses and the operators' address.
+
+        If this is cancelled, the controller hands over its roles.
+        """
         Path(self.controller_settings.data_folder).mkdir(parents=True, exist_ok=True)
         runtime = RealRuntime(keep_alive=KEEP_ALIVE, connect_timeout=CONNECT_TIMEOUT, local_calls=True)
         self.controller = Controller(settings=self.controller_settings, runtime=runtime)
         await self.controller.start()
         self.operator_api = ControllerApi(controller=self.controller)
-        await self.operator_api.start()
+        try:
+            await self.operator_api.start()
+        except asyncio.CancelledError:
+            await self.controller.stop()
+            raise
         self.start_event.set()
 
     async def stop(self, exception: Exception | None = None) -> None:
--- a/packages/sidecar/src/hoistsaddle/sidecar/service.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/service.py
@@ -42,7 +42,19 @@
         self.header_names = header_names or HeaderNames()
 
     async def start(self) -> None:
-        """Start the node and then the listeners, so that any request that arrives can be forwarded."""
+        """Start the node and then the listeners, so that any request that arrives can be forwarded.
+
+        If this is cancelled, requests that have arrived by then are finished.
+        """
+        self._create_node()
+        try:
+            await self._open()
+        except asyncio.CancelledError:
+            await self._finish_requests()
+            raise
+        self.start_event.set()
+
+    def _create_node(self) -> None:
         settings = self.sidecar_settings
         self.budget = ByteBudget(memory_megabytes=settings.memory_megabytes, descriptors=settings.descriptors)
         runtime = RealRuntime(
@@ -54,17 +66,18 @@
         self.node = SidecarNode(settings=settings, runtime=runtime, serve=self.server_connections.serve)
         self.node.abandoned_bodies = AbandonedBodies(budget=self.budget)
         self.server_connections.counters = self.node.counters
+
+    async def _open(self) -> None:
         await self.node.start()
         ingress = IngressHandler(node=self.node, header_names=self.header_names)
         self.listener = await open_listener(
-            address=settings.door,
+            address=self.sidecar_settings.door,
             handler=ingress.handle,
             idle=timedelta(seconds=60),
             budget=self.budget,
             limits=ingress.limits,
         )
         self.admin_listeners = await self.open_admin_listeners()
-        self.start_event.set()
 
     async def open_admin_listeners(self) -> list[web.BaseRunner]:
         """Listen for readiness checks and health reports; a platform overrides this with its own API."""
@@ -72,18 +85,22 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Shut down gracefully, within the grace period of the settings."""
-        grace = self.grace()
-        closing = grace * CLOSING_SHARE
-        await self.node.wind_down(quiet=QUIET, most=grace - closing)
+        await self._finish_requests()
+        closing = self.grace() * CLOSING_SHARE
         try:
             async with asyncio.timeout(closing.total_seconds() * CLOSING_BOUND):
                 await self._close(wait=min(UNREAD_WAIT, closing / 4))
         except TimeoutError:
             logger.warning("{}: the listeners did not close in time", self.sidecar_settings.name)
 
+    async def _finish_requests(self) -> None:
+        await self.node.wind_down(quiet=QUIET, most=self.grace() * (1 - CLOSING_SHARE))
+
     def grace(self) -> timedelta:
         """Return the current grace period for a shutdown."""
-        return timedelta(seconds=self.node.sidecar_settings.grace_seconds)
+        # A signal may ask for it before the node is there.
+        settings = self.node.sidecar_settings if hasattr(self, "node") else self.sidecar_settings
+        return timedelta(seconds=settings.grace_seconds)
 
     async def _close(self, *, wait: timedelta) -> None:
         await asyncio.gather(
--- a/packages/store/src/hoistsaddle/store/service.py
+++ b/packages/store/src/hoistsaddle/store/service.py
@@ -139,8 +139,12 @@
         )
 
     async def stop(self) -> None:
-        """Hands over within a fraction of the grace period, then closes the listener and the connections."""
-        await self.runner.stop(within=timedelta(seconds=self.settings.grace_seconds * HANDOVER_FRACTION))
+        """Hands over within a fraction of the grace period, then closes the listener and the connections.
+
+        A store whose disk could not be opened yet has nothing to hand over.
+        """
+        if self.runner.core is not None:
+            await self.runner.stop(within=timedelta(seconds=self.settings.grace_seconds * HANDOVER_FRACTION))
         if self.server is not None:
             await self.server.stop()
         self.runtime.rpc_client.close()
--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -6,11 +6,18 @@
 
 import json
 import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
 
 from testtools import TestCase
-from testtools.matchers import Contains, Equals
+from testtools.matchers import Contains, Equals, Not
 
-from platform_processes import MAX_SECONDS, ROLES, PlatformProcesses
+from hoistsaddle.testbed.emulator.platform_adapter import adapter
+from platform_processes import HOST, LAUNCHER, MAX_SECONDS, ROLES, PlatformProcesses
 
 # The launcher, which sends itself a signal where it would otherwise run the program.
 SIGNALLED = """
@@ -86,3 +93,64 @@
             process, log = self.start(role, json.dumps(settings).encode())
             self.assertThat(process.wait(MAX_SECONDS), Equals(1))
             self.assertThat(log.read_text(), Contains("field zone"))
+
+
+class Signals(PlatformProcesses):
+    """Guards against signals that end a process at once, before it is up or while it ends in order."""
+
+    def test_signals_before_the_program_is_loaded(self) -> None:
+        for name, expected in (("SIGHUP", "alive\n"), ("SIGUSR1", "alive\n"), ("SIGTERM", ""), ("SIGINT", "")):
+            script = SIGNALLED.format(name=name, launcher=str(LAUNCHER))
+            done = subprocess.run([sys.executable, "-c", script], cwd=self.folder, capture_output=True, text=True)
+            self.assertThat((name, done.returncode, done.stdout), Equals((name, 0, expected)), done.stderr)
+
+    def test_a_stop_while_a_port_is_waited_for(self) -> None:
+        samples = adapter("samples")
+        mesh_port = samples.PORTS[0]
+        for role, port in (
+            ("controller", mesh_port),
+            ("controller", mesh_port + 1),
+            ("controller", samples.CONTROL),
+            ("sidecar", mesh_port),
+            ("sidecar", samples.EGRESS),
+            ("sidecar", samples.CONTROL),
+        ):
+            with socket.socket() as holder:
+                holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                holder.bind((HOST, port))
+                holder.listen()
+                process, log = self.start(role, self.settings(role))
+                self.wait_for(process, log, f"{HOST}:{port} is taken")
+                process.send_signal(signal.SIGTERM)
+                self.assertThat(process.wait(MAX_SECONDS), Equals(0), f"{role} {port}: {log.read_text()[-2000:]}")
+
+    def test_a_stop_while_the_settings_file_is_waited_for(self) -> None:
+        for role in ROLES:
+            process, log = self.start(role, b"{")
+            self.wait_for(process, log, "can't be read yet")
+            process.send_signal(signal.SIGTERM)
+            self.assertThat(process.wait(MAX_SECONDS), Equals(0), log.read_text()[-2000:])
+
+    def test_a_second_stop_does_not_cut_the_first_one_short(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            for role in ROLES:
+                process, log = self.start(role, self.settings(role))
+                self.wait_until_it_accepts(process, role)
+                self.send_until_it_ends(process, lambda _, number=number: number)
+                self.assertThat(process.returncode, Equals(0), f"{role} {number!r}: {log.read_text()[-2000:]}")
+
+    def test_series_of_signals_until_the_process_is_gone(self) -> None:
+        numbers = (signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP, signal.SIGUSR2)
+        for role in ROLES:
+            process, log = self.start(role, self.settings(role))
+            self.wait_until_it_accepts(process, role)
+            self.send_until_it_ends(process, lambda turn: numbers[turn % len(numbers)])
+            self.assertThat(process.returncode, Equals(0), f"{role}: {log.read_text()[-2000:]}")
+            self.assertThat(log.read_text(), Not(Contains("Traceback")))
+
+    def send_until_it_ends(self, process: subprocess.Popen, choose: Callable[[int], signal.Signals]) -> None:
+        end, turn = time.monotonic() + MAX_SECONDS, 0
+        while process.poll() is None and time.monotonic() < end:
+            process.send_signal(choose(turn))
+            turn += 1
+            time.sleep(0.001)
