A settings file's numbers have any JSON form, and each refusal names field and remedy

Callers saw every process end by itself after 10 s at each start: fd_limit 4096.0, machine_loss 1.0, a limit that is null, ports 7620.0 (26 ends in 22 s of 13 processes). A retry budget of 1e308, a file nested too deep, no file named and a state folder that can't be made ended processes with a traceback.

Cause: the decoder takes a JSON number with a fraction for another type than one without; some errors had no place where they become a refusal.

What can't be used is refused with field and remedy, alike at a start and at a change. The disk makes its own folder, with its retries on a full disk, and no program makes it before it.

--- a/packages/registry/src/hoistsaddle/registry/controller_api.py
+++ b/packages/registry/src/hoistsaddle/registry/controller_api.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from datetime import timedelta
-from pathlib import Path
 
 from aiohttp import web
 from aiomisc import Service
@@ -79,11 +78,10 @@
         self.controller_settings = settings
 
     async def start(self) -> None:
-        """Creates the data folder if it is missing, then opens the mesh addresses and the operators' address.
+        """Opens the mesh addresses and the operators' address.
 
         If this is cancelled, the controller hands over its roles.
         """
-        Path(self.controller_settings.data_folder).mkdir(parents=True, exist_ok=True)
         runtime = RealRuntime(keep_alive=KEEP_ALIVE, connect_timeout=CONNECT_TIMEOUT, local_calls=True)
         self.controller = Controller(settings=self.controller_settings, runtime=runtime)
         await self.controller.start()
--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, Not
+from testtools.matchers import Contains, Equals, MatchesListwise, Not
 
 from hoistsaddle.testbed.emulator.platform_adapter import adapter
 from platform_processes import HOST, LAUNCHER, MAX_SECONDS, ROLES, PlatformProcesses
@@ -154,3 +154,50 @@
             process.send_signal(choose(turn))
             turn += 1
             time.sleep(0.001)
+
+
+class Refusals(PlatformProcesses):
+    """Guards against settings that end a process by an unhandled error, with no word on what to change."""
+
+    def test_each_end_at_a_start_names_a_field_and_a_remedy(self) -> None:
+        deep = b'{"unknown": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+        for what, field, change in (
+            ("a retry budget that is no percentage", "bounds", {"bounds": ["budget_ratio=1e308"]}),
+            ("a folder below a file", "data_folder", {"state_dir": "/etc/hostname/data"}),
+            ("a folder that can't be made", "data_folder", {"state_dir": "/proc/data"}),
+        ):
+            role = "controller" if "state_dir" in change else "sidecar"
+            settings = {**json.loads(self.settings(role)), **change}
+            self.check(role, json.dumps(settings).encode(), field, what)
+        for role in ROLES:
+            self.check(role, deep, "", "nested too deep")
+
+    def check(self, role: str, settings: bytes, field: str, what: str) -> None:
+        process, log = self.start(role, settings)
+        code = process.wait(MAX_SECONDS)
+        text = log.read_text()
+        self.assertThat((code, "Traceback" in text, "Remedy: " in text), Equals((1, False, True)), f"{what}: {text}")
+        if field:
+            self.assertThat(text, Contains(f"(field {field})"), what)
+
+    def test_no_settings_file_is_named(self) -> None:
+        variable = adapter("headers").SETTINGS_VARIABLE
+        environment = {name: value for name, value in os.environ.items() if name != variable}
+        command = [sys.executable, str(LAUNCHER), "sidecar"]
+        done = subprocess.run(command, env=environment, cwd=self.folder, capture_output=True)
+        text = done.stderr.decode()
+        matchers = [Equals(1), Contains("Remedy: "), Not(Contains("Traceback"))]
+        self.assertThat([done.returncode, text, text], MatchesListwise(matchers))
+
+
+class NumberForms(PlatformProcesses):
+    """Guards against whole numbers written with a fraction, and limits that are not known, that end every process."""
+
+    def test_a_start_with_any_form(self) -> None:
+        for role in ROLES:
+            settings = json.loads(self.settings(role))
+            settings["constraints"] = {"fd_limit": 4096.0, "memory_mb": None, "link_mbps": None, "disk_mb": None}
+            settings["tolerance"] = {"machine_loss": 1.0, "zones": 0.0, "region_loss": None}
+            settings["port_range"] = [float(port) for port in settings["port_range"]]
+            process, log = self.start(role, json.dumps(settings).encode())
+            self.check_that_it_starts(process, f"{role}: {log.read_text()[-2000:]}")
