A signal to stop is handled although no thread can start

Cause: the signal handler starts the watchdog's thread first, and an error there is raised in whatever was interrupted.

Change: without a thread there is no watchdog, and the stop goes its way.

Evidence: tests/test_shutdown.py, test_the_signal_stops_the_process_although_no_thread_can_start: fails before, holds now.

--- a/packages/common/src/hoistsaddle/common/shutdown.py
+++ b/packages/common/src/hoistsaddle/common/shutdown.py
@@ -1,5 +1,6 @@
 """A watchdog that ends a process whose graceful shutdown does not finish within the grace period."""
 
+import contextlib
 import os
 import signal
 import sys
@@ -61,7 +62,9 @@
         if self.armed:
             return
         self.armed = True
-        threading.Thread(target=self._wait, name="last resort", daemon=True).start()
+        # Called by a signal handler, so that an error would be raised in whatever the signal interrupts.
+        with contextlib.suppress(RuntimeError):
+            threading.Thread(target=self._wait, name="last resort", daemon=True).start()
 
     def _wait(self) -> None:
         self.sleep(self.grace().total_seconds() * GRACE_FRACTION)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from types import SimpleNamespace
 from typing import Any
+from unittest import mock
 
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
@@ -65,6 +66,16 @@
         signal.raise_signal(signal.SIGUSR2)
         self.assertThat((self.exited.wait(30), received), Equals((True, [signal.SIGUSR2])))
 
+    def test_the_signal_stops_the_process_although_no_thread_can_start(self) -> None:
+        """Guards against a signal handler that raises where the system allows no more threads (issue 61)."""
+        received: list[int] = []
+        before = signal.signal(signal.SIGUSR2, lambda number, _: received.append(number))
+        self.addCleanup(signal.signal, signal.SIGUSR2, before)
+        self.watchdog.watch(signal.SIGUSR2)
+        with mock.patch.object(threading.Thread, "start", side_effect=RuntimeError("can't start new thread")):
+            signal.raise_signal(signal.SIGUSR2)
+        self.assertThat(received, Equals([signal.SIGUSR2]))
+
     def test_a_graceful_shutdown_ends_before_the_watchdog_acts(self) -> None:
         self.assertThat(1 - CLOSING_SHARE + CLOSING_SHARE * CLOSING_BOUND < GRACE_FRACTION, Equals(True))
 
