Logs say when a process starts and on which signal it stops; soaks repeat their signals

Cause: a log didn't tell a signal's default action, a kill and an end in order apart, and the soak sent one SIGTERM a stop and never looked at how the process ended.

In a soak SIGTERM and SIGHUP follow each other until a stopping process is gone; one that a signal ends then is a failure.

--- a/packages/common/src/hoistsaddle/common/service_runner.py
+++ b/packages/common/src/hoistsaddle/common/service_runner.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import errno
+import functools
+import os
 import signal
 from collections.abc import Callable
 from datetime import timedelta
@@ -81,8 +83,10 @@
         stopping = asyncio.Event()
         watchdog = ShutdownWatchdog(grace=self._grace)
         for number in STOP_SIGNALS:
-            handle_in_loop(number, stopping.set)
+            handle_in_loop(number, functools.partial(_request_stop, stopping, number))
             watchdog.watch(number)
+        # A log in which this is not followed by the end's line is that of a process which was killed or has crashed.
+        logger.info("starting as process {}", os.getpid())
         return stopping
 
     async def _start(self, program: entrypoint, stopping: asyncio.Event) -> bool:
@@ -102,6 +106,12 @@
         return True
 
 
+def _request_stop(stopping: asyncio.Event, number: signal.Signals) -> None:
+    if not stopping.is_set():
+        logger.info("stopping on {}", number.name)
+        stopping.set()
+
+
 def _refuse(problem: OSError) -> NoReturn:
     error = InvalidSettings(
         f"The program can't start: {problem}.",
--- a/packages/testbed/src/hoistsaddle/testbed/soak/processes.py
+++ b/packages/testbed/src/hoistsaddle/testbed/soak/processes.py
@@ -21,6 +21,8 @@
 LAUNCHER = FOLDER.parent / "run.py"
 # The platform kills a process that is still running this long after its grace period.
 KILL_SLACK_SECONDS = 0.5
+# The interval between the signals to a process that is stopping.
+REPEATED_SIGNAL_SECONDS = 0.25
 
 
 class Usage(NamedTuple):
@@ -58,6 +60,8 @@
         self.frozen = False
         # Whether the soak stopped or killed the process.
         self.end_requested = False
+        # Whether only its own end after a signal to stop may end the process now.
+        self._must_end_in_order = False
         self.powered_off = False
         environment.history.add(ProcessStarted(environment.now(), machine.name, self.service, number))
 
@@ -114,16 +118,26 @@
             self._signal(signal.SIGHUP)
 
     async def wind_down(self) -> None:
-        """Send SIGTERM and wait as long as the platform does; record a failure if the process still runs then."""
+        """Send SIGTERM and wait as long as the platform does; record a failure if the process still runs then.
+
+        Further signals follow until the process has ended, and must not end it sooner.
+        """
         self.end_requested = True
+        self._must_end_in_order = self._handles(signal.SIGTERM)
         self._signal(signal.SIGTERM)
-        await asyncio.wait({self.ended}, timeout=BOUNDS["grace_s"] + KILL_SLACK_SECONDS)
+        deadline = self.environment.now() + BOUNDS["grace_s"] + KILL_SLACK_SECONDS
+        while not self.dead and self.environment.now() < deadline:
+            await asyncio.wait({self.ended}, timeout=REPEATED_SIGNAL_SECONDS)
+            if self._must_end_in_order:
+                self._signal(signal.SIGTERM)
+                self._signal(signal.SIGHUP)
         if not self.dead:
             self.environment.record_failure(f"{self.machine.name} was still running after its grace period")
 
     def kill(self, *, power: bool = False) -> None:
         """Send SIGKILL; a loss of power is the same here, because real disks keep what was written."""
         self.end_requested = True
+        self._must_end_in_order = False
         self._signal(signal.SIGKILL)
 
     def wipe(self) -> None:
@@ -174,6 +188,8 @@
         code = await self._process.wait()
         if not self.end_requested:
             self.environment.record_failure(f"{self.machine.name} ended by itself with {code}")
+        elif self._must_end_in_order and code < 0:
+            self.environment.record_failure(f"{self.machine.name} was ended by signal {-code} while it stopped")
         if not self.ended.done():
             self.ended.set_result(None)
 
