--- a/packages/rpc/src/hoistsaddle/rpc/codec.py
+++ b/packages/rpc/src/hoistsaddle/rpc/codec.py
@@ -23,8 +23,8 @@
 _protocol = TCyBinaryProtocolFactory()
 MICROSECONDS = 1e6
 # A larger message is encoded and decoded by the library's plain protocol. It is slower for each field, but it copies a
-# field's bytes once, and the compiled protocol up to three times.
-LARGE_MESSAGE_BYTES = 65536
+# field's bytes once, and the compiled protocol up to three times. Messages of many records are smaller than this.
+LARGE_MESSAGE_BYTES = 1024 * 1024
 
 Converter = Callable[[Any], Any]
 
--- a/tests/test_process_ends.py
+++ b/tests/test_process_ends.py
@@ -12,6 +12,7 @@
 import sys
 import time
 from collections.abc import Callable
+from unittest import mock
 
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, MatchesListwise, Not
@@ -180,6 +181,11 @@
         if field:
             self.assertThat(text, Contains(f"(field {field})"), what)
 
+    def test_a_level_of_the_log_that_does_not_exist(self) -> None:
+        with mock.patch.dict(os.environ, {"HOISTSADDLE_LOG": "LOUD"}):
+            for role in ROLES:
+                self.check(role, self.settings(role), "", "level")
+
     def test_no_settings_file_is_named(self) -> None:
         variable = adapter("headers").SETTINGS_VARIABLE
         environment = {name: value for name, value in os.environ.items() if name != variable}
