What a server sends for one request is bounded in bytes, pieces and turns of the loop

Callers of a faulty server got 504 after their whole budget, and everybody else at its machine lost their requests when the sidecar ran out of memory or stood still. Cause: an answer's only limit was its caller's deadline. A process's only large lease passed any budget; bodies without a length and to other requests were kept until their end and then refused; the parser took every chunk and interim response of a read in one go. Change: AnswerReader counts what is received before it is kept, decoded or parsed: 64 MiB (less where memory is small) of bodies and 512 bytes for each chunk, 64 responses, 512 lines and 256 KiB of a head. A length or chunk over the limit, an answer without a length and a first byte of no answer are refused as they come; bodies to others are dropped. Connections decode 1,000 pieces together in an iteration of the loop. The only large lease may have half of the memory that is free. RequestFraming, now MessageFraming, serves both directions. Counters server.answers_refused.* name the limit that was met. The test that plants "any id is accepted" patches the function that compares ids, as the former method is gone. Limits are met before bytes are kept, so no form of an answer, named or not, can take more.

--- a/packages/common/src/hoistsaddle/common/byte_budget.py
+++ b/packages/common/src/hoistsaddle/common/byte_budget.py
@@ -6,6 +6,8 @@
 OWN_MEMORY_BYTES = 80 * 1024 * 1024
 # How many copies of a body a process may have while forwarding it: as received, joined, and in the frame to send.
 COPIES_OF_A_BODY = 3
+# How many copies of it there are while it is the only large one.
+COPIES_OF_A_LONE_BODY = 2
 # The share of a process's file descriptors for incoming connections.
 CONNECTIONS_SHARE = 0.5
 # The share of its file descriptors for connections of other processes of the mesh.
@@ -17,6 +19,8 @@
 RESERVE_BYTES = 4 * 1024 * 1024
 # The reserve of a process with little memory, as a share of its budget.
 MAX_RESERVE_SHARE = 0.125
+# The only large lease may have at least this size, also in a process with little memory.
+MIN_LONE_BYTES = 4 * 1024 * 1024
 
 
 class Closable(Protocol):
@@ -39,6 +43,8 @@
         """
         available = max(0.0, memory_megabytes * BYTES_PER_MEGABYTE - OWN_MEMORY_BYTES)
         self.max_bytes = int(available / COPIES_OF_A_BODY) if memory_megabytes else None
+        # The limit on all bytes while there is one large lease.
+        self.max_lone_bytes = max(MIN_LONE_BYTES, int(available / COPIES_OF_A_LONE_BODY)) if memory_megabytes else None
         self.max_connections = int(descriptors * CONNECTIONS_SHARE) if descriptors else None
         self.max_mesh_connections = int(descriptors * MESH_CONNECTIONS_SHARE) if descriptors else None
         self.held = 0
@@ -85,11 +91,13 @@
         self.resize(0)
 
     def fits(self) -> bool:
-        """Whether the budget has room for this lease. The only large lease always fits: it may be over the limit."""
+        """Whether the budget has room for this lease. The only large lease has a limit of its own."""
         budget = self._budget
-        if budget.max_bytes is None:
+        if budget.max_bytes is None or budget.max_lone_bytes is None:
             return True
         if self.size <= SMALL_LEASE_BYTES:
             return budget.held <= budget.max_bytes or budget.held == self.size
         reserve = min(RESERVE_BYTES, budget.max_bytes * MAX_RESERVE_SHARE)
-        return budget.held <= budget.max_bytes - reserve or budget.large_leases == 1
+        if budget.held <= budget.max_bytes - reserve:
+            return True
+        return budget.large_leases == 1 and budget.held <= budget.max_lone_bytes
--- a/packages/sidecar/src/hoistsaddle/sidecar/request_framing.py
+++ b/packages/proxy/src/hoistsaddle/proxy/http_framing.py
@@ -25,10 +25,18 @@
 
 
 class BodyReceived(NamedTuple):
-    """Body data in the coding of the request, and the number of payload bytes in it."""
+    """Decoded body data, which is the last of its message or not, and whether the message is in chunks."""
 
-    data: bytes
-    payload_bytes: int
+    payload: bytes
+    last: bool
+    chunked: bool = False
+
+    def coded(self) -> bytes:
+        """Return the data in the coding of its message, with all payload in one chunk."""
+        if not self.chunked:
+            return self.payload
+        chunk = b"%x\r\n%b\r\n" % (len(self.payload), self.payload) if self.payload else b""
+        return chunk + LAST_CHUNK if self.last else chunk
 
 
 class TrailersTooLarge(Exception):
@@ -48,8 +56,8 @@
     TRAILERS = auto()
 
 
-class RequestFraming:
-    """The framing of one connection's requests; `feed` takes bytes, `next_part` returns what they contain."""
+class MessageFraming:
+    """The framing of a connection's messages in one direction: `feed` takes bytes, `next_part` returns their parts."""
 
     __slots__ = ("_chunk_left", "_body_left", "_head_searched", "_pending", "_phase", "_trailer_bytes", "head_bytes")
 
@@ -69,6 +77,16 @@
         """The number of bytes that are kept and were not returned yet."""
         return len(self._pending)
 
+    @property
+    def pending(self) -> bytes:
+        """What is kept and was not returned yet."""
+        return self._pending
+
+    @property
+    def announced_bytes(self) -> int:
+        """How many more bytes the current body or chunk is said to have."""
+        return self._body_left if self._phase is _Phase.LENGTH_BODY else self._chunk_left
+
     @property
     def in_head(self) -> bool:
         """Whether the next part is a head."""
@@ -137,7 +155,7 @@
         self._body_left -= len(data)
         if not self._body_left:
             self._body_ended()
-        return BodyReceived(data, len(data))
+        return BodyReceived(data, last=not self._body_left)
 
     def _body_ended(self) -> None:
         self._phase = _Phase.HEAD
@@ -146,10 +164,9 @@
     # -- chunks ------------------------------------------------------------------------------------------------------
 
     def _next_of_chunks(self, max_pieces: int) -> tuple[BodyReceived | None, int]:
-        """Decode chunks, and join their data to one chunk."""
+        """Decode chunks, and join their data."""
         data, position, pieces = self._pending, 0, 0
         payload = bytearray()
-        end = b""
         while pieces < max_pieces and self._phase is not _Phase.HEAD:
             before, phase = position, self._phase
             match phase:
@@ -167,17 +184,15 @@
                     position = self._read_trailer(data, position)
                     # A trailer field that isn't complete yet is no piece: its line is read again with more bytes.
                     pieces += position > before
-                    if self._phase is _Phase.HEAD:
-                        end = LAST_CHUNK
             if position == before and self._phase is phase:
                 break
         self._pending = data[position:]
-        if self._phase is _Phase.HEAD:
+        last = self._phase is _Phase.HEAD
+        if last:
             self._body_ended()
-        if not payload and not end:
+        if not payload and not last:
             return None, pieces
-        joined = b"%x\r\n%b\r\n" % (len(payload), bytes(payload)) if payload else b""
-        return BodyReceived(joined + end, len(payload)), pieces
+        return BodyReceived(bytes(payload), last=last, chunked=True), pieces
 
     def _read_chunk_line(self, data: bytes, position: int) -> int:
         line = CHUNK_LINE.match(data, position)
--- a/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
@@ -15,11 +15,11 @@
 from hoistsaddle.common.reading_watch import ReadingWatch
 from hoistsaddle.common.receive_buffers import RECEIVE_BUFFER_BYTES, BodyReceiveBuffer
 from hoistsaddle.common.work_turns import WorkTurns
-from hoistsaddle.sidecar.request_framing import (
+from hoistsaddle.proxy.http_framing import (
     BodyReceived,
     HeadReceived,
     MalformedBody,
-    RequestFraming,
+    MessageFraming,
     TrailersTooLarge,
 )
 
@@ -106,7 +106,7 @@
         self._chunk_turns = server.chunk_turns
         self._lease = server.budget.lease()
         self._receive_buffer = BodyReceiveBuffer(server.budget)
-        self._framing = RequestFraming()
+        self._framing = MessageFraming()
         self._admitted = False
         # The bytes of requests that the parser has received and that are not answered yet.
         self._request_bytes = 0
@@ -223,8 +223,8 @@
         match part:
             case HeadReceived(data):
                 self._take_head(data)
-            case BodyReceived(data, payload_bytes):
-                self._take_body(data, payload_bytes)
+            case BodyReceived():
+                self._take_body(part)
         # Trailers are used without a part. Whatever is used shortens what is pending, so that this comes to an end.
         return self._framing.pending_bytes < before
 
@@ -269,10 +269,10 @@
             if length is None or length > RECEIVE_BUFFER_BYTES:
                 self._receive_buffer.enlarge(self.transport)
 
-    def _take_body(self, data: bytes, payload_bytes: int) -> None:
-        super().data_received(data)
-        self._request_bytes += payload_bytes
-        if self._framing.in_head:
+    def _take_body(self, part: BodyReceived) -> None:
+        super().data_received(part.coded())
+        self._request_bytes += len(part.payload)
+        if part.last:
             self._body = None
             self._stop_timers()
             self._receive_buffer.restore(self.transport)
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
@@ -6,9 +6,9 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from datetime import timedelta
 
-import aiohttp
 from aiohttp.http import RawResponseMessage
 
 from hoistsaddle.common.byte_budget import SMALL_LEASE_BYTES, ByteBudget
@@ -16,12 +16,13 @@
 from hoistsaddle.common.errors import ErrorKind
 from hoistsaddle.common.receive_buffers import limit_receive_buffer
 from hoistsaddle.common.socket_addresses import split_address
-from hoistsaddle.proxy.answer_framing import AnswerFraming
+from hoistsaddle.common.work_turns import WorkTurns
+from hoistsaddle.proxy.answer_reader import Answer, AnswerFault
 from hoistsaddle.sidecar.errors import server_answer_missing, server_not_reached
 from hoistsaddle.sidecar.header_names import HeaderNames
 from hoistsaddle.sidecar.header_pairs import pack_pairs, unpack_pairs
 from hoistsaddle.sidecar.messages import RunOnServer, ServerAnswered, ServerFailed
-from hoistsaddle.sidecar.server_connection import BrokenAnswer, ServerConnection
+from hoistsaddle.sidecar.server_connection import PIECES_PER_ITERATION, BrokenAnswer, ServerConnection
 
 CONNECT_SECONDS = 0.4
 # A connection is reused only within this share of the server's keep-alive timeout, to avoid a race with its close.
@@ -42,6 +43,7 @@
     def __init__(self, *, header_names: HeaderNames, counters: Counters, budget: ByteBudget | None = None) -> None:
         self.header_names = header_names
         self._budget = budget or ByteBudget()
+        self._turns = WorkTurns(pieces_per_iteration=PIECES_PER_ITERATION)
         self.counters = counters
         self.idle: deque[ServerConnection] = deque()
         self.server = ""
@@ -85,7 +87,7 @@
         loop, server = asyncio.get_running_loop(), self.server
         async with asyncio.timeout(CONNECT_SECONDS):
             _, connection = await loop.create_connection(
-                lambda: ServerConnection(loop, budget=self._budget), host, port
+                lambda: ServerConnection(loop, budget=self._budget, turns=self._turns), host, port
             )
         if self._budget.max_bytes is not None and connection.transport is not None:
             limit_receive_buffer(connection.transport.get_extra_info("socket"), SERVER_RECEIVE_BUFFER_BYTES)
@@ -153,20 +155,18 @@
             connection = await self._obtain(command, deadline)
             if isinstance(connection, ErrorKind):
                 return self._unsent(command, connection)
-            connection.begin(with_body=call.method != "HEAD")
+            connection.begin(with_body=call.method != "HEAD", is_own=self._is_answer_to(call.client_attempt_id))
             fresh, written = connection.uses == 1, loop.time()
             left = timedelta(seconds=deadline - written)
             try:
                 async with asyncio.timeout_at(deadline):
                     self._write_request(connection, command, left)
-                    message, body = await self._answer(connection, call.client_attempt_id)
+                    answer = await connection.answer()
             except TimeoutError:
                 # This clause must precede the next one, as TimeoutError is an OSError.
                 connection.abort()
                 return self._unanswered(command, ErrorKind.BUDGET_SPENT)
-            except (BrokenAnswer, aiohttp.ClientError, OSError, ValueError) as problem:
-                # The response's stream refers to the error, whose traceback would keep all that was read of its body.
-                problem.__traceback__ = None
+            except (BrokenAnswer, OSError, ValueError) as problem:
                 connection.abort()
                 stale = not fresh and not connection.data_seen and loop.time() - written <= STALE_SECONDS
                 if call.repeatable and stale and loop.time() < deadline:
@@ -175,21 +175,28 @@
                     self.counters.add("server.stale_connections")
                     self.close()
                     continue
+                fault = problem.fault if isinstance(problem, BrokenAnswer) else AnswerFault.CUT_SHORT
+                self.counters.add(f"server.answers_refused.{fault}")
                 return self._unanswered(command, ErrorKind.ANSWER_BROKEN)
             except asyncio.CancelledError:
                 connection.abort()
                 raise
-            self._return_to_pool(connection, message)
-            if any(name.lower() == b"content-encoding" for name, _ in message.raw_headers):
-                return self._unanswered(command, ErrorKind.ANSWER_BROKEN)
-            declined = any(name.lower() == self.not_run for name, _ in message.raw_headers)
-            return ServerAnswered(
-                command.number,
-                message.code,
-                pack_pairs(message.raw_headers),
-                body,
-                declined or message.code in NOT_RUN_STATUSES,
-            )
+            self._return_to_pool(connection, answer.message)
+            return self._answered(command, answer)
+
+    def _answered(self, command: RunOnServer, answer: Answer) -> tuple:
+        message = answer.message
+        self.counters.add(f"server.framing.{answer.framing}")
+        if any(name.lower() == b"content-encoding" for name, _ in message.raw_headers):
+            return self._unanswered(command, ErrorKind.ANSWER_BROKEN)
+        declined = any(name.lower() == self.not_run for name, _ in message.raw_headers)
+        return ServerAnswered(
+            command.number,
+            message.code,
+            pack_pairs(message.raw_headers),
+            answer.body,
+            declined or message.code in NOT_RUN_STATUSES,
+        )
 
     def _unsent(self, command: RunOnServer, kind: ErrorKind) -> ServerFailed:
         self.counters.add(f"server.unsent.{kind}")
@@ -199,27 +206,20 @@
         self.counters.add(f"server.{kind}")
         return ServerFailed(command.number, False, server_answer_missing(kind))
 
-    async def _answer(self, connection: ServerConnection, client_attempt_id: str) -> tuple[RawResponseMessage, bytes]:
-        """Return the response with this id; a response with another id is discarded."""
-        while True:
-            message, payload = await connection.next_message()
-            body = await payload.read()
-            if 100 <= message.code < 200:
-                continue
-            carried = [value for name, value in message.raw_headers if name.lower() == self.client_attempt_id]
-            if carried == [client_attempt_id.encode()]:
-                framing = connection.framing(message)
-                self.counters.add(f"server.framing.{framing}")
-                if framing is AnswerFraming.CONNECTION_END:
-                    # A body that ends with its connection may have been cut off anywhere.
-                    raise BrokenAnswer
-                return message, body
-            self.counters.add("server.strange_answers")
-            connection.dirty = True
+    def _is_answer_to(self, client_attempt_id: str) -> Callable[[RawResponseMessage], bool]:
+        """Return what tells the response that carries this id once, and no other id, from others."""
+        expected = [client_attempt_id.encode()]
+
+        def is_own(message: RawResponseMessage) -> bool:
+            return [value for name, value in message.raw_headers if name.lower() == self.client_attempt_id] == expected
+
+        return is_own
 
     def _return_to_pool(self, connection: ServerConnection, message: RawResponseMessage) -> None:
-        connection.parser = None
-        connection.lease.release()
+        if connection.other_answers:
+            self.counters.add("server.strange_answers", connection.other_answers)
+            connection.dirty = True
+        surplus = connection.finish()
         closes = message.should_close
         for name, value in message.raw_headers:
             if name.lower() == b"keep-alive":
@@ -227,7 +227,6 @@
                     key, _, seconds = part.strip().partition(b"=")
                     if key.lower() == b"timeout" and seconds.strip().isdigit():
                         connection.keep_seconds = max(0.1, int(seconds) * KEEP_ALIVE_SHARE)
-        surplus = bool(connection.messages) or not connection.ends_with(message)
         replaced = connection.server != self.server
         if (
             connection.dirty
--- a/tests/test_sidecar_request_framing.py
+++ b/tests/test_proxy_http_framing.py
@@ -5,13 +5,13 @@
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
-from hoistsaddle.sidecar.request_framing import (
+from hoistsaddle.proxy.http_framing import (
     MAX_CHUNK_LINE_BYTES,
     MAX_TRAILER_BYTES,
     BodyReceived,
     HeadReceived,
     MalformedBody,
-    RequestFraming,
+    MessageFraming,
     TrailersTooLarge,
 )
 
@@ -44,7 +44,7 @@
     return payload
 
 
-def run(framing: RequestFraming, pieces: list[bytes], *, bodies: list[int | None]) -> tuple[list[bytes], list[bytes]]:
+def run(framing: MessageFraming, pieces: list[bytes], *, bodies: list[int | None]) -> tuple[list[bytes], list[bytes]]:
     """Feed pieces; return the heads, and the body data between them, joined for each head.
 
     `bodies` has the length of each head's body; None for a body in chunks.
@@ -61,8 +61,8 @@
                     heads.append(data)
                     parts.append([])
                     framing.begin_body(length=next(lengths))
-                case BodyReceived(data, _):
-                    parts[-1].append(data)
+                case BodyReceived():
+                    parts[-1].append(part.coded())
                 case None:
                     break
     return heads, [b"".join(each) for each in parts]
@@ -93,7 +93,7 @@
             )
             stream = b"\r\n" + HEAD + payload + HEAD + chunked + HEAD + HEAD + payload
             heads, bodies = run(
-                RequestFraming(),
+                MessageFraming(),
                 split_at_random(stream, source=source),
                 bodies=[len(payload), None, 0, len(payload)],
             )
@@ -103,16 +103,16 @@
             self.assertThat(bodies[2:], Equals([b"", payload]), f"seed {seed}")
 
     def test_small_chunks_that_arrive_together_are_joined(self) -> None:
-        framing = RequestFraming()
+        framing = MessageFraming()
         framing.begin_body(length=None)
         framing.feed(b"1\r\nx\r\n" * 1000)
         part, chunks = framing.next_part(max_pieces=MANY_PIECES)
         assert isinstance(part, BodyReceived)
-        self.assertThat((part.payload_bytes, chunks), Equals((1000, 1000)))
-        self.assertThat(len(part.data), LessThan(1000 + 10))
+        self.assertThat((len(part.payload), chunks), Equals((1000, 1000)))
+        self.assertThat(len(part.coded()), LessThan(1000 + 10))
 
     def test_no_more_chunks_are_decoded_than_allowed(self) -> None:
-        framing = RequestFraming()
+        framing = MessageFraming()
         framing.begin_body(length=None)
         framing.feed(b"1\r\nx\r\n" * 1000)
         for _ in range(10):
@@ -122,7 +122,7 @@
         self.assertThat(framing.pending_bytes, LessThan(len(b"1\r\nx\r\n") + 1))
 
     def test_an_incomplete_head_is_kept_as_bytes_and_counted_with_empty_lines_before_it(self) -> None:
-        framing = RequestFraming()
+        framing = MessageFraming()
         framing.feed(b"\r\n" * 100)
         self.assertThat(framing.next_part(max_pieces=1)[0], Equals(None))
         framing.feed(b"GET / HTTP/1.1\r\nHost: h\r\n")
@@ -130,7 +130,7 @@
         self.assertThat((framing.head_bytes, framing.pending_bytes), Equals((225, 25)))
 
     def test_trailers_are_dropped_and_bounded(self) -> None:
-        framing = RequestFraming()
+        framing = MessageFraming()
         framing.begin_body(length=None)
         framing.feed(b"0\r\n")
         framing.next_part(max_pieces=MANY_PIECES)
@@ -146,7 +146,7 @@
 
     def test_a_chunk_line_without_end_and_chunks_that_are_none_are_malformed(self) -> None:
         for data in (b"1;" + b"x" * MAX_CHUNK_LINE_BYTES, b"x\r\n", b"\r\n", b"1\r\nxx\r\n", b"-1\r\n", b"1\nx\n"):
-            framing = RequestFraming()
+            framing = MessageFraming()
             framing.begin_body(length=None)
             framing.feed(data)
             self.assertRaises(MalformedBody, framing.next_part, max_pieces=MANY_PIECES)
--- a/tests/test_sidecar_answer_limits.py
+++ b/tests/test_sidecar_answer_limits.py
@@ -10,8 +10,8 @@
 from hoistsaddle.common.counters import Counters
 from hoistsaddle.common.errors import ErrorKind
 from hoistsaddle.common.reading_watch import ReadingWatch
+from hoistsaddle.proxy.answer_reader import MAX_HEAD_BYTES
 from hoistsaddle.sidecar.header_names import HeaderNames
-from hoistsaddle.sidecar.server_connection import MAX_RESPONSE_HEAD_BYTES
 from hoistsaddle.sidecar.server_connections import ServerConnectionPool
 from raw_server import ID, Case, RawServer, ServerRequest, answer
 
@@ -67,7 +67,7 @@
     def test_a_head_without_end_is_broken_off(self) -> None:
         async def behave(asked: ServerRequest) -> None:
             asked.say(b"HTTP/1.1 200 OK\r\n" + f"{ID}: {asked.send}\r\n".encode())
-            for number in range(MAX_RESPONSE_HEAD_BYTES // 1000 + 1):
+            for number in range(MAX_HEAD_BYTES // 1000 + 1):
                 asked.say(b"X-%d: " % number + b"y" * 1000 + b"\r\n")
 
         self.run_with(behave, self.send_broken)
--- a/tests/test_sidecar_answer_pairs.py
+++ b/tests/test_sidecar_answer_pairs.py
@@ -18,6 +18,7 @@
 from hoistsaddle.sidecar.ingress import IngressCore
 from hoistsaddle.sidecar.received_attempts import ReceivedAttempts
 from hoistsaddle.sidecar.request_table import PendingRequest
+from hoistsaddle.sidecar.server_connection import any_response
 from hoistsaddle.sidecar.server_connections import ServerConnectionPool
 from sidecar_stack import BUDGET, ClientRequest, ControlledLink, History, LocalServer, Machine, SidecarStack, judge
 from stepped_clock import run_stepped
@@ -265,14 +266,10 @@
         self.assertThat(found, Contains("REFUSED"))
 
     def test_accepting_an_answer_with_any_id_is_detected(self) -> None:
-        plain = ServerConnectionPool._answer
+        def any_id(self: ServerConnectionPool, client_attempt_id: str) -> Any:
+            return any_response
 
-        async def accept_any_id(self: ServerConnectionPool, connection: Any, client_attempt_id: str) -> Any:
-            message, payload = await connection.next_message()
-            return message, await payload.read()
-
-        self.assertThat(plain is accept_any_id, Equals(False))
-        injected_fault = mock.patch.object(ServerConnectionPool, "_answer", accept_any_id)
+        injected_fault = mock.patch.object(ServerConnectionPool, "_is_answer_to", any_id)
         found = self.found(injected_fault, link="server", fault="surplus", kind="pack", timestamp="asked")
         self.assertThat(found, Contains("WRONG"))
 
--- a/tests/test_sidecar_server_connections.py
+++ b/tests/test_sidecar_server_connections.py
@@ -105,8 +105,7 @@
             connection = ServerConnection(asyncio.get_running_loop(), budget=ByteBudget())
             connection.begin(with_body=True)
             connection.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-            _, payload = await connection.next_message()
-            return await payload.read()
+            return (await connection.answer()).body
 
         self.assertThat(asyncio.run(read()), Equals(body))
 
--- a/tests/test_sidecar_split_bodies.py
+++ b/tests/test_sidecar_split_bodies.py
@@ -10,11 +10,11 @@
 from testtools.matchers import Equals
 
 from hoistsaddle.common.byte_budget import ByteBudget
+from hoistsaddle.proxy.http_framing import BodyReceived, HeadReceived, MessageFraming
 from hoistsaddle.sidecar.guarded_http import GuardedConnection, GuardedServer, HttpLimits
 from hoistsaddle.sidecar.listener import LARGEST_HEADER
-from hoistsaddle.sidecar.request_framing import BodyReceived, HeadReceived, RequestFraming
 from hoistsaddle.sidecar.server_connection import ServerConnection
-from test_sidecar_request_framing import body_in_chunks, decoded
+from test_proxy_http_framing import body_in_chunks, decoded
 
 SEED = 57
 PIECES = 1000
@@ -39,7 +39,7 @@
 
 def read(pieces: list[bytes]) -> tuple[int, bytes, int]:
     """Feed pieces; return the heads, the payload, and the calls of `next_part` that used nothing but counted pieces."""
-    framing = RequestFraming()
+    framing = MessageFraming()
     heads, idle_calls = 0, 0
     body: list[bytes] = []
     payload = b""
@@ -54,10 +54,10 @@
                     chunked = b"chunked" in data
                     length = None if chunked else int(data.partition(b"Content-Length: ")[2].partition(b"\r\n")[0])
                     framing.begin_body(length=length)
-                case BodyReceived(data, _):
-                    body.append(data)
+                case BodyReceived():
+                    body.append(part.coded())
                     if not chunked:
-                        payload += data
+                        payload += part.payload
                         body.clear()
                     elif framing.in_head:
                         payload += decoded(body)
@@ -204,11 +204,9 @@
             connection.begin(with_body=True)
             for piece in pieces:
                 connection.data_received(piece)
-            message, payload = await connection.next_message()
-            while 100 <= message.code < 200:
-                message, payload = await connection.next_message()
-            body = await payload.read()
-            return body, connection.ends_with(message) and not connection.dirty
+            answer = await connection.answer()
+            surplus = connection.finish()
+            return answer.body, not surplus and not connection.dirty
 
         return asyncio.run(run())
 
