A faulty node's frames are checked before they are decoded, and take turns

Any process that got one frame with a changed byte could stand still for minutes, or reserve and copy up to 2 GB. Cause: the compiled Thrift decoder reads on behind a frame's end and believes every length and count. Beside it, a connection's reader handled all frames that had arrived in one go, and calls in flight had no limit. Change: check_frame steps over a frame's fields first; what doesn't fit its bytes, has unknown types, over 262,144 values or over 16 levels is a ValueError, and so is anything that the decoder raises. 128 frames are handled in an iteration of the loop, 16 of a connection before others have their turn; a connection has 1,024 calls in flight, or 1 MiB of them while the budget is used up. Small frames count against the budget too.

--- a/packages/common/src/hoistsaddle/common/byte_budget.py
+++ b/packages/common/src/hoistsaddle/common/byte_budget.py
@@ -60,6 +60,10 @@
         """Return a new lease of no bytes."""
         return ByteLease(self)
 
+    def has_room(self) -> bool:
+        """Whether the bytes that are buffered now are within the limit."""
+        return self.max_bytes is None or self.held <= self.max_bytes
+
     def has_room_for_connection(self) -> bool:
         """Whether one more connection may be opened; an idle one is closed for it if necessary."""
         if self.max_connections is None or self.connections < self.max_connections:
--- a/packages/common/src/hoistsaddle/common/work_turns.py
+++ b/packages/common/src/hoistsaddle/common/work_turns.py
@@ -34,6 +34,21 @@
         self._waiting.append(proceed)
         self._schedule()
 
+    async def grant(self, pieces: int) -> None:
+        """Take pieces from the allowance, in a later iteration if it is used up or others wait for it."""
+        if self.left > 0 and not self._waiting:
+            self.spend(pieces)
+            return
+        granted = asyncio.get_running_loop().create_future()
+
+        def take() -> None:
+            if not granted.done():
+                self.spend(pieces)
+                granted.set_result(None)
+
+        self.wait(take)
+        await granted
+
     def _schedule(self) -> None:
         if not self._scheduled:
             self._scheduled = True
--- a/packages/rpc/src/hoistsaddle/rpc/client.py
+++ b/packages/rpc/src/hoistsaddle/rpc/client.py
@@ -16,6 +16,7 @@
 from hoistsaddle.rpc.connection_faults import ConnectionFaults
 from hoistsaddle.rpc.errors import no_response, unreachable
 from hoistsaddle.rpc.frame_ages import CallAge
+from hoistsaddle.rpc.frame_turns import make_frame_turns
 from hoistsaddle.rpc.framing import Traffic, release_frames_of
 from hoistsaddle.rpc.server import Handler
 
@@ -54,6 +55,7 @@
             budget: The byte budget of the process, which counts large answers; None for no limit.
         """
         self._budget = budget
+        self._turns = make_frame_turns()
         self.keep_alive = keep_alive
         self.connect_timeout = connect_timeout
         self.traffic = Traffic()
@@ -93,6 +95,7 @@
             traffic=self.traffic,
             keep_alive=self.keep_alive,
             budget=self._budget,
+            turns=self._turns,
         )
         self._connections[key] = connection
         return connection
--- a/packages/rpc/src/hoistsaddle/rpc/codec.py
+++ b/packages/rpc/src/hoistsaddle/rpc/codec.py
@@ -18,6 +18,7 @@
 
 from hoistsaddle.common.clock import from_microseconds, to_microseconds
 from hoistsaddle.rpc import messages
+from hoistsaddle.rpc.frame_check import check_frame
 
 mesh_thrift = thriftpy2.load(str(Path(__file__).with_name("mesh.thrift")), module_name="hoistsaddle_mesh_thrift")
 _protocol = TCyBinaryProtocolFactory()
@@ -148,7 +149,20 @@
 
 
 def unpack_frame(data: bytes) -> Frame:
-    """Decodes a frame."""
+    """Decodes a frame.
+
+    Raises:
+        ValueError: The data is not a valid frame.
+    """
+    check_frame(data)
+    try:
+        return _unpack(data)
+    except Exception as problem:
+        # The decoder and the conversion of fields raise many exception types for data that is no message.
+        raise ValueError(f"invalid frame: {problem!r}") from problem
+
+
+def _unpack(data: bytes) -> Frame:
     frame = mesh_thrift.Frame()
     if len(data) <= LARGE_MESSAGE_BYTES:
         deserialize(frame, data, _protocol)
--- a/packages/rpc/src/hoistsaddle/rpc/connection.py
+++ b/packages/rpc/src/hoistsaddle/rpc/connection.py
@@ -6,7 +6,9 @@
 
 from hoistsaddle.common.byte_budget import ByteBudget
 from hoistsaddle.common.connection_writes import write_or_raise
+from hoistsaddle.common.work_turns import WorkTurns
 from hoistsaddle.rpc.codec import bytes_in
+from hoistsaddle.rpc.frame_turns import FrameTurns, make_frame_turns
 from hoistsaddle.rpc.framing import (
     EncodedFrame,
     FrameOverBudget,
@@ -53,6 +55,7 @@
         traffic: Traffic,
         keep_alive: KeepAlive | None = None,
         budget: ByteBudget | None = None,
+        turns: WorkTurns | None = None,
     ) -> None:
         """Starts reading answers.
 
@@ -62,7 +65,9 @@
             traffic: Counts the frames and bytes of both directions.
             keep_alive: How the connection is checked; None for no checks.
             budget: The byte budget of the process, which counts large answers as they arrive; None for no limit.
+            turns: Divides the event loop among the connections of the process; None if this is the only one.
         """
+        self._turns = FrameTurns(turns or make_frame_turns())
         self._budget = budget or ByteBudget()
         self._lease = self._budget.lease()
         self.writer = writer
@@ -86,6 +91,7 @@
     async def _read_answers(self, reader: asyncio.StreamReader) -> None:
         try:
             while True:
+                await self._turns.next_frame()
                 await self._read_answer(reader)
         except (OSError, asyncio.IncompleteReadError, ValueError, EOFError, FrameOverBudget) as problem:
             release_frames_of(problem)
--- a/packages/rpc/src/hoistsaddle/rpc/framing.py
+++ b/packages/rpc/src/hoistsaddle/rpc/framing.py
@@ -64,6 +64,8 @@
         raise ValueError(f"frame of {length} bytes")
     if length <= SMALL_LEASE_BYTES or lease is None:
         data = await reader.readexactly(length)
+        if lease is not None:
+            lease.resize(length)
     else:
         data = await _read_large_frame(reader, length, lease)
     frame = unpack_frame(data)
--- a/packages/rpc/src/hoistsaddle/rpc/server.py
+++ b/packages/rpc/src/hoistsaddle/rpc/server.py
@@ -9,7 +9,9 @@
 from hoistsaddle.common.listening import bound_socket, listen_once_free
 from hoistsaddle.common.reading_watch import ReadingWatch
 from hoistsaddle.rpc.call_context import set_call_age
+from hoistsaddle.rpc.calls_in_flight import CallsInFlight
 from hoistsaddle.rpc.frame_ages import FrameAges
+from hoistsaddle.rpc.frame_turns import FrameTurns, make_frame_turns
 from hoistsaddle.rpc.framing import (
     FRAME_SILENCE_TIMEOUT,
     FrameOverBudget,
@@ -45,6 +47,7 @@
         self.traffic = traffic or Traffic()
         self._server: asyncio.Server | None = None
         self._budget = budget or ByteBudget()
+        self._turns = make_frame_turns()
         self._writers: set[asyncio.StreamWriter] = set()
         # The connections on which no frame was complete yet, the oldest first.
         self._without_frame: dict[asyncio.StreamWriter, None] = {}
@@ -90,9 +93,12 @@
         self._writers.add(writer)
         self._without_frame[writer] = None
         ages = FrameAges(accepted=asyncio.get_running_loop().time())
+        turns, calls = FrameTurns(self._turns), CallsInFlight(self._budget)
         try:
             while True:
-                await self._serve_call(reader, writer, ages)
+                await calls.wait_for_room()
+                await turns.next_frame()
+                await self._serve_call(reader, writer, ages, calls)
         except (OSError, asyncio.IncompleteReadError, EOFError, asyncio.CancelledError) as problem:
             release_frames_of(problem)
         except ValueError as problem:
@@ -103,7 +109,9 @@
             self._forget(writer)
             writer.close()
 
-    async def _serve_call(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ages: FrameAges) -> None:
+    async def _serve_call(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ages: FrameAges, calls: CallsInFlight
+    ) -> None:
         """Reads one call and starts to answer it; nothing of it is kept here while the next one is awaited."""
         lease = self._budget.lease()
         try:
@@ -123,15 +131,18 @@
                 lease.release()
             case _:
                 # The call holds its bytes until it is answered.
-                task = asyncio.ensure_future(self._answer(writer, number, message, lease))
+                calls.begin(lease)
+                task = asyncio.ensure_future(self._answer(writer, number, message, calls, lease))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
 
-    async def _answer(self, writer: asyncio.StreamWriter, number: int, message: tuple, lease: ByteLease) -> None:
+    async def _answer(
+        self, writer: asyncio.StreamWriter, number: int, message: tuple, calls: CallsInFlight, lease: ByteLease
+    ) -> None:
         try:
             answer = await self.handler(message)
         finally:
-            lease.release()
+            calls.end(lease)
         if answer is not None and not writer.is_closing():
             await self._write_answer(writer, number, answer)
 
