A proxy under bundles reads its server's answers within the same limits as a sidecar

A faulty server occupied its proxy until the deadline of each request; ordinary requests waited meanwhile. Cause: the library's client takes everything that arrived in one go and follows interim responses, a chunk's size and its extension as long as they come; only a body's bytes had a limit. Change: ServerClient uses ServerConnection, which moves to the proxy package, with one connection for each request as before; heads are written by hand, and a line end in one is refused. Kinds of errors are the former ones.

--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connection.py
+++ b/packages/proxy/src/hoistsaddle/proxy/server_connection.py
@@ -1,4 +1,4 @@
-"""One connection to the local server, reused as long as nothing but the answers to its requests has arrived on it.
+"""One connection to a local server, reused as long as nothing but the answers to its requests has arrived on it.
 
 This class does the input and output, and shares the event loop and the memory of the process with other connections;
 `proxy/answer_reader.py` finds the answer in what the server sends.
@@ -27,9 +27,11 @@
 class BrokenAnswer(Exception):
     """The received data is not a complete answer to the request."""
 
-    def __init__(self, fault: AnswerFault = AnswerFault.CUT_SHORT) -> None:
+    def __init__(self, fault: AnswerFault = AnswerFault.CUT_SHORT, *, begun: bool = False) -> None:
         super().__init__(fault)
         self.fault = fault
+        # Whether anything was received for the request.
+        self.begun = begun
 
 
 def any_response(message: RawResponseMessage) -> bool:
@@ -71,19 +73,26 @@
 
     # -- requests ----------------------------------------------------------------------------------------------------
 
-    def begin(self, *, with_body: bool, is_own: Callable[[RawResponseMessage], bool] = any_response) -> None:
+    def begin(
+        self,
+        *,
+        with_body: bool,
+        is_own: Callable[[RawResponseMessage], bool] = any_response,
+        max_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
         """Prepare to read the answer to another request.
 
         Args:
             with_body: False if the answer can't have a body.
             is_own: whether a response answers this request and not another one.
+            max_bytes: the limit on the bytes of all bodies received for this request; memory may set a lower one.
         """
         most = self._budget.max_lone_bytes
         self._reader = AnswerReader(
             make_parser=lambda: self._head_parser(with_body=with_body),
             is_own=is_own,
             with_body=with_body,
-            max_bytes=MAX_ANSWER_BYTES if most is None else min(MAX_ANSWER_BYTES, most),
+            max_bytes=max_bytes if most is None else min(max_bytes, most),
         )
         self._answer = None
         self.data_seen = False
@@ -115,7 +124,7 @@
         """Return the answer to the request; raises BrokenAnswer if there will be none."""
         while self._answer is None:
             if self.closed:
-                raise BrokenAnswer(self._fault)
+                raise BrokenAnswer(self._fault, begun=self.data_seen)
             self._arrived = self._loop.create_future()
             await self._arrived
         return self._answer
--- a/packages/proxy/src/hoistsaddle/proxy/service.py
+++ b/packages/proxy/src/hoistsaddle/proxy/service.py
@@ -50,7 +50,7 @@
         for runner in self.runners:
             await runner.cleanup()
         await self.node.stop()
-        await self.server_client.close()
+        self.server_client.close()
 
     async def _run_server(self, command: RunOnServer) -> tuple:
         return await self.server_client.run(command)
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
@@ -18,11 +18,11 @@
 from hoistsaddle.common.socket_addresses import split_address
 from hoistsaddle.common.work_turns import WorkTurns
 from hoistsaddle.proxy.answer_reader import Answer, AnswerFault
+from hoistsaddle.proxy.server_connection import PIECES_PER_ITERATION, BrokenAnswer, ServerConnection
 from hoistsaddle.sidecar.errors import server_answer_missing, server_not_reached
 from hoistsaddle.sidecar.header_names import HeaderNames
 from hoistsaddle.sidecar.header_pairs import pack_pairs, unpack_pairs
 from hoistsaddle.sidecar.messages import RunOnServer, ServerAnswered, ServerFailed
-from hoistsaddle.sidecar.server_connection import PIECES_PER_ITERATION, BrokenAnswer, ServerConnection
 
 CONNECT_SECONDS = 0.4
 # A connection is reused only within this share of the server's keep-alive timeout, to avoid a race with its close.
--- a/tests/test_proxy_server_client.py
+++ b/tests/test_proxy_server_client.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from datetime import timedelta
+from typing import Any
 
 from testtools import TestCase
-from testtools.matchers import Equals
+from testtools.matchers import Equals, IsInstance
 
+from endless_answers import STATUSES, EndlessAnswer, endless_answers
 from hoistsaddle.common.counters import Counters
 from hoistsaddle.common.errors import ErrorKind
 from hoistsaddle.proxy.messages import RunOnServer, ServerAnswered
@@ -38,7 +40,7 @@
             try:
                 result = await client.run(call(server.sockets[0].getsockname()[1], method))
             finally:
-                await client.close()
+                client.close()
                 server.close()
             return result.body if isinstance(result, ServerAnswered) else result.error.kind
 
@@ -56,3 +58,56 @@
     def test_answers_that_have_no_body_need_no_length(self) -> None:
         self.assertThat(self.body_or_error(HEAD + b"Connection: close\r\n\r\n", method="HEAD"), Equals(b""))
         self.assertThat(self.body_or_error(HEAD.replace(b"200 OK", b"204 None") + b"\r\n"), Equals(b""))
+
+    def test_answers_without_end_are_refused_while_they_arrive(self) -> None:
+        """Guards against servers that occupy their proxy until the deadline by sending without end (issue 64)."""
+        refused = {ErrorKind.ANSWER_BROKEN, ErrorKind.ANSWER_TOO_LARGE}
+        for status in STATUSES:
+            for form, endless in endless_answers(status=status, id_line="X-Id: a").items():
+
+                async def respond(
+                    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, endless: EndlessAnswer = endless
+                ) -> None:
+                    await reader.readuntil(b"\r\n\r\n")
+                    try:
+                        for piece in endless.pieces():
+                            writer.write(piece)
+                            await writer.drain()
+                    except OSError:
+                        # The client has closed the connection, as it should.
+                        pass
+
+                async def run(respond: Any = respond) -> tuple:
+                    server = await asyncio.start_server(respond, "127.0.0.1", 0)
+                    client = ServerClient(counters=Counters(owner="test"))
+                    result = await client.run(call(server.sockets[0].getsockname()[1], "GET"))
+                    client.close()
+                    server.close()
+                    return result
+
+                result = asyncio.run(run())
+                self.assertThat(result.error.kind in refused, Equals(True), f"{form}, {status}: {result}")
+
+    def test_a_head_is_sent_as_it_was_admitted_and_never_with_a_line_end_in_it(self) -> None:
+        heads: list[bytes] = []
+
+        async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            heads.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(HEAD + b"Content-Length: 2\r\n\r\n{}")
+
+        async def run(method: str, headers: dict[str, str]) -> tuple:
+            server = await asyncio.start_server(respond, "127.0.0.1", 0)
+            client = ServerClient(counters=Counters(owner="test"))
+            command = call(server.sockets[0].getsockname()[1], method)
+            result = await client.run(command._replace(call=command.call._replace(headers=headers)))
+            server.close()
+            return result
+
+        self.assertThat(asyncio.run(run("POST", {"host": "shop.example", "X-Own": "a"})), IsInstance(ServerAnswered))
+        lines = heads[0].decode().split("\r\n")
+        self.assertThat(lines[0], Equals("POST /x HTTP/1.1"))
+        for line in ("host: shop.example", "X-Own: a", "Content-Length: 0", "Connection: close"):
+            self.assertThat(line in lines, Equals(True), line)
+        self.assertThat(sum(line.lower().startswith("host:") for line in lines), Equals(1))
+        result = asyncio.run(run("GET", {"X-Own": "a\r\nX-Other: b"}))
+        self.assertThat((result.error.kind, len(heads)), Equals((ErrorKind.SILENT, 1)))
--- a/tests/test_rpc_lost_connections.py
+++ b/tests/test_rpc_lost_connections.py
@@ -18,11 +18,11 @@
 from hoistsaddle.common.byte_budget import ByteBudget
 from hoistsaddle.common.connection_writes import write_or_raise
 from hoistsaddle.common.receive_buffers import limit_receive_buffer
+from hoistsaddle.proxy.server_connection import BrokenAnswer, ServerConnection
 from hoistsaddle.rpc.client import RpcClient
 from hoistsaddle.rpc.connection import KeepAlive
 from hoistsaddle.rpc.messages import ProbeAnswer, ProbeCall
 from hoistsaddle.rpc.server import RpcServer
-from hoistsaddle.sidecar.server_connection import BrokenAnswer, ServerConnection
 
 HOST = "127.0.0.1"
 CALL, ANSWER = ProbeCall("asker", ()), ProbeAnswer("answerer", ())
--- a/tests/test_sidecar_answer_pairs.py
+++ b/tests/test_sidecar_answer_pairs.py
@@ -14,11 +14,11 @@
 
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.errors import ErrorKind, MeshError
+from hoistsaddle.proxy.server_connection import any_response
 from hoistsaddle.sidecar.claim_records import ClaimRecords
 from hoistsaddle.sidecar.ingress import IngressCore
 from hoistsaddle.sidecar.received_attempts import ReceivedAttempts
 from hoistsaddle.sidecar.request_table import PendingRequest
-from hoistsaddle.sidecar.server_connection import any_response
 from hoistsaddle.sidecar.server_connections import ServerConnectionPool
 from sidecar_stack import BUDGET, ClientRequest, ControlledLink, History, LocalServer, Machine, SidecarStack, judge
 from stepped_clock import run_stepped
--- a/tests/test_sidecar_kept_connections.py
+++ b/tests/test_sidecar_kept_connections.py
@@ -9,7 +9,8 @@
 from testtools.matchers import Contains, Equals
 
 from hoistsaddle.common.errors import ErrorKind
-from hoistsaddle.sidecar import server_connection, server_connections
+from hoistsaddle.proxy import server_connection
+from hoistsaddle.sidecar import server_connections
 from hoistsaddle.sidecar.messages import ServerAnswered
 from hoistsaddle.sidecar.server_connections import ServerConnectionPool
 from raw_server import Case, RawServer, ServerRequest, answer, plain, until_left
--- a/tests/test_sidecar_server_connections.py
+++ b/tests/test_sidecar_server_connections.py
@@ -12,8 +12,8 @@
 
 from hoistsaddle.common.byte_budget import ByteBudget
 from hoistsaddle.common.errors import ErrorKind
+from hoistsaddle.proxy.server_connection import ServerConnection
 from hoistsaddle.sidecar.header_pairs import pack_pairs, unpack_pairs
-from hoistsaddle.sidecar.server_connection import ServerConnection
 from hoistsaddle.sidecar.server_connections import ServerConnectionPool
 from raw_server import ID, Case, RawServer, ServerRequest, answer, plain
 from stepped_clock import run_stepped, step
--- a/tests/test_sidecar_split_bodies.py
+++ b/tests/test_sidecar_split_bodies.py
@@ -11,9 +11,9 @@
 
 from hoistsaddle.common.byte_budget import ByteBudget
 from hoistsaddle.proxy.http_framing import BodyReceived, HeadReceived, MessageFraming
+from hoistsaddle.proxy.server_connection import ServerConnection
 from hoistsaddle.sidecar.guarded_http import GuardedConnection, GuardedServer, HttpLimits
 from hoistsaddle.sidecar.listener import LARGEST_HEADER
-from hoistsaddle.sidecar.server_connection import ServerConnection
 from test_proxy_http_framing import body_in_chunks, decoded
 
 SEED = 57
