Answers kept for repeats of a key take at most a quarter of the memory for data

A server with large answers on a keyed route could fill its callers' sidecars: each first answer stays for key_seconds. Cause: kept answers counted against nothing; those kept for senders whose connection broke counted their bodies only, while a head may have 256 KiB (2 s of them at 500 a second: 250 MB). Change: ClaimRecords counts heads and bodies, drops the oldest answers over its limit and reports their outcome as unknown, as after a restart; an answer over the limit is not kept. ReceivedAttempts counts heads as well.

--- a/packages/sidecar/src/hoistsaddle/sidecar/claim_records.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/claim_records.py
@@ -12,6 +12,8 @@
 KEPT = "kept"
 FREE = "free"
 UNKNOWN_RUN = "unknown"
+# The most bytes of kept answers where the memory of the process is not limited.
+MAX_KEPT_BYTES = 64 * 1024 * 1024
 
 
 class ClaimRecord:
@@ -30,9 +32,18 @@
 class ClaimRecords:
     """The claims that the log granted, or may have granted, to this process and whose keys have not expired."""
 
-    def __init__(self, *, state: CoreState) -> None:
-        """Start without claims; `state` is the state of the core."""
+    def __init__(self, *, state: CoreState, max_kept_bytes: int = MAX_KEPT_BYTES) -> None:
+        """Start without claims.
+
+        Args:
+            state: the state of the core.
+            max_kept_bytes: the most bytes of kept answers. The outcome of a claim whose answer was dropped is unknown.
+        """
         self._state = state
+        self._max_kept_bytes = max_kept_bytes
+        # The claims whose answers are kept, the oldest answer first, and the bytes of all kept answers.
+        self._kept: OrderedDict[str, ClaimRecord] = OrderedDict()
+        self.kept_bytes = 0
         # Records by claim, the oldest first.
         self._records: OrderedDict[str, ClaimRecord] = OrderedDict()
         # Calls in flight whose requests have ended, by number, and the claims that they belong to.
@@ -53,7 +64,29 @@
     def answered(self, claim: str, answer: ForwardAnswer) -> None:
         """Keep the answer of a claimed request."""
         if (record := self._records.get(claim)) is not None:
-            record.answer = answer
+            self._keep(claim, record, answer)
+
+    def _keep(self, claim: str, record: ClaimRecord, answer: ForwardAnswer) -> None:
+        """Keep an answer, and drop the oldest ones that there is no room for beside it."""
+        self._drop(claim)
+        if _size_of(answer) > self._max_kept_bytes:
+            record.state = UNKNOWN_RUN
+            self._state.count("keys.answers_dropped")
+            return
+        record.answer = answer
+        self._kept[claim] = record
+        self.kept_bytes += _size_of(answer)
+        while self.kept_bytes > self._max_kept_bytes:
+            oldest = next(iter(self._kept))
+            self._kept[oldest].state = UNKNOWN_RUN
+            self._drop(oldest)
+            self._state.count("keys.answers_dropped")
+
+    def _drop(self, claim: str) -> None:
+        record = self._kept.pop(claim, None)
+        if record is not None and record.answer is not None:
+            self.kept_bytes -= _size_of(record.answer)
+            record.answer = None
 
     def ended_unanswered(self, claim: str, *, call_number: int | None) -> None:
         """Record that a claimed request ends without an answer.
@@ -77,11 +110,12 @@
     def late_answer(self, number: int, answer: ForwardAnswer) -> None:
         """Keep the answer to an attempt whose request has ended, for repeated requests with its key."""
         self._count_late_end(number)
-        record = self._records.get(self._late_calls.pop(number, ""))
+        claim = self._late_calls.pop(number, "")
+        record = self._records.get(claim)
         if record is None:
             return
         if answer.outcome == ANSWERED:
-            record.answer = answer
+            self._keep(claim, record, answer)
         else:
             # If it was rejected, nothing ran under the claim: no other attempt of it is in flight.
             record.state = FREE if answer.outcome == NOT_RUN else UNKNOWN_RUN
@@ -116,5 +150,10 @@
     def _begin(self, claim: str, *, lifetime: timedelta) -> ClaimRecord:
         now = self._state.now
         while self._records and next(iter(self._records.values())).expires <= now:
-            self._records.popitem(last=False)
+            claim_ended, _ = self._records.popitem(last=False)
+            self._drop(claim_ended)
         return self._records.setdefault(claim, ClaimRecord(expires=now + lifetime))
+
+
+def _size_of(answer: ForwardAnswer) -> int:
+    return len(answer.headers) + len(answer.body)
--- a/packages/sidecar/src/hoistsaddle/sidecar/core.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/core.py
@@ -17,6 +17,7 @@
     StopRequested,
     Ticked,
 )
+from hoistsaddle.sidecar.claim_records import MAX_KEPT_BYTES
 from hoistsaddle.sidecar.configuration_freshness import ConfigurationFreshness
 from hoistsaddle.sidecar.ingress import IngressCore
 from hoistsaddle.sidecar.link_schedule import LinkSchedule
@@ -61,6 +62,7 @@
         key_lifetime: timedelta,
         max_configuration_age: timedelta,
         link_bytes_per_second: float = 0.0,
+        max_kept_bytes: int = MAX_KEPT_BYTES,
     ) -> None:
         """Start without a configuration.
 
@@ -76,6 +78,7 @@
             key_lifetime: how long a claimed key stays claimed.
             max_configuration_age: how long a configuration change may take to come into force here.
             link_bytes_per_second: the capacity of this machine's link in each direction; 0 if unknown.
+            max_kept_bytes: the most bytes of answers that are kept for repeated requests with a key.
         """
         super().__init__(settings=settings, seed=seed, now=now)
         self._service = service
@@ -88,6 +91,7 @@
             key_lifetime=key_lifetime,
             retry_percent=retry_percent,
             retry_margin=retry_margin,
+            max_kept_bytes=max_kept_bytes,
         )
         link = LinkSchedule(bytes_per_second=link_bytes_per_second, now=now)
         self.upstream = UpstreamCore(state=self, drain_timeout=drain_timeout, link=link)
--- a/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
@@ -92,6 +92,7 @@
         key_lifetime: timedelta,
         retry_percent: int,
         retry_margin: int,
+        max_kept_bytes: int,
     ) -> None:
         """Start without requests.
 
@@ -102,6 +103,7 @@
             key_lifetime: how long a claimed key stays claimed.
             retry_percent: retries per hundred first attempts, over the whole fleet.
             retry_margin: retries beyond that share in ten seconds, over the whole fleet.
+            max_kept_bytes: the most bytes of answers that are kept for repeated requests with a key.
         """
         self._state = state
         self._freshness = freshness
@@ -109,7 +111,9 @@
         self.requests = RequestTable()
         self.servers = ServerSelection(state=state)
         self.retries = RetryAllowance(state=state, percent=retry_percent, margin=retry_margin)
-        self.keys = KeyClaims(state=state, requests=self.requests, key_lifetime=key_lifetime)
+        self.keys = KeyClaims(
+            state=state, requests=self.requests, key_lifetime=key_lifetime, max_kept_bytes=max_kept_bytes
+        )
         self._unanswered = UnansweredKeys(state=state, records=self.keys.records)
         self._follower = AttemptFollower(state=state, requests=self.requests)
         self._bodies = BodyAnnouncements(state=state, requests=self.requests)
--- a/packages/sidecar/src/hoistsaddle/sidecar/key_claims.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/key_claims.py
@@ -74,13 +74,16 @@
 class KeyClaims:
     """Claims keys for pending requests, keeps the claims' outcomes, and releases keys under which nothing ran."""
 
-    def __init__(self, *, state: CoreState, requests: RequestTable, key_lifetime: timedelta) -> None:
+    def __init__(
+        self, *, state: CoreState, requests: RequestTable, key_lifetime: timedelta, max_kept_bytes: int
+    ) -> None:
         """Start without claims.
 
         Args:
             state: the state of the core, which collects the commands.
             requests: the pending requests, shared with the ingress core.
             key_lifetime: how long a claimed key stays claimed and its outcome is kept here.
+            max_kept_bytes: the most bytes of answers that are kept.
         """
         self._state = state
         self._requests = requests
@@ -92,7 +95,7 @@
         # Unanswered claims of pending requests that the log may have accepted.
         self._maybe_accepted: set[str] = set()
         self.releases = HoldReleases(state=state, retry_interval=RELEASE_RETRY_INTERVAL, timeout=RELEASE_TIMEOUT)
-        self.records = ClaimRecords(state=state)
+        self.records = ClaimRecords(state=state, max_kept_bytes=max_kept_bytes)
 
     # -- claiming ----------------------------------------------------------------------------------------------------
 
--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.result import Result, Success
 
+from hoistsaddle.common.byte_budget import ByteBudget
 from hoistsaddle.common.clock import milliseconds
 from hoistsaddle.common.errors import ErrorKind, MeshError, NoLeader
 from hoistsaddle.common.settings import SidecarSettings
@@ -32,6 +33,7 @@
 from hoistsaddle.rpc.runtime import Runtime
 from hoistsaddle.sidecar.abandoned_bodies import AbandonedBodies
 from hoistsaddle.sidecar.arrivals import ArrivalRecord
+from hoistsaddle.sidecar.claim_records import MAX_KEPT_BYTES
 from hoistsaddle.sidecar.core import SidecarCore
 from hoistsaddle.sidecar.core_prober import CoreProber
 from hoistsaddle.sidecar.messages import (
@@ -78,6 +80,8 @@
 # The links of the tree's roots have far more bandwidth than a sidecar's: a root serves a zone of this size directly.
 ROOT_FAN_OUT = 24
 BYTES_PER_MEGABIT = 125_000
+# The share of the memory for request and answer data in which answers to requests with keys are kept.
+KEPT_ANSWERS_SHARE = 0.25
 # Runs a request on the local server and returns the event with its outcome.
 Runner = Callable[[RunOnServer], Awaitable[tuple]]
 
@@ -138,6 +142,7 @@
             key_lifetime=timedelta(seconds=own.key_seconds),
             max_configuration_age=timedelta(seconds=own.apply_seconds),
             link_bytes_per_second=own.link_megabits * BYTES_PER_MEGABIT,
+            max_kept_bytes=_max_kept_bytes(own.memory_megabytes),
         )
 
     async def start(self) -> None:
@@ -398,6 +403,12 @@
             self.feed(GraceExpired())
 
 
+def _max_kept_bytes(memory_megabytes: float) -> int:
+    """Return the most bytes of answers that a process with this memory keeps for repeated requests."""
+    most = ByteBudget(memory_megabytes=memory_megabytes).max_bytes
+    return MAX_KEPT_BYTES if most is None else min(MAX_KEPT_BYTES, int(most * KEPT_ANSWERS_SHARE))
+
+
 def _was_unreachable(result: Result) -> bool:
     """Whether a call failed before anything was sent."""
     return not isinstance(result, Success) and result.failure().kind == ErrorKind.UNREACHABLE
--- a/packages/sidecar/src/hoistsaddle/sidecar/received_attempts.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/received_attempts.py
@@ -12,7 +12,7 @@
 
 # Answers are kept this long for a sender that didn't receive them: time for a new connection and a round trip.
 ANSWER_RETENTION = timedelta(seconds=2)
-# The most bytes of kept answers. The outcome of an attempt whose answer was dropped is reported as unknown.
+# The most bytes of kept answers, heads and bodies. The outcome of an attempt whose answer was dropped is unknown.
 MAX_ANSWER_BYTES = 2_000_000
 # Received attempts are remembered this long past their deadline; senders rely on "never arrived" up to the deadline.
 ATTEMPT_RETENTION = timedelta(seconds=2)
@@ -66,14 +66,14 @@
 
     def answered(self, answer: ForwardAnswer, *, now: timedelta) -> None:
         """Keep the answer to an attempt, within the retention time and size."""
-        self.answer_bytes += len(answer.body)
+        self.answer_bytes += len(answer.headers) + len(answer.body)
         self.answers[answer.attempt_id] = (now + ANSWER_RETENTION, answer)
         while self.answers:
             until, oldest = next(iter(self.answers.values()))
             if until > now and self.answer_bytes <= MAX_ANSWER_BYTES:
                 break
             self.answers.popitem(last=False)
-            self.answer_bytes -= len(oldest.body)
+            self.answer_bytes -= len(oldest.headers) + len(oldest.body)
 
     def answer_of(self, attempt_id: str) -> ForwardAnswer | None:
         """Return the answer to an attempt, if it is still kept."""
