A server whose answers on a route are broken in a row is ejected from it for a while

Callers of a route with faulty servers got 502 almost always, though one server was well, since broken answers are refused at once: such a server has nothing in flight and looks fast, so every sidecar chose it again. Cause: the choice of a server learned from complete answers only. The former code hid it, as each broken answer took long. Change: three broken answers in a row on a route eject its server there for 1 s, further ones for up to 8 s; a complete answer ends the row. If all servers are ejected or avoided, all are used. Counter servers.ejected.

--- a/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/ingress.py
@@ -277,6 +277,8 @@
         if answer.outcome == NOT_RUN:
             return self._attempt_rejected(request, ErrorKind(answer.error))
         request.attempts += 1
+        if answer.error == ErrorKind.ANSWER_BROKEN:
+            self.servers.answer_broken(request.target, request.route.name)
         if answer.outcome != ANSWERED or answer.attempt_id != request.attempt_id:
             return self._attempt_uncertain(request, NoResponse("The server gave no complete answer."))
         if answer.status < SERVER_ERROR_STATUS:
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_selection.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_selection.py
@@ -5,6 +5,7 @@
 from hoistsaddle.common.clock import ZERO, milliseconds
 from hoistsaddle.proxy.core_state import CoreState
 from hoistsaddle.rpc.messages import ForwardAnswer
+from hoistsaddle.sidecar.broken_answers import BrokenAnswers
 from hoistsaddle.sidecar.request_table import PendingRequest
 from hoistsaddle.statemachine.state import GONE, READY, ServerRecord
 from hoistsaddle.statemachine.view import View
@@ -56,6 +57,13 @@
         self.link_reported_at = ZERO
         # It is avoided until then, while others are available, because its sidecar was unreachable or rejected work.
         self.avoided_until = ZERO
+        # Routes on which its last answer was broken.
+        self.broken_answers: dict[str, BrokenAnswers] = {}
+
+    def usable(self, route: str, now: timedelta) -> bool:
+        """Whether it is neither avoided nor ejected from this route."""
+        broken = self.broken_answers.get(route)
+        return self.avoided_until <= now and (broken is None or not broken.ejected(now))
 
     def estimate(self, now: timedelta) -> float:
         """Return the estimated number of requests there now; the reported load from others decays over time."""
@@ -91,8 +99,9 @@
             for server in self._available(request.service)
             if server.proxy not in request.excluded and (server.proxy != own_proxy or state.server_state() == READY)
         ]
-        reachable = [server for server in available if self.load_of(server.proxy).avoided_until <= state.now]
-        candidates = reachable or available
+        route = request.route.name
+        usable = [server for server in available if self.load_of(server.proxy).usable(route, state.now)]
+        candidates = usable or available
         if not candidates:
             return None
         scored = [(self._score(server, request), server) for server in candidates]
@@ -127,12 +136,20 @@
         size = len(answer.body)
         usual_size = self._answer_bytes.get(route, float(size))
         self._answer_bytes[route] = usual_size + (size - usual_size) * SIZE_WEIGHT
-        latencies = self.load_of(proxy).latencies
+        server_load = self.load_of(proxy)
+        server_load.broken_answers.pop(route, None)
+        latencies = server_load.latencies
         latency = latencies.get(route)
         latencies[route] = (
             answer.run_time if latency is None else latency + (answer.run_time - latency) * LATENCY_WEIGHT
         )
 
+    def answer_broken(self, proxy: str, route: str) -> None:
+        """Count a broken answer of this proxy's server, which may eject the server from the route for a while."""
+        broken = self.load_of(proxy).broken_answers.setdefault(route, BrokenAnswers())
+        if broken.add(self._state.now):
+            self._state.count("servers.ejected")
+
     def avoid(self, proxy: str, *, duration: timedelta) -> None:
         """Avoid this proxy's server for this duration, while others are available."""
         self.load_of(proxy).avoided_until = self._state.now + duration
--- a/tests/test_sidecar_server_selection.py
+++ b/tests/test_sidecar_server_selection.py
@@ -4,14 +4,18 @@
 from datetime import timedelta
 
 from testtools import TestCase
-from testtools.matchers import Equals
+from testtools.matchers import Equals, LessThan
 
+from hoistsaddle.common.clock import milliseconds
+from hoistsaddle.common.errors import ErrorKind
 from hoistsaddle.proxy.core_state import CoreSettings
-from hoistsaddle.proxy.messages import ConfigurationChanged, LeaseRenewed
+from hoistsaddle.proxy.messages import ANSWERED, UNKNOWN, ConfigurationChanged, LeaseRenewed
 from hoistsaddle.proxy.retry_budget import retry_quota_of
+from hoistsaddle.rpc.messages import ForwardAnswer
 from hoistsaddle.sidecar import retry_allowance
+from hoistsaddle.sidecar.broken_answers import FIRST_EJECTION, MAX_EJECTION, BrokenAnswers
 from hoistsaddle.sidecar.core import SidecarCore
-from hoistsaddle.sidecar.messages import ForwardRequest, RequestArrived
+from hoistsaddle.sidecar.messages import ForwardAnswered, ForwardRequest, RequestArrived
 from hoistsaddle.statemachine.data_plane import data_plane_items
 from hoistsaddle.statemachine.state import GONE, WINDING_DOWN, State
 from hoistsaddle.statemachine.view import View, read_view
@@ -101,3 +105,78 @@
                 {"service-000": retry_quota_of(service="service-000", proxy=proxy_name(1), proxies=left, margin=10)}
             ),
         )
+
+
+class Ejection(TestCase):
+    """Guards against a server that fails at once and so attracts the requests of a route (issue 64)."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.begin()
+
+    def begin(self) -> None:
+        self.core = core_with(view_of(make_state(SIZE)))
+        self.now = timedelta()
+        self.tickets = 0
+
+    def send(self, path: str = f"{prefix_of(0)}x") -> ForwardRequest:
+        """Send a request; return the command that forwards it."""
+        self.tickets += 1
+        event = RequestArrived(self.tickets, "GET", HOST, path, b"\x90", 80, b"", None, "", f"send-{self.tickets}")
+        commands = self.core.handle(event, now=self.now)
+        (forwarded,) = [each for each in commands if isinstance(each, ForwardRequest)]
+        return forwarded
+
+    def answer(self, forwarded: ForwardRequest, *, broken: bool) -> None:
+        """Answer an attempt; one that is broken may be sent to a second server, which answers it."""
+        attempt, span = forwarded.call.attempt_id, milliseconds(1 if broken else 30)
+        answer = (
+            ForwardAnswer(attempt, UNKNOWN, str(ErrorKind.ANSWER_BROKEN), load=0, capacity=4)
+            if broken
+            else ForwardAnswer(attempt, ANSWERED, "", 200, b"\x90", b"ok", 0, 4, span)
+        )
+        commands = self.core.handle(ForwardAnswered(forwarded.number, answer), now=self.now)
+        for each in commands:
+            if isinstance(each, ForwardRequest):
+                self.answer(each, broken=False)
+
+    def share_of(self, faulty: set[str], *, requests: int = 300, seconds: float = 3.0) -> float:
+        """Send requests over a time, one at a time; return the share of them that the faulty servers got first."""
+        hits = 0
+        for _ in range(requests):
+            self.now += timedelta(seconds=seconds / requests)
+            self.core.handle(LeaseRenewed(self.now), now=self.now)
+            forwarded = self.send()
+            hits += forwarded.call.target in faulty
+            self.answer(forwarded, broken=forwarded.call.target in faulty)
+        return hits / requests
+
+    def test_servers_whose_answers_are_broken_get_few_requests_of_the_route(self) -> None:
+        for number in (0, 2):
+            self.begin()
+            faulty = {proxy_name(each) for each in (0, 2, 4)} - {proxy_name(number)}
+            self.assertThat(self.share_of(faulty), LessThan(0.05), f"healthy: {number}")
+
+    def test_an_ejected_server_is_used_if_all_are_and_again_once_it_answers(self) -> None:
+        every = {proxy_name(each) for each in (0, 2, 4)}
+        self.assertThat(self.share_of(every), Equals(1.0))
+        self.now += MAX_EJECTION
+        targets = set()
+        for _ in range(60):
+            self.now += milliseconds(20)
+            self.core.handle(LeaseRenewed(self.now), now=self.now)
+            forwarded = self.send()
+            targets.add(forwarded.call.target)
+            self.answer(forwarded, broken=False)
+        self.assertThat(targets, Equals(every))
+
+    def test_single_broken_answers_eject_nobody(self) -> None:
+        for _ in range(20):
+            for broken in (True, True, False):
+                forwarded = self.send()
+                self.answer(forwarded, broken=broken)
+        broken = BrokenAnswers()
+        self.assertThat([broken.add(timedelta()) for _ in range(3)], Equals([False, False, True]))
+        self.assertThat(broken.ejected(FIRST_EJECTION), Equals(False))
+        self.assertThat(broken.add(FIRST_EJECTION), Equals(True))
+        self.assertThat(broken.ejected(FIRST_EJECTION * 2.5), Equals(True))
