--- a/packages/sidecar/src/hoistsaddle/sidecar/upstream.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/upstream.py
@@ -222,7 +222,9 @@
 
     def wait_for(self, *, rank: int, due: timedelta) -> timedelta:
         """Return how long a request of this rank and due time would wait for its start if it arrived now."""
-        slots = [ZERO] * max(0, self._capacity - len(self._running))
+        # The request and those queued before it take at most this many slots, however many a server reports.
+        free = min(self._capacity - len(self._running), len(self._queue) + 1)
+        slots = [ZERO] * max(0, free)
         for number, started in self._running.items():
             expected = self.latencies.expected(self.runs[number].call)
             # A run that exceeds its expected time is assumed to need a little more.
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -494,6 +494,25 @@
             self.assertThat(run_coroutine(self.handler.handle(Request("PUT", path, b"{}"))).status, Equals(404))
         self.assertThat(self.node.reports, Equals([]))
 
+    def test_numbers_and_names_without_bound_are_rejected(self) -> None:
+        """Guards against a server whose reports its sidecar can't hold or pass on (issue 64)."""
+        for changes in (
+            {"capacity": 10**12},
+            {"capacity": 10**30},
+            {"cold_left_s": 1e300},
+            {"cold_left_s": -1e300},
+            {"call_seq": 10**30},
+            {"service": "s" * 100_000},
+            {"address": "a" * 100_000},
+            {"phase": "p" * 100_000},
+        ):
+            self.assertThat(self.put(**changes), Equals(400), str(changes)[:80])
+        self.assertThat(self.put("i" * 100_000), Equals(400))
+        self.assertThat(self.call("DELETE", "i" * 100_000), Equals(400))
+        for body in (b'{"service": "\xff"}', b'{"other":' + b"[" * 100_000):
+            self.assertThat(self.call("PUT", "i-1", body), Equals(400), repr(body[:40]))
+        self.assertThat(self.node.reports, Equals([]))
+
 
 class Ready(TestCase):
     """The readiness check."""
