Every run on a server has an outcome, and a keep-alive timeout may have any number of digits

Answers with Keep-Alive: timeout= and 309 digits or more: their callers got 504 at the deadline, and after as many of them as the server has places its sidecar started no request any more, until its restart. Cause: the number is taken after the answer is complete, outside of what turns errors into an outcome; an OverflowError (or a ValueError from 4,301 digits on) ended the task, and the run stayed among the running ones for good. Change: the timeout counts as an hour at most. Any error of a run is logged and reported as a broken answer. Found by reading.

--- a/packages/sidecar/src/hoistsaddle/sidecar/node.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/node.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 import msgspec
+from loguru import logger
 from returns.result import Result, Success
 
 from hoistsaddle.common.byte_budget import ByteBudget
@@ -36,6 +37,7 @@
 from hoistsaddle.sidecar.claim_records import MAX_KEPT_BYTES
 from hoistsaddle.sidecar.core import SidecarCore
 from hoistsaddle.sidecar.core_prober import CoreProber
+from hoistsaddle.sidecar.errors import server_answer_missing
 from hoistsaddle.sidecar.messages import (
     Abandon,
     AbandonArrived,
@@ -63,6 +65,7 @@
     Reply,
     RequestArrived,
     RunOnServer,
+    ServerFailed,
     ServerSignedOff,
 )
 from hoistsaddle.statemachine.state import GONE, READY
@@ -318,7 +321,14 @@
     async def _run_on_server(self, command: RunOnServer, *, decided: timedelta) -> None:
         self.counters.add("runs")
         # The process may have been frozen since the decision, so that time is subtracted.
-        self.feed(await self._serve(command._replace(within=command.within - (self.runtime.now() - decided))))
+        within = command.within - (self.runtime.now() - decided)
+        try:
+            outcome = await self._serve(command._replace(within=within))
+        except Exception as problem:
+            # Without an outcome the run would take its place among the server's requests for good.
+            logger.opt(exception=problem).error("run {} on the server failed", command.number)
+            outcome = ServerFailed(command.number, False, server_answer_missing(ErrorKind.ANSWER_BROKEN))
+        self.feed(outcome)
 
     async def _follow(self, command: Follow) -> None:
         self.counters.add("sends.followed")
--- a/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/server_connections.py
@@ -28,6 +28,8 @@
 # A connection is reused only within this share of the server's keep-alive timeout, to avoid a race with its close.
 KEEP_ALIVE_SHARE = 0.6
 MAX_IDLE_CONNECTIONS = 64
+# A server's keep-alive timeout counts as at most this.
+MAX_KEEP_SECONDS = 3600
 # The kernel's receive buffer of each connection, if the memory of the process is limited.
 SERVER_RECEIVE_BUFFER_BYTES = 128 * 1024
 # The server is on the same machine, so if it closed the connection before the request arrived, the close is seen here
@@ -226,7 +228,7 @@
                 for part in value.split(b","):
                     key, _, seconds = part.strip().partition(b"=")
                     if key.lower() == b"timeout" and seconds.strip().isdigit():
-                        connection.keep_seconds = max(0.1, int(seconds) * KEEP_ALIVE_SHARE)
+                        connection.keep_seconds = max(0.1, _bounded_seconds(seconds.strip()) * KEEP_ALIVE_SHARE)
         replaced = connection.server != self.server
         if (
             connection.dirty
@@ -242,3 +244,11 @@
             return
         connection.idle_since = asyncio.get_running_loop().time()
         self.idle.append(connection)
+
+
+def _bounded_seconds(digits: bytes) -> int:
+    """Return the number that these digits, of which there may be any number, stand for, up to the limit."""
+    significant = digits.lstrip(b"0")
+    if len(significant) > len(str(MAX_KEEP_SECONDS)):
+        return MAX_KEEP_SECONDS
+    return min(MAX_KEEP_SECONDS, int(significant or b"0"))
--- a/tests/test_sidecar_server_connections.py
+++ b/tests/test_sidecar_server_connections.py
@@ -203,3 +203,15 @@
                 return await self.send(self.line(), raw)
 
         self.assertMissed(run_stepped(run()), ErrorKind.UNREACHABLE, unsent=True)
+
+
+class KeepAliveTimes(Case):
+    def test_a_keep_alive_timeout_may_have_any_number_of_digits(self) -> None:
+        """Guards against servers whose answers take a place among the running requests for good (issue 64)."""
+        for digits in ("9" * 400, "9" * 20_000, "0" * 20_000 + "5", "5"):
+
+            async def behave(asked: ServerRequest, digits: str = digits) -> None:
+                asked.say(answer(asked.send, b"ok", f"Keep-Alive: timeout={digits}"))
+
+            raw, bodies = self.bodies(behave, 2)
+            self.assertThat((raw.connections, bodies), Equals((1, [b"ok", b"ok"])), digits[:10])
--- a/tests/test_sidecar_upstream.py
+++ b/tests/test_sidecar_upstream.py
@@ -1,11 +1,12 @@
 """A sidecar's upstream side: which requests run on its server, which are queued, and which are rejected at once."""
 
 import random
+import tracemalloc
 from datetime import timedelta
 from typing import Any
 
 from testtools import TestCase
-from testtools.matchers import Equals, GreaterThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 
 from hoistsaddle.common.errors import ErrorKind
 from hoistsaddle.proxy.messages import ANSWERED, NOT_RUN, UNKNOWN, StopRequested
@@ -14,6 +15,8 @@
 from hoistsaddle.sidecar.messages import AnswerForward, RunOnServer
 from hoistsaddle.statemachine.state import GONE, READY, WINDING_DOWN
 from sidecar_bench import SidecarBench, latency_of
+from sidecar_stack import SidecarStack
+from stepped_clock import run_stepped
 
 NAME = "s-1"
 
@@ -327,3 +330,38 @@
                     case AnswerForward(answer=answer):
                         place[answer.attempt_id] = number
             self.assertThat(len(place), GreaterThan(100))
+
+
+class AnyServer(TestCase):
+    """Guards against servers that fill their sidecar's memory, or occupy its runs for good (issue 64)."""
+
+    def test_a_reported_capacity_of_any_size_costs_no_memory(self) -> None:
+        fleet = SidecarBench(NAME, room=100_000)
+        tracemalloc.start()
+        try:
+            for number in range(5):
+                fleet.ask(f"/read/{number}")
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertThat(len(fleet.runs), Equals(5))
+        self.assertThat(peak_bytes, LessThan(200_000))
+
+    def test_a_run_that_fails_by_an_error_of_any_kind_ends(self) -> None:
+        async def fail(command: RunOnServer) -> tuple:
+            raise OverflowError("a number of the server's")
+
+        async def run() -> tuple[set[int], int]:
+            stack = await SidecarStack().start()
+            for machine in stack.machines.values():
+                machine.node._serve = fail
+            # More attempts than the server's capacity.
+            for _ in range(12):
+                stack.client("read", doors=("s-2",))
+            await stack.pass_time(2.0)
+            statuses = {status for status, _ in stack.history.answers.values()}
+            load = sum(machine.node.core.upstream.load() for machine in stack.machines.values())
+            await stack.stop()
+            return statuses, load
+
+        self.assertThat(run_stepped(run()), Equals(({502}, 0)))
