One client's requests without end are read no faster than they are answered

A client that sends requests one behind the other without a pause used up the sidecar's budget in 4 to 8 s: everybody else's answers were broken off (502), their uploads refused (503), and memory grew by 1 to 5 MB a second. A connection's answered requests stayed counted until its queue was empty, which it never was. And the library resumes reading whenever its queue has a free place, while what was read ahead is used only after an answer: each time a read came in, more was read than used. Change: RequestSizes counts each request until its own answer. With requests waiting, nothing is read while 32 KiB are ahead.

--- a/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
+++ b/packages/sidecar/src/hoistsaddle/sidecar/guarded_http.py
@@ -22,6 +22,7 @@
     MessageFraming,
     TrailersTooLarge,
 )
+from hoistsaddle.sidecar.request_sizes import RequestSizes
 
 # The allowance for the request line, which the limit on header bytes doesn't include.
 REQUEST_LINE_BYTES = 16384
@@ -35,6 +36,8 @@
 FIELD_OVERHEAD_BYTES = 512
 # Chunks that all connections of a process decode in one iteration of the event loop: a few milliseconds of work.
 CHUNKS_PER_ITERATION = 1000
+# The most bytes that are read ahead of the requests that wait for their answers.
+MAX_BYTES_AHEAD = 32 * 1024
 MALFORMED_RESPONSE = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 HEAD_TIMEOUT_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
@@ -95,7 +98,7 @@
         "_receive_buffer",
         "_refused",
         "_refused_body",
-        "_request_bytes",
+        "_request_sizes",
         "_waits_for_turn",
     )
 
@@ -109,7 +112,7 @@
         self._framing = MessageFraming()
         self._admitted = False
         # The bytes of requests that the parser has received and that are not answered yet.
-        self._request_bytes = 0
+        self._request_sizes = RequestSizes()
         self._head_timer: asyncio.TimerHandle | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         # The body that is being received.
@@ -187,7 +190,7 @@
         return self._force_close or self._close
 
     def _count_bytes(self) -> None:
-        self._lease.resize(self._framing.pending_bytes + self._request_bytes)
+        self._lease.resize(self._framing.pending_bytes + self._request_sizes.total)
 
     def _advance(self) -> None:
         """Pass complete heads and body data to the parser, as far as it and the other connections allow."""
@@ -245,7 +248,9 @@
             self._resume_transport_reading()
 
     def _resume_transport_reading(self) -> None:
-        if not self._waits_for_turn:
+        # With requests waiting for their answers, what is pending is used after the next one, and reading goes on then.
+        enough_ahead = self._messages and self._framing.pending_bytes > MAX_BYTES_AHEAD
+        if not self._waits_for_turn and not enough_ahead:
             super()._resume_transport_reading()
 
     def _take_head(self, data: bytes) -> None:
@@ -258,7 +263,7 @@
         if self._request_count == before:
             self._end(MALFORMED_RESPONSE)
             return
-        self._request_bytes += len(data) + data.count(b"\n") * FIELD_OVERHEAD_BYTES
+        self._request_sizes.begin(len(data) + data.count(b"\n") * FIELD_OVERHEAD_BYTES)
         message, body = self._messages[-1]
         if not isinstance(message, RawRequestMessage):
             self._refused = True
@@ -271,7 +276,7 @@
 
     def _take_body(self, part: BodyReceived) -> None:
         super().data_received(part.coded())
-        self._request_bytes += len(part.payload)
+        self._request_sizes.add(len(part.payload))
         if part.last:
             self._body = None
             self._stop_timers()
@@ -410,8 +415,10 @@
             if self._refused_body is not None:
                 # The library waits for the rest of the body, which fails with an exception set.
                 self._refused_body.set_exception(None)  # type: ignore[arg-type]
-            if self._body is None and not self._messages:
-                self._request_bytes = 0
+            if self._messages:
+                self._request_sizes.answered()
+            elif self._body is None:
+                self._request_sizes.clear()
             if self._admitted:
                 self._count_bytes()
                 self._note_idle()
--- a/tests/hostile_crowds.py
+++ b/tests/hostile_crowds.py
@@ -51,6 +51,9 @@
     return lambda: chain([HEAD, b"Transfer-Encoding: chunked\r\n\r\n1;x="], repeat(PIECE, sent // len(PIECE)))
 
 
+PIECE_BYTES = len(PIECE)
+
+
 def complete_requests(*, body: int) -> Pieces:
     """One whole request; its answer is not read."""
     return with_length(body, sent=body)
@@ -66,7 +69,14 @@
     return pieces
 
 
+def requests_without_end(*, sent: int) -> Pieces:
+    """Complete requests one behind the other; their answers are not read."""
+    request = HEAD + b"Content-Length: 0\r\n\r\n"
+    return lambda: repeat(request * (PIECE_BYTES // len(request)), sent // PIECE_BYTES)
+
+
 CROWDS = {
+    "requests without end": Crowd(24, requests_without_end(sent=24 * MB)),
     "many bodies short of their end": Crowd(200, with_length(15 * MB, sent=15 * MB - 65536)),
     "tiny fields": Crowd(100, tiny_fields(sent=6 * MB)),
     "trailers": Crowd(24, trailers(sent=12 * MB)),
--- a/tests/test_hostile_crowds.py
+++ b/tests/test_hostile_crowds.py
@@ -110,6 +110,10 @@
         egress = adapter("samples").EGRESS
         self.check("sidecar", egress, "requests whose answers are not read", answer=answer_head_without_end)
 
+    def test_requests_without_end(self) -> None:
+        """Guards against clients whose requests wait in memory until others find no room (issue 64)."""
+        self.check("sidecar", adapter("samples").EGRESS, "requests without end")
+
     def test_bodies_between_sidecars(self) -> None:
         self.check("caller", adapter("samples").EGRESS, "whole bodies of 12 MB", with_caller=True)
 
--- a/tests/test_sidecar_guarded_http.py
+++ b/tests/test_sidecar_guarded_http.py
@@ -11,7 +11,7 @@
 from testtools.matchers import EndsWith, Equals, LessThan, StartsWith
 
 from hoistsaddle.common.byte_budget import COPIES_OF_A_BODY, OWN_MEMORY_BYTES, ByteBudget
-from hoistsaddle.sidecar.guarded_http import REQUEST_LINE_BYTES, GuardedServer, HttpLimits, OverBudget
+from hoistsaddle.sidecar.guarded_http import MAX_BYTES_AHEAD, REQUEST_LINE_BYTES, GuardedServer, HttpLimits, OverBudget
 from hoistsaddle.sidecar.listener import LARGEST_HEADER
 
 MEGABYTE = 1024 * 1024
@@ -91,6 +91,52 @@
 
         self.run_with(work)
 
+    def test_requests_that_follow_each_other_without_pause_count_until_each_is_answered(self) -> None:
+        """Guards against one client's answered requests that use up the budget of all others (issue 64)."""
+        budget = budget_of(64)
+        ahead, total = 100, 3000
+
+        async def work(connect: Any) -> None:
+            reader, writer = await connect()
+            most = 0
+            for number in range(total + ahead):
+                if number < total:
+                    writer.write(HEAD + b"Content-Length: 3\r\n\r\none")
+                if number >= ahead:
+                    await reader.readuntil(b"\r\n\r\n3")
+                    most = max(most, budget.held)
+            # More than the requests ahead would take, and far less than all of them.
+            self.assertThat(most, LessThan(2 * ahead * 2000))
+            writer.close()
+
+        self.run_with(work, budget=budget)
+
+    def test_requests_without_end_are_read_no_faster_than_they_are_answered(self) -> None:
+        """Guards against one client whose requests wait in memory until others find no room (issue 64)."""
+        budget = budget_of(64)
+        request = HEAD + b"Content-Length: 3\r\n\r\none"
+        total = 20_000
+
+        async def work(connect: Any) -> None:
+            reader, writer = await connect()
+            sending = asyncio.ensure_future(self.send_all(writer, request * 100, total // 100))
+            most = 0
+            for _ in range(total):
+                await reader.readuntil(b"\r\n\r\n3")
+                most = max(most, budget.held)
+            await sending
+            # The bytes ahead, one read of the loop's, and the requests in the library's queue.
+            self.assertThat(most, LessThan(MAX_BYTES_AHEAD + 256 * 1024 + 100 * 2000))
+            writer.close()
+
+        self.run_with(work, budget=budget)
+
+    @staticmethod
+    async def send_all(writer: asyncio.StreamWriter, data: bytes, times: int) -> None:
+        for _ in range(times):
+            writer.write(data)
+            await writer.drain()
+
     def test_a_head_that_takes_too_long_is_refused(self) -> None:
         async def work(connect: Any) -> None:
             reader, writer = await connect()
